--- /dev/null
+++ b/oxbowbend-core/src/cache.rs
@@ -0,0 +1,62 @@
+//! What an endpoint's prefix cache probably holds.
+//!
+//! Engines publish cache events late and with gaps, so the scheduler's own grants are the primary
+//! source: a prompt sent to an endpoint leaves its blocks there until enough other tokens have
+//! pushed them out. The estimate errs whenever the engine evicts by another rule; a run's report of
+//! cached tokens does not correct it yet.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// Prompt tokens covered by one prefix hash.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// Least-recently-used model of one endpoint's cache.
+///
+/// ```
+/// use oxbowbend_core::cache::{PrefixCache, BLOCK_TOKENS};
+/// let mut cache = PrefixCache::new(1024);
+/// cache.insert(&[1, 2, 3]);
+/// assert_eq!(cache.cached_tokens(&[1, 2, 9]), 2 * BLOCK_TOKENS);
+/// ```
+#[derive(Clone, Debug)]
+pub struct PrefixCache {
+    capacity: usize,
+    used: HashMap<u64, u64>,
+    order: BTreeMap<u64, u64>,
+    clock: u64,
+}
+
+impl PrefixCache {
+    /// Creates an empty model of a cache that holds `capacity_tokens`.
+    pub fn new(capacity_tokens: u64) -> PrefixCache {
+        let capacity = (capacity_tokens / u64::from(BLOCK_TOKENS)) as usize;
+        PrefixCache { capacity, used: HashMap::new(), order: BTreeMap::new(), clock: 0 }
+    }
+
+    /// Records that a prompt with these cumulative block hashes was sent to the endpoint.
+    pub fn insert(&mut self, prefix: &[u64]) {
+        for hash in prefix.iter().take(self.capacity) {
+            self.clock += 1;
+            if let Some(old) = self.used.insert(*hash, self.clock) {
+                self.order.remove(&old);
+            }
+            self.order.insert(self.clock, *hash);
+        }
+        while self.used.len() > self.capacity {
+            let Some((_, hash)) = self.order.pop_first() else { break };
+            self.used.remove(&hash);
+        }
+    }
+
+    /// Tokens of the prompt that are probably cached.
+    pub fn cached_tokens(&self, prefix: &[u64]) -> u32 {
+        let hits = prefix.iter().take_while(|h| self.used.contains_key(h)).count();
+        hits as u32 * BLOCK_TOKENS
+    }
+
+    /// Forgets everything, as after the endpoint was restarted.
+    pub fn clear(&mut self) {
+        self.used.clear();
+        self.order.clear();
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/choose.rs
@@ -0,0 +1,125 @@
+//! Choice of endpoint for a request.
+//!
+//! The policy that ships is [`Predicted`]: the endpoint on which the request is expected to finish
+//! first, counting the prompt tokens that its cache probably holds. The others are baselines,
+//! kept to be measured against in the experiment tool.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// An endpoint that has a free slot, as a policy sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Position in the pool's list of endpoints.
+    pub index: usize,
+    /// Predicted seconds from dispatch to the last token.
+    pub seconds: f64,
+    /// Requests known to be outstanding there, from our own grants.
+    pub outstanding: u32,
+    /// Requests running according to the endpoint's last, stale report.
+    pub reported: u32,
+    /// Whether it straggles and is to be avoided for now.
+    pub avoid: bool,
+}
+
+/// A policy that picks one of the candidates.
+pub trait Choose {
+    /// Returns the position in `candidates` of the chosen one; `None` if there are none.
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize>;
+}
+
+/// Earliest predicted finish, stragglers last.
+///
+/// ```
+/// use oxbowbend_core::choose::{Candidate, Choose, Predicted};
+/// let c = |index, seconds, avoid| Candidate { index, seconds, outstanding: 0, reported: 0, avoid };
+/// let candidates = [c(0, 3.0, false), c(1, 1.0, true), c(2, 2.0, false)];
+/// assert_eq!(Predicted.choose(&candidates), Some(2));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Predicted;
+
+impl Choose for Predicted {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        let key = |c: &Candidate| (c.avoid, c.seconds, c.outstanding);
+        position_min(candidates, |a, b| {
+            let ((x, s, n), (y, t, m)) = (key(a), key(b));
+            x.cmp(&y).then(s.total_cmp(&t)).then(n.cmp(&m))
+        })
+    }
+}
+
+/// Baseline: fewest requests outstanding.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastOutstanding;
+
+impl Choose for LeastOutstanding {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        position_min(candidates, |a, b| a.outstanding.cmp(&b.outstanding))
+    }
+}
+
+/// Baseline: each endpoint in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin {
+    last: Option<usize>,
+}
+
+impl Choose for RoundRobin {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        let after = candidates.iter().position(|c| Some(c.index) > self.last);
+        let chosen = after.or(if candidates.is_empty() { None } else { Some(0) })?;
+        self.last = Some(candidates[chosen].index);
+        Some(chosen)
+    }
+}
+
+/// Baseline: uniformly at random.
+#[derive(Clone, Debug)]
+pub struct Random(Pcg32);
+
+impl Random {
+    /// Creates the policy from a seed.
+    pub fn new(seed: u64) -> Random {
+        Random(Pcg32::seed_from_u64(seed))
+    }
+}
+
+impl Choose for Random {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        Some(self.0.random_range(0..candidates.len()))
+    }
+}
+
+/// Baseline: the less loaded of two random endpoints by their stale reports.
+#[derive(Clone, Debug)]
+pub struct TwoChoices(Pcg32);
+
+impl TwoChoices {
+    /// Creates the policy from a seed.
+    pub fn new(seed: u64) -> TwoChoices {
+        TwoChoices(Pcg32::seed_from_u64(seed))
+    }
+}
+
+impl Choose for TwoChoices {
+    fn choose(&mut self, candidates: &[Candidate]) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let a = self.0.random_range(0..candidates.len());
+        let b = self.0.random_range(0..candidates.len());
+        Some(if candidates[b].reported < candidates[a].reported { b } else { a })
+    }
+}
+
+fn position_min(
+    candidates: &[Candidate],
+    compare: impl Fn(&Candidate, &Candidate) -> std::cmp::Ordering,
+) -> Option<usize> {
+    let (at, _) = candidates.iter().enumerate().min_by(|a, b| compare(a.1, b.1))?;
+    Some(at)
+}
--- /dev/null
+++ b/oxbowbend-core/src/entry.rs
@@ -0,0 +1,446 @@
+//! The part that stands between callers and the pool's scheduler.
+//!
+//! An entry instance keeps each request until its caller has the answer. It is the only one that
+//! dispatches the request, and it does so for exactly one grant: a grant is good only for the
+//! attempt that the request is at, and whatever makes the fate of a grant doubtful raises the
+//! attempt. That single number is what makes loss, repetition and overtaking of messages harmless.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3;
+
+use crate::ids::{Attempt, InstanceId, PoolId, RequestId, TierLevel};
+use crate::message::{
+    Grant, GrantRef, Hop, Message, Permit, PermitUse, PoolBeat, Record, Refusal, RunReport,
+};
+use crate::node::Action;
+
+/// Time without a word of the scheduler after which a shed floor is no longer enforced. It is
+/// longer than [`crate::scheduler::FLOOR_TRUST`], for which the scheduler relies on it.
+pub const FLOOR_KEEP: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Waiting,
+    Running(Grant),
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    record: Record,
+    due: Instant,
+    state: State,
+}
+
+impl Request {
+    fn record_at(&self, now: Instant) -> Record {
+        let due_in_ms = self.due.saturating_duration_since(now).as_millis() as u64;
+        Record { due_in_ms, ..self.record.clone() }
+    }
+
+    fn fingerprint(&self) -> u64 {
+        fingerprint(&self.record.id, self.record.attempt, self.state != State::Waiting)
+    }
+}
+
+/// Digest of one request's standing; digests of a set are combined by exclusive or.
+pub fn fingerprint(id: &str, attempt: Attempt, running: bool) -> u64 {
+    xxh3::xxh3_64_with_seed(id.as_bytes(), u64::from(attempt) << 1 | u64::from(running))
+}
+
+#[derive(Debug, Default)]
+struct PoolSide {
+    scheduler: Option<InstanceId>,
+    digest: u64,
+    requests: usize,
+    floor: Option<Floor>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Floor {
+    seq: u64,
+    keep: TierLevel,
+    heard: Instant,
+}
+
+/// The requests held by one entry instance.
+#[derive(Debug)]
+pub struct Entry {
+    me: InstanceId,
+    requests: HashMap<RequestId, Request>,
+    pools: BTreeMap<PoolId, PoolSide>,
+}
+
+impl Entry {
+    /// Creates an entry that holds nothing.
+    pub fn new(me: InstanceId) -> Entry {
+        Entry { me, requests: HashMap::new(), pools: BTreeMap::new() }
+    }
+
+    /// Number of requests held, waiting or running.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether no request is held.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Number of requests that wait for a grant.
+    pub fn waiting(&self) -> usize {
+        self.requests.values().filter(|r| r.state == State::Waiting).count()
+    }
+
+    /// The attempt that a held request is at.
+    pub fn attempt(&self, id: &str) -> Option<Attempt> {
+        self.requests.get(id).map(|r| r.record.attempt)
+    }
+
+    /// Takes in a caller's request.
+    pub fn arrive(&mut self, now: Instant, record: Record, out: &mut Vec<Action>) {
+        let side = self.pools.entry(record.pool.clone()).or_default();
+        if let Some(floor) = side.floor.filter(|f| record.tier > f.keep) {
+            let retry_after = floor.heard + FLOOR_KEEP;
+            let wait = retry_after.saturating_duration_since(now);
+            out.push(Action::refuse(record.id, Refusal::Shed, wait));
+            return;
+        }
+        let due = now + Duration::from_millis(record.due_in_ms);
+        let request = Request { record, due, state: State::Waiting };
+        side.digest ^= request.fingerprint();
+        side.requests += 1;
+        send_to(&side.scheduler, Message::Enqueue(request.record.clone()), out);
+        self.requests.insert(request.record.id.clone(), request);
+    }
+
+    /// Gives up on a waiting request at the caller's wish; says whether it was still waiting.
+    pub fn withdraw(&mut self, id: &str, out: &mut Vec<Action>) -> bool {
+        match self.requests.get(id) {
+            Some(r) if r.state == State::Waiting => self.drop_waiting(id, out).is_some(),
+            _ => false,
+        }
+    }
+
+    fn drop_waiting(&mut self, id: &str, out: &mut Vec<Action>) -> Option<Request> {
+        let request = self.take(id)?;
+        let record = &request.record;
+        let (pool, attempt) = (record.pool.clone(), record.attempt);
+        let message = Message::Withdraw { pool, request: record.id.clone(), attempt };
+        send_to(&self.pools.get(&record.pool)?.scheduler, message, out);
+        Some(request)
+    }
+
+    fn take(&mut self, id: &str) -> Option<Request> {
+        let request = self.requests.remove(id)?;
+        if let Some(side) = self.pools.get_mut(&request.record.pool) {
+            side.digest ^= request.fingerprint();
+            side.requests -= 1;
+        }
+        Some(request)
+    }
+
+    fn change(&mut self, id: &str, change: impl FnOnce(&mut Request)) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let before = request.fingerprint();
+        change(request);
+        let after = request.fingerprint();
+        if let Some(side) = self.pools.get_mut(&request.record.pool) {
+            side.digest ^= before ^ after;
+        }
+    }
+
+    /// Decides on a grant that has reached this instance. `valid` tells whether its owners and
+    /// endpoint may still be used.
+    pub fn granted(&mut self, now: Instant, grant: Grant, valid: bool, out: &mut Vec<Action>) {
+        let reference = (grant.request.clone(), grant.attempt);
+        let state = self.requests.get(&grant.request);
+        let current = state.filter(|r| r.record.attempt == grant.attempt);
+        match current.map(|r| &r.state) {
+            Some(State::Running(taken)) if *taken == grant => self.confirm(&grant, out),
+            Some(State::Waiting) if valid => self.accept(grant, out),
+            Some(State::Waiting) => {
+                self.void(now, &reference, out);
+                self.give_back(&grant, out);
+            }
+            _ => self.give_back(&grant, out),
+        }
+    }
+
+    fn accept(&mut self, grant: Grant, out: &mut Vec<Action>) {
+        self.change(&grant.request, |r| r.state = State::Running(grant.clone()));
+        let (pool, request) = (grant.pool.clone(), grant.request.clone());
+        let taken = Message::Taken { pool, request, attempt: grant.attempt };
+        if let Some(side) = self.pools.get(&grant.pool) {
+            send_to(&side.scheduler, taken, out);
+        }
+        self.confirm(&grant, out);
+        out.push(Action::Dispatch(grant));
+    }
+
+    fn confirm(&self, grant: &Grant, out: &mut Vec<Action>) {
+        let grants = vec![(grant.request.clone(), grant.attempt)];
+        for hop in &grant.hops {
+            out.push(Action::send(&hop.owner, Message::Used { grants: grants.clone() }));
+        }
+    }
+
+    /// Tells the owners of a grant that it is not used. A grant of the attempt that runs may name
+    /// the same owner again, so each permit is named by its key and only others' are given back.
+    fn give_back(&self, grant: &Grant, out: &mut Vec<Action>) {
+        let running = self.requests.get(&grant.request).and_then(|r| match &r.state {
+            State::Running(g) if g.attempt == grant.attempt => Some(g),
+            _ => None,
+        });
+        let in_use = |owner: &InstanceId, key| {
+            running.is_some_and(|g| g.hops.iter().any(|h| h.owner == *owner && h.key == key))
+        };
+        for hop in &grant.hops {
+            if !in_use(&hop.owner, hop.key.clone()) {
+                out.push(Action::release(&hop.owner, grant, &hop.key));
+            }
+        }
+    }
+
+    /// Makes every grant of an attempt void and asks for a new one.
+    pub fn void(&mut self, now: Instant, reference: &GrantRef, out: &mut Vec<Action>) {
+        let (id, attempt) = reference;
+        let waiting = self
+            .requests
+            .get(id)
+            .is_some_and(|r| r.state == State::Waiting && r.record.attempt == *attempt);
+        if waiting {
+            self.change(id, |r| r.record.attempt += 1);
+            self.enqueue_again(now, id, out);
+        }
+    }
+
+    fn enqueue_again(&self, now: Instant, id: &str, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(id) else { return };
+        let Some(side) = self.pools.get(&request.record.pool) else { return };
+        send_to(&side.scheduler, Message::Enqueue(request.record_at(now)), out);
+    }
+
+    /// Ends a run and gives its permits back.
+    pub fn finish(&mut self, id: &str, report: RunReport, out: &mut Vec<Action>) {
+        if !matches!(self.requests.get(id), Some(r) if r.state != State::Waiting) {
+            return;
+        }
+        let Some(request) = self.take(id) else { return };
+        let State::Running(grant) = request.state else { return };
+        self.end_run(&grant, report, out);
+    }
+
+    /// Ends a run that never began, and puts the request back to wait.
+    pub fn requeue(&mut self, now: Instant, id: &str, report: RunReport, out: &mut Vec<Action>) {
+        let Some(Request { state: State::Running(grant), .. }) = self.requests.get(id).cloned()
+        else {
+            return;
+        };
+        self.end_run(&grant, report, out);
+        self.change(id, |r| {
+            r.state = State::Waiting;
+            r.record.attempt += 1;
+        });
+        self.enqueue_again(now, id, out);
+    }
+
+    fn end_run(&self, grant: &Grant, report: RunReport, out: &mut Vec<Action>) {
+        for hop in &grant.hops {
+            out.push(Action::release(&hop.owner, grant, &hop.key));
+        }
+        let (pool, request) = (grant.pool.clone(), grant.request.clone());
+        let done = Message::Done { pool, request, attempt: grant.attempt, report };
+        if let Some(side) = self.pools.get(&grant.pool) {
+            send_to(&side.scheduler, done, out);
+        }
+    }
+
+    /// Carries out a scheduler's refusal, unless the request has moved on.
+    pub fn refused(
+        &mut self,
+        reference: &GrantRef,
+        reason: Refusal,
+        retry_after: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let (id, attempt) = reference;
+        let current = self
+            .requests
+            .get(id)
+            .is_some_and(|r| r.state == State::Waiting && r.record.attempt == *attempt);
+        if current && self.drop_waiting(id, out).is_some() {
+            out.push(Action::refuse(id.clone(), reason, retry_after));
+        }
+    }
+
+    /// Answers an owner that asks which permits are used; grants of the others become void.
+    ///
+    /// Whoever asks owns the permit now, so that it is the one to hear when the run is over.
+    pub fn inquired(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        uses: Vec<PermitUse>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut used = Vec::new();
+        let mut unused = Vec::new();
+        for u in uses {
+            if self.note_owner(&u, from) {
+                used.push(u.grant);
+            } else {
+                self.void(now, &u.grant, out);
+                unused.push(u);
+            }
+        }
+        if !used.is_empty() {
+            out.push(Action::send(from, Message::Used { grants: used }));
+        }
+        if !unused.is_empty() {
+            out.push(Action::send(from, Message::NotUsed { uses: unused }));
+        }
+    }
+
+    /// Whether the permit is used as told; if so, `owner` is noted as its owner.
+    fn note_owner(&mut self, u: &PermitUse, owner: &InstanceId) -> bool {
+        let (id, attempt) = &u.grant;
+        let Some(request) = self.requests.get_mut(id) else { return false };
+        let State::Running(grant) = &mut request.state else { return false };
+        if grant.attempt != *attempt {
+            return false;
+        }
+        let same = |h: &&mut Hop| h.key == u.permit.key && h.index == Some(u.permit.index);
+        match grant.hops.iter_mut().find(same) {
+            Some(hop) => {
+                hop.owner = owner.clone();
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Which of the claimed permits run requests of this entry.
+    pub fn users_of(&self, permits: &[Permit]) -> Vec<PermitUse> {
+        let wanted: HashSet<&Permit> = permits.iter().collect();
+        let running = self.requests.values().filter_map(|r| match &r.state {
+            State::Running(grant) => Some(grant),
+            State::Waiting => None,
+        });
+        let uses = running.flat_map(|g| g.hops.iter().filter_map(move |h| permit_use(g, h)));
+        uses.filter(|u| wanted.contains(&u.permit)).collect()
+    }
+
+    /// Moves a pool to another scheduler and tells it, and the former one, what is held.
+    pub fn set_scheduler(
+        &mut self,
+        now: Instant,
+        pool: &PoolId,
+        scheduler: Option<InstanceId>,
+        out: &mut Vec<Action>,
+    ) {
+        let side = self.pools.entry(pool.clone()).or_default();
+        if side.scheduler == scheduler {
+            return;
+        }
+        let former = std::mem::replace(&mut side.scheduler, scheduler);
+        side.floor = None;
+        let nothing =
+            Message::Report { pool: pool.clone(), waiting: Vec::new(), running: Vec::new() };
+        send_to(&former, nothing, out);
+        self.report(now, pool, out);
+    }
+
+    /// The scheduler that a pool's requests are sent to.
+    pub fn scheduler(&self, pool: &str) -> Option<&InstanceId> {
+        self.pools.get(pool)?.scheduler.as_ref()
+    }
+
+    /// Sends everything held in a pool to its scheduler.
+    pub fn report(&self, now: Instant, pool: &PoolId, out: &mut Vec<Action>) {
+        let Some(side) = self.pools.get(pool) else { return };
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
+        for request in self.requests.values().filter(|r| r.record.pool == *pool) {
+            match &request.state {
+                State::Waiting => waiting.push(request.record_at(now)),
+                State::Running(g) => running.push((request.record_at(now), g.endpoint.clone())),
+            }
+        }
+        waiting.sort_by(|a, b| a.id.cmp(&b.id));
+        running.sort_by(|a, b| a.0.id.cmp(&b.0.id));
+        send_to(&side.scheduler, Message::Report { pool: pool.clone(), waiting, running }, out);
+    }
+
+    /// Raises, renews or lifts the shed floor of a pool, on the word of its current scheduler.
+    pub fn set_floor(
+        &mut self,
+        now: Instant,
+        from: &str,
+        pool: &PoolId,
+        seq: u64,
+        keep: Option<TierLevel>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(side) = self.pools.get_mut(pool) else { return };
+        if side.scheduler.as_deref() != Some(from) {
+            return;
+        }
+        side.floor = keep.map(|keep| Floor { seq, keep, heard: now });
+        let Some(keep) = keep else { return };
+        let below = |r: &&Request| {
+            r.record.pool == *pool && r.record.tier > keep && r.state == State::Waiting
+        };
+        let mut shed: Vec<RequestId> =
+            self.requests.values().filter(below).map(|r| r.record.id.clone()).collect();
+        shed.sort();
+        for id in shed {
+            self.drop_waiting(&id, out);
+            out.push(Action::refuse(id, Refusal::Shed, FLOOR_KEEP));
+        }
+    }
+
+    /// Drops floors that the scheduler no longer renews and gives up on overdue requests.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for side in self.pools.values_mut() {
+            side.floor = side.floor.filter(|f| now.duration_since(f.heard) < FLOOR_KEEP);
+        }
+        let overdue = |r: &&Request| r.state == State::Waiting && r.due <= now;
+        let mut late: Vec<RequestId> =
+            self.requests.values().filter(overdue).map(|r| r.record.id.clone()).collect();
+        late.sort();
+        for id in late {
+            self.drop_waiting(&id, out);
+            out.push(Action::refuse(id, Refusal::Deadline, Duration::ZERO));
+        }
+    }
+
+    /// Digests of the pools that `scheduler` schedules for this entry.
+    pub fn beats(&self, scheduler: &str) -> Vec<PoolBeat> {
+        let mine = self.pools.iter().filter(|(_, s)| s.scheduler.as_deref() == Some(scheduler));
+        mine.map(|(pool, s)| PoolBeat {
+            pool: pool.clone(),
+            digest: s.digest,
+            floor: s.floor.map_or(0, |f| f.seq),
+        })
+        .collect()
+    }
+
+    /// This instance.
+    pub fn id(&self) -> &InstanceId {
+        &self.me
+    }
+}
+
+fn permit_use(grant: &Grant, hop: &Hop) -> Option<PermitUse> {
+    let permit = Permit { key: hop.key.clone(), index: hop.index? };
+    let reference = (grant.request.clone(), grant.attempt);
+    Some(PermitUse { permit, grant: reference, endpoint: grant.endpoint.clone() })
+}
+
+fn send_to(to: &Option<InstanceId>, message: Message, out: &mut Vec<Action>) {
+    if let Some(to) = to {
+        out.push(Action::send(to, message));
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/ids.rs
@@ -0,0 +1,26 @@
+//! Identifiers used across the crate, as type aliases.
+
+use std::sync::Arc;
+
+/// One incarnation of an instance. A restarted instance gets a new one, never an old one again.
+pub type InstanceId = Arc<str>;
+/// One caller's request; it doubles as the run id at the endpoint.
+pub type RequestId = Arc<str>;
+/// A declared endpoint.
+pub type EndpointId = Arc<str>;
+/// A declared client account.
+pub type AccountId = Arc<str>;
+/// A pool: the endpoints that serve one model or service inside one place.
+pub type PoolId = Arc<str>;
+/// A declared place.
+pub type PlaceId = Arc<str>;
+/// An availability zone.
+pub type ZoneId = Arc<str>;
+/// Rank of a tier; 0 is the highest.
+pub type TierLevel = u8;
+/// Number of a request's attempt to be granted. A higher one voids every earlier grant.
+pub type Attempt = u32;
+/// Version of the platform's instance list.
+pub type ListVersion = u64;
+/// Revision of the configuration.
+pub type Revision = u64;
--- /dev/null
+++ b/oxbowbend-core/src/ledger.rs
@@ -0,0 +1,269 @@
+//! The record that makes a request with an idempotency key run at most once.
+//!
+//! The ledger lives in the platform's key-value service, split into shards. A shard is one value,
+//! changed only by compare-and-swap, so that every step has one place in one order however many
+//! instances write. Each step names the run that takes it: taking the same step again after a lost
+//! reply gives the same answer, and a paused holder that wakes after a takeover is told
+//! [`Verdict::Lost`].
+//!
+//! Traded away: the whole shard is written at each step. Steps that arrive together share one
+//! write; `docs/CAPACITY.md` has the size at which shards must be split further.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::ids::{EndpointId, InstanceId, RequestId};
+
+/// Key of an entry: a digest of the client account and its idempotency key.
+pub type LedgerKey = String;
+/// Seconds since the Unix epoch.
+pub type UnixSeconds = u64;
+
+/// Where a request stands.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Stage {
+    /// An entry instance holds it; nothing has been sent to any endpoint.
+    Held {
+        /// The instance.
+        holder: InstanceId,
+    },
+    /// It may have been sent to an endpoint.
+    Dispatched {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Its whole answer has been read from the endpoint.
+    Done {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+}
+
+/// One request in the ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// The run that took the last step; it doubles as the run id at the endpoint.
+    pub run: RequestId,
+    /// Where the request stands.
+    pub stage: Stage,
+    /// Digest of the request's body.
+    pub body: u64,
+    /// When the entry may be forgotten.
+    pub expires: UnixSeconds,
+}
+
+/// A step to take.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Step {
+    /// Entry to change.
+    pub key: LedgerKey,
+    /// Run that takes the step.
+    pub run: RequestId,
+    /// What to do.
+    pub action: StepAction,
+}
+
+/// What a step does.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StepAction {
+    /// Begin to hold the request.
+    Hold {
+        /// Instance that holds it.
+        holder: InstanceId,
+        /// Digest of the body.
+        body: u64,
+        /// Whether to take the request over from another holder.
+        takeover: bool,
+        /// Seconds for which the entry is kept.
+        window: u64,
+    },
+    /// Go from held to dispatched. Nothing may be sent before this is confirmed.
+    Dispatch {
+        /// Endpoint that is about to get the request.
+        endpoint: EndpointId,
+    },
+    /// Go back from dispatched to held; only for a holder that knows that no byte was sent.
+    Undo {
+        /// Instance that goes on holding it.
+        holder: InstanceId,
+    },
+    /// Go from dispatched to done.
+    Finish,
+    /// Give a held request up, so that a later one with this key may run.
+    Release,
+}
+
+/// Answer to a step.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Verdict {
+    /// The step is taken.
+    Taken,
+    /// Another run holds the request.
+    HeldBy {
+        /// Its holder.
+        holder: InstanceId,
+    },
+    /// The request was dispatched under another run.
+    Dispatched {
+        /// Endpoint that has it.
+        endpoint: EndpointId,
+        /// Run to resume there.
+        run: RequestId,
+    },
+    /// The request was answered under another run.
+    Done {
+        /// Endpoint that ran it.
+        endpoint: EndpointId,
+        /// Run to fetch there.
+        run: RequestId,
+    },
+    /// The key was used for a request with another body.
+    OtherBody,
+    /// The run no longer has the entry: another one took it over, or it has expired.
+    Lost,
+}
+
+/// One shard's value.
+///
+/// ```
+/// use oxbowbend_core::ledger::{Shard, Step, StepAction, Verdict};
+/// let mut shard = Shard::default();
+/// let hold = |run: &str| Step {
+///     key: "k".into(),
+///     run: run.into(),
+///     action: StepAction::Hold { holder: "i".into(), body: 1, takeover: false, window: 60 },
+/// };
+/// assert_eq!(shard.apply(0, &hold("r1")), Verdict::Taken);
+/// assert_eq!(shard.apply(0, &hold("r1")), Verdict::Taken);
+/// assert_eq!(shard.apply(0, &hold("r2")), Verdict::HeldBy { holder: "i".into() });
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Shard {
+    /// Entries by key.
+    pub entries: BTreeMap<LedgerKey, Entry>,
+}
+
+impl Shard {
+    /// Takes a step, or says why it cannot be taken. A refused step changes nothing.
+    pub fn apply(&mut self, now: UnixSeconds, step: &Step) -> Verdict {
+        match &step.action {
+            StepAction::Hold { holder, body, takeover, window } => {
+                let entry = Entry {
+                    run: step.run.clone(),
+                    stage: Stage::Held { holder: holder.clone() },
+                    body: *body,
+                    expires: now + window,
+                };
+                self.hold(now, &step.key, entry, *takeover)
+            }
+            StepAction::Dispatch { endpoint } => self.dispatch(step, endpoint),
+            StepAction::Undo { holder } => self.undo(step, holder),
+            StepAction::Finish => self.finish(step),
+            StepAction::Release => self.release(step),
+        }
+    }
+
+    /// Drops entries whose time is over.
+    pub fn expire(&mut self, now: UnixSeconds) {
+        self.entries.retain(|_, e| e.expires > now);
+    }
+
+    fn hold(&mut self, now: UnixSeconds, key: &str, new: Entry, takeover: bool) -> Verdict {
+        let Some(old) = self.entries.get(key).filter(|e| e.expires > now) else {
+            self.entries.insert(key.to_owned(), new);
+            return Verdict::Taken;
+        };
+        if old.body != new.body {
+            return Verdict::OtherBody;
+        }
+        match &old.stage {
+            Stage::Held { .. } if old.run == new.run => Verdict::Taken,
+            Stage::Held { .. } if takeover => {
+                self.entries.insert(key.to_owned(), new);
+                Verdict::Taken
+            }
+            Stage::Held { holder } => Verdict::HeldBy { holder: holder.clone() },
+            Stage::Dispatched { endpoint } => {
+                Verdict::Dispatched { endpoint: endpoint.clone(), run: old.run.clone() }
+            }
+            Stage::Done { endpoint } => {
+                Verdict::Done { endpoint: endpoint.clone(), run: old.run.clone() }
+            }
+        }
+    }
+
+    fn mine(&mut self, step: &Step) -> Option<&mut Entry> {
+        self.entries.get_mut(&step.key).filter(|e| e.run == step.run)
+    }
+
+    fn dispatch(&mut self, step: &Step, to: &EndpointId) -> Verdict {
+        let Some(entry) = self.mine(step) else { return Verdict::Lost };
+        match &entry.stage {
+            Stage::Held { .. } => {
+                entry.stage = Stage::Dispatched { endpoint: to.clone() };
+                Verdict::Taken
+            }
+            Stage::Dispatched { endpoint } if endpoint == to => Verdict::Taken,
+            _ => Verdict::Lost,
+        }
+    }
+
+    fn undo(&mut self, step: &Step, holder: &InstanceId) -> Verdict {
+        let Some(entry) = self.mine(step) else { return Verdict::Lost };
+        match &entry.stage {
+            Stage::Done { .. } => Verdict::Lost,
+            _ => {
+                entry.stage = Stage::Held { holder: holder.clone() };
+                Verdict::Taken
+            }
+        }
+    }
+
+    fn finish(&mut self, step: &Step) -> Verdict {
+        let Some(entry) = self.mine(step) else { return Verdict::Lost };
+        match &entry.stage {
+            Stage::Held { .. } => Verdict::Lost,
+            Stage::Dispatched { endpoint } => {
+                entry.stage = Stage::Done { endpoint: endpoint.clone() };
+                Verdict::Taken
+            }
+            Stage::Done { .. } => Verdict::Taken,
+        }
+    }
+
+    /// A released entry is removed; releasing one that is gone already is no error, since the
+    /// reply to the first release may have been lost.
+    fn release(&mut self, step: &Step) -> Verdict {
+        match self.entries.get(&step.key) {
+            None => Verdict::Taken,
+            Some(e) if e.run != step.run => Verdict::Lost,
+            Some(e) if !matches!(e.stage, Stage::Held { .. }) => Verdict::Lost,
+            Some(_) => {
+                self.entries.remove(&step.key);
+                Verdict::Taken
+            }
+        }
+    }
+}
+
+/// The shard that an entry is in.
+///
+/// ```
+/// assert!(oxbowbend_core::ledger::shard_of("key", 64) < 64);
+/// ```
+pub fn shard_of(key: &str, shards: u32) -> u32 {
+    (xxh3::xxh3_64(key.as_bytes()) % u64::from(shards.max(1))) as u32
+}
+
+/// Digest of an account and an idempotency key.
+///
+/// ```
+/// use oxbowbend_core::ledger::ledger_key;
+/// assert_ne!(ledger_key("a", "bc"), ledger_key("ab", "c"));
+/// ```
+pub fn ledger_key(account: &str, idempotency_key: &str) -> LedgerKey {
+    let seed = xxh3::xxh3_64(account.as_bytes());
+    format!("{seed:016x}{:032x}", xxh3::xxh3_128_with_seed(idempotency_key.as_bytes(), seed))
+}
--- /dev/null
+++ b/oxbowbend-core/src/lib.rs
@@ -0,0 +1,33 @@
+/*!
+Pure decisions of the oxbowbend request scheduler.
+
+Everything here is a state machine of the form `(state, now, event) -> actions`. Nothing in this
+crate opens a socket, reads a clock or draws a random number, so every fault can be injected at
+every step by a plain test.
+
+# Usage
+
+[`node::Node`] composes the parts that one instance runs: the [`entry`] that holds callers'
+requests, the [`scheduler`] of each pool this instance was chosen for, and the [`permits`] this
+instance owns. The daemon feeds it [`node::Event`]s and carries out the [`node::Action`]s.
+
+# Limits
+
+Times are [`std::time::Instant`]s supplied by the caller. The crate trusts them to be monotonic
+and to include the time for which the instance was suspended.
+*/
+
+pub mod budget;
+pub mod cache;
+pub mod choose;
+pub mod entry;
+pub mod ids;
+pub mod ledger;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod permits;
+pub mod queue;
+pub mod scheduler;
+pub mod speed;
+pub mod topology;
--- /dev/null
+++ b/oxbowbend-core/src/permits.rs
@@ -0,0 +1,510 @@
+//! Permits: the one place that decides whether one more request may run.
+//!
+//! Each slot of an endpoint, and each running request that a client account may have, is a permit.
+//! A permit belongs to one instance, its owner, and only the owner hands it out. A scheduler orders
+//! and chooses, but a grant passes through the owners on its way to the entry instance. Hence no
+//! change, partition or pause of a scheduler can pass a limit: there is no moment at which two
+//! instances may give the same permit away. `docs/design/permits.md` has the designs weighed.
+//!
+//! A permit changes owner by a claim that every listed instance must answer. A live owner keeps a
+//! permit until it cedes it; a dead one is in nobody's list, and every entry instance says in its
+//! answer which of the claimed permits it uses. What neither an owner nor a user vouches for is
+//! *unproven*: it is not handed out until the endpoint shows the room, or the longest run is over.
+//!
+//! Traded away: one more hop per grant, and the share of an owner that died together with the
+//! entry instance that used it, for at most [`crate::topology::Topology::max_run`].
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use crate::ids::{Attempt, EndpointId, InstanceId, RequestId};
+use crate::message::{Grant, GrantRef, Permit, PermitKey, PermitUse};
+
+/// Time after which an owner asks an entry instance whether it uses a grant.
+pub const INQUIRE_AFTER: Duration = Duration::from_secs(1);
+/// Time between two questions about a grant that the entry instance has confirmed.
+pub const INQUIRE_AGAIN: Duration = Duration::from_secs(5);
+
+/// A permit in use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Use {
+    /// The request that runs on it.
+    pub request: RequestId,
+    /// The attempt granted.
+    pub attempt: Attempt,
+    /// Entry instance of the request.
+    pub entry: InstanceId,
+    /// Endpoint at which it runs.
+    pub endpoint: EndpointId,
+    ask_at: Instant,
+    orphaned: Option<Instant>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Hold {
+    Free,
+    Used(Use),
+    Unproven { since: Instant },
+}
+
+#[derive(Debug, Default)]
+struct Share {
+    holds: BTreeMap<u32, Hold>,
+    free: BTreeSet<u32>,
+}
+
+#[derive(Debug)]
+struct PendingClaim {
+    nonce: u64,
+    permits: BTreeSet<Permit>,
+    unanswered: BTreeSet<InstanceId>,
+    ceded: HashSet<Permit>,
+    used: HashMap<Permit, (InstanceId, PermitUse)>,
+}
+
+/// Questions to ask after a while, by entry instance.
+pub type Inquiries = BTreeMap<InstanceId, Vec<PermitUse>>;
+
+/// The permits that one instance owns.
+#[derive(Debug)]
+pub struct Permits {
+    shares: BTreeMap<PermitKey, Share>,
+    by_request: HashMap<GrantRef, Vec<Permit>>,
+    claim: Option<PendingClaim>,
+    next_nonce: u64,
+    cleared: HashSet<Permit>,
+    changed: BTreeSet<EndpointId>,
+}
+
+impl Permits {
+    /// Creates an owner of nothing. `seed` makes its claims distinct from those of earlier lives.
+    pub fn new(seed: u64) -> Permits {
+        Permits {
+            shares: BTreeMap::new(),
+            by_request: HashMap::new(),
+            claim: None,
+            next_nonce: seed,
+            cleared: HashSet::new(),
+            changed: BTreeSet::new(),
+        }
+    }
+
+    /// Reserves a permit of `key` for a grant. Asking again for the same grant changes nothing.
+    pub fn reserve(&mut self, now: Instant, key: &PermitKey, grant: &Grant) -> Option<u32> {
+        let reference = (grant.request.clone(), grant.attempt);
+        if let Some(index) = self.reserved(&reference, key) {
+            return Some(index);
+        }
+        let share = self.shares.get_mut(key)?;
+        let index = share.free.pop_first()?;
+        let used = Use {
+            request: grant.request.clone(),
+            attempt: grant.attempt,
+            entry: grant.entry.clone(),
+            endpoint: grant.endpoint.clone(),
+            ask_at: now + INQUIRE_AFTER,
+            orphaned: None,
+        };
+        share.holds.insert(index, Hold::Used(used));
+        let permit = Permit { key: key.clone(), index };
+        self.by_request.entry(reference).or_default().push(permit);
+        self.note_change(key);
+        Some(index)
+    }
+
+    fn reserved(&self, reference: &GrantRef, key: &PermitKey) -> Option<u32> {
+        let permits = self.by_request.get(reference)?;
+        permits.iter().find(|p| p.key == *key).map(|p| p.index)
+    }
+
+    /// Frees the permits that a grant holds here; `key` restricts it to one.
+    pub fn release(&mut self, reference: &GrantRef, key: Option<&PermitKey>) {
+        let Some(permits) = self.by_request.get_mut(reference) else { return };
+        let wanted = |p: &Permit| key.is_none_or(|k| *k == p.key);
+        let freed: Vec<Permit> = permits.iter().filter(|p| wanted(p)).cloned().collect();
+        permits.retain(|p| !wanted(p));
+        if permits.is_empty() {
+            self.by_request.remove(reference);
+        }
+        freed.iter().for_each(|p| self.set_free(p));
+    }
+
+    fn set_free(&mut self, permit: &Permit) {
+        if let Some(share) = self.shares.get_mut(&permit.key) {
+            share.holds.insert(permit.index, Hold::Free);
+            share.free.insert(permit.index);
+        }
+        self.note_change(&permit.key);
+    }
+
+    fn note_change(&mut self, key: &PermitKey) {
+        if let PermitKey::Endpoint(endpoint) = key {
+            self.changed.insert(endpoint.clone());
+        }
+    }
+
+    /// Endpoints whose numbers have changed since this was last asked.
+    pub fn take_changed(&mut self) -> BTreeSet<EndpointId> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Free and owned permits of a key.
+    pub fn count(&self, key: &PermitKey) -> (u32, u32) {
+        let Some(share) = self.shares.get(key) else { return (0, 0) };
+        (share.free.len() as u32, share.holds.len() as u32)
+    }
+
+    /// Whether this instance owns `permit`.
+    pub fn owns(&self, permit: &Permit) -> bool {
+        self.shares.get(&permit.key).is_some_and(|s| s.holds.contains_key(&permit.index))
+    }
+
+    /// Keys of which this instance owns permits.
+    pub fn keys(&self) -> impl Iterator<Item = &PermitKey> {
+        self.shares.keys()
+    }
+
+    /// Permits in use here, for tests and status pages.
+    pub fn uses(&self) -> impl Iterator<Item = (&PermitKey, &Use)> {
+        self.shares.iter().flat_map(|(key, share)| {
+            share.holds.values().filter_map(move |h| match h {
+                Hold::Used(u) => Some((key, u)),
+                _ => None,
+            })
+        })
+    }
+
+    /// Number of permits that are not handed out because nobody vouches for them.
+    pub fn unproven(&self) -> usize {
+        let holds = self.shares.values().flat_map(|s| s.holds.values());
+        holds.filter(|h| matches!(h, Hold::Unproven { .. })).count()
+    }
+
+    /// Grants about which the entry instances should be asked now.
+    pub fn inquiries(&mut self, now: Instant) -> Inquiries {
+        let mut due = Inquiries::new();
+        for (key, share) in &mut self.shares {
+            for (index, hold) in &mut share.holds {
+                let Hold::Used(used) = hold else { continue };
+                if used.orphaned.is_some() || used.ask_at > now {
+                    continue;
+                }
+                used.ask_at = now + INQUIRE_AFTER;
+                let permit = Permit { key: key.clone(), index: *index };
+                let grant = (used.request.clone(), used.attempt);
+                let asked = PermitUse { permit, grant, endpoint: used.endpoint.clone() };
+                due.entry(used.entry.clone()).or_default().push(asked);
+            }
+        }
+        due
+    }
+
+    /// An entry instance has said that it does not use a permit and never will under this grant.
+    pub fn not_used(&mut self, u: &PermitUse) {
+        self.release(&u.grant, Some(&u.permit.key));
+    }
+
+    /// An entry instance has confirmed that it uses grants.
+    pub fn confirm(&mut self, now: Instant, grants: &[GrantRef]) {
+        for reference in grants {
+            let Some(permits) = self.by_request.get(reference) else { continue };
+            for p in permits {
+                let hold = self.shares.get_mut(&p.key).and_then(|s| s.holds.get_mut(&p.index));
+                if let Some(Hold::Used(used)) = hold {
+                    used.ask_at = now + INQUIRE_AGAIN;
+                }
+            }
+        }
+    }
+
+    fn uses_mut(&mut self) -> impl Iterator<Item = &mut Use> {
+        self.shares.values_mut().flat_map(|s| s.holds.values_mut()).filter_map(|h| match h {
+            Hold::Used(used) => Some(used),
+            _ => None,
+        })
+    }
+
+    /// Marks the grants of entry instances for which `listed` does not hold as orphaned.
+    pub fn orphan(&mut self, now: Instant, listed: impl Fn(&str) -> bool) {
+        for used in self.uses_mut().filter(|u| u.orphaned.is_none() && !listed(&u.entry)) {
+            used.orphaned = Some(now);
+        }
+    }
+
+    /// Runs whose entry instance is gone, to be asked about at their endpoints.
+    pub fn orphans(&self) -> Vec<(EndpointId, GrantRef)> {
+        let orphaned = self.uses().filter(|(_, u)| u.orphaned.is_some());
+        let mut runs: Vec<_> =
+            orphaned.map(|(_, u)| (u.endpoint.clone(), (u.request.clone(), u.attempt))).collect();
+        runs.sort();
+        runs.dedup();
+        runs
+    }
+
+    /// Endpoints with unproven permits, to be asked for their load.
+    pub fn doubtful(&self) -> BTreeSet<EndpointId> {
+        let unproven = |s: &Share| s.holds.values().any(|h| matches!(h, Hold::Unproven { .. }));
+        let keys = self.shares.iter().filter(|(_, s)| unproven(s)).map(|(k, _)| k);
+        keys.filter_map(|k| match k {
+            PermitKey::Endpoint(e) => Some(e.clone()),
+            PermitKey::Account(_) => None,
+        })
+        .collect()
+    }
+
+    /// Whether account permits wait for every endpoint to have been seen idle.
+    pub fn doubtful_accounts(&self) -> bool {
+        self.shares.iter().any(|(k, s)| {
+            matches!(k, PermitKey::Account(_))
+                && s.holds.values().any(|h| matches!(h, Hold::Unproven { .. }))
+        })
+    }
+
+    /// Learns that an endpoint had `running` requests in a report read at `read_at`.
+    ///
+    /// Requests of unknown origin are among those running, so of `n` unproven permits at least
+    /// `n - running` are really free, however many claimants reason so at once. Only permits that
+    /// came into doubt before `shown`, the time that the report is sure to describe, count.
+    pub fn prove(&mut self, endpoint: &EndpointId, running: u32, shown: Instant) {
+        let key = PermitKey::Endpoint(endpoint.clone());
+        let unproven = self.unproven_before(&key, shown);
+        let freed = unproven.len().saturating_sub(running as usize);
+        for index in unproven.into_iter().take(freed) {
+            self.set_free(&Permit { key: key.clone(), index });
+        }
+    }
+
+    /// Learns that every endpoint was idle at `shown` or later.
+    pub fn prove_accounts(&mut self, shown: Instant) {
+        let keys: Vec<PermitKey> = self.shares.keys().cloned().collect();
+        for key in keys.into_iter().filter(|k| matches!(k, PermitKey::Account(_))) {
+            for index in self.unproven_before(&key, shown) {
+                self.set_free(&Permit { key: key.clone(), index });
+            }
+        }
+    }
+
+    fn unproven_before(&self, key: &PermitKey, shown: Instant) -> Vec<u32> {
+        let Some(share) = self.shares.get(key) else { return Vec::new() };
+        let old = |h: &Hold| match h {
+            Hold::Unproven { since } => *since <= shown,
+            _ => false,
+        };
+        share.holds.iter().filter(|(_, h)| old(h)).map(|(i, _)| *i).collect()
+    }
+
+    /// Frees what has been in doubt for longer than any run may last.
+    pub fn expire(&mut self, now: Instant, max_run: Duration) {
+        let over = |since: Instant| now.duration_since(since) >= max_run;
+        let mut freed = Vec::new();
+        for (key, share) in &self.shares {
+            for (index, hold) in &share.holds {
+                let permit = Permit { key: key.clone(), index: *index };
+                match hold {
+                    Hold::Unproven { since } if over(*since) => freed.push((permit, None)),
+                    Hold::Used(u) if u.orphaned.is_some_and(over) => {
+                        freed.push((permit, Some((u.request.clone(), u.attempt))));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (permit, reference) in freed {
+            match reference {
+                Some(reference) => self.release(&reference, None),
+                None => self.set_free(&permit),
+            }
+        }
+    }
+
+    /// Gives up every permit without a word, as after a pause or a removal from the list.
+    pub fn forget(&mut self) {
+        let shares = std::mem::take(&mut self.shares);
+        self.by_request.clear();
+        self.claim = None;
+        for (key, share) in shares {
+            self.note_change(&key);
+            let owned = share.holds.into_keys().map(|index| Permit { key: key.clone(), index });
+            self.cleared.extend(owned);
+        }
+    }
+
+    /// Drops permits that no longer exist, once they are free.
+    pub fn trim(&mut self, exists: impl Fn(&Permit) -> bool) {
+        let mut changed = Vec::new();
+        for (key, share) in &mut self.shares {
+            let gone: Vec<u32> = share
+                .holds
+                .iter()
+                .filter(|(i, h)| {
+                    !matches!(h, Hold::Used(_)) && !exists(&Permit { key: key.clone(), index: **i })
+                })
+                .map(|(i, _)| *i)
+                .collect();
+            for index in &gone {
+                share.holds.remove(index);
+                share.free.remove(index);
+            }
+            if !gone.is_empty() {
+                changed.push(key.clone());
+            }
+        }
+        self.shares.retain(|_, s| !s.holds.is_empty());
+        changed.iter().for_each(|k| self.note_change(k));
+    }
+
+    /// Starts a claim for what of `desired` this instance does not own, asking `others`.
+    ///
+    /// Returns the nonce and permits to send, or `None` if there is nothing to ask for.
+    pub fn start_claim(
+        &mut self,
+        desired: &BTreeSet<Permit>,
+        others: BTreeSet<InstanceId>,
+    ) -> Option<(u64, Vec<Permit>)> {
+        let missing: BTreeSet<Permit> = desired.iter().filter(|p| !self.owns(p)).cloned().collect();
+        if missing.is_empty() {
+            self.claim = None;
+            return None;
+        }
+        self.next_nonce += 1;
+        let permits = missing.iter().cloned().collect();
+        self.claim = Some(PendingClaim {
+            nonce: self.next_nonce,
+            permits: missing,
+            unanswered: others,
+            ceded: HashSet::new(),
+            used: HashMap::new(),
+        });
+        Some((self.next_nonce, permits))
+    }
+
+    /// Answers a claim by another instance: cedes what is free and not `mine` by the newest list,
+    /// and returns the permits that the claimant must not take, and those ceded.
+    pub fn answer_claim(
+        &mut self,
+        permits: &[Permit],
+        mine: impl Fn(&Permit) -> bool,
+    ) -> (Vec<Permit>, Vec<Permit>) {
+        let mut held = Vec::new();
+        let mut ceded = Vec::new();
+        for permit in permits {
+            let hold = self.shares.get(&permit.key).and_then(|s| s.holds.get(&permit.index));
+            match hold.cloned() {
+                Some(Hold::Free) if !mine(permit) => {
+                    self.cede(permit);
+                    ceded.push(permit.clone());
+                }
+                Some(_) => held.push(permit.clone()),
+                None if self.contest(permit, &mine) => held.push(permit.clone()),
+                None => {
+                    self.cleared.insert(permit.clone());
+                }
+            }
+        }
+        (held, ceded)
+    }
+
+    /// Two claims for one permit: whoever the newest list names goes on, the other withdraws.
+    fn contest(&mut self, permit: &Permit, mine: &impl Fn(&Permit) -> bool) -> bool {
+        let Some(claim) = &mut self.claim else { return false };
+        if !claim.permits.contains(permit) {
+            return false;
+        }
+        if mine(permit) {
+            return true;
+        }
+        claim.permits.remove(permit);
+        false
+    }
+
+    fn cede(&mut self, permit: &Permit) {
+        self.cleared.insert(permit.clone());
+        if let Some(share) = self.shares.get_mut(&permit.key) {
+            share.holds.remove(&permit.index);
+            share.free.remove(&permit.index);
+            if share.holds.is_empty() {
+                self.shares.remove(&permit.key);
+            }
+        }
+        self.note_change(&permit.key);
+    }
+
+    /// Takes in an answer to this instance's claim.
+    pub fn answered(
+        &mut self,
+        from: &InstanceId,
+        nonce: u64,
+        held: &[Permit],
+        ceded: &[Permit],
+        used: &[PermitUse],
+    ) {
+        let Some(claim) = self.claim.as_mut().filter(|c| c.nonce == nonce) else { return };
+        claim.unanswered.remove(from);
+        held.iter().for_each(|p| {
+            claim.permits.remove(p);
+        });
+        claim.ceded.extend(ceded.iter().cloned());
+        for u in used {
+            claim.used.insert(u.permit.clone(), (from.clone(), u.clone()));
+        }
+    }
+
+    /// Permits that are being claimed.
+    pub fn claimed(&self) -> impl Iterator<Item = &Permit> {
+        self.claim.iter().flat_map(|c| &c.permits)
+    }
+
+    /// Takes in which of the claimed permits this instance's own requests use.
+    pub fn note_own_uses(&mut self, me: &InstanceId, used: &[PermitUse]) {
+        let Some(claim) = &mut self.claim else { return };
+        for u in used {
+            claim.used.insert(u.permit.clone(), (me.clone(), u.clone()));
+        }
+    }
+
+    /// Stops waiting for instances that are no longer listed.
+    pub fn excuse(&mut self, listed: impl Fn(&str) -> bool) {
+        if let Some(claim) = &mut self.claim {
+            claim.unanswered.retain(|id| listed(id));
+        }
+    }
+
+    /// Takes over the claimed permits once everybody has answered. `fresh` tells of a permit that
+    /// has come into being since this instance joined, so that nobody can have used it before.
+    pub fn settle(&mut self, now: Instant, fresh: impl Fn(&Permit) -> bool) -> bool {
+        if self.claim.as_ref().is_none_or(|c| !c.unanswered.is_empty()) {
+            return false;
+        }
+        let Some(claim) = self.claim.take() else { return false };
+        for permit in &claim.permits {
+            let vouched = claim.ceded.contains(permit);
+            let new = fresh(permit) && !self.cleared.contains(permit);
+            match claim.used.get(permit) {
+                Some((entry, u)) => self.take_used(now, entry, u),
+                None if vouched || new => self.take_free(permit),
+                None => self.insert(permit, Hold::Unproven { since: now }),
+            }
+            self.cleared.remove(permit);
+        }
+        true
+    }
+
+    fn take_free(&mut self, permit: &Permit) {
+        self.insert(permit, Hold::Free);
+        self.set_free(permit);
+    }
+
+    fn take_used(&mut self, now: Instant, entry: &InstanceId, u: &PermitUse) {
+        let (request, attempt) = u.grant.clone();
+        let (entry, endpoint) = (entry.clone(), u.endpoint.clone());
+        let used = Use { request, attempt, entry, endpoint, ask_at: now, orphaned: None };
+        self.insert(&u.permit, Hold::Used(used));
+        self.by_request.entry(u.grant.clone()).or_default().push(u.permit.clone());
+    }
+
+    fn insert(&mut self, permit: &Permit, hold: Hold) {
+        let share = self.shares.entry(permit.key.clone()).or_default();
+        share.holds.insert(permit.index, hold);
+        self.note_change(&permit.key);
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/queue.rs
@@ -0,0 +1,212 @@
+//! The order of waiting requests in one pool.
+//!
+//! Tiers are strict. Within a tier, client accounts share by work: each account has a virtual time
+//! that advances by `work / weight` of what it was served, and the account with the smallest one
+//! goes next (start-time fair queueing). An account that was idle starts at the current virtual
+//! time, so that it gains nothing by waiting and loses nothing by having been away.
+//!
+//! Traded away: exact shortest-first order inside an account. Each operation costs `O(log n)`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::ids::{AccountId, RequestId, TierLevel};
+
+/// Virtual time advances by work times this, divided by the weight, to keep integer precision.
+const VIRTUAL_SCALE: u64 = 1 << 10;
+
+/// What the queue needs to know of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The request.
+    pub id: RequestId,
+    /// Its account.
+    pub account: AccountId,
+    /// Its tier.
+    pub tier: TierLevel,
+    /// Weight of the account, at least 1.
+    pub weight: u32,
+    /// Estimated work in tokens.
+    pub work: u64,
+}
+
+#[derive(Debug, Default)]
+struct Flow {
+    items: BTreeMap<u64, Item>,
+    virtual_time: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tier {
+    flows: HashMap<AccountId, Flow>,
+    ready: BTreeSet<(u64, AccountId)>,
+    by_size: BTreeSet<(u32, u64, RequestId)>,
+    virtual_time: u64,
+    work: u64,
+    sweep_at: usize,
+}
+
+/// Waiting requests in the order in which they should be served.
+///
+/// ```
+/// use oxbowbend_core::queue::{Item, Queue};
+/// let item = |id: &str, tier| Item {
+///     id: id.into(), account: "a".into(), tier, weight: 1, work: 10,
+/// };
+/// let mut q = Queue::default();
+/// q.push(item("low", 2));
+/// q.push(item("high", 0));
+/// assert_eq!(&*q.next(|_| true).unwrap().id, "high");
+/// assert_eq!(&*q.victim().unwrap().id, "low");
+/// ```
+#[derive(Debug, Default)]
+pub struct Queue {
+    tiers: BTreeMap<TierLevel, Tier>,
+    index: HashMap<RequestId, (TierLevel, AccountId, u64)>,
+    next_seq: u64,
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Whether `id` waits here.
+    pub fn contains(&self, id: &str) -> bool {
+        self.index.contains_key(id)
+    }
+
+    /// Adds a request; one that is already here is left as it is.
+    pub fn push(&mut self, item: Item) {
+        if self.index.contains_key(&item.id) {
+            return;
+        }
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.index.insert(item.id.clone(), (item.tier, item.account.clone(), seq));
+        self.tiers.entry(item.tier).or_default().push(seq, item);
+    }
+
+    /// Removes a request wherever it stands.
+    pub fn remove(&mut self, id: &str) -> Option<Item> {
+        let (level, account, seq) = self.index.remove(id)?;
+        let tier = self.tiers.get_mut(&level)?;
+        let item = tier.remove(&account, seq);
+        if tier.flows.is_empty() && tier.by_size.is_empty() {
+            tier.virtual_time = 0;
+        }
+        item
+    }
+
+    /// The request to serve next among the accounts for which `eligible` holds.
+    pub fn next(&self, eligible: impl Fn(&Item) -> bool) -> Option<&Item> {
+        self.tiers.values().find_map(|t| t.next(&eligible))
+    }
+
+    /// The request to serve next within one tier.
+    pub fn next_in(&self, tier: TierLevel, eligible: impl Fn(&Item) -> bool) -> Option<&Item> {
+        self.tiers.get(&tier)?.next(&eligible)
+    }
+
+    /// Tiers that have requests waiting, the highest first.
+    pub fn levels(&self) -> Vec<TierLevel> {
+        self.tiers.iter().filter(|(_, t)| !t.by_size.is_empty()).map(|(l, _)| *l).collect()
+    }
+
+    /// Takes a request out to be served and charges its account.
+    pub fn serve(&mut self, id: &str) -> Option<Item> {
+        let (level, account, _) = self.index.get(id)?.clone();
+        let item = self.remove(id)?;
+        if let Some(tier) = self.tiers.get_mut(&level) {
+            tier.charge(&account, &item);
+        }
+        Some(item)
+    }
+
+    /// The request to shed first: of the lowest tier, among the largest the newest.
+    pub fn victim(&self) -> Option<&Item> {
+        let tier = self.tiers.values().rev().find(|t| !t.by_size.is_empty())?;
+        let (_, _, id) = tier.by_size.iter().next_back()?;
+        let (_, account, seq) = self.index.get(id)?;
+        tier.flows.get(account)?.items.get(seq)
+    }
+
+    /// Work waiting in `tier` and every higher one, in tokens.
+    pub fn work_down_to(&self, tier: TierLevel) -> u64 {
+        self.tiers.range(..=tier).map(|(_, t)| t.work).sum()
+    }
+}
+
+impl Tier {
+    fn push(&mut self, seq: u64, item: Item) {
+        self.work += item.work;
+        self.by_size.insert((size_class(item.work), seq, item.id.clone()));
+        let floor = self.virtual_time;
+        let flow = self.flows.entry(item.account.clone()).or_default();
+        if flow.items.is_empty() {
+            flow.virtual_time = flow.virtual_time.max(floor);
+            self.ready.insert((flow.virtual_time, item.account.clone()));
+        }
+        flow.items.insert(seq, item);
+    }
+
+    fn remove(&mut self, account: &AccountId, seq: u64) -> Option<Item> {
+        let flow = self.flows.get_mut(account)?;
+        let item = flow.items.remove(&seq)?;
+        self.work -= item.work;
+        self.by_size.remove(&(size_class(item.work), seq, item.id.clone()));
+        if flow.items.is_empty() {
+            self.ready.remove(&(flow.virtual_time, account.clone()));
+            if flow.virtual_time <= self.virtual_time {
+                self.flows.remove(account);
+            }
+        }
+        Some(item)
+    }
+
+    fn next(&self, eligible: &impl Fn(&Item) -> bool) -> Option<&Item> {
+        self.ready
+            .iter()
+            .filter_map(|(_, account)| self.flows.get(account)?.items.values().next())
+            .find(|item| eligible(item))
+    }
+
+    /// Advances the account's virtual time. The account may have left `flows` when its last
+    /// request was taken out, and is then put back to remember what it owes.
+    fn charge(&mut self, account: &AccountId, item: &Item) {
+        let floor = self.virtual_time;
+        let flow = self.flows.entry(account.clone()).or_default();
+        let waiting = !flow.items.is_empty();
+        let start = flow.virtual_time.max(floor);
+        if waiting {
+            self.ready.remove(&(flow.virtual_time, account.clone()));
+        }
+        flow.virtual_time = start + item.work * VIRTUAL_SCALE / u64::from(item.weight.max(1));
+        if waiting {
+            self.ready.insert((flow.virtual_time, account.clone()));
+        }
+        self.virtual_time = start;
+        self.forget_settled();
+    }
+
+    /// Drops idle accounts that owe nothing any more. The next sweep waits until the number of
+    /// accounts has doubled, so that the cost per served request stays constant on average.
+    fn forget_settled(&mut self) {
+        const SMALLEST_SWEEP: usize = 64;
+        if self.flows.len() < self.sweep_at.max(SMALLEST_SWEEP) {
+            return;
+        }
+        let now = self.virtual_time;
+        self.flows.retain(|_, f| !f.items.is_empty() || f.virtual_time > now);
+        self.sweep_at = 2 * self.flows.len();
+    }
+}
+
+fn size_class(work: u64) -> u32 {
+    u64::BITS - work.leading_zeros()
+}
--- /dev/null
+++ b/oxbowbend-core/src/speed.rs
@@ -0,0 +1,104 @@
+//! Learned speed of an endpoint, and whether it straggles.
+//!
+//! Equal work does not finish in equal time, and reports arrive stale; what an endpoint did with
+//! our own runs is the freshest evidence. Rates are kept as exponentially weighted means of
+//! seconds per token, which, unlike means of tokens per second, weigh slow runs as much as they
+//! cost. A straggler is judged against its own long history, not against other endpoints.
+
+use std::time::{Duration, Instant};
+
+use crate::message::{RunEnd, RunReport};
+
+/// Weight of the newest run in the fast mean.
+const FAST: f64 = 0.25;
+/// Weight of the newest run in the slow mean, the endpoint's history.
+const SLOW: f64 = 0.01;
+/// An endpoint straggles when its recent runs take this many times its history.
+const STRAGGLE_RATIO: f64 = 2.5;
+/// Runs that must have been seen before an endpoint can be called a straggler.
+const MIN_RUNS: u32 = 5;
+/// Time after which a straggler is given one request as a probe.
+const PROBE_AFTER: Duration = Duration::from_secs(10);
+
+/// Estimates for one endpoint.
+#[derive(Clone, Debug)]
+pub struct Speed {
+    prefill: f64,
+    decode: f64,
+    history: f64,
+    runs: u32,
+    straggling_since: Option<Instant>,
+    probing: bool,
+}
+
+impl Speed {
+    /// Starts from declared rates in tokens per second.
+    pub fn new(prefill_rate: f64, decode_rate: f64) -> Speed {
+        let decode = 1.0 / decode_rate.max(f64::MIN_POSITIVE);
+        let prefill = 1.0 / prefill_rate.max(f64::MIN_POSITIVE);
+        let (history, runs) = (1.0, 0);
+        Speed { prefill, decode, history, runs, straggling_since: None, probing: false }
+    }
+
+    /// Learns from a finished run.
+    pub fn learn(&mut self, now: Instant, report: &RunReport) {
+        if report.end != RunEnd::Complete {
+            return;
+        }
+        let Some(first) = report.first_token_ms else { return };
+        let fresh = report.prompt_tokens.saturating_sub(report.cached_tokens);
+        let expected = self.predict_seconds(fresh, report.output_tokens);
+        let ratio = report.total_ms as f64 / 1000.0 / expected.max(1e-6);
+        if fresh > 0 {
+            mix(&mut self.prefill, first as f64 / 1000.0 / f64::from(fresh), FAST);
+        }
+        if report.output_tokens > 1 {
+            let decode = report.total_ms.saturating_sub(first) as f64 / 1000.0;
+            mix(&mut self.decode, decode / f64::from(report.output_tokens - 1), FAST);
+        }
+        self.judge(now, ratio);
+    }
+
+    /// `history` is the slow mean of (actual / predicted), carried along with the prediction: as
+    /// the fast means adapt, the ratio falls back to 1, so the straggle is judged on onset and
+    /// ended by a probe that meets the prediction made before it.
+    fn judge(&mut self, now: Instant, ratio: f64) {
+        self.runs += 1;
+        mix(&mut self.history, ratio, SLOW);
+        let slow = ratio > STRAGGLE_RATIO * self.history.max(1.0);
+        if self.runs >= MIN_RUNS && slow {
+            self.straggling_since = Some(now);
+        } else if self.probing || ratio < 1.0 {
+            self.straggling_since = None;
+        }
+        self.probing = false;
+    }
+
+    /// Seconds that a run of this size takes from dispatch to the last token.
+    pub fn predict_seconds(&self, fresh_prompt_tokens: u32, output_tokens: u32) -> f64 {
+        f64::from(fresh_prompt_tokens) * self.prefill + f64::from(output_tokens) * self.decode
+    }
+
+    /// Whether the endpoint should be passed over. After a while it is let through once; the
+    /// caller then says so with [`Speed::probe`].
+    pub fn avoid(&self, now: Instant) -> bool {
+        match self.straggling_since {
+            None => false,
+            Some(since) => self.probing || now.duration_since(since) < PROBE_AFTER,
+        }
+    }
+
+    /// Whether the endpoint is considered a straggler, whether or not it may be probed.
+    pub fn straggling(&self) -> bool {
+        self.straggling_since.is_some()
+    }
+
+    /// Notes that a request was sent although the endpoint is a straggler.
+    pub fn probe(&mut self) {
+        self.probing = self.straggling_since.is_some();
+    }
+}
+
+fn mix(mean: &mut f64, sample: f64, weight: f64) {
+    *mean += (sample - *mean) * weight;
+}
--- /dev/null
+++ b/oxbowbend-core/src/topology.rs
@@ -0,0 +1,67 @@
+//! What the configuration says about pools, reduced to what scheduling needs.
+//!
+//! The daemon derives a [`Topology`] from the declared resources at every configuration change.
+//! Keeping this view separate keeps the decisions independent of the resource format.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ids::{AccountId, EndpointId, PoolId, TierLevel, ZoneId};
+
+/// Declared endpoint as a scheduler sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    /// Number of requests that may run there at once.
+    pub slots: u32,
+    /// Hardware generation; stragglers are judged against their own generation.
+    pub generation: Arc<str>,
+    /// Declared prompt tokens per second, the estimate until runs have been observed.
+    pub prefill_rate: f64,
+    /// Declared output tokens per second and request.
+    pub decode_rate: f64,
+    /// Prompt tokens that the endpoint's prefix cache can hold.
+    pub cache_tokens: u64,
+    /// Whether the endpoint is leaving and must receive no new work.
+    pub leaving: bool,
+}
+
+/// One pool.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pool {
+    /// Availability zones whose instances may serve the pool.
+    pub zones: BTreeSet<ZoneId>,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Number of waiting requests above which the pool sheds.
+    pub queue_bound: usize,
+}
+
+/// Limits of one client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Running requests allowed at any instant, in all pools together; `None` is unlimited.
+    pub max_running: Option<u32>,
+}
+
+/// Everything the node needs to know of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Topology {
+    /// Pools by id.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// Accounts by id; accounts without limits may be left out.
+    pub accounts: BTreeMap<AccountId, Account>,
+    /// The lowest tier declared.
+    pub lowest_tier: TierLevel,
+    /// Time after which a run of unknown fate is taken to have ended.
+    pub max_run: Duration,
+    /// How far an endpoint's report of its load may lag behind.
+    pub report_lag: Duration,
+}
+
+impl Topology {
+    /// Returns the pool that an endpoint belongs to.
+    pub fn pool_of(&self, endpoint: &str) -> Option<&PoolId> {
+        self.pools.iter().find(|(_, p)| p.endpoints.contains_key(endpoint)).map(|(id, _)| id)
+    }
+}
--- /dev/null
+++ b/oxbowbend-endpoint/src/lib.rs
@@ -0,0 +1,1 @@
+#![allow(missing_docs)]
