--- a/oxbowbend-core/src/node.rs
+++ b/oxbowbend-core/src/node.rs
@@ -699,7 +699,8 @@
 
     /// Once a second: ask about what is in doubt, and repeat what may have been lost.
     fn check_doubts(&mut self, now: Instant) {
-        self.permits.expire(now, self.view.topology.max_run);
+        let topology = self.view.topology.clone();
+        self.permits.expire(now, |key| topology.max_run_of(key));
         for (endpoint, grant) in self.permits.orphans() {
             self.actions.push(Action::AskRun { endpoint, grant });
         }
@@ -814,6 +815,11 @@
         }
     }
 
+    /// Whether this instance is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Whether a stopping instance holds no request any more.
     pub fn is_drained(&self) -> bool {
         self.draining && self.entry.is_empty()
--- a/oxbowbend-core/src/permits.rs
+++ b/oxbowbend-core/src/permits.rs
@@ -294,10 +294,11 @@
     }
 
     /// Frees what has been in doubt for longer than any run may last.
-    pub fn expire(&mut self, now: Instant, max_run: Duration) {
-        let over = |since: Instant| now.duration_since(since) >= max_run;
+    pub fn expire(&mut self, now: Instant, max_run: impl Fn(&PermitKey) -> Duration) {
         let mut freed = Vec::new();
         for (key, share) in &self.shares {
+            let max_run = max_run(key);
+            let over = |since: Instant| now.duration_since(since) >= max_run;
             for (index, hold) in &share.holds {
                 let permit = Permit { key: key.clone(), index: *index };
                 match hold {
--- a/oxbowbend-core/src/speed.rs
+++ b/oxbowbend-core/src/speed.rs
@@ -45,10 +45,17 @@
         if report.end != RunEnd::Complete {
             return;
         }
-        let Some(first) = report.first_token_ms else { return };
         let fresh = report.prompt_tokens.saturating_sub(report.cached_tokens);
         let expected = self.predict_seconds(fresh, report.output_tokens);
         let ratio = report.total_ms as f64 / 1000.0 / expected.max(1e-6);
+        match report.first_token_ms {
+            Some(first) => self.learn_phases(report, fresh, first),
+            None => self.learn_total(ratio),
+        }
+        self.judge(now, ratio);
+    }
+
+    fn learn_phases(&mut self, report: &RunReport, fresh: u32, first: u64) {
         if fresh > 0 {
             mix(&mut self.prefill, first as f64 / 1000.0 / f64::from(fresh), FAST);
         }
@@ -56,7 +63,13 @@
             let decode = report.total_ms.saturating_sub(first) as f64 / 1000.0;
             mix(&mut self.decode, decode / f64::from(report.output_tokens - 1), FAST);
         }
-        self.judge(now, ratio);
+    }
+
+    /// An answer that came in one piece shows only the sum, so both phases are scaled alike.
+    fn learn_total(&mut self, ratio: f64) {
+        let factor = 1.0 + (ratio.clamp(0.1, 10.0) - 1.0) * FAST;
+        self.prefill *= factor;
+        self.decode *= factor;
     }
 
     /// `history` is the slow mean of (actual / predicted), carried along with the prediction: as
--- a/oxbowbend-core/src/topology.rs
+++ b/oxbowbend-core/src/topology.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::ids::{AccountId, EndpointId, PoolId, TierLevel, ZoneId};
+use crate::message::PermitKey;
 
 /// Declared endpoint as a scheduler sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +36,8 @@
     pub endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Number of waiting requests above which the pool sheds.
     pub queue_bound: usize,
+    /// Time after which a run of unknown fate is taken to have ended.
+    pub max_run: Duration,
 }
 
 /// Limits of one client account.
@@ -53,7 +56,7 @@
     pub accounts: BTreeMap<AccountId, Account>,
     /// The lowest tier declared.
     pub lowest_tier: TierLevel,
-    /// Time after which a run of unknown fate is taken to have ended.
+    /// The longest of the pools' times after which a run is taken to have ended.
     pub max_run: Duration,
     /// How far an endpoint's report of its load may lag behind.
     pub report_lag: Duration,
@@ -64,4 +67,13 @@
     pub fn pool_of(&self, endpoint: &str) -> Option<&PoolId> {
         self.pools.iter().find(|(_, p)| p.endpoints.contains_key(endpoint)).map(|(id, _)| id)
     }
+
+    /// Time after which a run of unknown fate that holds a permit is taken to have ended.
+    pub fn max_run_of(&self, key: &PermitKey) -> Duration {
+        let pool = match key {
+            PermitKey::Endpoint(endpoint) => self.pool_of(endpoint),
+            PermitKey::Account(_) => None,
+        };
+        pool.and_then(|id| self.pools.get(id)).map_or(self.max_run, |p| p.max_run)
+    }
 }
--- /dev/null
+++ b/oxbowbend-daemon/src/callers/models.rs
@@ -0,0 +1,497 @@
+//! Requests to models, streamed and not.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::{bounded, Sender};
+use async_std::task;
+use futures::future::{self, Either};
+use futures::TryStreamExt;
+use http_types::{Body, Mime, Request, Response, StatusCode};
+use oxbowbend_core::cache::BLOCK_TOKENS;
+use oxbowbend_core::ids::PoolId;
+use oxbowbend_core::message::{RunEnd, RunReport};
+use oxbowbend_endpoint::events::{Api, Event};
+use oxbowbend_endpoint::run::{self, Observed, Run, StartError, Target, Whole};
+use oxbowbend_http::body;
+use oxbowbend_http::client::Limits;
+use oxbowbend_http::problem::{Outcome, Problem, OUTCOME, REQUEST_ID};
+use oxbowbend_http::server::Caller;
+use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_resource::derive;
+use oxbowbend_resource::kinds::{Kind, Spec};
+use serde_json::Value;
+use xxhash_rust::xxh3;
+
+use super::flow::{unavailable, Flow, Granted, Work};
+use super::keyed::{Keyed, Standing};
+use super::settle::{cancelled, failed, settle};
+use super::{Service, COME_BACK};
+use crate::clock;
+use crate::observe;
+
+/// Time limit to connect to an endpoint.
+const CONNECT: Duration = Duration::from_secs(2);
+/// Time without an event after which a stream is taken to be cut.
+const SILENCE: Duration = Duration::from_secs(30);
+/// Events that may wait for a slow caller.
+const MAX_AHEAD: usize = 64;
+/// Bytes taken for a token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Blocks of a prompt that are looked up in prefix caches.
+const MAX_BLOCKS: usize = 512;
+/// Output tokens expected where neither the request nor the model states a number.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// A request as far as it matters here.
+struct Ask {
+    api: Api,
+    model: String,
+    stream: bool,
+    body: Value,
+    digest: u64,
+    work: Work,
+}
+
+type Pieces = Sender<Result<Vec<u8>, std::io::Error>>;
+
+/// Serves one request.
+pub(super) async fn serve<K: KeyValue>(
+    service: Arc<Service<K>>,
+    mut req: Request,
+    caller: Caller,
+) -> Response {
+    let flow = match Flow::begin(&service, &req, &caller) {
+        Ok(flow) => flow,
+        Err(refusal) => return refusal,
+    };
+    let (limit, time) = (service.settings.max_body, service.settings.body_time);
+    let bytes = match body::read_request(&mut req, limit, time).await {
+        Ok(bytes) => bytes,
+        Err(e) => return flow.refuse(e.to_problem(), Outcome::NotRun),
+    };
+    let asked = Ask::parse(&flow, req.url().path(), &bytes).and_then(|ask| {
+        let pool = find_pool(&flow, &ask)?;
+        Ok((ask, pool))
+    });
+    let (ask, pool) = match asked {
+        Ok(asked) => asked,
+        Err(problem) => return flow.refuse(problem, Outcome::NotRun),
+    };
+    match enter_ledger(&flow, &ask).await {
+        Ok(Entered::Unkeyed) => run_until_answered(flow, ask, pool, None).await,
+        Ok(Entered::Mine(keyed)) => run_until_answered(flow, ask, pool, Some(keyed)).await,
+        Ok(Entered::PickUp(target, done)) => pick_up(flow, ask, target, done).await,
+        Err(refusal) => refusal,
+    }
+}
+
+impl Ask {
+    fn parse<K: KeyValue>(flow: &Flow<K>, path: &str, bytes: &[u8]) -> Result<Ask, Problem> {
+        let bad = |detail: String| {
+            Problem::new(StatusCode::BadRequest, "the request cannot be used").detail(detail)
+        };
+        let body: Value = serde_json::from_slice(bytes).map_err(|e| bad(e.to_string()))?;
+        if !body.is_object() {
+            return Err(bad("the body must be a JSON object".to_owned()));
+        }
+        let api = if path == Api::Chat.path() { Api::Chat } else { Api::Responses };
+        let model = body["model"].as_str().unwrap_or_default().to_owned();
+        if model.is_empty() {
+            return Err(bad("the body must name a model".to_owned()));
+        }
+        let declared = match flow.current.manifest.set().get(Kind::Model, &model) {
+            Some(resource) => resource.spec.clone(),
+            None => {
+                let problem = Problem::new(StatusCode::NotFound, "the model is not declared");
+                return Err(problem.detail(format!("no model {model:?} is declared")));
+            }
+        };
+        let stream = match &body["stream"] {
+            Value::Null => false,
+            Value::Bool(stream) => *stream,
+            _ => return Err(bad("stream must be true or false".to_owned())),
+        };
+        let digest = xxh3::xxh3_64_with_seed(bytes, xxh3::xxh3_64(path.as_bytes()));
+        let work = estimate(&body, api, &declared);
+        Ok(Ask { api, model, stream, body, digest, work })
+    }
+}
+
+fn estimate(body: &Value, api: Api, declared: &Spec) -> Work {
+    let prompt = match api {
+        Api::Chat => body["messages"].to_string(),
+        Api::Responses => body["input"].to_string(),
+    };
+    let limits = ["max_completion_tokens", "max_tokens", "max_output_tokens"];
+    let stated = limits.iter().find_map(|name| body[name].as_u64());
+    let expected = match declared {
+        Spec::Model(model) => model.output_tokens,
+        _ => None,
+    };
+    let expected = expected.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+    Work {
+        prompt_tokens: prompt.len().div_ceil(BYTES_PER_TOKEN) as u32,
+        output_tokens: stated.map_or(expected, |n| n.min(u64::from(u32::MAX)) as u32).max(1),
+        prefix: prefix_hashes(prompt.as_bytes()),
+    }
+}
+
+/// Hashes of the prompt's blocks, each over everything up to the block's end.
+fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
+    let block = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+    let mut hash = 0;
+    let blocks = prompt.chunks_exact(block).take(MAX_BLOCKS);
+    blocks
+        .map(|bytes| {
+            hash = xxh3::xxh3_64_with_seed(bytes, hash);
+            hash
+        })
+        .collect()
+}
+
+fn find_pool<K: KeyValue>(flow: &Flow<K>, ask: &Ask) -> Result<PoolId, Problem> {
+    let pool = derive::model_pool(&flow.admitted.place, &ask.model);
+    let node = flow.service.hub.node();
+    let known = node.topology().pools.get(&pool).is_some_and(|p| !p.endpoints.is_empty());
+    known.then_some(pool).ok_or_else(unavailable)
+}
+
+enum Entered<K> {
+    Unkeyed,
+    Mine(Keyed<K>),
+    PickUp(Target, bool),
+}
+
+async fn enter_ledger<K: KeyValue>(flow: &Flow<K>, ask: &Ask) -> Result<Entered<K>, Response> {
+    let Some(key) = &flow.admitted.key else { return Ok(Entered::Unkeyed) };
+    let account = &flow.admitted.account;
+    match Keyed::hold(&flow.service, account, key, &flow.id, ask.digest).await {
+        Standing::Mine(keyed) => Ok(Entered::Mine(keyed)),
+        Standing::Refused(problem, outcome) => Err(flow.refuse(problem, outcome)),
+        Standing::Elsewhere { run, address: Some(address), done } => {
+            let target = Target { address, run, api: ask.api, limits: limits(flow) };
+            Ok(Entered::PickUp(target, done))
+        }
+        Standing::Elsewhere { address: None, done, .. } => Err(lost_run(flow, done)),
+    }
+}
+
+fn limits<K: KeyValue>(flow: &Flow<K>) -> Limits {
+    let longest = flow.service.hub.node().topology().max_run;
+    Limits { connect: CONNECT, head: longest, piece: SILENCE }
+}
+
+/// Runs a request, at other endpoints too if it does not begin, until there is an answer.
+async fn run_until_answered<K: KeyValue>(
+    mut flow: Flow<K>,
+    ask: Ask,
+    pool: PoolId,
+    keyed: Option<Keyed<K>>,
+) -> Response {
+    loop {
+        let run = flow.next_run();
+        let mut granted = match flow.wait(run, &pool, &ask.work, keyed.as_ref()).await {
+            Ok(granted) => granted,
+            Err(refusal) => return refusal,
+        };
+        let failure = loop {
+            let (error, back) = match attempt(&flow, &ask, granted).await {
+                Ok(Started::Whole(whole, granted)) => {
+                    return answer_whole(flow, granted, keyed, whole);
+                }
+                Ok(Started::Stream(run, granted)) => {
+                    return answer_stream(flow, Some(granted), keyed, *run);
+                }
+                Err(failed) => failed,
+            };
+            let leaving = match error {
+                StartError::NotSent(_) => false,
+                StartError::Leaving => true,
+                other => break (other, back),
+            };
+            granted = match flow.elsewhere(back, keyed.as_ref(), leaving).await {
+                Ok(granted) => granted,
+                Err(refusal) => return refusal,
+            };
+        };
+        if let Some(answer) = answer_failure(&flow, failure.0, failure.1, keyed.is_some()) {
+            return answer;
+        }
+    }
+}
+
+enum Started {
+    Whole(Whole, Granted),
+    Stream(Box<Run>, Granted),
+}
+
+async fn attempt<K: KeyValue>(
+    flow: &Flow<K>,
+    ask: &Ask,
+    granted: Granted,
+) -> Result<Started, (StartError, Granted)> {
+    let client = &flow.service.client;
+    let (address, run) = (granted.address, granted.run.clone());
+    let target = Target { address, run, api: ask.api, limits: limits(flow) };
+    let body = ask.body.clone();
+    if ask.stream {
+        return match Run::start(client, target, body).await {
+            Ok(run) => Ok(Started::Stream(Box::new(run), granted)),
+            Err(e) => Err((e, granted)),
+        };
+    }
+    let answer = Box::pin(run::run_whole(client, &target, body));
+    let gone = Box::pin(flow.caller.gone());
+    let first = future::select(answer, gone).await;
+    match first {
+        Either::Left((Ok(whole), _)) => Ok(Started::Whole(whole, granted)),
+        Either::Left((Err(e), _)) => Err((e, granted)),
+        Either::Right((_, answer)) if flow.admitted.key.is_some() => {
+            // The caller may come back for it under its idempotency key.
+            match answer.await {
+                Ok(whole) => Ok(Started::Whole(whole, granted)),
+                Err(e) => Err((e, granted)),
+            }
+        }
+        Either::Right(_) => {
+            Err((StartError::InDoubt("the caller has hung up".to_owned()), granted))
+        }
+    }
+}
+
+/// Answers a run that failed for good, or returns `None` if the request is to be run again.
+fn answer_failure<K: KeyValue>(
+    flow: &Flow<K>,
+    error: StartError,
+    granted: Granted,
+    keyed: bool,
+) -> Option<Response> {
+    match error {
+        StartError::Answered { status, content_type, body } => {
+            let report = if status.is_server_error() { failed() } else { cancelled() };
+            granted.ticket.finish(report);
+            if status.is_server_error() && flow.may_repeat() {
+                return None;
+            }
+            flow.note(Outcome::Failed);
+            let mut res = Response::new(status);
+            res.set_body(body);
+            res.insert_header("Content-Type", content_type.as_str());
+            res.insert_header(OUTCOME, Outcome::Failed.name());
+            res.insert_header(REQUEST_ID, flow.id.as_str());
+            Some(res)
+        }
+        other => {
+            let service = flow.service.clone();
+            let (address, run) = (granted.address, granted.run.clone());
+            settle(service, address, run, failed(), !keyed);
+            if flow.may_repeat() {
+                return None;
+            }
+            let problem = Problem::new(StatusCode::BadGateway, "the answer was lost");
+            let problem = problem.detail(other.to_string()).retry_after(COME_BACK);
+            Some(flow.refuse(problem, Outcome::Unknown))
+        }
+    }
+}
+
+fn answer_whole<K: KeyValue>(
+    flow: Flow<K>,
+    granted: Granted,
+    keyed: Option<Keyed<K>>,
+    whole: Whole,
+) -> Response {
+    granted.ticket.finish(report(&flow, &whole.observed));
+    observe::resumed(whole.observed.resumes);
+    if let Some(keyed) = keyed {
+        keyed.finish();
+    }
+    whole_response(&flow, whole.body)
+}
+
+fn whole_response<K: KeyValue>(flow: &Flow<K>, body: Vec<u8>) -> Response {
+    flow.note(Outcome::Done);
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(body);
+    res.set_content_type(Mime::from("application/json"));
+    res.insert_header(OUTCOME, Outcome::Done.name());
+    res.insert_header(REQUEST_ID, flow.id.as_str());
+    res
+}
+
+fn report<K: KeyValue>(flow: &Flow<K>, observed: &Observed) -> RunReport {
+    let usage = observed.usage.unwrap_or_default();
+    let total = clock::now().saturating_duration_since(flow.granted_at());
+    RunReport {
+        end: RunEnd::Complete,
+        first_token_ms: observed.first.map(|d| d.as_millis() as u64),
+        total_ms: total.as_millis() as u64,
+        prompt_tokens: usage.prompt,
+        cached_tokens: usage.cached,
+        output_tokens: usage.output,
+    }
+}
+
+/// Streams an answer; the stream goes on after this returns.
+fn answer_stream<K: KeyValue>(
+    flow: Flow<K>,
+    granted: Option<Granted>,
+    keyed: Option<Keyed<K>>,
+    run: Run,
+) -> Response {
+    let (tx, rx) = bounded(MAX_AHEAD);
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_content_type(Mime::from("text/event-stream"));
+    res.insert_header("Cache-Control", "no-cache");
+    res.insert_header(REQUEST_ID, flow.id.as_str());
+    res.set_body(Body::from_reader(rx.into_async_read(), None));
+    task::spawn(Pump { flow, granted, keyed, run, pieces: Some(tx) }.run());
+    res
+}
+
+/// Moves the events of a run to the caller.
+struct Pump<K> {
+    flow: Flow<K>,
+    granted: Option<Granted>,
+    keyed: Option<Keyed<K>>,
+    run: Run,
+    pieces: Option<Pieces>,
+}
+
+enum Next {
+    Event(Event),
+    End,
+    Cut(String),
+    CallerGone,
+}
+
+impl<K: KeyValue> Pump<K> {
+    async fn run(mut self) {
+        loop {
+            match self.next().await {
+                Next::Event(event) => self.pass_on(event).await,
+                Next::End => return self.end(),
+                Next::Cut(reason) => return self.cut(reason).await,
+                Next::CallerGone if self.must_go_on() => self.pieces = None,
+                Next::CallerGone => return self.abandon(),
+            }
+        }
+    }
+
+    /// The caller of a keyed request may come back for the answer, so the run is kept; one that
+    /// was only picked up here belongs to another instance.
+    fn must_go_on(&self) -> bool {
+        self.keyed.is_some()
+    }
+
+    async fn next(&mut self) -> Next {
+        let next = Box::pin(self.run.next());
+        let next = match &self.pieces {
+            None => next.await,
+            Some(_) => {
+                let gone = Box::pin(self.flow.caller.gone());
+                match future::select(next, gone).await {
+                    Either::Left((next, _)) => next,
+                    Either::Right(_) => return Next::CallerGone,
+                }
+            }
+        };
+        match next {
+            Ok(Some(event)) => Next::Event(event),
+            Ok(None) => Next::End,
+            Err(e) => Next::Cut(e.to_string()),
+        }
+    }
+
+    async fn pass_on(&mut self, event: Event) {
+        if self.run.observed().events == 1 {
+            let admitted = &self.flow.admitted;
+            let time = clock::now().saturating_duration_since(admitted.arrived);
+            observe::first_token(&admitted.tier, &admitted.account, time);
+        }
+        let Some(pieces) = &self.pieces else { return };
+        // A caller that is gone shows at the next event.
+        pieces.send(Ok(event.encode())).await.ok();
+    }
+
+    fn end(self) {
+        let observed = self.run.observed();
+        observe::resumed(observed.resumes);
+        if let Some(granted) = &self.granted {
+            granted.ticket.finish(report(&self.flow, &observed));
+        }
+        if let Some(keyed) = &self.keyed {
+            keyed.finish();
+        }
+        self.flow.note(Outcome::Done);
+    }
+
+    async fn cut(self, reason: String) {
+        log::warn!("caller: The answer of {} was cut: {reason}.", self.flow.id);
+        if let Some(pieces) = &self.pieces {
+            let problem = Problem::new(StatusCode::BadGateway, "the answer was cut");
+            let problem = problem.detail(reason).outcome(Outcome::Unknown);
+            let problem = problem.request_id(&self.flow.id).retry_after(COME_BACK);
+            let data = serde_json::json!({ "error": problem }).to_string();
+            let event = Event { name: "error".to_owned(), data };
+            pieces.send(Ok(event.encode())).await.ok();
+            // Broken off, so that the transport too shows that the answer is not whole.
+            let cut = std::io::Error::new(std::io::ErrorKind::UnexpectedEof, "cut");
+            pieces.send(Err(cut)).await.ok();
+        }
+        self.flow.note(Outcome::Unknown);
+        let cancel = self.keyed.is_none();
+        self.settle(failed(), cancel);
+    }
+
+    fn abandon(self) {
+        self.flow.note(Outcome::Unknown);
+        self.settle(cancelled(), true);
+    }
+
+    fn settle(self, report: RunReport, cancel: bool) {
+        if let Some(granted) = self.granted {
+            let (address, run) = (granted.address, granted.run.clone());
+            settle(self.flow.service.clone(), address, run, report, cancel);
+        }
+    }
+}
+
+/// Answers with a run that another request with the same idempotency key has started.
+async fn pick_up<K: KeyValue>(flow: Flow<K>, ask: Ask, target: Target, done: bool) -> Response {
+    let client = flow.service.client.clone();
+    let failure = if ask.stream {
+        match Run::resume(&client, target, 0).await {
+            Ok(run) => return answer_stream(flow, None, None, run),
+            Err(e) => e,
+        }
+    } else {
+        match run::fetch_whole(&client, &target).await {
+            Ok(whole) => return whole_response(&flow, whole.body),
+            Err(e) => e,
+        }
+    };
+    match failure {
+        StartError::UnknownRun => lost_run(&flow, done),
+        other => {
+            let problem = Problem::new(StatusCode::BadGateway, "the answer cannot be fetched");
+            let problem = problem.detail(other.to_string()).retry_after(COME_BACK);
+            let outcome = if done { Outcome::Done } else { Outcome::Unknown };
+            flow.refuse(problem, outcome)
+        }
+    }
+}
+
+/// The request was dispatched before, and its endpoint no longer has the answer, or never had the
+/// request. It is not run again.
+fn lost_run<K: KeyValue>(flow: &Flow<K>, done: bool) -> Response {
+    if done {
+        let problem = Problem::new(StatusCode::Gone, "the answer is no longer kept");
+        let detail = "the request with this idempotency key was run and answered";
+        return flow.refuse(problem.detail(detail), Outcome::Done);
+    }
+    let problem = Problem::new(StatusCode::Conflict, "the fate of the request is not known");
+    let detail = "the request with this idempotency key may have run; it is not run again";
+    flow.refuse(problem.detail(detail), Outcome::Unknown)
+}
--- /dev/null
+++ b/oxbowbend-daemon/src/callers/services.rs
@@ -0,0 +1,292 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::bounded;
+use async_std::task;
+use futures::TryStreamExt;
+use http_types::{Body, Request, Response, StatusCode, Url};
+use oxbowbend_core::ids::PoolId;
+use oxbowbend_core::message::{RunEnd, RunReport};
+use oxbowbend_http::body;
+use oxbowbend_http::client::{Answer, CallError, Limits};
+use oxbowbend_http::problem::{Outcome, Problem, OUTCOME, REQUEST_ID};
+use oxbowbend_http::server::Caller;
+use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_resource::derive;
+use oxbowbend_resource::kinds::{Kind, Route, Spec};
+use xxhash_rust::xxh3;
+
+use super::flow::{unavailable, Flow, Granted, Work};
+use super::keyed::{Keyed, Standing};
+use super::settle::{cancelled, failed};
+use super::{Service, COME_BACK};
+use crate::clock;
+
+/// Time limit to connect to an endpoint.
+const CONNECT: Duration = Duration::from_secs(2);
+/// Time without a piece of the answer after which it is taken to be cut.
+const SILENCE: Duration = Duration::from_secs(30);
+/// Beginning of an answer that is read before anything of it is passed on, so that most cuts are
+/// told in words.
+const READ_AHEAD: usize = 1 << 20;
+/// Headers that concern one connection or this system only.
+const NOT_PASSED_ON: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "expect",
+    "idempotency-key",
+];
+/// Beginning of the names of this system's own headers.
+const OWN_HEADERS: &str = "oxbow-";
+
+/// A call as it is to be passed on.
+struct Call {
+    req: Request,
+    path: String,
+    body: Vec<u8>,
+}
+
+/// Serves one call.
+pub(super) async fn serve<K: KeyValue>(
+    service: Arc<Service<K>>,
+    mut req: Request,
+    caller: Caller,
+) -> Response {
+    let mut flow = match Flow::begin(&service, &req, &caller) {
+        Ok(flow) => flow,
+        Err(refusal) => return refusal,
+    };
+    let (name, path) = split(req.url());
+    let pool = match find_pool(&flow, &name) {
+        Ok((pool, routes)) => {
+            flow.admitted.repeatable |= may_repeat(&routes, &req, &path);
+            pool
+        }
+        Err(problem) => return flow.refuse(problem, Outcome::NotRun),
+    };
+    let (limit, time) = (service.settings.max_body, service.settings.body_time);
+    let body = match body::read_request(&mut req, limit, time).await {
+        Ok(body) => body,
+        Err(e) => return flow.refuse(e.to_problem(), Outcome::NotRun),
+    };
+    let call = Call { req, path, body };
+    let keyed = match enter_ledger(&flow, &call).await {
+        Ok(keyed) => keyed,
+        Err(refusal) => return refusal,
+    };
+    run_until_answered(flow, call, pool, keyed).await
+}
+
+/// Splits `/services/{name}/rest?query` into the name and what the service is asked.
+fn split(url: &Url) -> (String, String) {
+    let rest = url.path().strip_prefix("/services/").unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = url.query().map(|q| format!("?{q}")).unwrap_or_default();
+    (name.to_owned(), format!("/{path}{query}"))
+}
+
+fn find_pool<K: KeyValue>(flow: &Flow<K>, name: &str) -> Result<(PoolId, Vec<Route>), Problem> {
+    let declared = flow.current.manifest.set().get(Kind::Service, name).map(|r| &r.spec);
+    let Some(Spec::Service(declared)) = declared else {
+        let problem = Problem::new(StatusCode::NotFound, "the service is not declared");
+        return Err(problem.detail(format!("no service {name:?} is declared")));
+    };
+    let pool = derive::service_pool(&flow.admitted.place, name);
+    let known = flow.service.hub.node().topology().pools.contains_key(&pool);
+    if known {
+        Ok((pool, declared.repeatable.clone()))
+    } else {
+        Err(unavailable())
+    }
+}
+
+fn may_repeat(routes: &[Route], req: &Request, path: &str) -> bool {
+    let method = req.method();
+    routes.iter().any(|r| r.method == method.as_ref() && path.starts_with(&r.path_prefix))
+}
+
+async fn enter_ledger<K: KeyValue>(
+    flow: &Flow<K>,
+    call: &Call,
+) -> Result<Option<Keyed<K>>, Response> {
+    let Some(key) = &flow.admitted.key else { return Ok(None) };
+    let seed = xxh3::xxh3_64(format!("{} {}", call.req.method(), call.req.url().path()).as_bytes());
+    let digest = xxh3::xxh3_64_with_seed(&call.body, seed);
+    match Keyed::hold(&flow.service, &flow.admitted.account, key, &flow.id, digest).await {
+        Standing::Mine(keyed) => Ok(Some(keyed)),
+        Standing::Refused(problem, outcome) => Err(flow.refuse(problem, outcome)),
+        Standing::Elsewhere { done, .. } => {
+            // A plain service cannot be asked for an answer again.
+            let problem = Problem::new(StatusCode::Conflict, "called before");
+            let detail = "the call with this idempotency key was sent to the service before; \
+                          it is not sent again";
+            let outcome = if done { Outcome::Done } else { Outcome::Unknown };
+            Err(flow.refuse(problem.detail(detail), outcome))
+        }
+    }
+}
+
+async fn run_until_answered<K: KeyValue>(
+    mut flow: Flow<K>,
+    call: Call,
+    pool: PoolId,
+    keyed: Option<Keyed<K>>,
+) -> Response {
+    let work = Work { output_tokens: 1, ..Work::default() };
+    loop {
+        let run = flow.next_run();
+        let mut granted = match flow.wait(run, &pool, &work, keyed.as_ref()).await {
+            Ok(granted) => granted,
+            Err(refusal) => return refusal,
+        };
+        let error = loop {
+            match attempt(&flow, &call, &granted).await {
+                Ok(answer) => return pass_on(flow, granted, keyed, answer).await,
+                Err(e) if e.is_unsent() => {}
+                Err(e) => break e,
+            }
+            granted = match flow.elsewhere(granted, keyed.as_ref(), false).await {
+                Ok(granted) => granted,
+                Err(refusal) => return refusal,
+            };
+        };
+        granted.ticket.finish(failed());
+        if !flow.may_repeat() {
+            return lost(&flow, &error.to_string());
+        }
+    }
+}
+
+fn lost<K: KeyValue>(flow: &Flow<K>, reason: &str) -> Response {
+    let problem = Problem::new(StatusCode::BadGateway, "the answer was lost");
+    flow.refuse(problem.detail(reason).retry_after(COME_BACK), Outcome::Unknown)
+}
+
+async fn attempt<K: KeyValue>(
+    flow: &Flow<K>,
+    call: &Call,
+    granted: &Granted,
+) -> Result<Beginning, CallError> {
+    let longest = flow.service.hub.node().topology().max_run;
+    let limits = Limits { connect: CONNECT, head: longest, piece: SILENCE };
+    let address = granted.address;
+    let broken = |e: String| CallError::Broken { address, reason: e };
+    let url = Url::parse(&format!("http://{address}{}", call.path));
+    let mut req = Request::new(call.req.method(), url.map_err(|e| broken(e.to_string()))?);
+    // The body comes first, since it brings a content type of its own.
+    req.set_body(call.body.clone());
+    req.remove_header("Content-Type");
+    for (name, values) in call.req.iter().filter(|(name, _)| is_passed_on(name.as_str())) {
+        values.iter().for_each(|value| req.append_header(name.clone(), value.clone()));
+    }
+    req.insert_header(REQUEST_ID, flow.id.as_str());
+    let mut answer = flow.service.client.send(address, req, limits).await?;
+    let mut read = Vec::new();
+    let mut whole = false;
+    while !whole && read.len() < READ_AHEAD {
+        match answer.next().await? {
+            Some(piece) => read.extend_from_slice(&piece),
+            None => whole = true,
+        }
+    }
+    Ok(Beginning { answer, read, whole })
+}
+
+/// An answer of which the beginning, or all, has been read.
+struct Beginning {
+    answer: Answer,
+    read: Vec<u8>,
+    whole: bool,
+}
+
+fn is_passed_on(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    !NOT_PASSED_ON.contains(&name.as_str()) && !name.starts_with(OWN_HEADERS)
+}
+
+async fn pass_on<K: KeyValue>(
+    flow: Flow<K>,
+    granted: Granted,
+    keyed: Option<Keyed<K>>,
+    beginning: Beginning,
+) -> Response {
+    let head = beginning.answer.head.clone();
+    let mut res = Response::new(head.status());
+    let id = flow.id.clone();
+    let headers: Vec<_> = head.iter().filter(|(name, _)| is_passed_on(name.as_str())).collect();
+    if beginning.whole {
+        res.set_body(beginning.read);
+        res.insert_header(OUTCOME, Outcome::Done.name());
+        end(&flow, &granted, keyed.as_ref());
+    } else {
+        let length = head.header("Content-Length").and_then(|v| v.as_str().parse().ok());
+        let (tx, rx) = bounded(4);
+        res.set_body(Body::from_reader(rx.into_async_read(), length));
+        task::spawn(stream(flow, granted, keyed, beginning, tx));
+    }
+    // A body that is set brings a content type of its own, which is not the service's.
+    res.remove_header("Content-Type");
+    for (name, values) in headers {
+        values.iter().for_each(|value| res.append_header(name.clone(), value.clone()));
+    }
+    res.insert_header(REQUEST_ID, id.as_str());
+    res
+}
+
+type Pieces = async_std::channel::Sender<Result<Vec<u8>, std::io::Error>>;
+
+/// Passes on the rest of a long answer. A cut shows to the caller as a body that breaks off.
+async fn stream<K: KeyValue>(
+    flow: Flow<K>,
+    granted: Granted,
+    keyed: Option<Keyed<K>>,
+    beginning: Beginning,
+    pieces: Pieces,
+) {
+    let mut answer = beginning.answer;
+    let mut piece = Ok(Some(beginning.read));
+    loop {
+        match piece {
+            Ok(Some(bytes)) => {
+                if pieces.send(Ok(bytes)).await.is_err() {
+                    granted.ticket.finish(cancelled());
+                    return flow.note(Outcome::Unknown);
+                }
+            }
+            Ok(None) => return end(&flow, &granted, keyed.as_ref()),
+            Err(e) => {
+                let cut = std::io::Error::new(std::io::ErrorKind::UnexpectedEof, "cut");
+                pieces.send(Err(cut)).await.ok();
+                granted.ticket.finish(failed());
+                log::warn!("caller: The answer of {} was cut: {e}.", flow.id);
+                return flow.note(Outcome::Unknown);
+            }
+        }
+        piece = answer.next().await;
+    }
+}
+
+fn end<K: KeyValue>(flow: &Flow<K>, granted: &Granted, keyed: Option<&Keyed<K>>) {
+    let total = clock::now().saturating_duration_since(flow.granted_at());
+    granted.ticket.finish(RunReport {
+        end: RunEnd::Complete,
+        total_ms: total.as_millis() as u64,
+        output_tokens: 1,
+        ..RunReport::default()
+    });
+    if let Some(keyed) = keyed {
+        keyed.finish();
+    }
+    flow.note(Outcome::Done);
+}
--- /dev/null
+++ b/oxbowbend-daemon/src/callers/settle.rs
@@ -0,0 +1,65 @@
+//! Ending runs whose answer nobody reads to the end.
+//!
+//! A permit stands for a run at an endpoint, so it is given back when that run is over, not when
+//! this instance has lost interest in it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use oxbowbend_core::message::{RunEnd, RunReport};
+use oxbowbend_core::node::Event;
+use oxbowbend_endpoint::control;
+use oxbowbend_http::client::Limits;
+use oxbowbend_platform::kv::KeyValue;
+
+use super::Service;
+use crate::probes;
+
+/// Pause between two tries to end a run.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time limit of one try.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// The report of a run that says nothing of its endpoint.
+pub(crate) fn cancelled() -> RunReport {
+    RunReport { end: RunEnd::Cancelled, ..RunReport::default() }
+}
+
+/// The report of a run that its endpoint failed.
+pub(crate) fn failed() -> RunReport {
+    RunReport { end: RunEnd::Failed, ..RunReport::default() }
+}
+
+/// Waits in the background until a run is over, cancelling it if `cancel`, and then ends it.
+pub(crate) fn settle<K: KeyValue>(
+    service: Arc<Service<K>>,
+    address: std::net::SocketAddr,
+    run: String,
+    report: RunReport,
+    cancel: bool,
+) {
+    task::spawn(async move {
+        let longest = service.hub.node().topology().max_run;
+        let began = Instant::now();
+        while began.elapsed() < longest && !try_end(&service, address, &run, cancel).await {
+            task::sleep(PAUSE).await;
+        }
+        service.hub.feed(Event::Finish { request: run.as_str().into(), report });
+    });
+}
+
+async fn try_end<K: KeyValue>(
+    service: &Service<K>,
+    address: std::net::SocketAddr,
+    run: &str,
+    cancel: bool,
+) -> bool {
+    if cancel {
+        let limits = Limits::all(LIMIT);
+        if let Err(e) = control::cancel(&service.client, address, run, limits).await {
+            log::debug!("caller: Cannot cancel {run}: {e}.");
+        }
+    }
+    probes::is_over(&service.client, address, run).await
+}
--- /dev/null
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -0,0 +1,191 @@
+//! The daemon as a whole: its parts are started here and wired to each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use oxbowbend_core::node::{Event, TICK};
+use oxbowbend_http::server::{self, Gate, Options};
+use oxbowbend_platform::catalog::Catalog;
+use oxbowbend_platform::config::ConfigStore;
+use oxbowbend_platform::etcd::Etcd;
+use oxbowbend_platform::ledger::Ledger;
+use thiserror::Error;
+
+use crate::callers::{Callers, Held};
+use crate::config::{self, Config};
+use crate::drain::{self, Drain};
+use crate::hub::Hub;
+use crate::ids;
+use crate::listing;
+use crate::observe;
+use crate::operators::Operators;
+use crate::peers::{self, Peers};
+use crate::probes;
+use crate::settings::Settings;
+use crate::timer::Timer;
+
+/// Time limit of a call to the platform.
+const PLATFORM_CALL: Duration = Duration::from_secs(2);
+/// Time for which a watch waits.
+const WATCH: Duration = Duration::from_secs(30);
+/// Time for which a step of the ledger is tried.
+const LEDGER_PATIENCE: Duration = Duration::from_secs(3);
+/// Pause between two tries to get the configuration from other instances.
+const KEEP_UP: Duration = Duration::from_millis(500);
+
+/// Why a daemon did not start, or stopped.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// A listener could not be opened.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// The signals could not be subscribed to.
+    #[error("cannot subscribe to signals: {0}")]
+    Signals(std::io::Error),
+    /// Draining was cut short while requests were in flight.
+    #[error("stopped with {0} requests in flight")]
+    CutShort(usize),
+}
+
+/// A running daemon.
+pub struct Daemon {
+    drain: Arc<Drain>,
+    settings: Settings,
+    id: String,
+}
+
+impl Daemon {
+    /// Starts a daemon; it serves as soon as it has a configuration and is listed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener cannot be opened.
+    pub async fn start(settings: Settings) -> Result<Daemon, DaemonError> {
+        observe::install();
+        let id = ids::incarnation(&settings.instance);
+        let (hub, queues) = Hub::new(id.as_str().into(), &settings.zone);
+        let hub = Arc::new(hub);
+        let config = Arc::new(Config::new(hub.clone()));
+        let peers = Peers::new(hub.clone(), config.clone(), settings.peer_secret.clone());
+        let held = Arc::new(Held::default());
+        let timer = Timer::start();
+        let kv = Etcd::new(settings.kv.clone(), PLATFORM_CALL, WATCH);
+        let store = ConfigStore::new(kv.clone());
+        let ledger = Ledger::new(kv, settings.ledger_shards, LEDGER_PATIENCE);
+        let catalog = Catalog::new(settings.list, PLATFORM_CALL);
+
+        let holds = {
+            let held = held.clone();
+            Box::new(move |key: &str| held.count(key) > 0)
+        };
+        let address = settings.peer_listen;
+        let listening = (hub.clone(), config.clone());
+        let peer_server =
+            peers::listen(address, &settings.peer_secret, listening.0, listening.1, holds)
+                .await
+                .map_err(|error| DaemonError::Listen { address, error })?;
+        let gate = Arc::new(Gate::default());
+        let drain = Arc::new(Drain::new(hub.clone(), catalog.clone(), gate.clone(), peer_server));
+
+        let callers = Callers::new(
+            hub.clone(),
+            config.clone(),
+            peers.clone(),
+            ledger,
+            settings.clone(),
+            held,
+        );
+        serve(settings.caller_listen, callers, caller_options(&settings), gate).await?;
+        let operators = Operators::new(
+            hub.clone(),
+            config.clone(),
+            peers.clone(),
+            store.clone(),
+            drain.clone(),
+            &settings.operator_key,
+        );
+        let options = Options { idle: settings.idle_time, ..Options::default() };
+        serve(settings.operator_listen, operators, options, Arc::default()).await?;
+
+        task::spawn(peers.clone().deliver(queues.outgoing));
+        task::spawn(peers.keep_up(timer.every(KEEP_UP)));
+        task::spawn(probes::run(hub.clone(), config.clone(), queues.questions));
+        task::spawn(config::follow(config.clone(), store));
+        let reads = timer.every(listing::READ);
+        task::spawn(listing::run(hub.clone(), config, catalog, settings.clone(), reads));
+        task::spawn(tick(hub, timer));
+        log::info!("daemon: {id} serves callers at {}.", settings.caller_listen);
+        Ok(Daemon { drain, settings, id })
+    }
+
+    /// Id of this life of the instance.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Begins to stop: new work goes elsewhere, and what is here is finished.
+    pub fn drain(&self) {
+        self.drain.begin();
+    }
+
+    /// Begins to stop at the first SIGTERM or SIGINT; the second one cuts off what is left.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signals cannot be subscribed to.
+    pub fn drain_on_signals(&self) -> Result<(), DaemonError> {
+        drain::on_signals(self.drain.clone()).map_err(DaemonError::Signals)
+    }
+
+    /// Waits until the daemon has stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if requests were cut off.
+    pub async fn stopped(&self) -> Result<(), DaemonError> {
+        match self.drain.finished(self.settings.drain_limit).await {
+            0 => Ok(()),
+            n => Err(DaemonError::CutShort(n)),
+        }
+    }
+}
+
+fn caller_options(settings: &Settings) -> Options {
+    Options {
+        idle: settings.idle_time,
+        connections: settings.max_connections,
+        connections_per_caller: settings.max_connections_per_caller,
+        ..Options::default()
+    }
+}
+
+async fn serve<H: server::Handler>(
+    address: SocketAddr,
+    handler: H,
+    options: Options,
+    gate: Arc<Gate>,
+) -> Result<(), DaemonError> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|error| DaemonError::Listen { address, error })?;
+    task::spawn(async move {
+        if let Err(e) = server::serve(listener, handler, options, gate).await {
+            log::error!("daemon: The listener at {address} failed: {e}.");
+        }
+    });
+    Ok(())
+}
+
+async fn tick(hub: Arc<Hub>, timer: Timer) {
+    let ticks = timer.every(TICK);
+    while ticks.recv().await.is_ok() {
+        hub.feed(Event::Tick);
+    }
+}
--- /dev/null
+++ b/oxbowbend-platform/src/memory.rs
@@ -0,0 +1,155 @@
+//! A key-value service inside the process, with faults, for tests and experiments.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::kv::{KeyValue, KeyVersion, KvError, LeaseId, Swap, Versioned};
+
+/// A fault to inject into the next calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The service is not reached.
+    Unreachable,
+    /// The call takes effect and its reply is lost.
+    ReplyLost,
+    /// The call has no effect and no reply comes.
+    RequestLost,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    values: BTreeMap<String, Versioned>,
+    leased: HashMap<LeaseId, Vec<String>>,
+    revision: KeyVersion,
+    faults: Vec<Fault>,
+    down: bool,
+    writes: u64,
+    reads: u64,
+}
+
+/// The service; clones share its content.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+}
+
+impl Memory {
+    /// Creates an empty service.
+    pub fn new() -> Memory {
+        Memory::default()
+    }
+
+    /// Makes the next call, and those after it, fail as listed.
+    pub fn inject(&self, faults: &[Fault]) {
+        let mut state = self.lock();
+        state.faults = faults.iter().rev().copied().collect();
+    }
+
+    /// Makes every call fail, or none.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub fn end_lease(&self, lease: LeaseId) {
+        let mut state = self.lock();
+        for key in state.leased.remove(&lease).unwrap_or_default() {
+            state.values.remove(&key);
+        }
+    }
+
+    /// Reads and writes served so far.
+    pub fn counts(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.reads, state.writes)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under lock")
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> Result<T, KvError> {
+        let mut state = self.lock();
+        if state.down {
+            return Err(KvError::Unreachable("down".to_owned()));
+        }
+        match state.faults.pop() {
+            None => Ok(act(&mut state)),
+            Some(Fault::Unreachable) => Err(KvError::Unreachable("injected".to_owned())),
+            Some(Fault::RequestLost) => Err(KvError::NoReply("request lost".to_owned())),
+            Some(Fault::ReplyLost) => {
+                act(&mut state);
+                Err(KvError::NoReply("reply lost".to_owned()))
+            }
+        }
+    }
+}
+
+impl KeyValue for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, KvError> {
+        self.with(|s| {
+            s.reads += 1;
+            s.values.get(key).cloned()
+        })
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: KeyVersion,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, KvError> {
+        self.with(|s| {
+            s.writes += 1;
+            let current = s.values.get(key).map_or(0, |v| v.version);
+            if current != expected {
+                return Swap::Conflict;
+            }
+            s.revision += 1;
+            let version = s.revision;
+            s.values.insert(key.to_owned(), Versioned { value, version });
+            if let Some(lease) = lease {
+                s.leased.entry(lease).or_default().push(key.to_owned());
+            }
+            Swap::Written(version)
+        })
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), KvError> {
+        self.with(|s| {
+            s.writes += 1;
+            s.values.remove(key);
+        })
+    }
+
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>, KvError> {
+        self.with(|s| {
+            s.reads += 1;
+            let from = s.values.range(prefix.to_owned()..);
+            from.map(|(k, _)| k.clone()).take_while(|k| k.starts_with(prefix)).collect()
+        })
+    }
+
+    async fn changed(&self, key: &str, after: KeyVersion) -> Result<Option<Versioned>, KvError> {
+        self.with(|s| {
+            s.reads += 1;
+            s.values.get(key).filter(|v| v.version > after).cloned()
+        })
+    }
+
+    async fn grant_lease(&self, _ttl: Duration) -> Result<LeaseId, KvError> {
+        self.with(|s| {
+            s.writes += 1;
+            s.revision += 1;
+            let lease = s.revision as LeaseId;
+            s.leased.insert(lease, Vec::new());
+            lease
+        })
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, KvError> {
+        self.with(|s| s.leased.contains_key(&lease))
+    }
+}
--- /dev/null
+++ b/oxbowbend-resource/src/derive.rs
@@ -0,0 +1,117 @@
+//! The view of the resources that scheduling needs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oxbowbend_core::ids::PoolId;
+use oxbowbend_core::topology::{Account, Endpoint, Pool, Topology};
+
+use crate::kinds::{self, Kind, Spec};
+use crate::set::ResourceSet;
+
+/// Waiting requests of a pool, where nothing is declared.
+const DEFAULT_QUEUE_BOUND: u32 = 1000;
+/// Longest run of a model, where nothing is declared.
+const DEFAULT_MAX_RUN: Duration = Duration::from_secs(600);
+/// Longest call of a plain service, where nothing is declared. It is shorter, since a plain
+/// service cannot be asked whether a call is over.
+const DEFAULT_MAX_CALL: Duration = Duration::from_secs(30);
+/// Prompt tokens per second assumed of an endpoint that declares none.
+const DEFAULT_PREFILL_RATE: f64 = 4000.0;
+/// Output tokens per second and request assumed of an endpoint that declares none.
+const DEFAULT_DECODE_RATE: f64 = 40.0;
+/// Prompt tokens assumed to fit the prefix cache of an endpoint that declares none.
+const DEFAULT_CACHE_TOKENS: u64 = 65_536;
+/// Lag assumed of an endpoint's report of its load.
+const DEFAULT_REPORT_LAG: Duration = Duration::from_secs(5);
+
+/// Name of the pool of a model inside a place.
+///
+/// ```
+/// assert_eq!(&*oxbowbend_resource::derive::model_pool("ankara", "minutes"), "ankara/minutes");
+/// ```
+pub fn model_pool(place: &str, model: &str) -> PoolId {
+    format!("{place}/{model}").into()
+}
+
+/// Name of the pool of a plain service inside a place. A service may bear a model's name.
+pub fn service_pool(place: &str, service: &str) -> PoolId {
+    format!("{place}/services/{service}").into()
+}
+
+/// Reduces a checked set of resources to what scheduling needs.
+pub fn topology(set: &ResourceSet) -> Topology {
+    let mut topology = Topology { report_lag: report_lag(set), ..Topology::default() };
+    for resource in set.of(Kind::Endpoint) {
+        let Spec::Endpoint(spec) = &resource.spec else { continue };
+        let Some((id, mut pool)) = pool_of(spec, set) else { continue };
+        let pool = topology.pools.entry(id).or_insert_with(|| std::mem::take(&mut pool));
+        pool.endpoints.insert(resource.name.as_str().into(), endpoint(spec));
+    }
+    topology.accounts = accounts(set);
+    topology.lowest_tier = lowest_tier(set);
+    let longest = topology.pools.values().map(|p| p.max_run).max();
+    topology.max_run = longest.unwrap_or(DEFAULT_MAX_RUN);
+    topology
+}
+
+fn pool_of(spec: &kinds::Endpoint, set: &ResourceSet) -> Option<(PoolId, Pool)> {
+    let Spec::Place(place) = &set.get(Kind::Place, &spec.place)?.spec else { return None };
+    let (id, queue_bound, max_run) = match (&spec.model, &spec.service) {
+        (Some(model), _) => {
+            let Spec::Model(declared) = &set.get(Kind::Model, model)?.spec else { return None };
+            let max_run = declared.max_run_seconds.map_or(DEFAULT_MAX_RUN, seconds);
+            (model_pool(&spec.place, model), declared.queue_bound, max_run)
+        }
+        (None, Some(service)) => {
+            let Spec::Service(declared) = &set.get(Kind::Service, service)?.spec else {
+                return None;
+            };
+            let max_run = declared.max_run_seconds.map_or(DEFAULT_MAX_CALL, seconds);
+            (service_pool(&spec.place, service), declared.queue_bound, max_run)
+        }
+        (None, None) => return None,
+    };
+    let zones = place.zones.iter().map(|z| z.as_str().into()).collect();
+    let queue_bound = queue_bound.unwrap_or(DEFAULT_QUEUE_BOUND) as usize;
+    Some((id, Pool { zones, endpoints: BTreeMap::new(), queue_bound, max_run }))
+}
+
+fn endpoint(spec: &kinds::Endpoint) -> Endpoint {
+    Endpoint {
+        slots: spec.slots,
+        generation: spec.generation.as_deref().unwrap_or("unknown").into(),
+        prefill_rate: spec.prefill_rate.unwrap_or(DEFAULT_PREFILL_RATE),
+        decode_rate: spec.decode_rate.unwrap_or(DEFAULT_DECODE_RATE),
+        cache_tokens: spec.cache_tokens.unwrap_or(DEFAULT_CACHE_TOKENS),
+        leaving: spec.leaving,
+    }
+}
+
+fn accounts(set: &ResourceSet) -> BTreeMap<oxbowbend_core::ids::AccountId, Account> {
+    let limited = set.of(Kind::ClientAccount).filter_map(|r| match &r.spec {
+        Spec::ClientAccount(a) => Some((r.name.as_str().into(), a.max_running?)),
+        _ => None,
+    });
+    limited.map(|(id, limit)| (id, Account { max_running: Some(limit) })).collect()
+}
+
+fn lowest_tier(set: &ResourceSet) -> u8 {
+    let levels = set.of(Kind::Tier).filter_map(|r| match &r.spec {
+        Spec::Tier(t) => t.level,
+        _ => None,
+    });
+    levels.max().unwrap_or(0)
+}
+
+fn report_lag(set: &ResourceSet) -> Duration {
+    let declared = set.of(Kind::Endpoint).filter_map(|r| match &r.spec {
+        Spec::Endpoint(e) => Some(e.report_lag_seconds.map_or(DEFAULT_REPORT_LAG, seconds)),
+        _ => None,
+    });
+    declared.max().unwrap_or(DEFAULT_REPORT_LAG)
+}
+
+fn seconds(n: u32) -> Duration {
+    Duration::from_secs(n.into())
+}
--- /dev/null
+++ b/oxbowbend-resource/src/set.rs
@@ -0,0 +1,87 @@
+//! All resources of one revision.
+
+use std::collections::BTreeMap;
+
+use sha2::{Digest, Sha256};
+
+use crate::kinds::{ClientAccount, Kind, Resource, ResourceId, Spec};
+
+/// Resources by kind and name.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ResourceSet {
+    resources: BTreeMap<ResourceId, Resource>,
+}
+
+impl ResourceSet {
+    /// Adds a resource or replaces the one of the same kind and name.
+    pub fn insert(&mut self, resource: Resource) -> Option<Resource> {
+        self.resources.insert(resource.id(), resource)
+    }
+
+    /// Removes a resource.
+    pub fn remove(&mut self, id: &ResourceId) -> Option<Resource> {
+        self.resources.remove(id)
+    }
+
+    /// Finds a resource.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Resource> {
+        self.resources.get(&ResourceId { kind, name: name.to_owned() })
+    }
+
+    /// All resources, by kind and name.
+    pub fn iter(&self) -> impl Iterator<Item = &Resource> {
+        self.resources.values()
+    }
+
+    /// All resources of a kind, by name.
+    pub fn of(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
+        let first = ResourceId { kind, name: String::new() };
+        self.resources.range(first..).map(|(_, r)| r).take_while(move |r| r.spec.kind() == kind)
+    }
+
+    /// Number of resources.
+    pub fn len(&self) -> usize {
+        self.resources.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.resources.is_empty()
+    }
+}
+
+/// The digest under which a bearer key is stored.
+///
+/// ```
+/// let hash = oxbowbend_resource::set::hash_key("secret");
+/// assert_eq!(hash.len(), 64);
+/// ```
+pub fn hash_key(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// Accounts by the digest of each of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct KeyIndex {
+    by_hash: BTreeMap<String, (String, ClientAccount)>,
+}
+
+impl KeyIndex {
+    /// Builds the index of a set.
+    pub fn new(set: &ResourceSet) -> KeyIndex {
+        let mut by_hash = BTreeMap::new();
+        for resource in set.of(Kind::ClientAccount) {
+            let Spec::ClientAccount(account) = &resource.spec else { continue };
+            for hash in &account.key_hashes {
+                let entry = (resource.name.clone(), account.clone());
+                by_hash.insert(hash.to_ascii_lowercase(), entry);
+            }
+        }
+        KeyIndex { by_hash }
+    }
+
+    /// Finds the account that a bearer key belongs to.
+    pub fn find(&self, key: &str) -> Option<(&str, &ClientAccount)> {
+        self.by_hash.get(&hash_key(key)).map(|(name, account)| (name.as_str(), account))
+    }
+}
