--- a/oxbowbend-core/src/permits.rs
+++ b/oxbowbend-core/src/permits.rs
@@ -174,6 +174,11 @@
         })
     }
 
+    /// Number of permits owned here.
+    pub fn owned(&self) -> usize {
+        self.shares.values().map(|s| s.holds.len()).sum()
+    }
+
     /// Number of permits that are not handed out because nobody vouches for them.
     pub fn unproven(&self) -> usize {
         let holds = self.shares.values().flat_map(|s| s.holds.values());
--- a/oxbowbend-daemon/src/operators.rs
+++ b/oxbowbend-daemon/src/operators.rs
@@ -311,12 +311,13 @@
             .collect();
         let held = node.entry().len();
         let unproven = node.permits().unproven();
+        let owned = node.permits().owned();
         json(
             StatusCode::Ok,
             &json!({
                 "instance": self.hub.me(), "revision": self.config.revision(),
                 "instances": instances, "pools": pools, "requests": held,
-                "unproven_permits": unproven,
+                "owned_permits": owned, "unproven_permits": unproven,
             }),
         )
     }
--- a/oxbowbend-http/src/client.rs
+++ b/oxbowbend-http/src/client.rs
@@ -160,7 +160,8 @@
             None => connect(address, limits.connect).await?,
         };
         let method = req.method();
-        let call = exchange(stream.clone(), req);
+        // Boxed, to keep the futures of callers small.
+        let call = Box::pin(exchange(stream.clone(), req));
         let broken = |e: http_types::Error| CallError::Broken { address, reason: e.to_string() };
         let mut head = match future::timeout(limits.head, call).await {
             Ok(result) => result.map_err(broken)?,
--- a/oxbowbend-standin/src/platform.rs
+++ b/oxbowbend-standin/src/platform.rs
@@ -92,7 +92,7 @@
         Platform { options, panel: Panel::default(), state: Arc::default() }
     }
 
-    /// Its switches. `refuse` is an outage of both services.
+    /// Its switches. `refuse` is an outage of the key-value service, `refuse_list` of the list.
     pub fn panel(&self) -> &Panel {
         &self.panel
     }
@@ -137,23 +137,14 @@
     }
 
     fn sweep(&self) {
-        if self.panel.get().refuse {
-            return;
-        }
+        let switches = self.panel.get();
         let now = Instant::now();
         let mut state = self.lock();
-        let ended: Vec<i64> =
-            state.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
-        for lease in ended {
-            state.leases.remove(&lease);
-            let keys = state.values.iter().filter(|(_, v)| v.lease == Some(lease));
-            let keys: Vec<String> = keys.map(|(k, _)| k.clone()).collect();
-            keys.iter().for_each(|k| state.delete(k));
+        if !switches.refuse {
+            state.end_leases(now);
         }
-        let before = state.services.len();
-        state.services.retain(|_, s| s.ends.is_none_or(|ends| ends > now));
-        if state.services.len() != before {
-            state.list_changed();
+        if !switches.refuse_list {
+            state.drop_silent(now);
         }
     }
 
@@ -200,7 +191,9 @@
             let (reads, writes) = self.counts();
             return json(StatusCode::Ok, &json!({ "reads": reads, "writes": writes }));
         }
-        if self.panel.get().refuse {
+        let switches = self.panel.get();
+        let is_list = path.starts_with("/v1/");
+        if (is_list && switches.refuse_list) || (!is_list && switches.refuse) {
             // An outage: nothing is done, and the gateway says so.
             let problem = Problem::new(StatusCode::TooManyRequests, "outage");
             return problem.into_response();
@@ -215,6 +208,26 @@
 }
 
 impl State {
+    fn end_leases(&mut self, now: Instant) {
+        let ended = self.leases.iter().filter(|(_, l)| l.ends <= now);
+        let ended: Vec<i64> = ended.map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.leases.remove(&lease);
+            let keys = self.values.iter().filter(|(_, v)| v.lease == Some(lease));
+            let keys: Vec<String> = keys.map(|(k, _)| k.clone()).collect();
+            keys.iter().for_each(|k| self.delete(k));
+        }
+    }
+
+    /// Drops instances that have not said for too long that they live.
+    fn drop_silent(&mut self, now: Instant) {
+        let before = self.services.len();
+        self.services.retain(|_, s| s.ends.is_none_or(|ends| ends > now));
+        if self.services.len() != before {
+            self.list_changed();
+        }
+    }
+
     fn put(&mut self, key: &str, value: String, lease: Option<i64>) {
         self.revision += 1;
         let stored = Stored { value, revision: self.revision, lease };
--- a/oxbowbend-standin/src/switches.rs
+++ b/oxbowbend-standin/src/switches.rs
@@ -18,8 +18,10 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Switches {
-    /// Answer every request with 503 before doing anything.
+    /// Refuse every request before doing anything.
     pub refuse: bool,
+    /// Refuse to read or change the list of instances as well.
+    pub refuse_list: bool,
     /// Do what is asked and never answer.
     pub stall: bool,
     /// Milliseconds by which every answer is late.
