--- /dev/null
+++ b/oxbowbend-core/tests/permit_exploration.rs
@@ -0,0 +1,255 @@
+//! Exploration of who owns and uses one slot: every order of grants, claims, answers, deaths and
+//! list updates among three instances, to a stated bound.
+//!
+//! The bound: one slot, two requests, one instance that joins, one death, one lost message and two
+//! steps of time. Messages of the scheduler's bookkeeping are delivered at once, since no decision
+//! of a scheduler can pass a limit; grants, claims and releases are delivered in every order that
+//! keeps the order between the same two instances.
+
+mod harness;
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use harness::{record, topology};
+use oxbowbend_core::ids::{InstanceId, RequestId};
+use oxbowbend_core::membership::{InstanceList, Member};
+use oxbowbend_core::message::{Message, RunReport};
+use oxbowbend_core::node::{Action, Event, Node, LIST_LAG};
+
+/// States after which the exploration ends.
+const MAX_STATES: usize = 50_000;
+/// A step of time: long enough for questions and claims to be sent again.
+const STEP: Duration = Duration::from_millis(2100);
+
+#[derive(Clone, Debug)]
+struct State {
+    now: Instant,
+    nodes: BTreeMap<InstanceId, Node>,
+    dead: BTreeSet<InstanceId>,
+    links: BTreeMap<(InstanceId, InstanceId), VecDeque<Message>>,
+    list: InstanceList,
+    running: BTreeMap<RequestId, InstanceId>,
+    ended: BTreeSet<RequestId>,
+    deaths: u8,
+    losses: u8,
+    steps: u8,
+    broken: Option<String>,
+}
+
+impl State {
+    fn start(start: Instant) -> State {
+        let mut state = State {
+            now: start,
+            nodes: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            links: BTreeMap::new(),
+            list: InstanceList::default(),
+            running: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            deaths: 1,
+            losses: 1,
+            steps: 2,
+            broken: None,
+        };
+        let topology = Arc::new(topology(&[("e1", 1)], None));
+        for (seed, name) in ["a", "b", "c"].iter().enumerate() {
+            let id: InstanceId = (*name).into();
+            let node = Node::new(id.clone(), "z".into(), seed as u64 * 1000);
+            state.nodes.insert(id.clone(), node);
+            if *name != "c" {
+                state.enlist(&id);
+            }
+        }
+        // The two first ones settle before the endpoint is declared, so that its slot is theirs.
+        for name in ["a", "b"] {
+            state.feed(&name.into(), Event::List(state.list.clone()));
+        }
+        state.now += LIST_LAG + STEP;
+        for name in ["a", "b", "c"] {
+            state.tick(&name.into());
+            state.feed(&name.into(), Event::Topology(topology.clone()));
+        }
+        state.drain_links();
+        state.enlist(&"c".into());
+        for (entry, request) in [("a", "r1"), ("b", "r2")] {
+            state.feed(&entry.into(), Event::Arrive(record(request, 0)));
+        }
+        state
+    }
+
+    fn enlist(&mut self, id: &InstanceId) {
+        let member = Member { zone: "z".into(), address: id.to_string(), leaving: false };
+        self.list.members.insert(id.clone(), member);
+        self.list.version += 1;
+    }
+
+    fn drain_links(&mut self) {
+        while let Some(link) =
+            self.links.iter().find(|(_, q)| !q.is_empty()).map(|(k, _)| k.clone())
+        {
+            self.deliver(&link);
+        }
+    }
+
+    fn tick(&mut self, id: &InstanceId) {
+        self.feed(id, Event::Tick);
+    }
+
+    fn feed(&mut self, id: &InstanceId, event: Event) {
+        if self.dead.contains(id) {
+            return;
+        }
+        let node = self.nodes.get_mut(id).expect("nodes stay known");
+        let actions = node.handle(self.now, event);
+        for action in actions {
+            self.perform(id, action);
+        }
+    }
+
+    fn perform(&mut self, id: &InstanceId, action: Action) {
+        match action {
+            Action::Send { to, message } if is_explored(&message) => {
+                self.links.entry((id.clone(), to)).or_default().push_back(message);
+            }
+            Action::Send { to, message } => {
+                let from = id.clone();
+                self.feed(&to, Event::Peer { from, message });
+            }
+            Action::Dispatch(grant) => {
+                if self.running.contains_key(&grant.request) || self.ended.contains(&grant.request)
+                {
+                    self.broken = Some(format!("{} ran twice", grant.request));
+                }
+                self.running.insert(grant.request, id.clone());
+                if self.running.len() > 1 {
+                    self.broken = Some(format!("one slot, running: {:?}", self.running));
+                }
+            }
+            Action::AskRun { grant, .. } if !self.running.contains_key(&grant.0) => {
+                self.feed(id, Event::RunOver(grant));
+            }
+            Action::AskLoad(endpoint) => {
+                let (running, asked_at) = (self.running.len() as u32, self.now);
+                self.feed(id, Event::Load { endpoint, running, asked_at });
+            }
+            Action::AskRun { .. } | Action::Refuse { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, link: &(InstanceId, InstanceId)) {
+        let message = self.links.get_mut(link).and_then(VecDeque::pop_front);
+        if let Some(message) = message {
+            let from = link.0.clone();
+            self.feed(&link.1, Event::Peer { from, message });
+        }
+    }
+
+    fn successors(&self) -> Vec<State> {
+        let mut next = Vec::new();
+        let mut push = |change: &dyn Fn(&mut State)| {
+            let mut state = self.clone();
+            change(&mut state);
+            state.links.retain(|_, q| !q.is_empty());
+            next.push(state);
+        };
+        for link in self.links.keys() {
+            push(&|s| s.deliver(link));
+            if self.losses > 0 {
+                push(&|s| {
+                    s.losses -= 1;
+                    s.links.get_mut(link).and_then(VecDeque::pop_front);
+                });
+            }
+        }
+        for id in self.nodes.keys().filter(|id| !self.dead.contains(*id)) {
+            if self.nodes[id].members().list().version < self.list.version {
+                push(&|s| s.feed(id, Event::List(s.list.clone())));
+            }
+            if self.deaths > 0 {
+                push(&|s| {
+                    s.deaths -= 1;
+                    s.dead.insert(id.clone());
+                });
+            }
+        }
+        for id in self.dead.iter().filter(|id| self.list.members.contains_key(*id)) {
+            push(&|s| {
+                s.list.members.remove(id);
+                s.list.version += 1;
+            });
+        }
+        for (request, entry) in &self.running {
+            push(&|s| {
+                s.running.remove(request);
+                s.ended.insert(request.clone());
+                let report = RunReport::default();
+                s.feed(entry, Event::Finish { request: request.clone(), report });
+            });
+        }
+        if self.steps > 0 {
+            push(&|s| {
+                s.steps -= 1;
+                s.now += STEP;
+                let ids: Vec<InstanceId> = s.nodes.keys().cloned().collect();
+                ids.iter().for_each(|id| s.tick(id));
+            });
+        }
+        next
+    }
+
+    fn key(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        format!("{self:?}").hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+fn is_explored(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Grant(_)
+            | Message::Release { .. }
+            | Message::Claim { .. }
+            | Message::ClaimReply { .. }
+            | Message::Inquire { .. }
+            | Message::NotUsed { .. }
+            | Message::Used { .. }
+    )
+}
+
+/// Explores until the bound; `pop` decides between breadth and depth.
+fn explore(pop: fn(&mut VecDeque<State>) -> Option<State>) {
+    let start = State::start(Instant::now());
+    let mut seen = HashSet::from([start.key()]);
+    let mut queue = VecDeque::from([start]);
+    let mut explored = 0;
+    while let Some(state) = pop(&mut queue) {
+        explored += 1;
+        if let Some(found) = &state.broken {
+            panic!("{found} after {explored} states: {state:?}");
+        }
+        if seen.len() >= MAX_STATES {
+            continue;
+        }
+        for next in state.successors() {
+            if seen.insert(next.key()) {
+                queue.push_back(next);
+            }
+        }
+    }
+    assert!(explored >= MAX_STATES, "only {explored} states were explored");
+}
+
+#[test]
+fn no_order_of_events_uses_one_slot_twice_in_breadth() {
+    explore(VecDeque::pop_front);
+}
+
+#[test]
+fn no_order_of_events_uses_one_slot_twice_in_depth() {
+    explore(VecDeque::pop_back);
+}
