--- a/oxbowbend-standin/examples/local.rs
+++ b/oxbowbend-standin/examples/local.rs
@@ -1,17 +1,17 @@
 //! The main job on an embedded default: stand-ins and three daemons in one process serve requests
 //! of three tiers, and what happened is printed. Ends with a non-zero code if anything was wrong.
 
-use std::net::SocketAddr;
+mod common;
+
 use std::process::ExitCode;
 use std::time::Duration;
 
+use common::{settings, Failure};
 use oxbowbend_daemon::daemon::Daemon;
-use oxbowbend_daemon::settings::{Flags, Settings};
 use oxbowbend_standin::engine;
 use oxbowbend_standin::load::{closed_loop, Ask, Summary};
 use oxbowbend_standin::local::{
-    declare, free_address, wait_ok, Surroundings, ACCOUNT, MODEL, OPERATOR_KEY, OTHER_ACCOUNT,
-    PEER_SECRET, TIERS,
+    declare, wait_ok, Surroundings, ACCOUNT, MODEL, OTHER_ACCOUNT, TIERS,
 };
 
 /// Requests of each tier.
@@ -21,8 +21,6 @@
 /// Availability zones, one daemon in each.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
-type Failure = Box<dyn std::error::Error>;
-
 #[async_std::main]
 async fn main() -> ExitCode {
     match run().await {
@@ -68,25 +66,6 @@
     Ok(good)
 }
 
-async fn settings(zone: &str, platform: SocketAddr) -> Result<Settings, Failure> {
-    let flags = Flags {
-        instance: Some(format!("entry-{zone}")),
-        zone: Some(zone.to_owned()),
-        caller_listen: Some(free_address().await?.to_string()),
-        operator_listen: Some(free_address().await?.to_string()),
-        peer_listen: Some(free_address().await?.to_string()),
-        kv: Some(platform.to_string()),
-        list: Some(platform.to_string()),
-        ..Flags::default()
-    };
-    let secrets = |name: &str| match name {
-        "OXBOWD_PEER_SECRET" => Some(PEER_SECRET.to_owned()),
-        "OXBOWD_OPERATOR_KEY" => Some(OPERATOR_KEY.to_owned()),
-        _ => None,
-    };
-    Ok(Settings::read_with(&flags, secrets)?)
-}
-
 fn asks() -> Vec<Ask> {
     let ask = |n: usize| {
         let tier = TIERS[n % TIERS.len()];
--- a/oxbowbend-standin/src/load.rs
+++ b/oxbowbend-standin/src/load.rs
@@ -99,6 +99,8 @@
     let body = json!({
         "model": ask.model, "messages": messages(ask), "max_tokens": ask.max_tokens,
         "stream": ask.stream, "user": ask.prompt.chars().take(64).collect::<String>(),
+        // For an engine that is asked straight; a daemon puts its own in place of it.
+        "request_id": format!("{:032x}", rand::random::<u128>()),
     });
     let mut req = client::json_request(Method::Post, to, "/v1/chat/completions", &body)
         .map_err(|e| e.to_string())?;
