--- a/oxbowbend-daemon/tests/fleet/mod.rs
+++ b/oxbowbend-daemon/tests/fleet/mod.rs
@@ -234,6 +234,7 @@
         prompt: format!("prompt {name}"),
         max_tokens,
         stream,
+        run: None,
         headers: Vec::new(),
     }
 }
--- a/oxbowbend-standin/examples/added.rs
+++ b/oxbowbend-standin/examples/added.rs
@@ -99,6 +99,7 @@
         prompt: format!("request {n}"),
         max_tokens: 1,
         stream,
+        run: Some(format!("{:032x}", rand::random::<u128>())),
         headers: Vec::new(),
     };
     let asks = (0..requests).map(ask).collect();
--- a/oxbowbend-standin/examples/local.rs
+++ b/oxbowbend-standin/examples/local.rs
@@ -77,6 +77,7 @@
             prompt: format!("request {n} {}", "of the hearing ".repeat(long)),
             max_tokens: 5 * long as u32,
             stream: n % 4 < 2,
+            run: None,
             headers: Vec::new(),
         }
     };
--- a/oxbowbend-standin/src/load.rs
+++ b/oxbowbend-standin/src/load.rs
@@ -34,6 +34,8 @@
     pub max_tokens: u32,
     /// Whether the answer is streamed.
     pub stream: bool,
+    /// Run id, for an engine that is asked straight; a daemon puts its own in place of it.
+    pub run: Option<String>,
     /// Further headers.
     pub headers: Vec<(String, String)>,
 }
@@ -99,8 +101,7 @@
     let body = json!({
         "model": ask.model, "messages": messages(ask), "max_tokens": ask.max_tokens,
         "stream": ask.stream, "user": ask.prompt.chars().take(64).collect::<String>(),
-        // For an engine that is asked straight; a daemon puts its own in place of it.
-        "request_id": format!("{:032x}", rand::random::<u128>()),
+        "request_id": ask.run,
     });
     let mut req = client::json_request(Method::Post, to, "/v1/chat/completions", &body)
         .map_err(|e| e.to_string())?;
