--- a/oxbowbend-standin/src/lib.rs
+++ b/oxbowbend-standin/src/lib.rs
@@ -14,6 +14,7 @@
 */
 
 pub mod engine;
+pub mod experiment;
 pub mod load;
 pub mod local;
 pub mod platform;
