Send a freed endpoint what it has cached, within the account whose turn it is

Change: with at most 8 endpoints free, the account's first 32 requests are compared with their caches; nobody is passed over more than 64 times.

--- a/oxbowbend-core/src/queue.rs
+++ b/oxbowbend-core/src/queue.rs
@@ -113,6 +113,17 @@
         self.tiers.get(&tier)?.next(&eligible)
     }
 
+    /// The first `most` requests of an account in a tier, in order of arrival.
+    pub fn first_of(
+        &self,
+        tier: TierLevel,
+        account: &str,
+        most: usize,
+    ) -> impl Iterator<Item = &Item> {
+        let flow = self.tiers.get(&tier).and_then(|t| t.flows.get(account));
+        flow.into_iter().flat_map(|f| f.items.values()).take(most)
+    }
+
     /// Tiers that have requests waiting, the highest first.
     pub fn levels(&self) -> Vec<TierLevel> {
         self.tiers.iter().filter(|(_, t)| !t.by_size.is_empty()).map(|(l, _)| *l).collect()
--- a/oxbowbend-core/src/scheduler.rs
+++ b/oxbowbend-core/src/scheduler.rs
@@ -31,6 +31,12 @@
 const ACCOUNT_PAUSE: Duration = Duration::from_millis(50);
 /// Part of the queue bound under which a shed floor is lifted.
 const FLOOR_LIFT: f64 = 0.8;
+/// Requests of an account among which the one is chosen whose prompt a free endpoint has cached.
+const LOOK_AHEAD: usize = 32;
+/// Free endpoints up to which that choice is made; with more, the first request finds its own.
+const FEW_SITES: usize = 8;
+/// Times that a request may be passed over for the sake of a cached prompt.
+const MAX_PASSED: u32 = 64;
 /// Part of a pool's slots that is kept free of each lower tier, per level.
 const KEEP_PER_LEVEL: f64 = 0.04;
 /// Shortest time after which a refused caller is told to come back.
@@ -52,6 +58,7 @@
     entry: InstanceId,
     due: Instant,
     account_owner: Option<InstanceId>,
+    passed: u32,
     state: State,
 }
 
@@ -264,7 +271,8 @@
         self.queue.push(item(&record));
         self.deadlines.insert((due, id.clone()));
         let entry = from.clone();
-        let known = Known { record, entry, due, account_owner: None, state: State::Queued };
+        let known =
+            Known { record, entry, due, account_owner: None, passed: 0, state: State::Queued };
         self.requests.insert(id, known);
     }
 
@@ -380,7 +388,8 @@
         self.sites[site].cache.insert(&record.prefix);
         let (id, entry) = (record.id.clone(), from.clone());
         let state = State::Running { site };
-        self.requests.insert(id, Known { record, entry, due: now, account_owner: None, state });
+        self.requests
+            .insert(id, Known { record, entry, due: now, account_owner: None, passed: 0, state });
     }
 
     /// Compares an entry's digest with the mirror; says whether a report is needed.
@@ -548,16 +557,50 @@
                 let paused = accounts.get(&i.account).and_then(|a| a.paused_until);
                 paused.is_none_or(|until| until <= now)
             };
-            let Some(id) = self.queue.next_in(level, eligible).map(|i| i.id.clone()) else {
-                continue;
+            let Some(head) = self.queue.next_in(level, eligible).cloned() else { continue };
+            let (id, site) = match self.cached_pair(now, &head) {
+                Some(pair) => pair,
+                None => match self.choose_site(now, &head.id) {
+                    Some(site) => (head.id, site),
+                    None => return false,
+                },
             };
-            let Some(site) = self.choose_site(now, &id) else { return false };
             self.grant(now, &id, site, directory, out);
             return true;
         }
         false
     }
 
+    /// When only a few endpoints are free, it is worth more to send them what they have cached than
+    /// to keep to the order of arrival within the account. Whose turn it is stays as it was.
+    fn cached_pair(&mut self, now: Instant, head: &Item) -> Option<(RequestId, usize)> {
+        if self.requests.get(&head.id)?.passed >= MAX_PASSED {
+            return None;
+        }
+        let free = self.sites.iter().enumerate();
+        let free = free.filter(|(_, s)| s.usable(now) && s.available() > 0 && !s.speed.avoid(now));
+        let free: Vec<(usize, &Site)> = free.take(FEW_SITES + 1).collect();
+        if free.len() > FEW_SITES {
+            return None;
+        }
+        let mut best: Option<(u32, &RequestId, usize)> = None;
+        for item in self.queue.first_of(head.tier, &head.account, LOOK_AHEAD) {
+            let Some(known) = self.requests.get(&item.id) else { continue };
+            for (index, site) in &free {
+                let cached = site.cache.cached_tokens(&known.record.prefix);
+                if cached > best.as_ref().map_or(0, |b| b.0) {
+                    best = Some((cached, &item.id, *index));
+                }
+            }
+        }
+        let (_, id, site) = best?;
+        let id = id.clone();
+        if id != head.id {
+            self.requests.get_mut(&head.id)?.passed += 1;
+        }
+        Some((id, site))
+    }
+
     fn choose_site(&mut self, now: Instant, id: &RequestId) -> Option<usize> {
         let record = &self.requests.get(id)?.record;
         let free = self.sites.iter().enumerate();
