Compare caches also while slots are kept free for higher tiers; weigh prefill

Cause: the comparison with caches was left out when more than 8 endpoints had a free slot, and the slots kept for higher tiers alone are 16: it never ran for the lowest tier, which has the shared prompts. Change: up to 24 free endpoints; a pool setting weighs prefill in the choice.

--- a/oxbowbend-core/src/scheduler.rs
+++ b/oxbowbend-core/src/scheduler.rs
@@ -34,7 +34,7 @@
 /// Requests of an account among which the one is chosen whose prompt a free endpoint has cached.
 const LOOK_AHEAD: usize = 32;
 /// Free endpoints up to which that choice is made; with more, the first request finds its own.
-const FEW_SITES: usize = 8;
+const FEW_SITES: usize = 24;
 /// Times that a request may be passed over for the sake of a cached prompt.
 const MAX_PASSED: u32 = 64;
 /// Part of a pool's slots that is kept free of each lower tier, per level.
@@ -110,9 +110,12 @@
         !self.endpoint.leaving && self.breaker.allows(now)
     }
 
-    fn predict(&self, record: &Record) -> f64 {
+    /// Predicted seconds, with prefill weighed as the pool's settings say.
+    fn cost(&self, record: &Record, prefill_bias: f64) -> f64 {
         let cached = self.cache.cached_tokens(&record.prefix).min(record.prompt_tokens);
-        self.speed.predict_seconds(record.prompt_tokens - cached, record.output_tokens)
+        let fresh = record.prompt_tokens - cached;
+        let seconds = self.speed.predict_seconds(fresh, record.output_tokens);
+        seconds + prefill_bias * self.speed.predict_seconds(fresh, 0)
     }
 
     /// This instance if it has a permit free, which saves a hop, or else the owner with the most.
@@ -156,6 +159,7 @@
     me: InstanceId,
     pool: PoolId,
     queue_bound: usize,
+    prefill_bias: f64,
     choose: C,
     requests: HashMap<RequestId, Known>,
     queue: Queue,
@@ -214,6 +218,7 @@
             me,
             pool,
             queue_bound: config.queue_bound,
+            prefill_bias: config.prefill_bias,
             choose,
             requests: HashMap::new(),
             queue: Queue::default(),
@@ -234,6 +239,7 @@
     /// Sites are never removed, so that positions stay valid; those gone are marked as leaving.
     pub fn configure(&mut self, config: &Pool) {
         self.queue_bound = config.queue_bound;
+        self.prefill_bias = config.prefill_bias;
         for site in &mut self.sites {
             match config.endpoints.get(&site.id) {
                 Some(endpoint) => site.endpoint = endpoint.clone(),
@@ -608,7 +614,7 @@
         let candidates: Vec<Candidate> = free
             .map(|(index, s)| Candidate {
                 index,
-                seconds: s.predict(record),
+                seconds: s.cost(record, self.prefill_bias),
                 outstanding: s.running,
                 reported: s.reported,
                 avoid: s.speed.avoid(now),
--- a/oxbowbend-core/src/topology.rs
+++ b/oxbowbend-core/src/topology.rs
@@ -38,6 +38,9 @@
     pub queue_bound: usize,
     /// Time after which a run of unknown fate is taken to have ended.
     pub max_run: Duration,
+    /// How much more a second of prefill counts than a second of decoding, 0 for no more, when an
+    /// endpoint is chosen. It trades speed for prompts that are not processed again.
+    pub prefill_bias: f64,
 }
 
 /// Limits of one client account.
--- a/oxbowbend-resource/src/check.rs
+++ b/oxbowbend-resource/src/check.rs
@@ -80,6 +80,8 @@
         Spec::Endpoint(s) => check_endpoint(s, set, &mut found),
         Spec::Model(s) => {
             found.require(s.queue_bound != Some(0), "spec.queueBound", "must be at least 1");
+            let bias = s.prefill_bias.is_none_or(|b| (0.0..=1000.0).contains(&b));
+            found.require(bias, "spec.prefillBias", "must be from 0 to 1000");
             found.require(s.max_run_seconds != Some(0), "spec.maxRunSeconds", "must be at least 1");
         }
         Spec::Service(s) => check_service(s, &mut found),
--- a/oxbowbend-resource/src/derive.rs
+++ b/oxbowbend-resource/src/derive.rs
@@ -16,6 +16,8 @@
 /// Longest call of a plain service, where nothing is declared. It is shorter, since a plain
 /// service cannot be asked whether a call is over.
 const DEFAULT_MAX_CALL: Duration = Duration::from_secs(30);
+/// Weight of prefill, where nothing is declared.
+const DEFAULT_PREFILL_BIAS: f64 = 0.0;
 /// Prompt tokens per second assumed of an endpoint that declares none.
 const DEFAULT_PREFILL_RATE: f64 = 4000.0;
 /// Output tokens per second and request assumed of an endpoint that declares none.
@@ -57,24 +59,23 @@
 
 fn pool_of(spec: &kinds::Endpoint, set: &ResourceSet) -> Option<(PoolId, Pool)> {
     let Spec::Place(place) = &set.get(Kind::Place, &spec.place)?.spec else { return None };
-    let (id, queue_bound, max_run) = match (&spec.model, &spec.service) {
-        (Some(model), _) => {
-            let Spec::Model(declared) = &set.get(Kind::Model, model)?.spec else { return None };
-            let max_run = declared.max_run_seconds.map_or(DEFAULT_MAX_RUN, seconds);
-            (model_pool(&spec.place, model), declared.queue_bound, max_run)
-        }
-        (None, Some(service)) => {
-            let Spec::Service(declared) = &set.get(Kind::Service, service)?.spec else {
-                return None;
-            };
-            let max_run = declared.max_run_seconds.map_or(DEFAULT_MAX_CALL, seconds);
-            (service_pool(&spec.place, service), declared.queue_bound, max_run)
-        }
-        (None, None) => return None,
-    };
     let zones = place.zones.iter().map(|z| z.as_str().into()).collect();
-    let queue_bound = queue_bound.unwrap_or(DEFAULT_QUEUE_BOUND) as usize;
-    Some((id, Pool { zones, endpoints: BTreeMap::new(), queue_bound, max_run }))
+    let pool = |queue_bound: Option<u32>, max_run: Option<u32>, default: Duration| Pool {
+        zones,
+        queue_bound: queue_bound.unwrap_or(DEFAULT_QUEUE_BOUND) as usize,
+        max_run: max_run.map_or(default, seconds),
+        ..Pool::default()
+    };
+    if let Some(model) = &spec.model {
+        let Spec::Model(m) = &set.get(Kind::Model, model)?.spec else { return None };
+        let pool = pool(m.queue_bound, m.max_run_seconds, DEFAULT_MAX_RUN);
+        let prefill_bias = m.prefill_bias.unwrap_or(DEFAULT_PREFILL_BIAS);
+        return Some((model_pool(&spec.place, model), Pool { prefill_bias, ..pool }));
+    }
+    let service = spec.service.as_ref()?;
+    let Spec::Service(s) = &set.get(Kind::Service, service)?.spec else { return None };
+    let pool = pool(s.queue_bound, s.max_run_seconds, DEFAULT_MAX_CALL);
+    Some((service_pool(&spec.place, service), pool))
 }
 
 fn endpoint(spec: &kinds::Endpoint) -> Endpoint {
--- a/oxbowbend-resource/src/kinds.rs
+++ b/oxbowbend-resource/src/kinds.rs
@@ -134,6 +134,9 @@
     pub queue_bound: Option<u32>,
     /// Output tokens expected of a request that states no limit.
     pub output_tokens: Option<u32>,
+    /// How much more a second of prefill counts than a second of decoding when an endpoint is
+    /// chosen; 0 for no more.
+    pub prefill_bias: Option<f64>,
     /// Longest time that a request may run.
     pub max_run_seconds: Option<u32>,
 }
--- a/oxbowbend-standin/src/experiment/deployment.rs
+++ b/oxbowbend-standin/src/experiment/deployment.rs
@@ -12,6 +12,9 @@
     pub seconds: f64,
     /// Waiting requests above which the pool sheds.
     pub queue_bound: usize,
+    /// How much more prefill counts than decoding when an engine is chosen.
+    #[serde(default)]
+    pub prefill_bias: f64,
     /// Engines, in groups of equal ones.
     pub engines: Vec<Group>,
     /// Kinds of requests.
--- a/oxbowbend-standin/src/experiment/policy.rs
+++ b/oxbowbend-standin/src/experiment/policy.rs
@@ -12,6 +12,7 @@
 use oxbowbend_core::scheduler::{Directory, Scheduler};
 use oxbowbend_core::topology::{Endpoint, Pool};
 
+use super::deployment::Deployment;
 use super::engines::Engine;
 
 /// Name of the one pool.
@@ -294,7 +295,7 @@
     name.trim_start_matches('r').parse().unwrap_or(0)
 }
 
-fn pool(engines: &[Engine], queue_bound: usize) -> Pool {
+fn pool(engines: &[Engine], deployment: &Deployment) -> Pool {
     let endpoint = |e: &Engine| Endpoint {
         slots: e.group.slots,
         generation: e.group.generation.as_str().into(),
@@ -305,7 +306,8 @@
     };
     let named = engines.iter().enumerate();
     let endpoints = named.map(|(n, e)| (engine_name(n).as_str().into(), endpoint(e)));
-    Pool { endpoints: endpoints.collect(), queue_bound, ..Pool::default() }
+    let Deployment { queue_bound, prefill_bias, .. } = *deployment;
+    Pool { endpoints: endpoints.collect(), queue_bound, prefill_bias, ..Pool::default() }
 }
 
 /// Names of all policies; the first is the one that ships.
@@ -325,10 +327,10 @@
 pub fn create(
     name: &str,
     engines: &[Engine],
-    queue_bound: usize,
+    deployment: &Deployment,
     seed: u64,
 ) -> Option<Box<dyn Policy>> {
-    let config = pool(engines, queue_bound);
+    let config = pool(engines, deployment);
     let n = engines.len();
     Some(match name {
         "oxbowbend" => Box::new(Scheduled::new(config, || Predicted)),
--- a/oxbowbend-standin/src/experiment/run.rs
+++ b/oxbowbend-standin/src/experiment/run.rs
@@ -114,7 +114,7 @@
     let engines: Vec<Engine> = groups
         .flat_map(|g| std::iter::repeat_with(|| Engine::new(g.clone())).take(g.count))
         .collect();
-    let policy = policy::create(policy_name, &engines, deployment.queue_bound, seed)?;
+    let policy = policy::create(policy_name, &engines, deployment, seed)?;
     let mut play = Play {
         deployment,
         scenario,
