Look only at endpoints with a free slot when deciding

Change: the scheduler keeps the set of endpoints with free slots, the total, an index by name, and looks up the fastest at most every 100 ms. With all of 2,400 free a decision still looks at each.

--- a/oxbowbend-core/src/scheduler.rs
+++ b/oxbowbend-core/src/scheduler.rs
@@ -39,6 +39,8 @@
 const MAX_PASSED: u32 = 64;
 /// Part of a pool's slots that is kept free of each lower tier, per level.
 const KEEP_PER_LEVEL: f64 = 0.04;
+/// Time between two looks at which endpoint is the fastest.
+const LOOK_UP_FASTEST: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time after which a refused caller is told to come back.
@@ -86,6 +88,8 @@
     breaker: Breaker,
     running: u32,
     reported: u32,
+    /// Free permits, kept up to date by [`Scheduler::recount`].
+    free: u32,
 }
 
 impl Site {
@@ -99,13 +103,10 @@
             breaker: Breaker::default(),
             running: 0,
             reported: 0,
+            free: 0,
         }
     }
 
-    fn available(&self) -> u32 {
-        self.offers.values().map(Offered::available).sum()
-    }
-
     fn usable(&self, now: Instant) -> bool {
         !self.endpoint.leaving && self.breaker.allows(now)
     }
@@ -171,6 +172,11 @@
     floor: Option<Floor>,
     next_floor: u64,
     unanswered: BTreeSet<(Instant, RequestId)>,
+    site_of: HashMap<EndpointId, usize>,
+    /// Sites with free permits, so that a decision looks at no others.
+    open: BTreeSet<usize>,
+    total_slots: u32,
+    fastest: Option<(Instant, f64)>,
 }
 
 /// What this scheduler's own grants use of an account's permits, and what was denied.
@@ -230,6 +236,10 @@
             floor: None,
             next_floor: 0,
             unanswered: BTreeSet::new(),
+            site_of: HashMap::new(),
+            open: BTreeSet::new(),
+            total_slots: 0,
+            fastest: None,
         };
         scheduler.configure(config);
         scheduler
@@ -247,10 +257,31 @@
             }
         }
         for (id, endpoint) in &config.endpoints {
-            if !self.sites.iter().any(|s| s.id == *id) {
+            if !self.site_of.contains_key(id) {
+                self.site_of.insert(id.clone(), self.sites.len());
                 self.sites.push(Site::new(id.clone(), endpoint.clone()));
             }
         }
+        let staying = self.sites.iter().filter(|s| !s.endpoint.leaving);
+        self.total_slots = staying.map(|s| s.endpoint.slots).sum();
+        self.fastest = None;
+    }
+
+    /// Brings a site's number of free permits up to date after its offers have changed.
+    fn recount(&mut self, at: usize) {
+        let site = &mut self.sites[at];
+        site.free = site.offers.values().map(Offered::available).sum();
+        if site.free > 0 {
+            self.open.insert(at);
+        } else {
+            self.open.remove(&at);
+        }
+    }
+
+    /// Sites that may be granted now.
+    fn open_sites(&self, now: Instant) -> impl Iterator<Item = (usize, &Site)> {
+        let open = self.open.iter().map(|at| (*at, &self.sites[*at]));
+        open.filter(move |(_, s)| s.usable(now))
     }
 
     /// Number of requests that wait here.
@@ -320,6 +351,7 @@
         if let Some(offered) = self.sites[site].offers.get_mut(owner) {
             offered.pending.remove(&ask);
         }
+        self.recount(site);
     }
 
     /// The entry gives a waiting request up.
@@ -389,7 +421,7 @@
 
     fn learn_running(&mut self, now: Instant, from: &InstanceId, record: Record, at: &EndpointId) {
         self.mirror(from, &record, true);
-        let Some(site) = self.sites.iter().position(|s| s.id == *at) else { return };
+        let Some(site) = self.site_of.get(at).copied() else { return };
         self.sites[site].running += 1;
         self.sites[site].cache.insert(&record.prefix);
         let (id, entry) = (record.id.clone(), from.clone());
@@ -417,19 +449,22 @@
         self.mirrors.retain(|id, _| listed(id));
         self.asks.retain(|id, _| listed(id));
         self.sites.iter_mut().for_each(|s| s.offers.retain(|id, _| listed(id)));
+        (0..self.sites.len()).for_each(|at| self.recount(at));
     }
 
     /// An owner tells how many permits it has free.
     pub fn offer(&mut self, from: &InstanceId, offer: &Offer) {
-        let Some(site) = self.sites.iter_mut().find(|s| s.id == offer.endpoint) else { return };
+        let Some(at) = self.site_of.get(&offer.endpoint).copied() else { return };
+        let site = &mut self.sites[at];
         if offer.owned == 0 {
             site.offers.remove(from);
-            return;
+        } else {
+            let offered = site.offers.entry(from.clone()).or_default();
+            offered.free = offer.free;
+            offered.asks_seen = offered.asks_seen.max(offer.asks_seen);
+            offered.pending = offered.pending.split_off(&(offered.asks_seen + 1));
         }
-        let offered = site.offers.entry(from.clone()).or_default();
-        offered.free = offer.free;
-        offered.asks_seen = offered.asks_seen.max(offer.asks_seen);
-        offered.pending = offered.pending.split_off(&(offered.asks_seen + 1));
+        self.recount(at);
     }
 
     /// An owner had no permit to give; the request goes back into the queue.
@@ -448,6 +483,7 @@
                 if let Some(offered) = self.sites[site].offers.get_mut(&owner) {
                     offered.free = 0;
                 }
+                self.recount(site);
             }
             PermitKey::Account(account) => self.account_denied(grant, account),
         }
@@ -479,8 +515,8 @@
 
     /// An endpoint's report of its load, for requests that are not ours.
     pub fn load(&mut self, endpoint: &EndpointId, running: u32) {
-        if let Some(site) = self.sites.iter_mut().find(|s| s.id == *endpoint) {
-            site.reported = running;
+        if let Some(at) = self.site_of.get(endpoint) {
+            self.sites[*at].reported = running;
         }
     }
 
@@ -493,8 +529,10 @@
     }
 
     fn give_up_late(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let fastest = self.sites.iter().filter(|s| s.usable(now)).map(|s| &s.speed);
-        let best = fastest.map(|s| s.predict_seconds(0, 1)).fold(f64::INFINITY, f64::min);
+        if self.deadlines.is_empty() {
+            return;
+        }
+        let best = self.fastest(now);
         if !best.is_finite() {
             return;
         }
@@ -511,6 +549,20 @@
         }
     }
 
+    /// Seconds that an output token takes at the fastest endpoint; looked up once in a while.
+    fn fastest(&mut self, now: Instant) -> f64 {
+        if let Some((at, best)) = self.fastest {
+            if now.saturating_duration_since(at) < LOOK_UP_FASTEST {
+                return best;
+            }
+        }
+        let usable = self.sites.iter().filter(|s| s.usable(now));
+        let seconds = usable.map(|s| s.speed.predict_seconds(0, 1));
+        let best = seconds.fold(f64::INFINITY, f64::min);
+        self.fastest = Some((now, best));
+        best
+    }
+
     fn refuse(&mut self, now: Instant, id: &RequestId, reason: Refusal, out: &mut Vec<Action>) {
         let retry_after_ms = self.retry_after().as_millis() as u64;
         self.queue.remove(id);
@@ -552,10 +604,12 @@
         directory: &impl Directory,
         out: &mut Vec<Action>,
     ) -> bool {
-        let free: u32 = self.sites.iter().filter(|s| s.usable(now)).map(Site::available).sum();
-        let total: u32 = self.sites.iter().map(|s| s.endpoint.slots).sum();
+        let free: u32 = self.open_sites(now).map(|(_, s)| s.free).sum();
+        if free == 0 {
+            return false;
+        }
         for level in self.queue.levels() {
-            if free <= kept_from(level, total) {
+            if free <= kept_from(level, self.total_slots) {
                 return false;
             }
             let accounts = &self.account_use;
@@ -583,8 +637,7 @@
         if self.requests.get(&head.id)?.passed >= MAX_PASSED {
             return None;
         }
-        let free = self.sites.iter().enumerate();
-        let free = free.filter(|(_, s)| s.usable(now) && s.available() > 0 && !s.speed.avoid(now));
+        let free = self.open_sites(now).filter(|(_, s)| !s.speed.avoid(now));
         let free: Vec<(usize, &Site)> = free.take(FEW_SITES + 1).collect();
         if free.len() > FEW_SITES {
             return None;
@@ -609,9 +662,8 @@
 
     fn choose_site(&mut self, now: Instant, id: &RequestId) -> Option<usize> {
         let record = &self.requests.get(id)?.record;
-        let free = self.sites.iter().enumerate();
-        let free = free.filter(|(_, s)| s.usable(now) && s.available() > 0);
-        let candidates: Vec<Candidate> = free
+        let candidates: Vec<Candidate> = self
+            .open_sites(now)
             .map(|(index, s)| Candidate {
                 index,
                 seconds: s.cost(record, self.prefill_bias),
@@ -645,6 +697,8 @@
         target.cache.insert(&known.record.prefix);
         target.speed.probe();
         target.offers.entry(owner.clone()).or_default().pending.insert(ask);
+        self.recount(site);
+        let target = &self.sites[site];
         let key = PermitKey::Endpoint(target.id.clone());
         let endpoint = target.id.clone();
         let account_owner = account_hop.as_ref().map(|h| h.owner.clone());
