--- /dev/null
+++ b/oxbowbend-standin/examples/platform_cost.rs
@@ -0,0 +1,128 @@
+//! Measures what the platform's service is asked for: the ledger's group commit, and the time for a
+//! change of configuration to be in force everywhere.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use common::{settings, Failure};
+use futures::future;
+use http_types::Method;
+use oxbowbend_core::ledger::{ledger_key, Step, StepAction};
+use oxbowbend_daemon::daemon::Daemon;
+use oxbowbend_platform::etcd::Etcd;
+use oxbowbend_platform::ledger::Ledger;
+use oxbowbend_standin::local::{declare, listen, operator_call, wait_ok, Surroundings};
+use oxbowbend_standin::platform::{Options, Platform};
+use oxbowbend_standin::switches::Switches;
+use serde_json::json;
+
+/// Claims at once.
+const CLAIMERS: usize = 256;
+/// Claims by each.
+const CLAIMS: usize = 20;
+/// Time that the service takes for an answer.
+const ANSWER_MS: u64 = 3;
+
+#[async_std::main]
+async fn main() -> Result<(), Failure> {
+    println!("ledger: {CLAIMERS} claimers, {ANSWER_MS} ms for an answer of the service");
+    println!(
+        "{:>8}{:>10}{:>12}{:>12}{:>12}{:>12}",
+        "writers", "shards", "claims/s", "writes/s", "conflicts", "mean ms"
+    );
+    for (writers, shards) in [(1, 1), (1, 4), (1, 16), (1, 64), (3, 16), (7, 16)] {
+        group_commit(writers, shards).await?;
+    }
+    println!("\nconfiguration: time from the request to a change until it is in force everywhere");
+    println!("{:>10}{:>10}{:>10}", "daemons", "p50 ms", "max ms");
+    for daemons in [1, 3, 5, 7] {
+        in_force(daemons).await?;
+    }
+    Ok(())
+}
+
+async fn group_commit(writers: usize, shards: u32) -> Result<(), Failure> {
+    let platform = Platform::new(Options::default());
+    let (listener, address) = listen().await?;
+    task::spawn(platform.clone().serve(listener));
+    platform.panel().set(Switches { delay_ms: ANSWER_MS, ..Switches::default() });
+    let time = Duration::from_secs(5);
+    let ledger = || Ledger::new(Etcd::new(vec![address], time, time), shards, time);
+    let ledgers: Vec<_> = (0..writers).map(|_| ledger()).collect();
+    let began = Instant::now();
+    let claimers = (0..CLAIMERS).map(|claimer| {
+        let ledger = ledgers[claimer % writers].clone();
+        task::spawn(async move {
+            let mut failed = 0;
+            for n in 0..CLAIMS {
+                let name = format!("{claimer}-{n}");
+                let action = StepAction::Hold {
+                    holder: "entry-zone-a-0123abcd".into(),
+                    body: 1,
+                    takeover: false,
+                    window: 900,
+                };
+                let key = ledger_key("court", &name);
+                let step = Step { key, run: name.as_str().into(), action };
+                failed += usize::from(ledger.take(step).await.is_err());
+            }
+            failed
+        })
+    });
+    let failed: usize = future::join_all(claimers).await.into_iter().sum();
+    let seconds = began.elapsed().as_secs_f64();
+    let counts = ledgers.iter().map(Ledger::counts);
+    let (swaps, conflicts) = counts.fold((0, 0), |(s, c), n| (s + n.swaps, c + n.conflicts));
+    let claims = (CLAIMERS * CLAIMS) as f64;
+    println!(
+        "{writers:>8}{shards:>10}{:>12.0}{:>12.0}{conflicts:>12}{:>12.1}{}",
+        claims / seconds,
+        swaps as f64 / seconds,
+        seconds * 1000.0 / CLAIMS as f64,
+        if failed > 0 { format!("  {failed} failed") } else { String::new() },
+    );
+    Ok(())
+}
+
+async fn in_force(daemons: usize) -> Result<(), Failure> {
+    let around = Surroundings::start(&[]).await?;
+    let zones: Vec<String> = (0..daemons).map(|n| format!("zone-{n}")).collect();
+    let mut operators = Vec::new();
+    let mut callers = Vec::new();
+    for zone in &zones {
+        let settings = settings(zone, around.platform_address).await?;
+        operators.push(settings.operator_listen);
+        callers.push(settings.caller_listen);
+        Daemon::start(settings).await?;
+    }
+    let names: Vec<&str> = zones.iter().map(String::as_str).collect();
+    declare(operators[0], around.resources(&names)).await?;
+    for caller in &callers {
+        wait_ok(*caller, "/readyz", Duration::from_secs(20)).await;
+    }
+    let mut times = Vec::new();
+    for n in 0..20 {
+        let path = "/v1/resources/Tier/live";
+        let (_, mut tier) = operator_call(operators[0], Method::Get, path, None).await?;
+        tier["spec"]["deadlineSeconds"] = json!(30 + n);
+        let began = Instant::now();
+        operator_call(operators[0], Method::Put, path, Some(&tier)).await?;
+        let wanted = 2 + n;
+        for operator in &operators {
+            loop {
+                let (_, status) =
+                    operator_call(*operator, Method::Get, "/v1/resources/Tier/live", None).await?;
+                if status["version"].as_u64() >= Some(wanted) {
+                    break;
+                }
+                task::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        times.push(began.elapsed().as_secs_f64() * 1000.0);
+    }
+    times.sort_by(f64::total_cmp);
+    println!("{daemons:>10}{:>10.1}{:>10.1}", times[times.len() / 2], times[times.len() - 1]);
+    Ok(())
+}
