Route the ledger's steps to one writer for each shard, and pace its writes

Cause: seven unrouted writers on 16 shards made 3,697 conflicts and 5,686 writes/s, where the service takes a few hundred. Ruled out: more shards (3,178 writes/s at 64 for the same 12,500 claims/s).

--- a/oxbowbend-daemon/src/callers/mod.rs
+++ b/oxbowbend-daemon/src/callers/mod.rs
@@ -20,13 +20,13 @@
 use oxbowbend_http::problem::{json, Outcome, Problem};
 use oxbowbend_http::server::{Caller, Handler};
 use oxbowbend_platform::kv::KeyValue;
-use oxbowbend_platform::ledger::Ledger;
 use oxbowbend_resource::kinds::Kind;
 use serde_json::json;
 
 use crate::config::Config;
 use crate::hub::Hub;
 use crate::peers::Peers;
+use crate::router::Router;
 use crate::settings::Settings;
 
 /// When to come back if this instance cannot serve yet.
@@ -112,7 +112,7 @@
     pub(crate) hub: Arc<Hub>,
     pub(crate) config: Arc<Config>,
     pub(crate) peers: Arc<Peers>,
-    pub(crate) ledger: Ledger<K>,
+    pub(crate) ledger: Router<K>,
     pub(crate) settings: Settings,
     pub(crate) client: Client,
     pub(crate) held: Arc<Held>,
@@ -131,7 +131,7 @@
         hub: Arc<Hub>,
         config: Arc<Config>,
         peers: Arc<Peers>,
-        ledger: Ledger<K>,
+        ledger: Router<K>,
         settings: Settings,
         held: Arc<Held>,
     ) -> Callers<K> {
--- a/oxbowbend-daemon/src/daemon.rs
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::orders;
 use crate::peers::{self, Peers};
 use crate::probes;
+use crate::router::Router;
 use crate::settings::Settings;
 use crate::timer::Timer;
 
@@ -34,6 +35,8 @@
 const WATCH: Duration = Duration::from_secs(30);
 /// Time for which a step of the ledger is tried.
 const LEDGER_PATIENCE: Duration = Duration::from_secs(3);
+/// Time between two writes of one shard of the ledger by one instance.
+const LEDGER_WINDOW: Duration = Duration::from_millis(20);
 /// Pause between two tries to get the configuration from other instances.
 const KEEP_UP: Duration = Duration::from_millis(500);
 
@@ -80,7 +83,8 @@
         let timer = Timer::start();
         let kv = Etcd::new(settings.kv.clone(), PLATFORM_CALL, WATCH);
         let store = ConfigStore::new(kv.clone());
-        let ledger = Ledger::new(kv.clone(), settings.ledger_shards, LEDGER_PATIENCE);
+        let shards = settings.ledger_shards;
+        let ledger = Ledger::new(kv.clone(), shards, LEDGER_PATIENCE, LEDGER_WINDOW);
         let catalog = Catalog::new(settings.list, PLATFORM_CALL);
 
         let holds = {
@@ -90,7 +94,7 @@
         let address = settings.peer_listen;
         let listening = (hub.clone(), config.clone());
         let peer_server =
-            peers::listen(address, &settings.peer_secret, listening.0, listening.1, holds)
+            peers::listen(address, &settings.peer_secret, listening, holds, ledger.clone())
                 .await
                 .map_err(|error| DaemonError::Listen { address, error })?;
         let gate = Arc::new(Gate::default());
@@ -100,7 +104,7 @@
             hub.clone(),
             config.clone(),
             peers.clone(),
-            ledger,
+            Router::new(ledger, hub.clone(), peers.clone()),
             settings.clone(),
             held,
         );
--- a/oxbowbend-daemon/src/lib.rs
+++ b/oxbowbend-daemon/src/lib.rs
@@ -27,4 +27,5 @@
 mod orders;
 mod peers;
 mod probes;
+mod router;
 mod timer;
--- a/oxbowbend-daemon/src/peers.rs
+++ b/oxbowbend-daemon/src/peers.rs
@@ -21,8 +21,11 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::{HeaderMap, HeaderValue, WsClient, WsClientBuilder};
 use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::ledger::{Step, Verdict};
 use oxbowbend_core::message::Message;
 use oxbowbend_core::node::Event;
+use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_platform::ledger::Ledger;
 use oxbowbend_resource::manifest::{Bucket, Head, Manifest};
 use oxbowbend_resource::set::hash_key;
 use serde::{Deserialize, Serialize};
@@ -82,12 +85,12 @@
 pub(crate) type Holds = Box<dyn Fn(&str) -> bool + Send + Sync>;
 
 /// Starts to take in what other instances send.
-pub(crate) async fn listen(
+pub(crate) async fn listen<K: KeyValue>(
     address: SocketAddr,
     secret: &Secret,
-    hub: Arc<Hub>,
-    config: Arc<Config>,
+    (hub, config): (Arc<Hub>, Arc<Config>),
     holds: Holds,
+    ledger: Ledger<K>,
 ) -> std::io::Result<ServerHandle> {
     let middleware = tower::ServiceBuilder::new().layer(Guard { hash: hash_key(secret.reveal()) });
     let limits = ServerConfig::builder()
@@ -98,22 +101,22 @@
         .build();
     let builder = Server::builder().set_config(limits).set_http_middleware(middleware);
     let server = builder.build(address).await?;
-    let methods = methods(hub, config, holds).map_err(std::io::Error::other)?;
+    let served = Served { hub, config, holds, ledger };
+    let methods = methods(served).map_err(std::io::Error::other)?;
     Ok(server.start(methods))
 }
 
-struct Served {
+struct Served<K> {
     hub: Arc<Hub>,
     config: Arc<Config>,
     holds: Holds,
+    ledger: Ledger<K>,
 }
 
-fn methods(
-    hub: Arc<Hub>,
-    config: Arc<Config>,
-    holds: Holds,
-) -> Result<RpcModule<Served>, jsonrpsee::core::RegisterMethodError> {
-    let mut module = RpcModule::new(Served { hub, config, holds });
+fn methods<K: KeyValue>(
+    served: Served<K>,
+) -> Result<RpcModule<Served<K>>, jsonrpsee::core::RegisterMethodError> {
+    let mut module = RpcModule::new(served);
     module.register_method("exchange", |params, served, _| {
         let batch: Batch = params.one()?;
         if let Some(revision) = batch.revision {
@@ -137,10 +140,15 @@
         let run: String = params.one()?;
         Ok::<_, ErrorObjectOwned>((served.holds)(&run))
     })?;
+    module.register_async_method("ledger", |params, served, _| async move {
+        let step: Step = params.one()?;
+        // A failure is no verdict: whoever asked takes the step itself.
+        Ok::<_, ErrorObjectOwned>(served.ledger.take(step).await.ok())
+    })?;
     Ok(module)
 }
 
-impl Served {
+impl<K> Served<K> {
     fn receipt(&self) -> Receipt {
         Receipt { instance: self.hub.me().clone(), revision: self.config.revision() }
     }
@@ -313,6 +321,16 @@
         self.call(of, &client, "holds", rpc_params![run]).await
     }
 
+    /// Has an instance take a step of the ledger; `None` if it could not.
+    pub(crate) async fn ledger_step(
+        &self,
+        at: &InstanceId,
+        step: &Step,
+    ) -> Result<Option<Verdict>, PeerError> {
+        let client = self.client(at).await?;
+        self.call(at, &client, "ledger", rpc_params![step]).await
+    }
+
     /// Fetches the configuration of whichever other instance answers first with a newer one.
     async fn fetch_config(&self) {
         let others: Vec<InstanceId> = self.hub.node().members().others().cloned().collect();
--- a/oxbowbend-platform/src/ledger.rs
+++ b/oxbowbend-platform/src/ledger.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::{future, task};
@@ -55,6 +55,7 @@
     kv: K,
     shards: u32,
     patience: Duration,
+    window: Duration,
     writers: Mutex<HashMap<u32, Sender<Job>>>,
     counts: Mutex<Counts>,
 }
@@ -78,12 +79,14 @@
 
 impl<K: KeyValue> Ledger<K> {
     /// Creates the ledger. Every instance must use the same number of shards. A step fails once
-    /// the service has not served it for `patience`.
-    pub fn new(kv: K, shards: u32, patience: Duration) -> Ledger<K> {
+    /// the service has not served it for `patience`. A shard is written at most once in every
+    /// `window`, which bounds what the service is asked for; steps that arrive meanwhile go along.
+    pub fn new(kv: K, shards: u32, patience: Duration, window: Duration) -> Ledger<K> {
         let inner = Inner {
             kv,
             shards,
             patience,
+            window,
             writers: Mutex::new(HashMap::new()),
             counts: Mutex::new(Counts::default()),
         };
@@ -97,13 +100,18 @@
     /// [`LedgerError::Unavailable`] if it was surely not taken, [`LedgerError::Unknown`] if it
     /// may have been.
     pub async fn take(&self, step: Step) -> Result<Verdict, LedgerError> {
-        let shard = shard_of(&step.key, self.inner.shards);
+        let shard = self.shard(&step);
         let (reply, answer) = bounded(1);
         self.writer(shard).send(Job { step, reply }).await.ok();
         let lost = || LedgerError::Unknown(KvError::NoReply("the writer stopped".to_owned()));
         answer.recv().await.unwrap_or_else(|_| Err(lost()))
     }
 
+    /// The shard that a step belongs to.
+    pub fn shard(&self, step: &Step) -> u32 {
+        shard_of(&step.key, self.inner.shards)
+    }
+
     /// What has been done so far.
     pub fn counts(&self) -> Counts {
         *self.inner.counts.lock().expect("no panic under lock")
@@ -134,7 +142,11 @@
     }
 
     async fn run(mut self, jobs: Receiver<Job>) {
+        let mut last: Option<Instant> = None;
         while let Ok(first) = jobs.recv().await {
+            let wait = last.map(|at| self.inner.window.saturating_sub(at.elapsed()));
+            task::sleep(wait.unwrap_or_default()).await;
+            last = Some(Instant::now());
             let mut batch = vec![first];
             while batch.len() < MAX_BATCH {
                 let Ok(job) = jobs.try_recv() else { break };
