Split the node and the scheduler by job

Change: node into duties, claims, beats and upkeep; scheduler into site, account, decide and shed. No behaviour changes.

--- /dev/null
+++ b/oxbowbend-core/src/node/beats.rs
@@ -0,0 +1,147 @@
+//! Offers of free permits, and heartbeats between entries and schedulers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::{Action, Node, Peer, BEAT, OFFERS_EVERY, PROBE_SUSPECT, SUSPECT};
+use crate::ids::{EndpointId, InstanceId, PoolId};
+use crate::message::{Message, Offer, PermitKey, PoolBeat};
+
+impl Node {
+    /// Tells schedulers of the permits whose numbers have changed; says whether there were any.
+    pub(super) fn offer_changes(&mut self) -> bool {
+        let changed = self.permits.take_changed();
+        let mut offers: BTreeMap<InstanceId, Vec<Offer>> = BTreeMap::new();
+        for endpoint in changed {
+            let Some(pool) = self.view.topology.pool_of(&endpoint).cloned() else { continue };
+            let Some(scheduler) = self.entry.scheduler(&pool).cloned() else { continue };
+            let offer = self.offer(&pool, endpoint, &scheduler);
+            offers.entry(scheduler).or_default().push(offer);
+        }
+        let any = !offers.is_empty();
+        for (scheduler, offers) in offers {
+            self.actions.push(Action::send(&scheduler, Message::Offer(offers)));
+        }
+        any
+    }
+
+    pub(super) fn offer(
+        &self,
+        pool: &PoolId,
+        endpoint: EndpointId,
+        scheduler: &InstanceId,
+    ) -> Offer {
+        let (free, owned) = self.permits.count(&PermitKey::Endpoint(endpoint.clone()));
+        let asks_seen = self.asks_seen.get(scheduler).copied().unwrap_or(0);
+        Offer { pool: pool.clone(), endpoint, free, owned, asks_seen }
+    }
+
+    pub(super) fn pool_offers(&self, pool: &PoolId, scheduler: &InstanceId) -> Vec<Offer> {
+        let Some(config) = self.view.topology.pools.get(pool) else { return Vec::new() };
+        let offers = config.endpoints.keys().map(|e| self.offer(pool, e.clone(), scheduler));
+        offers.filter(|o| o.owned > 0).collect()
+    }
+
+    pub(super) fn offer_pool(&mut self, pool: &PoolId) {
+        let Some(scheduler) = self.entry.scheduler(pool).cloned() else { return };
+        let offers = self.pool_offers(pool, &scheduler);
+        if !offers.is_empty() {
+            self.actions.push(Action::send(&scheduler, Message::Offer(offers)));
+        }
+    }
+
+    pub(super) fn withdraw_offers(&mut self, pool: &PoolId, former: Option<InstanceId>) {
+        let Some(former) = former else { return };
+        let mut offers = self.pool_offers(pool, &former);
+        offers.iter_mut().for_each(|o| (o.free, o.owned) = (0, 0));
+        if !offers.is_empty() {
+            self.actions.push(Action::send(&former, Message::Offer(offers)));
+        }
+    }
+
+    pub(super) fn beat(&mut self, now: Instant, to: &InstanceId) {
+        self.beat_seq += 1;
+        let pools = self.entry.beats(to);
+        self.actions.push(Action::send(to, Message::Beat { seq: self.beat_seq, pools }));
+        if *to == self.me {
+            return;
+        }
+        let first = Peer { beating_since: now, last_beat: None, last_ack: None };
+        self.peers.entry(to.clone()).or_insert(first).last_beat = Some(now);
+    }
+
+    pub(super) fn beaten(&mut self, from: &InstanceId, seq: u64, pools: Vec<PoolBeat>) {
+        let mut resync = Vec::new();
+        for beat in pools {
+            let mut differs = false;
+            self.schedule(&beat.pool, |s| differs = s.beat(from, &beat));
+            if differs {
+                resync.push(beat.pool);
+            }
+        }
+        self.actions.push(Action::send(from, Message::BeatAck { seq, resync }));
+    }
+
+    pub(super) fn acked(&mut self, now: Instant, from: &InstanceId, resync: &[PoolId]) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.last_ack = Some(now);
+        }
+        if self.view.members.trust(from) {
+            self.retarget(now);
+        }
+        for pool in resync {
+            if self.entry.scheduler(pool) == Some(from) {
+                self.entry.report(now, pool, &mut self.actions);
+                self.offer_pool(pool);
+            }
+        }
+    }
+
+    pub(super) fn peer_down(&mut self, now: Instant, id: &InstanceId) {
+        if self.view.members.contains(id) && self.view.members.suspect(id) {
+            self.retarget(now);
+        }
+    }
+
+    pub(super) fn beat_schedulers(&mut self, now: Instant) {
+        let topology = self.view.topology.clone();
+        let mut due: BTreeSet<InstanceId> =
+            topology.pools.keys().filter_map(|p| self.entry.scheduler(p).cloned()).collect();
+        due.retain(|id| self.beat_is_due(now, id, BEAT));
+        let suspects: Vec<InstanceId> = self.view.members.suspects().cloned().collect();
+        due.extend(suspects.into_iter().filter(|id| self.beat_is_due(now, id, PROBE_SUSPECT)));
+        for id in due {
+            self.beat(now, &id);
+            if self.beat_seq.is_multiple_of(OFFERS_EVERY) {
+                self.repeat_offers(&id);
+            }
+        }
+    }
+
+    pub(super) fn beat_is_due(&self, now: Instant, id: &InstanceId, interval: Duration) -> bool {
+        let last = self.peers.get(id).and_then(|p| p.last_beat);
+        last.is_none_or(|last| now.duration_since(last) >= interval)
+    }
+
+    pub(super) fn repeat_offers(&mut self, scheduler: &InstanceId) {
+        let topology = self.view.topology.clone();
+        for pool in topology.pools.keys() {
+            if self.entry.scheduler(pool) == Some(scheduler) {
+                self.offer_pool(pool);
+            }
+        }
+    }
+
+    pub(super) fn suspect_silent(&mut self, now: Instant) {
+        let silent = |p: &Peer| {
+            let heard = p.last_ack.unwrap_or(p.beating_since).max(p.beating_since);
+            let still_beating = p.last_beat.is_some_and(|b| now.duration_since(b) < SUSPECT);
+            still_beating && now.duration_since(heard) >= SUSPECT
+        };
+        let silent: Vec<InstanceId> =
+            self.peers.iter().filter(|(_, p)| silent(p)).map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            self.peer_down(now, &id);
+        }
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/node/duties.rs
@@ -0,0 +1,157 @@
+//! Who does what: working out duties anew when members or configuration change.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::{Node, LEAVING_KEEP, LIST_LAG};
+use crate::ids::InstanceId;
+use crate::membership::{InstanceList, Ranking};
+use crate::message::{Permit, PermitKey};
+use crate::topology::Topology;
+
+impl Node {
+    pub(super) fn list(&mut self, now: Instant, list: &InstanceList) {
+        let listed = list.members.contains_key(&self.me);
+        if listed {
+            self.quarantined = false;
+        }
+        if !self.view.members.adopt(list) {
+            return;
+        }
+        if !listed && self.listed_since.take().is_some() {
+            self.permits.forget();
+            self.entry.dropped(&mut self.actions);
+        }
+        self.members_changed(now);
+    }
+
+    pub(super) fn members_changed(&mut self, now: Instant) {
+        if self.draining {
+            self.view.members.mark_leaving(&self.me);
+        }
+        let members = &self.view.members;
+        if members.contains(&self.me) && self.listed_since.is_none() {
+            self.listed_since = Some(now);
+        }
+        self.permits.orphan(now, |id| members.contains(id));
+        self.permits.excuse(|id| members.contains(id));
+        self.peers.retain(|id, _| members.contains(id));
+        self.asks_seen.retain(|id, _| members.contains(id));
+        for (pool, scheduler) in &mut self.pools {
+            scheduler.retain_members(|id| members.contains(id));
+            self.dirty.insert(pool.clone());
+        }
+        self.retarget(now);
+    }
+
+    pub(super) fn configure(&mut self, now: Instant, topology: Arc<Topology>) {
+        self.view.topology = topology;
+        self.configure_schedulers(now);
+        self.fix_baseline(now);
+        self.retarget(now);
+    }
+
+    pub(super) fn configure_schedulers(&mut self, now: Instant) {
+        self.leaving_endpoints.retain(|_, since| now.duration_since(*since) < LEAVING_KEEP);
+        for (pool, scheduler) in &mut self.pools {
+            let mut config = self.view.topology.pools.get(pool).cloned().unwrap_or_default();
+            for (endpoint, declared) in &mut config.endpoints {
+                declared.leaving |= self.leaving_endpoints.contains_key(endpoint);
+            }
+            scheduler.configure(&config);
+            self.dirty.insert(pool.clone());
+        }
+    }
+
+    /// Remembers which permits existed before this instance could be sure to be asked about them.
+    pub(super) fn fix_baseline(&mut self, now: Instant) {
+        let settled = self.listed_since.is_some_and(|t| now.duration_since(t) >= LIST_LAG);
+        if settled {
+            return;
+        }
+        for (key, count) in permit_counts(&self.view.topology) {
+            let known = self.baseline.entry(key).or_default();
+            *known = (*known).max(count);
+        }
+    }
+
+    /// Works out anew who does what, after members, suspicion or configuration have changed.
+    pub(super) fn retarget(&mut self, now: Instant) {
+        let topology = self.view.topology.clone();
+        let zone = self.zone.clone();
+        for (id, pool) in topology.pools.iter().filter(|(_, p)| p.zones.contains(&zone)) {
+            let scheduler = self.view.members.preferred(&pool.zones, id);
+            let former = self.entry.scheduler(id).cloned();
+            if former == scheduler {
+                continue;
+            }
+            self.entry.set_scheduler(now, id, scheduler, &mut self.actions);
+            self.withdraw_offers(id, former);
+            self.offer_pool(id);
+        }
+        self.retarget_permits();
+        self.next_claim = Some(now);
+        self.claim(now);
+    }
+
+    pub(super) fn retarget_permits(&mut self) {
+        let topology = self.view.topology.clone();
+        let counts = permit_counts(&topology);
+        self.permits.trim(|p| counts.get(&p.key).is_some_and(|n| p.index < *n));
+        let members = &self.view.members;
+        let mut desired = BTreeSet::new();
+        for pool in topology.pools.values().filter(|p| p.zones.contains(&self.zone)) {
+            let ranking = Ranking::new(members.owners(&pool.zones));
+            for (endpoint, declared) in &pool.endpoints {
+                let key = PermitKey::Endpoint(endpoint.clone());
+                desire(&self.me, &key, declared.slots, &ranking, &mut desired);
+            }
+        }
+        let everywhere = BTreeSet::new();
+        let ranking = Ranking::new(members.owners(&everywhere));
+        let mut account_shares = BTreeMap::new();
+        for (account, limits) in &topology.accounts {
+            let Some(limit) = limits.max_running else { continue };
+            let key = PermitKey::Account(account.clone());
+            let shares = desire(&self.me, &key, limit, &ranking, &mut desired);
+            account_shares.insert(account.clone(), shares);
+        }
+        self.desired = desired;
+        self.view.account_shares = account_shares;
+    }
+}
+
+/// Adds to `desired` the permits of `key` that `me` should own, and counts everybody's.
+fn desire(
+    me: &InstanceId,
+    key: &PermitKey,
+    count: u32,
+    ranking: &Ranking,
+    desired: &mut BTreeSet<Permit>,
+) -> Vec<(InstanceId, u32)> {
+    let mut shares: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    let name = permit_name(key);
+    for index in 0..count {
+        let Some(owner) = ranking.pick(&name, index) else { continue };
+        *shares.entry(owner.clone()).or_default() += 1;
+        if owner == me {
+            desired.insert(Permit { key: key.clone(), index });
+        }
+    }
+    shares.into_iter().collect()
+}
+
+fn permit_counts(topology: &Topology) -> HashMap<PermitKey, u32> {
+    let endpoints = topology.pools.values().flat_map(|p| &p.endpoints);
+    let endpoints = endpoints.map(|(id, e)| (PermitKey::Endpoint(id.clone()), e.slots));
+    let accounts = topology.accounts.iter().filter_map(|(id, a)| Some((id, a.max_running?)));
+    endpoints.chain(accounts.map(|(id, n)| (PermitKey::Account(id.clone()), n))).collect()
+}
+
+fn permit_name(key: &PermitKey) -> String {
+    match key {
+        PermitKey::Endpoint(id) => format!("endpoint/{id}"),
+        PermitKey::Account(id) => format!("account/{id}"),
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/node/upkeep.rs
@@ -0,0 +1,117 @@
+//! What time brings: doubts to be settled, endpoints that leave, and stopping.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use super::{Action, Node, LEAVING_KEEP};
+use crate::ids::EndpointId;
+use crate::message::Message;
+
+impl Node {
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.entry.tick(now, &mut self.actions);
+        self.fix_baseline(now);
+        self.beat_schedulers(now);
+        self.suspect_silent(now);
+        for (owner, uses) in self.permits.inquiries(now) {
+            self.actions.push(Action::send(&owner, Message::Inquire { uses }));
+        }
+        if self.next_claim.is_some_and(|at| at <= now) {
+            self.claim(now);
+        }
+        if self.next_check.is_none_or(|at| at <= now) {
+            self.next_check = Some(now + Duration::from_secs(1));
+            self.check_doubts(now);
+        }
+        self.dirty.extend(self.pools.keys().cloned());
+    }
+
+    /// Once a second: ask about what is in doubt, and repeat what may have been lost.
+    pub(super) fn check_doubts(&mut self, now: Instant) {
+        let topology = self.view.topology.clone();
+        self.permits.expire(now, |key| topology.max_run_of(key));
+        for (endpoint, grant) in self.permits.orphans() {
+            self.actions.push(Action::AskRun { endpoint, grant });
+        }
+        let mut doubtful = self.permits.doubtful();
+        if self.permits.doubtful_accounts() {
+            let pools = self.view.topology.pools.values();
+            doubtful.extend(pools.flat_map(|p| p.endpoints.keys().cloned()));
+        }
+        self.actions.extend(doubtful.into_iter().map(Action::AskLoad));
+        if self.draining {
+            self.announce_leaving();
+        }
+        let expired = |since: &Instant| now.duration_since(*since) >= LEAVING_KEEP;
+        if self.leaving_endpoints.values().any(expired) {
+            self.configure_schedulers(now);
+        }
+    }
+
+    pub(super) fn endpoint_leaving(&mut self, now: Instant, endpoint: EndpointId, tell: bool) {
+        if self.leaving_endpoints.insert(endpoint.clone(), now).is_none() {
+            self.configure_schedulers(now);
+        }
+        if tell {
+            for to in self.view.members.others() {
+                let message = Message::EndpointLeaving(endpoint.clone());
+                self.actions.push(Action::send(to, message));
+            }
+        }
+    }
+
+    pub(super) fn load(&mut self, endpoint: &EndpointId, running: u32, asked_at: Instant) {
+        let Some(shown) = asked_at.checked_sub(self.view.topology.report_lag) else { return };
+        self.permits.prove(endpoint, running, shown);
+        if running == 0 {
+            self.idle_since.insert(endpoint.clone(), shown);
+        }
+        let pools = self.view.topology.pools.values();
+        let mut endpoints = pools.flat_map(|p| p.endpoints.keys()).peekable();
+        if endpoints.peek().is_some() {
+            let idle = endpoints.map(|e| self.idle_since.get(e).copied());
+            if let Some(earliest) =
+                idle.collect::<Option<Vec<_>>>().and_then(|v| v.into_iter().min())
+            {
+                self.permits.prove_accounts(earliest);
+            }
+        }
+        if let Some(pool) = self.view.topology.pool_of(endpoint) {
+            if let Some(scheduler) = self.pools.get_mut(pool) {
+                scheduler.load(endpoint, running);
+            }
+        }
+    }
+
+    pub(super) fn drain(&mut self, now: Instant) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        self.announce_leaving();
+        self.members_changed(now);
+    }
+
+    pub(super) fn announce_leaving(&mut self) {
+        for to in self.view.members.others() {
+            self.actions.push(Action::send(to, Message::Leaving));
+        }
+    }
+
+    /// Whether this instance is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether a stopping instance holds no request any more.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.entry.is_empty()
+    }
+
+    /// Whether every permit has been ceded to another instance, or no other is there to stay.
+    pub fn is_ceded(&self) -> bool {
+        let everywhere = BTreeSet::new();
+        let heir = self.view.members.owners(&everywhere).any(|id| *id != self.me);
+        self.permits.keys().next().is_none() || !heir
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/scheduler/account.rs
@@ -0,0 +1,47 @@
+//! The permits of a client account, as far as a scheduler's own grants tell.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::ids::InstanceId;
+
+/// Time for which an account is passed over after an owner denied it a permit.
+const ACCOUNT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What this scheduler's own grants use of an account's permits, and what was denied.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AccountUse {
+    pub(super) in_use: BTreeMap<InstanceId, u32>,
+    pub(super) full: BTreeSet<InstanceId>,
+    pub(super) paused_until: Option<Instant>,
+}
+
+impl AccountUse {
+    pub(super) fn pause(&mut self, now: Instant) {
+        self.paused_until = Some(now + ACCOUNT_PAUSE);
+        self.full.clear();
+    }
+
+    /// A grant came to nothing.
+    pub(super) fn take_back(&mut self, owner: &InstanceId) {
+        if let Some(n) = self.in_use.get_mut(owner) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    /// A run has ended, which makes room.
+    pub(super) fn give_back(&mut self, owner: &InstanceId) {
+        self.take_back(owner);
+        self.full.remove(owner);
+        self.paused_until = None;
+    }
+
+    /// The owner that should have the most permits left.
+    pub(super) fn best_owner(&self, shares: &[(InstanceId, u32)]) -> Option<InstanceId> {
+        let left = |(owner, n): &(InstanceId, u32)| {
+            n.saturating_sub(self.in_use.get(owner).copied().unwrap_or(0))
+        };
+        let open = shares.iter().filter(|s| !self.full.contains(&s.0) && left(s) > 0);
+        open.max_by_key(|s| left(s)).map(|(owner, _)| owner.clone())
+    }
+}
