--- a/oxbowbend-core/tests/nodes.rs
+++ b/oxbowbend-core/tests/nodes.rs
@@ -94,3 +94,48 @@
     world.run_for(Duration::from_secs(10));
     assert_eq!(world.free_permits().values().sum::<u32>(), 6);
 }
+
+/// Finds the instance that owns the one slot.
+fn owner(world: &World) -> oxbowbend_core::ids::InstanceId {
+    let owns = |id: &oxbowbend_core::ids::InstanceId| world.node(id).permits().owned() > 0;
+    world.ids().into_iter().find(owns).expect("somebody owns the slot")
+}
+
+/// The run of an entry that dies with its owner goes on; nobody who lives knows of it.
+#[test]
+fn a_slot_whose_user_died_with_its_owner_is_not_given_away() {
+    let mut world = World::new(&THREE, topology(&[("e1", 1)], None));
+    world.run_time = Duration::from_secs(30);
+    let owner = owner(&world);
+    world.arrive(&owner, record("orphan", 0));
+    assert!(world.runs.contains_key("orphan"));
+    world.kill(&owner);
+    world.unlist(&owner);
+    let other = world.ids().into_iter().find(|id| *id != owner).expect("there are three");
+    world.arrive(&other, record("next", 0));
+    world.run_for(Duration::from_secs(25));
+    assert!(!world.runs.contains_key("next"));
+    world.run_for(Duration::from_secs(45));
+    assert_eq!(world.fates["next"], Fate::Done);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+/// The owner dies while another instance's request runs on its permit; the new owner learns of it
+/// and takes the permit back as soon as the run ends.
+#[test]
+fn a_slot_in_use_passes_to_the_new_owner() {
+    let mut world = World::new(&THREE, topology(&[("e1", 1)], None));
+    world.run_time = Duration::from_secs(20);
+    let owner = owner(&world);
+    let entry = world.ids().into_iter().find(|id| *id != owner).expect("there are three");
+    world.arrive(&entry, record("long", 0));
+    assert!(world.runs.contains_key("long"));
+    world.kill(&owner);
+    world.unlist(&owner);
+    world.run_for(Duration::from_secs(10));
+    let uses = |id: &oxbowbend_core::ids::InstanceId| world.node(id).permits().uses().count();
+    assert_eq!(world.ids().iter().filter(|id| **id != owner).map(uses).sum::<usize>(), 1);
+    world.run_for(Duration::from_secs(11));
+    assert_eq!(world.free_permits().values().sum::<u32>(), 1);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
