--- a/oxbowbend-core/tests/nodes.rs
+++ b/oxbowbend-core/tests/nodes.rs
@@ -139,3 +139,25 @@
     assert_eq!(world.free_permits().values().sum::<u32>(), 1);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// An instance joins while every permit is in use: the owners keep what is used, and afterwards
+/// each permit is there once.
+#[test]
+fn a_joining_instance_takes_nothing_that_is_in_use() {
+    let mut world = World::new(&["a", "b"], topology(&[("e1", 20)], None));
+    world.run_time = Duration::from_secs(8);
+    for n in 0..20 {
+        world.arrive(["a", "b"][n % 2], record(&format!("r{n}"), 0));
+    }
+    assert_eq!(world.runs.len(), 20);
+    world.join("c");
+    world.run_for(Duration::from_secs(5));
+    let owned = |name: &str| world.node(name).permits().owned();
+    assert_eq!(owned("a") + owned("b"), 20);
+    for n in 0..20 {
+        world.arrive("c", record(&format!("s{n}"), 0));
+    }
+    world.run_for(Duration::from_secs(20));
+    assert_eq!(world.free_permits().values().sum::<u32>(), 20);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/oxbowbend-daemon/src/callers/flow.rs
+++ b/oxbowbend-daemon/src/callers/flow.rs
@@ -21,6 +21,8 @@
 use crate::ids;
 use crate::observe;
 
+/// Time after which a grant that was accepted is too old to be dispatched.
+const DISPATCH_WITHIN: Duration = Duration::from_secs(2);
 /// Runs that one request may have, if it is repeatable.
 const MAX_RUNS: u32 = 3;
 
@@ -164,9 +166,9 @@
             Decision::Refuse { reason, retry_after } => {
                 Err(self.not_run(keyed, refusal(reason, retry_after)).await)
             }
-            Decision::Dispatch(grant) => {
+            Decision::Dispatch { grant, at } => {
                 if !self.service.hub.node().may_dispatch(&grant.endpoint) {
-                    return self.again(ticket, keyed).await;
+                    return self.requeue(ticket, keyed).await;
                 }
                 if let Some(keyed) = keyed {
                     if let Err(problem) = keyed.dispatch(&grant.endpoint).await {
@@ -174,6 +176,11 @@
                         return Err(self.refuse(problem, Outcome::Unknown));
                     }
                 }
+                // An instance that was paused may have been dropped from the list, and its grants
+                // with it.
+                if clock::now().saturating_duration_since(at) >= DISPATCH_WITHIN {
+                    return self.again(ticket, keyed).await;
+                }
                 *self.granted_at.lock().expect("no panic under lock") = clock::now();
                 Ok(grant.endpoint)
             }
@@ -192,6 +199,14 @@
                 return Err(self.refuse(problem, Outcome::Unknown));
             }
         }
+        self.requeue(ticket, keyed).await
+    }
+
+    async fn requeue(
+        &self,
+        ticket: &Ticket,
+        keyed: Option<&Keyed<K>>,
+    ) -> Result<EndpointId, Response> {
         ticket.requeue();
         Box::pin(self.next_grant(ticket, keyed)).await
     }
--- a/oxbowbend-daemon/src/daemon.rs
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -35,8 +35,9 @@
 const WATCH: Duration = Duration::from_secs(30);
 /// Time for which a step of the ledger is tried.
 const LEDGER_PATIENCE: Duration = Duration::from_secs(3);
-/// Time between two writes of one shard of the ledger by one instance.
-const LEDGER_WINDOW: Duration = Duration::from_millis(20);
+/// Time between two writes of the whole ledger, which bounds them to 200 a second however many
+/// shards there are.
+const LEDGER_PACE: Duration = Duration::from_millis(5);
 /// Pause between two tries to get the configuration from other instances.
 const KEEP_UP: Duration = Duration::from_millis(500);
 
@@ -84,7 +85,7 @@
         let kv = Etcd::new(settings.kv.clone(), PLATFORM_CALL, WATCH);
         let store = ConfigStore::new(kv.clone());
         let shards = settings.ledger_shards;
-        let ledger = Ledger::new(kv.clone(), shards, LEDGER_PATIENCE, LEDGER_WINDOW);
+        let ledger = Ledger::new(kv.clone(), shards, LEDGER_PATIENCE, LEDGER_PACE * shards);
         let catalog = Catalog::new(settings.list, PLATFORM_CALL);
 
         let holds = {
--- a/oxbowbend-daemon/src/hub.rs
+++ b/oxbowbend-daemon/src/hub.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use oxbowbend_core::ids::{InstanceId, RequestId};
@@ -20,8 +21,13 @@
 /// A decision on a waiting request.
 #[derive(Clone, Debug)]
 pub(crate) enum Decision {
-    /// Dispatch it as granted.
-    Dispatch(Grant),
+    /// Dispatch it as granted, unless too much time has passed since.
+    Dispatch {
+        /// The grant.
+        grant: Grant,
+        /// When this instance accepted it.
+        at: Instant,
+    },
     /// Give the caller its final answer.
     Refuse {
         /// Why.
@@ -103,7 +109,8 @@
                 self.outgoing.try_send((to, message)).ok();
             }
             Action::Dispatch(grant) => {
-                self.tell(&grant.request.clone(), Decision::Dispatch(grant));
+                let at = clock::now();
+                self.tell(&grant.request.clone(), Decision::Dispatch { grant, at });
             }
             Action::Refuse { request, reason, retry_after } => {
                 self.tell(&request, Decision::Refuse { reason, retry_after });
--- a/oxbowbend-daemon/src/settings.rs
+++ b/oxbowbend-daemon/src/settings.rs
@@ -75,7 +75,7 @@
     )]
     pub list_ttl: Option<String>,
     /// Shards of the ledger.
-    #[options(help = "shards of the ledger, the same everywhere [4]", meta = "N", no_short)]
+    #[options(help = "shards of the ledger, the same everywhere [16]", meta = "N", no_short)]
     pub ledger_shards: Option<String>,
     /// Window of the ledger.
     #[options(
@@ -308,7 +308,7 @@
             peer_secret: r.secret("peer-secret", &flags.peer_secret_file),
             operator_key: r.secret("operator-key", &flags.operator_key_file),
             list_ttl: r.seconds("list-ttl", &flags.list_ttl, 10, 4),
-            ledger_shards: r.number("ledger-shards", &flags.ledger_shards, 4, 1) as u32,
+            ledger_shards: r.number("ledger-shards", &flags.ledger_shards, 16, 1) as u32,
             ledger_window: r.seconds("ledger-window", &flags.ledger_window, 900, 1),
             max_body: r.number("max-body", &flags.max_body, 8 << 20, 1) as usize,
             body_time: r.seconds("body-time", &flags.body_time, 30, 1),
--- a/oxbowbend-daemon/tests/fleet/mod.rs
+++ b/oxbowbend-daemon/tests/fleet/mod.rs
@@ -94,7 +94,9 @@
         false
     }
 
+    /// What the instance says of itself, as soon as it listens.
     pub async fn status(&self) -> Value {
+        assert!(wait_ok(self.operators, "/healthz", LONGEST).await, "it does not listen");
         let status = operator_call(self.operators, Method::Get, "/v1/status", None).await;
         status.expect("the instance answers").1
     }
--- a/oxbowbend-standin/examples/platform_cost.rs
+++ b/oxbowbend-standin/examples/platform_cost.rs
@@ -24,8 +24,8 @@
 const CLAIMS: usize = 20;
 /// Time that the service takes for an answer.
 const ANSWER_MS: u64 = 3;
-/// Time between two writes of a shard.
-const WINDOW_MS: u64 = 20;
+/// Time between two writes of the whole ledger.
+const PACE_MS: u64 = 5;
 
 #[async_std::main]
 async fn main() -> Result<(), Failure> {
@@ -34,7 +34,7 @@
         "{:>8}{:>10}{:>12}{:>12}{:>12}{:>12}",
         "writers", "shards", "claims/s", "writes/s", "conflicts", "mean ms"
     );
-    for (writers, shards) in [(1, 1), (1, 4), (1, 8), (1, 16), (1, 64), (7, 8)] {
+    for (writers, shards) in [(1, 1), (1, 4), (1, 16), (1, 64), (7, 16)] {
         group_commit(writers, shards).await?;
     }
     println!("\nconfiguration: time from the request to a change until it is in force everywhere");
@@ -51,7 +51,7 @@
     task::spawn(platform.clone().serve(listener));
     platform.panel().set(Switches { delay_ms: ANSWER_MS, ..Switches::default() });
     let time = Duration::from_secs(5);
-    let window = Duration::from_millis(WINDOW_MS);
+    let window = Duration::from_millis(PACE_MS) * shards;
     let ledger = || Ledger::new(Etcd::new(vec![address], time, time), shards, time, window);
     let ledgers: Vec<_> = (0..writers).map(|_| ledger()).collect();
     let began = Instant::now();
--- a/oxbowbend-standin/src/experiment/report.rs
+++ b/oxbowbend-standin/src/experiment/report.rs
@@ -7,7 +7,7 @@
 /// Rows of a table, one for each outcome.
 pub fn table(outcomes: &[Outcome]) -> String {
     let mut text = format!(
-        "{:12}{:20}{:>8}{:>8}{:>8}{:>10}{:>10}{:>10}{:>9}{:>9}{:>7}\n",
+        "{:12}{:20}{:>8}{:>8}{:>8}{:>10}{:>10}{:>10}{:>9}{:>9}{:>10}\n",
         "scenario",
         "policy",
         "good 0",
@@ -28,7 +28,7 @@
         let first = o.tiers.first().map_or([0.0; 3], |t| t.first_ms);
         let share = |n: u64| 100.0 * n as f64 / o.prefilled.max(1) as f64;
         text.push_str(&format!(
-            "{:12}{:20}{:>8.2}{:>8.2}{:>8.2}{:>10.0}{:>10.0}{:>10.0}{:>9.2}{:>9.2}{:>7}\n",
+            "{:12}{:20}{:>8.2}{:>8.2}{:>8.2}{:>10.0}{:>10.0}{:>10.0}{:>9.2}{:>9.2}{:>10}\n",
             o.scenario,
             o.policy,
             good(0),
