--- a/oxbowbend-core/src/entry.rs
+++ b/oxbowbend-core/src/entry.rs
@@ -10,11 +10,9 @@
 
 use xxhash_rust::xxh3;
 
-use crate::ids::{Attempt, InstanceId, PoolId, RequestId, TierLevel};
-use crate::message::{
-    Grant, GrantRef, Hop, Message, Permit, PermitUse, PoolBeat, Record, Refusal, RunReport,
-};
-use crate::node::Action;
+use crate::ids;
+use crate::message;
+use crate::node;
 
 /// Time without a word of the scheduler after which a shed floor is no longer enforced. It is
 /// longer than [`crate::scheduler::FLOOR_TRUST`], for which the scheduler relies on it.
@@ -26,20 +24,20 @@
 #[derive(Clone, Debug, PartialEq)]
 enum State {
     Waiting,
-    Running(Grant),
+    Running(message::Grant),
 }
 
 #[derive(Clone, Debug)]
 struct Request {
-    record: Record,
+    record: message::Record,
     due: Instant,
     state: State,
 }
 
 impl Request {
-    fn record_at(&self, now: Instant) -> Record {
+    fn record_at(&self, now: Instant) -> message::Record {
         let due_in_ms = self.due.saturating_duration_since(now).as_millis() as u64;
-        Record { due_in_ms, ..self.record.clone() }
+        message::Record { due_in_ms, ..self.record.clone() }
     }
 
     fn fingerprint(&self) -> u64 {
@@ -48,13 +46,13 @@
 }
 
 /// Digest of one request's standing; digests of a set are combined by exclusive or.
-pub fn fingerprint(id: &str, attempt: Attempt, running: bool) -> u64 {
+pub fn fingerprint(id: &str, attempt: ids::Attempt, running: bool) -> u64 {
     xxh3::xxh3_64_with_seed(id.as_bytes(), u64::from(attempt) << 1 | u64::from(running))
 }
 
 #[derive(Clone, Debug, Default)]
 struct PoolSide {
-    scheduler: Option<InstanceId>,
+    scheduler: Option<ids::InstanceId>,
     digest: u64,
     requests: usize,
     floor: Option<Floor>,
@@ -63,22 +61,22 @@
 #[derive(Clone, Copy, Debug)]
 struct Floor {
     seq: u64,
-    keep: TierLevel,
+    keep: ids::TierLevel,
     heard: Instant,
 }
 
 /// The requests held by one entry instance.
 #[derive(Clone, Debug)]
 pub struct Entry {
-    me: InstanceId,
-    requests: HashMap<RequestId, Request>,
-    pools: BTreeMap<PoolId, PoolSide>,
-    enqueue_later: BTreeSet<RequestId>,
+    me: ids::InstanceId,
+    requests: HashMap<ids::RequestId, Request>,
+    pools: BTreeMap<ids::PoolId, PoolSide>,
+    enqueue_later: BTreeSet<ids::RequestId>,
 }
 
 impl Entry {
     /// Creates an entry that holds nothing.
-    pub fn new(me: InstanceId) -> Entry {
+    pub fn new(me: ids::InstanceId) -> Entry {
         let (requests, pools, enqueue_later) = Default::default();
         Entry { me, requests, pools, enqueue_later }
     }
@@ -99,40 +97,40 @@
     }
 
     /// The attempt that a held request is at.
-    pub fn attempt(&self, id: &str) -> Option<Attempt> {
+    pub fn attempt(&self, id: &str) -> Option<ids::Attempt> {
         self.requests.get(id).map(|r| r.record.attempt)
     }
 
     /// Takes in a caller's request.
-    pub fn arrive(&mut self, now: Instant, record: Record, out: &mut Vec<Action>) {
+    pub fn arrive(&mut self, now: Instant, record: message::Record, out: &mut Vec<node::Action>) {
         let side = self.pools.entry(record.pool.clone()).or_default();
         if let Some(floor) = side.floor.filter(|f| record.tier > f.keep) {
             let retry_after = floor.heard + FLOOR_KEEP;
             let wait = retry_after.saturating_duration_since(now);
-            out.push(Action::refuse(record.id, Refusal::Shed, wait));
+            out.push(node::Action::refuse(record.id, message::Refusal::Shed, wait));
             return;
         }
         let due = now + Duration::from_millis(record.due_in_ms);
         let request = Request { record, due, state: State::Waiting };
         side.digest ^= request.fingerprint();
         side.requests += 1;
-        send_to(&side.scheduler, Message::Enqueue(request.record.clone()), out);
+        send_to(&side.scheduler, message::Message::Enqueue(request.record.clone()), out);
         self.requests.insert(request.record.id.clone(), request);
     }
 
     /// Gives up on a waiting request at the caller's wish; says whether it was still waiting.
-    pub fn withdraw(&mut self, id: &str, out: &mut Vec<Action>) -> bool {
+    pub fn withdraw(&mut self, id: &str, out: &mut Vec<node::Action>) -> bool {
         match self.requests.get(id) {
             Some(r) if r.state == State::Waiting => self.drop_waiting(id, out).is_some(),
             _ => false,
         }
     }
 
-    fn drop_waiting(&mut self, id: &str, out: &mut Vec<Action>) -> Option<Request> {
+    fn drop_waiting(&mut self, id: &str, out: &mut Vec<node::Action>) -> Option<Request> {
         let request = self.take(id)?;
         let record = &request.record;
         let (pool, attempt) = (record.pool.clone(), record.attempt);
-        let message = Message::Withdraw { pool, request: record.id.clone(), attempt };
+        let message = message::Message::Withdraw { pool, request: record.id.clone(), attempt };
         send_to(&self.pools.get(&record.pool)?.scheduler, message, out);
         Some(request)
     }
@@ -161,7 +159,7 @@
     ///
     /// A grant that is not valid is refused, and the request asks for another one at the next
     /// tick, not at once: what makes it invalid, such as an outdated list, would still be there.
-    pub fn granted(&mut self, grant: Grant, valid: bool, out: &mut Vec<Action>) {
+    pub fn granted(&mut self, grant: message::Grant, valid: bool, out: &mut Vec<node::Action>) {
         let state = self.requests.get(&grant.request);
         let current = state.filter(|r| r.record.attempt == grant.attempt);
         match current.map(|r| &r.state) {
@@ -176,43 +174,51 @@
         }
     }
 
-    fn accept(&mut self, grant: Grant, out: &mut Vec<Action>) {
+    fn accept(&mut self, grant: message::Grant, out: &mut Vec<node::Action>) {
         self.change(&grant.request, |r| r.state = State::Running(grant.clone()));
         let (pool, request) = (grant.pool.clone(), grant.request.clone());
-        let taken = Message::Taken { pool, request, attempt: grant.attempt };
+        let taken = message::Message::Taken { pool, request, attempt: grant.attempt };
         if let Some(side) = self.pools.get(&grant.pool) {
             send_to(&side.scheduler, taken, out);
         }
         self.confirm(&grant, out);
-        out.push(Action::Dispatch(grant));
+        out.push(node::Action::Dispatch(grant));
     }
 
-    fn confirm(&self, grant: &Grant, out: &mut Vec<Action>) {
+    fn confirm(&self, grant: &message::Grant, out: &mut Vec<node::Action>) {
         let grants = vec![(grant.request.clone(), grant.attempt)];
         for hop in &grant.hops {
-            out.push(Action::send(&hop.owner, Message::Used { grants: grants.clone() }));
+            out.push(node::Action::send(
+                &hop.owner,
+                message::Message::Used { grants: grants.clone() },
+            ));
         }
     }
 
     /// Tells the owners of a grant that it is not used. A grant of the attempt that runs may name
     /// the same owner again, so each permit is named by its key and only others' are given back.
-    fn give_back(&self, grant: &Grant, out: &mut Vec<Action>) {
+    fn give_back(&self, grant: &message::Grant, out: &mut Vec<node::Action>) {
         let running = self.requests.get(&grant.request).and_then(|r| match &r.state {
             State::Running(g) if g.attempt == grant.attempt => Some(g),
             _ => None,
         });
-        let in_use = |owner: &InstanceId, key| {
+        let in_use = |owner: &ids::InstanceId, key| {
             running.is_some_and(|g| g.hops.iter().any(|h| h.owner == *owner && h.key == key))
         };
         for hop in &grant.hops {
             if !in_use(&hop.owner, hop.key.clone()) {
-                out.push(Action::release(&hop.owner, grant, &hop.key));
+                out.push(node::Action::release(&hop.owner, grant, &hop.key));
             }
         }
     }
 
     /// Makes every grant of an attempt void and asks for a new one.
-    pub fn void(&mut self, now: Instant, reference: &GrantRef, out: &mut Vec<Action>) {
+    pub fn void(
+        &mut self,
+        now: Instant,
+        reference: &message::GrantRef,
+        out: &mut Vec<node::Action>,
+    ) {
         let (id, attempt) = reference;
         let waiting = self
             .requests
@@ -224,15 +230,15 @@
         }
     }
 
-    fn enqueue_again(&self, now: Instant, id: &str, out: &mut Vec<Action>) {
+    fn enqueue_again(&self, now: Instant, id: &str, out: &mut Vec<node::Action>) {
         let waiting = |r: &&Request| r.state == State::Waiting;
         let Some(request) = self.requests.get(id).filter(waiting) else { return };
         let Some(side) = self.pools.get(&request.record.pool) else { return };
-        send_to(&side.scheduler, Message::Enqueue(request.record_at(now)), out);
+        send_to(&side.scheduler, message::Message::Enqueue(request.record_at(now)), out);
     }
 
     /// Ends a run and gives its permits back.
-    pub fn finish(&mut self, id: &str, report: RunReport, out: &mut Vec<Action>) {
+    pub fn finish(&mut self, id: &str, report: message::RunReport, out: &mut Vec<node::Action>) {
         if !matches!(self.requests.get(id), Some(r) if r.state != State::Waiting) {
             return;
         }
@@ -242,7 +248,13 @@
     }
 
     /// Ends a run that never began, and puts the request back to wait.
-    pub fn requeue(&mut self, now: Instant, id: &str, report: RunReport, out: &mut Vec<Action>) {
+    pub fn requeue(
+        &mut self,
+        now: Instant,
+        id: &str,
+        report: message::RunReport,
+        out: &mut Vec<node::Action>,
+    ) {
         let Some(Request { state: State::Running(grant), .. }) = self.requests.get(id).cloned()
         else {
             return;
@@ -255,12 +267,17 @@
         self.enqueue_again(now, id, out);
     }
 
-    fn end_run(&self, grant: &Grant, report: RunReport, out: &mut Vec<Action>) {
+    fn end_run(
+        &self,
+        grant: &message::Grant,
+        report: message::RunReport,
+        out: &mut Vec<node::Action>,
+    ) {
         for hop in &grant.hops {
-            out.push(Action::release(&hop.owner, grant, &hop.key));
+            out.push(node::Action::release(&hop.owner, grant, &hop.key));
         }
         let (pool, request) = (grant.pool.clone(), grant.request.clone());
-        let done = Message::Done { pool, request, attempt: grant.attempt, report };
+        let done = message::Message::Done { pool, request, attempt: grant.attempt, report };
         if let Some(side) = self.pools.get(&grant.pool) {
             send_to(&side.scheduler, done, out);
         }
@@ -269,10 +286,10 @@
     /// Carries out a scheduler's refusal, unless the request has moved on.
     pub fn refused(
         &mut self,
-        reference: &GrantRef,
-        reason: Refusal,
+        reference: &message::GrantRef,
+        reason: message::Refusal,
         retry_after: Duration,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) {
         let (id, attempt) = reference;
         let current = self
@@ -280,7 +297,7 @@
             .get(id)
             .is_some_and(|r| r.state == State::Waiting && r.record.attempt == *attempt);
         if current && self.drop_waiting(id, out).is_some() {
-            out.push(Action::refuse(id.clone(), reason, retry_after));
+            out.push(node::Action::refuse(id.clone(), reason, retry_after));
         }
     }
 
@@ -290,9 +307,9 @@
     pub fn inquired(
         &mut self,
         now: Instant,
-        from: &InstanceId,
-        uses: Vec<PermitUse>,
-        out: &mut Vec<Action>,
+        from: &ids::InstanceId,
+        uses: Vec<message::PermitUse>,
+        out: &mut Vec<node::Action>,
     ) {
         let mut used = Vec::new();
         let mut unused = Vec::new();
@@ -305,22 +322,22 @@
             }
         }
         if !used.is_empty() {
-            out.push(Action::send(from, Message::Used { grants: used }));
+            out.push(node::Action::send(from, message::Message::Used { grants: used }));
         }
         if !unused.is_empty() {
-            out.push(Action::send(from, Message::NotUsed { uses: unused }));
+            out.push(node::Action::send(from, message::Message::NotUsed { uses: unused }));
         }
     }
 
     /// Whether the permit is used as told; if so, `owner` is noted as its owner.
-    fn note_owner(&mut self, u: &PermitUse, owner: &InstanceId) -> bool {
+    fn note_owner(&mut self, u: &message::PermitUse, owner: &ids::InstanceId) -> bool {
         let (id, attempt) = &u.grant;
         let Some(request) = self.requests.get_mut(id) else { return false };
         let State::Running(grant) = &mut request.state else { return false };
         if grant.attempt != *attempt {
             return false;
         }
-        let same = |h: &&mut Hop| h.key == u.permit.key && h.index == Some(u.permit.index);
+        let same = |h: &&mut message::Hop| h.key == u.permit.key && h.index == Some(u.permit.index);
         match grant.hops.iter_mut().find(same) {
             Some(hop) => {
                 hop.owner = owner.clone();
@@ -331,8 +348,8 @@
     }
 
     /// Which of the claimed permits run requests of this entry.
-    pub fn users_of(&self, permits: &[Permit]) -> Vec<PermitUse> {
-        let wanted: HashSet<&Permit> = permits.iter().collect();
+    pub fn users_of(&self, permits: &[message::Permit]) -> Vec<message::PermitUse> {
+        let wanted: HashSet<&message::Permit> = permits.iter().collect();
         let running = self.requests.values().filter_map(|r| match &r.state {
             State::Running(grant) => Some(grant),
             State::Waiting => None,
@@ -345,9 +362,9 @@
     pub fn set_scheduler(
         &mut self,
         now: Instant,
-        pool: &PoolId,
-        scheduler: Option<InstanceId>,
-        out: &mut Vec<Action>,
+        pool: &ids::PoolId,
+        scheduler: Option<ids::InstanceId>,
+        out: &mut Vec<node::Action>,
     ) {
         let side = self.pools.entry(pool.clone()).or_default();
         if side.scheduler == scheduler {
@@ -355,19 +372,22 @@
         }
         let former = std::mem::replace(&mut side.scheduler, scheduler);
         side.floor = None;
-        let nothing =
-            Message::Report { pool: pool.clone(), waiting: Vec::new(), running: Vec::new() };
+        let nothing = message::Message::Report {
+            pool: pool.clone(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+        };
         send_to(&former, nothing, out);
         self.report(now, pool, out);
     }
 
     /// The scheduler that a pool's requests are sent to.
-    pub fn scheduler(&self, pool: &str) -> Option<&InstanceId> {
+    pub fn scheduler(&self, pool: &str) -> Option<&ids::InstanceId> {
         self.pools.get(pool)?.scheduler.as_ref()
     }
 
     /// Sends everything held in a pool to its scheduler.
-    pub fn report(&self, now: Instant, pool: &PoolId, out: &mut Vec<Action>) {
+    pub fn report(&self, now: Instant, pool: &ids::PoolId, out: &mut Vec<node::Action>) {
         let Some(side) = self.pools.get(pool) else { return };
         let mut waiting = Vec::new();
         let mut running = Vec::new();
@@ -379,7 +399,11 @@
         }
         waiting.sort_by(|a, b| a.id.cmp(&b.id));
         running.sort_by(|a, b| a.0.id.cmp(&b.0.id));
-        send_to(&side.scheduler, Message::Report { pool: pool.clone(), waiting, running }, out);
+        send_to(
+            &side.scheduler,
+            message::Message::Report { pool: pool.clone(), waiting, running },
+            out,
+        );
     }
 
     /// Raises, renews or lifts the shed floor of a pool, on the word of its current scheduler.
@@ -387,10 +411,10 @@
         &mut self,
         now: Instant,
         from: &str,
-        pool: &PoolId,
+        pool: &ids::PoolId,
         seq: u64,
-        keep: Option<TierLevel>,
-        out: &mut Vec<Action>,
+        keep: Option<ids::TierLevel>,
+        out: &mut Vec<node::Action>,
     ) {
         let Some(side) = self.pools.get_mut(pool) else { return };
         if side.scheduler.as_deref() != Some(from) {
@@ -403,31 +427,31 @@
         };
         for id in self.select(below) {
             self.drop_waiting(&id, out);
-            out.push(Action::refuse(id, Refusal::Shed, FLOOR_KEEP));
+            out.push(node::Action::refuse(id, message::Refusal::Shed, FLOOR_KEEP));
         }
     }
 
     /// The platform's list has dropped this instance, so others took what waits here for lost and
     /// may have shed higher tiers since. All but the highest tier is given up, as it would have
     /// been had the instance died.
-    pub fn dropped(&mut self, out: &mut Vec<Action>) {
+    pub fn dropped(&mut self, out: &mut Vec<node::Action>) {
         let below = |r: &Request| r.record.tier > 0 && r.state == State::Waiting;
         for id in self.select(below) {
             self.drop_waiting(&id, out);
-            out.push(Action::refuse(id, Refusal::Unavailable, DROPPED_RETRY));
+            out.push(node::Action::refuse(id, message::Refusal::Unavailable, DROPPED_RETRY));
         }
     }
 
     /// Ids of the requests that match, in a fixed order.
-    fn select(&self, matches: impl Fn(&Request) -> bool) -> Vec<RequestId> {
+    fn select(&self, matches: impl Fn(&Request) -> bool) -> Vec<ids::RequestId> {
         let matching = self.requests.values().filter(|r| matches(r));
-        let mut ids: Vec<RequestId> = matching.map(|r| r.record.id.clone()).collect();
+        let mut ids: Vec<ids::RequestId> = matching.map(|r| r.record.id.clone()).collect();
         ids.sort();
         ids
     }
 
     /// Drops floors that the scheduler no longer renews and gives up on overdue requests.
-    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<node::Action>) {
         for id in std::mem::take(&mut self.enqueue_later) {
             self.enqueue_again(now, &id, out);
         }
@@ -437,14 +461,14 @@
         let overdue = |r: &Request| r.state == State::Waiting && r.due <= now;
         for id in self.select(overdue) {
             self.drop_waiting(&id, out);
-            out.push(Action::refuse(id, Refusal::Deadline, Duration::ZERO));
+            out.push(node::Action::refuse(id, message::Refusal::Deadline, Duration::ZERO));
         }
     }
 
     /// Digests of the pools that `scheduler` schedules for this entry.
-    pub fn beats(&self, scheduler: &str) -> Vec<PoolBeat> {
+    pub fn beats(&self, scheduler: &str) -> Vec<message::PoolBeat> {
         let mine = self.pools.iter().filter(|(_, s)| s.scheduler.as_deref() == Some(scheduler));
-        mine.map(|(pool, s)| PoolBeat {
+        mine.map(|(pool, s)| message::PoolBeat {
             pool: pool.clone(),
             digest: s.digest,
             floor: s.floor.map_or(0, |f| f.seq),
@@ -453,19 +477,19 @@
     }
 
     /// This instance.
-    pub fn id(&self) -> &InstanceId {
+    pub fn id(&self) -> &ids::InstanceId {
         &self.me
     }
 }
 
-fn permit_use(grant: &Grant, hop: &Hop) -> Option<PermitUse> {
-    let permit = Permit { key: hop.key.clone(), index: hop.index? };
+fn permit_use(grant: &message::Grant, hop: &message::Hop) -> Option<message::PermitUse> {
+    let permit = message::Permit { key: hop.key.clone(), index: hop.index? };
     let reference = (grant.request.clone(), grant.attempt);
-    Some(PermitUse { permit, grant: reference, endpoint: grant.endpoint.clone() })
+    Some(message::PermitUse { permit, grant: reference, endpoint: grant.endpoint.clone() })
 }
 
-fn send_to(to: &Option<InstanceId>, message: Message, out: &mut Vec<Action>) {
+fn send_to(to: &Option<ids::InstanceId>, message: message::Message, out: &mut Vec<node::Action>) {
     if let Some(to) = to {
-        out.push(Action::send(to, message));
+        out.push(node::Action::send(to, message));
     }
 }
--- a/oxbowbend-core/src/ledger.rs
+++ b/oxbowbend-core/src/ledger.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::ids::{EndpointId, InstanceId, RequestId};
+use crate::ids;
 
 /// Key of an entry: a digest of the client account and its idempotency key.
 pub type LedgerKey = String;
@@ -27,17 +27,17 @@
     /// An entry instance holds it; nothing has been sent to any endpoint.
     Held {
         /// The instance.
-        holder: InstanceId,
+        holder: ids::InstanceId,
     },
     /// It may have been sent to an endpoint.
     Dispatched {
         /// The endpoint.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
     },
     /// Its whole answer has been read from the endpoint.
     Done {
         /// The endpoint.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
     },
 }
 
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
     /// The run that took the last step; it doubles as the run id at the endpoint.
-    pub run: RequestId,
+    pub run: ids::RequestId,
     /// Where the request stands.
     pub stage: Stage,
     /// Digest of the request's body.
@@ -60,7 +60,7 @@
     /// Entry to change.
     pub key: LedgerKey,
     /// Run that takes the step.
-    pub run: RequestId,
+    pub run: ids::RequestId,
     /// What to do.
     pub action: StepAction,
 }
@@ -71,7 +71,7 @@
     /// Begin to hold the request.
     Hold {
         /// Instance that holds it.
-        holder: InstanceId,
+        holder: ids::InstanceId,
         /// Digest of the body.
         body: u64,
         /// Whether to take the request over from another holder.
@@ -82,12 +82,12 @@
     /// Go from held to dispatched. Nothing may be sent before this is confirmed.
     Dispatch {
         /// Endpoint that is about to get the request.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
     },
     /// Go back from dispatched to held; only for a holder that knows that no byte was sent.
     Undo {
         /// Instance that goes on holding it.
-        holder: InstanceId,
+        holder: ids::InstanceId,
     },
     /// Go from dispatched to done.
     Finish,
@@ -103,21 +103,21 @@
     /// Another run holds the request.
     HeldBy {
         /// Its holder.
-        holder: InstanceId,
+        holder: ids::InstanceId,
     },
     /// The request was dispatched under another run.
     Dispatched {
         /// Endpoint that has it.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
         /// Run to resume there.
-        run: RequestId,
+        run: ids::RequestId,
     },
     /// The request was answered under another run.
     Done {
         /// Endpoint that ran it.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
         /// Run to fetch there.
-        run: RequestId,
+        run: ids::RequestId,
     },
     /// The key was used for a request with another body.
     OtherBody,
@@ -198,7 +198,7 @@
         self.entries.get_mut(&step.key).filter(|e| e.run == step.run)
     }
 
-    fn dispatch(&mut self, step: &Step, to: &EndpointId) -> Verdict {
+    fn dispatch(&mut self, step: &Step, to: &ids::EndpointId) -> Verdict {
         let Some(entry) = self.mine(step) else { return Verdict::Lost };
         match &entry.stage {
             Stage::Held { .. } => {
@@ -210,7 +210,7 @@
         }
     }
 
-    fn undo(&mut self, step: &Step, holder: &InstanceId) -> Verdict {
+    fn undo(&mut self, step: &Step, holder: &ids::InstanceId) -> Verdict {
         let Some(entry) = self.mine(step) else { return Verdict::Lost };
         match &entry.stage {
             Stage::Done { .. } => Verdict::Lost,
--- a/oxbowbend-core/src/membership.rs
+++ b/oxbowbend-core/src/membership.rs
@@ -10,13 +10,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::ids::{InstanceId, ListVersion, ZoneId};
+use crate::ids;
 
 /// One instance in the platform's list.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub struct Member {
     /// Availability zone of the instance.
-    pub zone: ZoneId,
+    pub zone: ids::ZoneId,
     /// Address (`ip:port`) at which peers reach it.
     pub address: String,
     /// Whether the instance is leaving: it finishes its work and takes no new share.
@@ -27,9 +27,9 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
 pub struct InstanceList {
     /// Version; the platform only ever raises it.
-    pub version: ListVersion,
+    pub version: ids::ListVersion,
     /// Live and leaving instances.
-    pub members: BTreeMap<InstanceId, Member>,
+    pub members: BTreeMap<ids::InstanceId, Member>,
 }
 
 /// Scores `member` for the job named by `key`; the highest score wins.
@@ -60,17 +60,17 @@
 /// Candidates hashed once, to rank them for many keys.
 #[derive(Debug)]
 pub struct Ranking<'a> {
-    members: Vec<(u64, &'a InstanceId)>,
+    members: Vec<(u64, &'a ids::InstanceId)>,
 }
 
 impl<'a> Ranking<'a> {
     /// Prepares a ranking of `members`.
-    pub fn new(members: impl Iterator<Item = &'a InstanceId>) -> Ranking<'a> {
+    pub fn new(members: impl Iterator<Item = &'a ids::InstanceId>) -> Ranking<'a> {
         Ranking { members: members.map(|m| (xxh3::xxh3_64(m.as_bytes()), m)).collect() }
     }
 
     /// The member that ranks first for the `index`th thing called `name`.
-    pub fn pick(&self, name: &str, index: u32) -> Option<&'a InstanceId> {
+    pub fn pick(&self, name: &str, index: u32) -> Option<&'a ids::InstanceId> {
         let key = xxh3::xxh3_64_with_seed(name.as_bytes(), u64::from(index));
         let best = self.members.iter().max_by_key(|(hash, id)| (mix(hash ^ key), *id))?;
         Some(best.1)
@@ -87,14 +87,14 @@
 /// An instance's view of the others.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    me: InstanceId,
+    me: ids::InstanceId,
     list: InstanceList,
-    suspects: BTreeSet<InstanceId>,
+    suspects: BTreeSet<ids::InstanceId>,
 }
 
 impl Membership {
     /// Creates the view of instance `me`, which knows of nobody yet.
-    pub fn new(me: InstanceId) -> Membership {
+    pub fn new(me: ids::InstanceId) -> Membership {
         Membership { me, list: InstanceList::default(), suspects: BTreeSet::new() }
     }
 
@@ -119,7 +119,7 @@
     }
 
     /// Marks `id` as not answering.
-    pub fn suspect(&mut self, id: &InstanceId) -> bool {
+    pub fn suspect(&mut self, id: &ids::InstanceId) -> bool {
         *id != self.me && self.suspects.insert(id.clone())
     }
 
@@ -129,7 +129,7 @@
     }
 
     /// Instances that do not answer.
-    pub fn suspects(&self) -> impl Iterator<Item = &InstanceId> {
+    pub fn suspects(&self) -> impl Iterator<Item = &ids::InstanceId> {
         self.suspects.iter()
     }
 
@@ -145,21 +145,21 @@
     }
 
     /// Every listed instance other than this one.
-    pub fn others(&self) -> impl Iterator<Item = &InstanceId> {
+    pub fn others(&self) -> impl Iterator<Item = &ids::InstanceId> {
         self.list.members.keys().filter(move |id| **id != self.me)
     }
 
     /// Instances that may own a share, in the given zones; an empty set means every zone.
     pub fn owners<'a>(
         &'a self,
-        zones: &'a BTreeSet<ZoneId>,
-    ) -> impl Iterator<Item = &'a InstanceId> + 'a {
+        zones: &'a BTreeSet<ids::ZoneId>,
+    ) -> impl Iterator<Item = &'a ids::InstanceId> + 'a {
         let inside = move |m: &Member| zones.is_empty() || zones.contains(&m.zone);
         self.list.members.iter().filter(move |(_, m)| !m.leaving && inside(m)).map(|(id, _)| id)
     }
 
     /// The instance that should do the job `key`: an owner that answers.
-    pub fn preferred(&self, zones: &BTreeSet<ZoneId>, key: &str) -> Option<InstanceId> {
+    pub fn preferred(&self, zones: &BTreeSet<ids::ZoneId>, key: &str) -> Option<ids::InstanceId> {
         let answering = self.owners(zones).filter(|id| !self.suspects.contains(*id));
         let chosen = pick(answering.map(|id| &**id), key)?;
         self.list.members.get_key_value(chosen).map(|(id, _)| id.clone())
--- a/oxbowbend-core/src/message.rs
+++ b/oxbowbend-core/src/message.rs
@@ -6,22 +6,22 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AccountId, Attempt, EndpointId, InstanceId, PoolId, RequestId, TierLevel};
-use crate::membership::InstanceList;
+use crate::ids;
+use crate::membership;
 
 /// What a scheduler knows of a waiting request; the body stays at the entry instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Record {
     /// The request.
-    pub id: RequestId,
+    pub id: ids::RequestId,
     /// The attempt that this record stands for.
-    pub attempt: Attempt,
+    pub attempt: ids::Attempt,
     /// Pool that the request is for.
-    pub pool: PoolId,
+    pub pool: ids::PoolId,
     /// Client account that sent it.
-    pub account: AccountId,
+    pub account: ids::AccountId,
     /// Its tier.
-    pub tier: TierLevel,
+    pub tier: ids::TierLevel,
     /// Weight of the account within the tier.
     pub weight: u32,
     /// Estimated prompt tokens.
@@ -45,9 +45,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum PermitKey {
     /// A request running at this endpoint.
-    Endpoint(EndpointId),
+    Endpoint(ids::EndpointId),
     /// A request of this client account running anywhere.
-    Account(AccountId),
+    Account(ids::AccountId),
 }
 
 /// One of the permits of a key.
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Hop {
     /// Owner to ask.
-    pub owner: InstanceId,
+    pub owner: ids::InstanceId,
     /// What is asked for.
     pub key: PermitKey,
     /// Which permit the owner reserved.
@@ -74,17 +74,17 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Grant {
     /// The request granted.
-    pub request: RequestId,
+    pub request: ids::RequestId,
     /// The attempt granted; any other makes the grant void.
-    pub attempt: Attempt,
+    pub attempt: ids::Attempt,
     /// Pool of the request.
-    pub pool: PoolId,
+    pub pool: ids::PoolId,
     /// Endpoint to dispatch to.
-    pub endpoint: EndpointId,
+    pub endpoint: ids::EndpointId,
     /// Entry instance that holds the request.
-    pub entry: InstanceId,
+    pub entry: ids::InstanceId,
     /// Scheduler that decided.
-    pub scheduler: InstanceId,
+    pub scheduler: ids::InstanceId,
     /// The scheduler's count of grants sent to the endpoint's owner, to date its offers.
     pub ask: u64,
     /// Owners still to reserve or already reserved, in order.
@@ -95,9 +95,9 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Offer {
     /// Pool of the endpoint.
-    pub pool: PoolId,
+    pub pool: ids::PoolId,
     /// The endpoint.
-    pub endpoint: EndpointId,
+    pub endpoint: ids::EndpointId,
     /// Free permits.
     pub free: u32,
     /// Permits owned, free or not.
@@ -110,7 +110,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PoolBeat {
     /// The pool.
-    pub pool: PoolId,
+    pub pool: ids::PoolId,
     /// Order-independent digest of the requests held and their attempts and states.
     pub digest: u64,
     /// The latest shed floor that the entry enforces.
@@ -158,7 +158,7 @@
 }
 
 /// The grant of one attempt of a request.
-pub type GrantRef = (RequestId, Attempt);
+pub type GrantRef = (ids::RequestId, ids::Attempt);
 
 /// A permit and the grant that uses it, or may use it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -168,7 +168,7 @@
     /// The grant.
     pub grant: GrantRef,
     /// Endpoint at which the request runs.
-    pub endpoint: EndpointId,
+    pub endpoint: ids::EndpointId,
 }
 
 /// A message from one instance to another.
@@ -179,40 +179,40 @@
     /// Entry to scheduler: a request waits no longer.
     Withdraw {
         /// The pool.
-        pool: PoolId,
+        pool: ids::PoolId,
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Its attempt.
-        attempt: Attempt,
+        attempt: ids::Attempt,
     },
     /// Entry to scheduler: a grant was accepted.
     Taken {
         /// The pool.
-        pool: PoolId,
+        pool: ids::PoolId,
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Its attempt.
-        attempt: Attempt,
+        attempt: ids::Attempt,
     },
     /// Entry to scheduler: a run has ended.
     Done {
         /// The pool.
-        pool: PoolId,
+        pool: ids::PoolId,
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Its attempt.
-        attempt: Attempt,
+        attempt: ids::Attempt,
         /// What the run showed.
         report: RunReport,
     },
     /// Entry to scheduler: everything held in a pool, waiting and running.
     Report {
         /// The pool.
-        pool: PoolId,
+        pool: ids::PoolId,
         /// Requests that wait.
         waiting: Vec<Record>,
         /// Requests that run, and where.
-        running: Vec<(Record, EndpointId)>,
+        running: Vec<(Record, ids::EndpointId)>,
     },
     /// Member to scheduler: sign of life with digests.
     Beat {
@@ -226,7 +226,7 @@
         /// Number of the message.
         seq: u64,
         /// Pools whose report is wanted.
-        resync: Vec<PoolId>,
+        resync: Vec<ids::PoolId>,
     },
     /// Owner to scheduler: free permits have changed.
     Offer(Vec<Offer>),
@@ -242,9 +242,9 @@
     /// Entry or owner to owner: the permit is not needed or no longer needed.
     Release {
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Its attempt.
-        attempt: Attempt,
+        attempt: ids::Attempt,
         /// What the permit is for.
         key: PermitKey,
     },
@@ -266,9 +266,9 @@
     /// Scheduler to entry: give the caller its final answer.
     Refuse {
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Its attempt.
-        attempt: Attempt,
+        attempt: ids::Attempt,
         /// Why.
         reason: Refusal,
         /// Milliseconds after which to come back.
@@ -277,18 +277,18 @@
     /// Scheduler to member: shed arrivals below the given tier; `None` lifts the floor.
     Floor {
         /// The pool.
-        pool: PoolId,
+        pool: ids::PoolId,
         /// Number of the message.
         seq: u64,
         /// Lowest tier that is still kept.
-        keep: Option<TierLevel>,
+        keep: Option<ids::TierLevel>,
     },
     /// Member to all: I should own these permits; may I?
     Claim {
         /// Number of the claim.
         nonce: u64,
         /// The instance list that the claim rests on.
-        list: InstanceList,
+        list: membership::InstanceList,
         /// The permits claimed.
         permits: Vec<Permit>,
     },
@@ -306,5 +306,5 @@
     /// A member is stopping and takes no new share.
     Leaving,
     /// An endpoint itself said that it is leaving.
-    EndpointLeaving(EndpointId),
+    EndpointLeaving(ids::EndpointId),
 }
--- a/oxbowbend-core/src/node/beats.rs
+++ b/oxbowbend-core/src/node/beats.rs
@@ -4,14 +4,14 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Node, Peer, BEAT, OFFERS_EVERY, PROBE_SUSPECT, SUSPECT};
-use crate::ids::{EndpointId, InstanceId, PoolId};
-use crate::message::{Message, Offer, PermitKey, PoolBeat};
+use crate::ids;
+use crate::message;
 
 impl Node {
     /// Tells schedulers of the permits whose numbers have changed; says whether there were any.
     pub(super) fn offer_changes(&mut self) -> bool {
         let changed = self.permits.take_changed();
-        let mut offers: BTreeMap<InstanceId, Vec<Offer>> = BTreeMap::new();
+        let mut offers: BTreeMap<ids::InstanceId, Vec<message::Offer>> = BTreeMap::new();
         for endpoint in changed {
             let Some(pool) = self.view.topology.pool_of(&endpoint).cloned() else { continue };
             let Some(scheduler) = self.entry.scheduler(&pool).cloned() else { continue };
@@ -20,49 +20,53 @@
         }
         let any = !offers.is_empty();
         for (scheduler, offers) in offers {
-            self.actions.push(Action::send(&scheduler, Message::Offer(offers)));
+            self.actions.push(Action::send(&scheduler, message::Message::Offer(offers)));
         }
         any
     }
 
     pub(super) fn offer(
         &self,
-        pool: &PoolId,
-        endpoint: EndpointId,
-        scheduler: &InstanceId,
-    ) -> Offer {
-        let (free, owned) = self.permits.count(&PermitKey::Endpoint(endpoint.clone()));
+        pool: &ids::PoolId,
+        endpoint: ids::EndpointId,
+        scheduler: &ids::InstanceId,
+    ) -> message::Offer {
+        let (free, owned) = self.permits.count(&message::PermitKey::Endpoint(endpoint.clone()));
         let asks_seen = self.asks_seen.get(scheduler).copied().unwrap_or(0);
-        Offer { pool: pool.clone(), endpoint, free, owned, asks_seen }
+        message::Offer { pool: pool.clone(), endpoint, free, owned, asks_seen }
     }
 
-    pub(super) fn pool_offers(&self, pool: &PoolId, scheduler: &InstanceId) -> Vec<Offer> {
+    pub(super) fn pool_offers(
+        &self,
+        pool: &ids::PoolId,
+        scheduler: &ids::InstanceId,
+    ) -> Vec<message::Offer> {
         let Some(config) = self.view.topology.pools.get(pool) else { return Vec::new() };
         let offers = config.endpoints.keys().map(|e| self.offer(pool, e.clone(), scheduler));
         offers.filter(|o| o.owned > 0).collect()
     }
 
-    pub(super) fn offer_pool(&mut self, pool: &PoolId) {
+    pub(super) fn offer_pool(&mut self, pool: &ids::PoolId) {
         let Some(scheduler) = self.entry.scheduler(pool).cloned() else { return };
         let offers = self.pool_offers(pool, &scheduler);
         if !offers.is_empty() {
-            self.actions.push(Action::send(&scheduler, Message::Offer(offers)));
+            self.actions.push(Action::send(&scheduler, message::Message::Offer(offers)));
         }
     }
 
-    pub(super) fn withdraw_offers(&mut self, pool: &PoolId, former: Option<InstanceId>) {
+    pub(super) fn withdraw_offers(&mut self, pool: &ids::PoolId, former: Option<ids::InstanceId>) {
         let Some(former) = former else { return };
         let mut offers = self.pool_offers(pool, &former);
         offers.iter_mut().for_each(|o| (o.free, o.owned) = (0, 0));
         if !offers.is_empty() {
-            self.actions.push(Action::send(&former, Message::Offer(offers)));
+            self.actions.push(Action::send(&former, message::Message::Offer(offers)));
         }
     }
 
-    pub(super) fn beat(&mut self, now: Instant, to: &InstanceId) {
+    pub(super) fn beat(&mut self, now: Instant, to: &ids::InstanceId) {
         self.beat_seq += 1;
         let pools = self.entry.beats(to);
-        self.actions.push(Action::send(to, Message::Beat { seq: self.beat_seq, pools }));
+        self.actions.push(Action::send(to, message::Message::Beat { seq: self.beat_seq, pools }));
         if *to == self.me {
             return;
         }
@@ -70,7 +74,12 @@
         self.peers.entry(to.clone()).or_insert(first).last_beat = Some(now);
     }
 
-    pub(super) fn beaten(&mut self, from: &InstanceId, seq: u64, pools: Vec<PoolBeat>) {
+    pub(super) fn beaten(
+        &mut self,
+        from: &ids::InstanceId,
+        seq: u64,
+        pools: Vec<message::PoolBeat>,
+    ) {
         let mut resync = Vec::new();
         for beat in pools {
             let mut differs = false;
@@ -79,10 +88,10 @@
                 resync.push(beat.pool);
             }
         }
-        self.actions.push(Action::send(from, Message::BeatAck { seq, resync }));
+        self.actions.push(Action::send(from, message::Message::BeatAck { seq, resync }));
     }
 
-    pub(super) fn acked(&mut self, now: Instant, from: &InstanceId, resync: &[PoolId]) {
+    pub(super) fn acked(&mut self, now: Instant, from: &ids::InstanceId, resync: &[ids::PoolId]) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.last_ack = Some(now);
         }
@@ -97,7 +106,7 @@
         }
     }
 
-    pub(super) fn peer_down(&mut self, now: Instant, id: &InstanceId) {
+    pub(super) fn peer_down(&mut self, now: Instant, id: &ids::InstanceId) {
         if self.view.members.contains(id) && self.view.members.suspect(id) {
             self.retarget(now);
         }
@@ -105,10 +114,10 @@
 
     pub(super) fn beat_schedulers(&mut self, now: Instant) {
         let topology = self.view.topology.clone();
-        let mut due: BTreeSet<InstanceId> =
+        let mut due: BTreeSet<ids::InstanceId> =
             topology.pools.keys().filter_map(|p| self.entry.scheduler(p).cloned()).collect();
         due.retain(|id| self.beat_is_due(now, id, BEAT));
-        let suspects: Vec<InstanceId> = self.view.members.suspects().cloned().collect();
+        let suspects: Vec<ids::InstanceId> = self.view.members.suspects().cloned().collect();
         due.extend(suspects.into_iter().filter(|id| self.beat_is_due(now, id, PROBE_SUSPECT)));
         for id in due {
             self.beat(now, &id);
@@ -118,12 +127,17 @@
         }
     }
 
-    pub(super) fn beat_is_due(&self, now: Instant, id: &InstanceId, interval: Duration) -> bool {
+    pub(super) fn beat_is_due(
+        &self,
+        now: Instant,
+        id: &ids::InstanceId,
+        interval: Duration,
+    ) -> bool {
         let last = self.peers.get(id).and_then(|p| p.last_beat);
         last.is_none_or(|last| now.duration_since(last) >= interval)
     }
 
-    pub(super) fn repeat_offers(&mut self, scheduler: &InstanceId) {
+    pub(super) fn repeat_offers(&mut self, scheduler: &ids::InstanceId) {
         let topology = self.view.topology.clone();
         for pool in topology.pools.keys() {
             if self.entry.scheduler(pool) == Some(scheduler) {
@@ -138,7 +152,7 @@
             let still_beating = p.last_beat.is_some_and(|b| now.duration_since(b) < SUSPECT);
             still_beating && now.duration_since(heard) >= SUSPECT
         };
-        let silent: Vec<InstanceId> =
+        let silent: Vec<ids::InstanceId> =
             self.peers.iter().filter(|(_, p)| silent(p)).map(|(id, _)| id.clone()).collect();
         for id in silent {
             self.peer_down(now, &id);
--- a/oxbowbend-core/src/node/claims.rs
+++ b/oxbowbend-core/src/node/claims.rs
@@ -4,16 +4,16 @@
 use std::time::Instant;
 
 use super::{Action, Node, RECLAIM};
-use crate::ids::InstanceId;
-use crate::membership::InstanceList;
-use crate::message::{Message, Permit};
+use crate::ids;
+use crate::membership;
+use crate::message;
 
 impl Node {
     pub(super) fn claim(&mut self, now: Instant) {
         if self.quarantined || self.draining || !self.view.members.contains(&self.me) {
             return;
         }
-        let others: BTreeSet<InstanceId> = self.view.members.others().cloned().collect();
+        let others: BTreeSet<ids::InstanceId> = self.view.members.others().cloned().collect();
         let claim = self.permits.start_claim(&self.desired, others.clone());
         let Some((nonce, permits)) = claim else {
             self.next_claim = None;
@@ -21,7 +21,7 @@
         };
         for to in &others {
             let (list, permits) = (self.view.members.list().clone(), permits.clone());
-            self.actions.push(Action::send(to, Message::Claim { nonce, list, permits }));
+            self.actions.push(Action::send(to, message::Message::Claim { nonce, list, permits }));
         }
         self.next_claim = Some(now + RECLAIM);
         self.settle_claim(now);
@@ -30,10 +30,10 @@
     pub(super) fn claimed(
         &mut self,
         now: Instant,
-        from: &InstanceId,
+        from: &ids::InstanceId,
         nonce: u64,
-        list: &InstanceList,
-        permits: &[Permit],
+        list: &membership::InstanceList,
+        permits: &[message::Permit],
     ) {
         if self.view.members.adopt(list) {
             self.members_changed(now);
@@ -41,16 +41,16 @@
         let desired = &self.desired;
         let (held, ceded) = self.permits.answer_claim(permits, |p| desired.contains(p));
         let used = self.entry.users_of(permits);
-        let reply = Message::ClaimReply { nonce, held, ceded, used };
+        let reply = message::Message::ClaimReply { nonce, held, ceded, used };
         self.actions.push(Action::send(from, reply));
     }
 
     pub(super) fn settle_claim(&mut self, now: Instant) {
-        let claimed: Vec<Permit> = self.permits.claimed().cloned().collect();
+        let claimed: Vec<message::Permit> = self.permits.claimed().cloned().collect();
         let own = self.entry.users_of(&claimed);
         self.permits.note_own_uses(&self.me, &own);
         let baseline = &self.baseline;
-        let fresh = |p: &Permit| baseline.get(&p.key).is_none_or(|n| p.index >= *n);
+        let fresh = |p: &message::Permit| baseline.get(&p.key).is_none_or(|n| p.index >= *n);
         self.permits.settle(now, fresh);
     }
 }
--- a/oxbowbend-core/src/node/duties.rs
+++ b/oxbowbend-core/src/node/duties.rs
@@ -5,13 +5,13 @@
 use std::time::Instant;
 
 use super::{Node, LEAVING_KEEP, LIST_LAG};
-use crate::ids::InstanceId;
-use crate::membership::{InstanceList, Ranking};
-use crate::message::{Permit, PermitKey};
-use crate::topology::Topology;
+use crate::ids;
+use crate::membership;
+use crate::message;
+use crate::topology;
 
 impl Node {
-    pub(super) fn list(&mut self, now: Instant, list: &InstanceList) {
+    pub(super) fn list(&mut self, now: Instant, list: &membership::InstanceList) {
         let listed = list.members.contains_key(&self.me);
         if listed {
             self.quarantined = false;
@@ -45,7 +45,7 @@
         self.retarget(now);
     }
 
-    pub(super) fn configure(&mut self, now: Instant, topology: Arc<Topology>) {
+    pub(super) fn configure(&mut self, now: Instant, topology: Arc<topology::Topology>) {
         self.view.topology = topology;
         self.configure_schedulers(now);
         self.fix_baseline(now);
@@ -102,18 +102,18 @@
         let members = &self.view.members;
         let mut desired = BTreeSet::new();
         for pool in topology.pools.values().filter(|p| p.zones.contains(&self.zone)) {
-            let ranking = Ranking::new(members.owners(&pool.zones));
+            let ranking = membership::Ranking::new(members.owners(&pool.zones));
             for (endpoint, declared) in &pool.endpoints {
-                let key = PermitKey::Endpoint(endpoint.clone());
+                let key = message::PermitKey::Endpoint(endpoint.clone());
                 desire(&self.me, &key, declared.slots, &ranking, &mut desired);
             }
         }
         let everywhere = BTreeSet::new();
-        let ranking = Ranking::new(members.owners(&everywhere));
+        let ranking = membership::Ranking::new(members.owners(&everywhere));
         let mut account_shares = BTreeMap::new();
         for (account, limits) in &topology.accounts {
             let Some(limit) = limits.max_running else { continue };
-            let key = PermitKey::Account(account.clone());
+            let key = message::PermitKey::Account(account.clone());
             let shares = desire(&self.me, &key, limit, &ranking, &mut desired);
             account_shares.insert(account.clone(), shares);
         }
@@ -124,34 +124,34 @@
 
 /// Adds to `desired` the permits of `key` that `me` should own, and counts everybody's.
 fn desire(
-    me: &InstanceId,
-    key: &PermitKey,
+    me: &ids::InstanceId,
+    key: &message::PermitKey,
     count: u32,
-    ranking: &Ranking,
-    desired: &mut BTreeSet<Permit>,
-) -> Vec<(InstanceId, u32)> {
-    let mut shares: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    ranking: &membership::Ranking,
+    desired: &mut BTreeSet<message::Permit>,
+) -> Vec<(ids::InstanceId, u32)> {
+    let mut shares: BTreeMap<ids::InstanceId, u32> = BTreeMap::new();
     let name = permit_name(key);
     for index in 0..count {
         let Some(owner) = ranking.pick(&name, index) else { continue };
         *shares.entry(owner.clone()).or_default() += 1;
         if owner == me {
-            desired.insert(Permit { key: key.clone(), index });
+            desired.insert(message::Permit { key: key.clone(), index });
         }
     }
     shares.into_iter().collect()
 }
 
-fn permit_counts(topology: &Topology) -> HashMap<PermitKey, u32> {
+fn permit_counts(topology: &topology::Topology) -> HashMap<message::PermitKey, u32> {
     let endpoints = topology.pools.values().flat_map(|p| &p.endpoints);
-    let endpoints = endpoints.map(|(id, e)| (PermitKey::Endpoint(id.clone()), e.slots));
+    let endpoints = endpoints.map(|(id, e)| (message::PermitKey::Endpoint(id.clone()), e.slots));
     let accounts = topology.accounts.iter().filter_map(|(id, a)| Some((id, a.max_running?)));
-    endpoints.chain(accounts.map(|(id, n)| (PermitKey::Account(id.clone()), n))).collect()
+    endpoints.chain(accounts.map(|(id, n)| (message::PermitKey::Account(id.clone()), n))).collect()
 }
 
-fn permit_name(key: &PermitKey) -> String {
+fn permit_name(key: &message::PermitKey) -> String {
     match key {
-        PermitKey::Endpoint(id) => format!("endpoint/{id}"),
-        PermitKey::Account(id) => format!("account/{id}"),
+        message::PermitKey::Endpoint(id) => format!("endpoint/{id}"),
+        message::PermitKey::Account(id) => format!("account/{id}"),
     }
 }
--- a/oxbowbend-core/src/node/mod.rs
+++ b/oxbowbend-core/src/node/mod.rs
@@ -13,14 +13,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::choose::Predicted;
-use crate::entry::Entry;
-use crate::ids::{AccountId, EndpointId, InstanceId, PoolId, RequestId, TierLevel, ZoneId};
-use crate::membership::{InstanceList, Membership};
-use crate::message::{Grant, GrantRef, Message, Permit, PermitKey, Record, Refusal, RunReport};
-use crate::permits::Permits;
-use crate::scheduler::{Directory, Scheduler};
-use crate::topology::Topology;
+use crate::choose;
+use crate::entry;
+use crate::ids;
+use crate::membership;
+use crate::message;
+use crate::permits;
+use crate::scheduler::{self, Directory};
+use crate::topology;
 
 /// Longest time between two [`Event::Tick`]s of a healthy instance.
 pub const TICK: Duration = Duration::from_millis(100);
@@ -49,49 +49,49 @@
     /// Nothing but the passing of time; due at least every [`TICK`].
     Tick,
     /// The platform's list was read.
-    List(InstanceList),
+    List(membership::InstanceList),
     /// The configuration has changed.
-    Topology(Arc<Topology>),
+    Topology(Arc<topology::Topology>),
     /// A message came from another instance.
     Peer {
         /// Sender.
-        from: InstanceId,
+        from: ids::InstanceId,
         /// The message.
-        message: Message,
+        message: message::Message,
     },
     /// Another instance refused a connection or cut it.
-    PeerDown(InstanceId),
+    PeerDown(ids::InstanceId),
     /// A caller's request came in and is ready to be scheduled.
-    Arrive(Record),
+    Arrive(message::Record),
     /// A caller went away, or the daemon gave its waiting request up.
-    Withdraw(RequestId),
+    Withdraw(ids::RequestId),
     /// A run ended, well or badly.
     Finish {
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// What was seen of the run.
-        report: RunReport,
+        report: message::RunReport,
     },
     /// A run never began, though granted; the request waits again.
     Requeue {
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// What was seen.
-        report: RunReport,
+        report: message::RunReport,
     },
     /// An endpoint itself said that it is leaving.
-    EndpointLeaving(EndpointId),
+    EndpointLeaving(ids::EndpointId),
     /// An endpoint's report of its load.
     Load {
         /// The endpoint.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
         /// Requests running or waiting there.
         running: u32,
         /// When the request for the report was sent.
         asked_at: Instant,
     },
     /// An orphaned run is known to be over, or never to have reached its endpoint.
-    RunOver(GrantRef),
+    RunOver(message::GrantRef),
     /// The instance is stopping.
     Drain,
 }
@@ -102,44 +102,52 @@
     /// Send a message to another instance.
     Send {
         /// Receiver.
-        to: InstanceId,
+        to: ids::InstanceId,
         /// The message.
-        message: Message,
+        message: message::Message,
     },
     /// Dispatch a request held here to the endpoint named in the grant.
-    Dispatch(Grant),
+    Dispatch(message::Grant),
     /// Give a caller its final answer: the request was not run.
     Refuse {
         /// The request.
-        request: RequestId,
+        request: ids::RequestId,
         /// Why.
-        reason: Refusal,
+        reason: message::Refusal,
         /// When to come back.
         retry_after: Duration,
     },
     /// Ask an endpoint whether a run whose entry instance is gone is over.
     AskRun {
         /// The endpoint.
-        endpoint: EndpointId,
+        endpoint: ids::EndpointId,
         /// The run.
-        grant: GrantRef,
+        grant: message::GrantRef,
     },
     /// Ask an endpoint for its load.
-    AskLoad(EndpointId),
+    AskLoad(ids::EndpointId),
 }
 
 impl Action {
-    pub(crate) fn send(to: &InstanceId, message: Message) -> Action {
+    pub(crate) fn send(to: &ids::InstanceId, message: message::Message) -> Action {
         Action::Send { to: to.clone(), message }
     }
 
-    pub(crate) fn refuse(request: RequestId, reason: Refusal, retry_after: Duration) -> Action {
+    pub(crate) fn refuse(
+        request: ids::RequestId,
+        reason: message::Refusal,
+        retry_after: Duration,
+    ) -> Action {
         Action::Refuse { request, reason, retry_after }
     }
 
-    pub(crate) fn release(to: &InstanceId, grant: &Grant, key: &PermitKey) -> Action {
+    pub(crate) fn release(
+        to: &ids::InstanceId,
+        grant: &message::Grant,
+        key: &message::PermitKey,
+    ) -> Action {
         let (request, attempt) = (grant.request.clone(), grant.attempt);
-        Action::send(to, Message::Release { request, attempt, key: key.clone() })
+        Action::send(to, message::Message::Release { request, attempt, key: key.clone() })
     }
 }
 
@@ -153,17 +161,17 @@
 /// The other instances and the configuration, as this instance sees them.
 #[derive(Clone, Debug)]
 struct View {
-    members: Membership,
-    topology: Arc<Topology>,
-    account_shares: BTreeMap<AccountId, Vec<(InstanceId, u32)>>,
+    members: membership::Membership,
+    topology: Arc<topology::Topology>,
+    account_shares: BTreeMap<ids::AccountId, Vec<(ids::InstanceId, u32)>>,
 }
 
 impl Directory for View {
-    fn account_owners(&self, account: &AccountId) -> Option<&[(InstanceId, u32)]> {
+    fn account_owners(&self, account: &ids::AccountId) -> Option<&[(ids::InstanceId, u32)]> {
         self.account_shares.get(account).map(Vec::as_slice)
     }
 
-    fn entries(&self, pool: &PoolId) -> Vec<InstanceId> {
+    fn entries(&self, pool: &ids::PoolId) -> Vec<ids::InstanceId> {
         let Some(pool) = self.topology.pools.get(pool) else { return Vec::new() };
         let members = &self.members.list().members;
         members
@@ -173,7 +181,7 @@
             .collect()
     }
 
-    fn is_lowest(&self, tier: TierLevel) -> bool {
+    fn is_lowest(&self, tier: ids::TierLevel) -> bool {
         tier >= self.topology.lowest_tier
     }
 }
@@ -181,23 +189,23 @@
 /// One instance's decisions.
 #[derive(Clone, Debug)]
 pub struct Node {
-    me: InstanceId,
-    zone: ZoneId,
+    me: ids::InstanceId,
+    zone: ids::ZoneId,
     view: View,
-    permits: Permits,
-    entry: Entry,
-    pools: BTreeMap<PoolId, Scheduler<Predicted>>,
-    peers: BTreeMap<InstanceId, Peer>,
-    local: VecDeque<Message>,
+    permits: permits::Permits,
+    entry: entry::Entry,
+    pools: BTreeMap<ids::PoolId, scheduler::Scheduler<choose::Predicted>>,
+    peers: BTreeMap<ids::InstanceId, Peer>,
+    local: VecDeque<message::Message>,
     actions: Vec<Action>,
-    dirty: BTreeSet<PoolId>,
-    desired: BTreeSet<Permit>,
-    baseline: HashMap<PermitKey, u32>,
+    dirty: BTreeSet<ids::PoolId>,
+    desired: BTreeSet<message::Permit>,
+    baseline: HashMap<message::PermitKey, u32>,
     listed_since: Option<Instant>,
     next_claim: Option<Instant>,
-    idle_since: BTreeMap<EndpointId, Instant>,
-    asks_seen: BTreeMap<InstanceId, u64>,
-    leaving_endpoints: BTreeMap<EndpointId, Instant>,
+    idle_since: BTreeMap<ids::EndpointId, Instant>,
+    asks_seen: BTreeMap<ids::InstanceId, u64>,
+    leaving_endpoints: BTreeMap<ids::EndpointId, Instant>,
     beat_seq: u64,
     last_event: Option<Instant>,
     next_check: Option<Instant>,
@@ -208,14 +216,14 @@
 impl Node {
     /// Creates the node of instance `me` in availability zone `zone`. `seed` must differ between
     /// the lives of an instance.
-    pub fn new(me: InstanceId, zone: ZoneId, seed: u64) -> Node {
-        let members = Membership::new(me.clone());
+    pub fn new(me: ids::InstanceId, zone: ids::ZoneId, seed: u64) -> Node {
+        let members = membership::Membership::new(me.clone());
         Node {
-            entry: Entry::new(me.clone()),
+            entry: entry::Entry::new(me.clone()),
             me,
             zone,
             view: View { members, topology: Arc::default(), account_shares: BTreeMap::new() },
-            permits: Permits::new(seed),
+            permits: permits::Permits::new(seed),
             pools: BTreeMap::new(),
             peers: BTreeMap::new(),
             local: VecDeque::new(),
@@ -314,76 +322,85 @@
         }
     }
 
-    fn message(&mut self, now: Instant, from: &InstanceId, message: Message) {
+    fn message(&mut self, now: Instant, from: &ids::InstanceId, message: message::Message) {
         match message {
-            Message::Enqueue(r) => self.schedule(&r.pool.clone(), |s| s.enqueue(now, from, r)),
-            Message::Withdraw { pool, request, attempt } => {
+            message::Message::Enqueue(r) => {
+                self.schedule(&r.pool.clone(), |s| s.enqueue(now, from, r))
+            }
+            message::Message::Withdraw { pool, request, attempt } => {
                 self.schedule(&pool, |s| s.withdraw(&(request, attempt)));
             }
-            Message::Taken { pool, request, attempt } => {
+            message::Message::Taken { pool, request, attempt } => {
                 self.schedule(&pool, |s| s.taken(&(request, attempt)));
             }
-            Message::Done { pool, request, attempt, report } => {
+            message::Message::Done { pool, request, attempt, report } => {
                 self.schedule(&pool, |s| s.done(now, &(request, attempt), &report));
             }
-            Message::Report { pool, waiting, running } => {
+            message::Message::Report { pool, waiting, running } => {
                 self.schedule(&pool, |s| s.report(now, from, waiting, running));
             }
-            Message::Offer(offers) => {
+            message::Message::Offer(offers) => {
                 for offer in offers {
                     self.schedule(&offer.pool, |s| s.offer(from, &offer));
                 }
             }
-            Message::Denied { grant, key } => {
+            message::Message::Denied { grant, key } => {
                 self.schedule(&grant.pool, |s| s.denied(now, &grant, &key));
             }
-            Message::Beat { seq, pools } => self.beaten(from, seq, pools),
-            Message::BeatAck { resync, .. } => self.acked(now, from, &resync),
-            Message::Grant(grant) => self.grant(now, grant),
-            Message::Release { request, attempt, key } => {
+            message::Message::Beat { seq, pools } => self.beaten(from, seq, pools),
+            message::Message::BeatAck { resync, .. } => self.acked(now, from, &resync),
+            message::Message::Grant(grant) => self.grant(now, grant),
+            message::Message::Release { request, attempt, key } => {
                 self.permits.release(&(request, attempt), Some(&key));
             }
-            Message::Inquire { uses } => {
+            message::Message::Inquire { uses } => {
                 self.entry.inquired(now, from, uses, &mut self.actions);
             }
-            Message::NotUsed { uses } => uses.iter().for_each(|u| self.permits.not_used(u)),
-            Message::Used { grants } => self.permits.confirm(now, &grants),
-            Message::Refuse { request, attempt, reason, retry_after_ms } => {
+            message::Message::NotUsed { uses } => {
+                uses.iter().for_each(|u| self.permits.not_used(u))
+            }
+            message::Message::Used { grants } => self.permits.confirm(now, &grants),
+            message::Message::Refuse { request, attempt, reason, retry_after_ms } => {
                 let retry_after = Duration::from_millis(retry_after_ms);
                 self.entry.refused(&(request, attempt), reason, retry_after, &mut self.actions);
             }
-            Message::Floor { pool, seq, keep } => {
+            message::Message::Floor { pool, seq, keep } => {
                 self.entry.set_floor(now, from, &pool, seq, keep, &mut self.actions);
                 self.beat(now, from);
             }
-            Message::Claim { nonce, list, permits } => {
+            message::Message::Claim { nonce, list, permits } => {
                 self.claimed(now, from, nonce, &list, &permits);
             }
-            Message::ClaimReply { nonce, held, ceded, used } => {
+            message::Message::ClaimReply { nonce, held, ceded, used } => {
                 self.permits.answered(from, nonce, &held, &ceded, &used);
                 self.settle_claim(now);
             }
-            Message::Leaving => {
+            message::Message::Leaving => {
                 if self.view.members.mark_leaving(from) {
                     self.members_changed(now);
                 }
             }
-            Message::EndpointLeaving(endpoint) => self.endpoint_leaving(now, endpoint, false),
+            message::Message::EndpointLeaving(endpoint) => {
+                self.endpoint_leaving(now, endpoint, false)
+            }
         }
     }
 
     /// Lets the scheduler of `pool` take something in; it decides afterwards.
-    fn schedule(&mut self, pool: &PoolId, with: impl FnOnce(&mut Scheduler<Predicted>)) {
+    fn schedule(
+        &mut self,
+        pool: &ids::PoolId,
+        with: impl FnOnce(&mut scheduler::Scheduler<choose::Predicted>),
+    ) {
         let Some(config) = self.view.topology.pools.get(pool) else { return };
-        let scheduler = self
-            .pools
-            .entry(pool.clone())
-            .or_insert_with(|| Scheduler::new(self.me.clone(), pool.clone(), config, Predicted));
+        let scheduler = self.pools.entry(pool.clone()).or_insert_with(|| {
+            scheduler::Scheduler::new(self.me.clone(), pool.clone(), config, choose::Predicted)
+        });
         with(scheduler);
         self.dirty.insert(pool.clone());
     }
 
-    fn grant(&mut self, now: Instant, grant: Grant) {
+    fn grant(&mut self, now: Instant, grant: message::Grant) {
         match grant.hops.iter().position(|h| h.index.is_none()) {
             Some(at) if grant.hops[at].owner == self.me => self.reserve(now, grant, at),
             Some(_) => {}
@@ -391,9 +408,9 @@
         }
     }
 
-    fn reserve(&mut self, now: Instant, mut grant: Grant, at: usize) {
+    fn reserve(&mut self, now: Instant, mut grant: message::Grant, at: usize) {
         let key = grant.hops[at].key.clone();
-        if matches!(key, PermitKey::Endpoint(_)) {
+        if matches!(key, message::PermitKey::Endpoint(_)) {
             let seen = self.asks_seen.entry(grant.scheduler.clone()).or_default();
             *seen = (*seen).max(grant.ask);
         }
@@ -406,20 +423,20 @@
         };
         grant.hops[at].index = Some(index);
         let next = grant.hops.get(at + 1).map_or(&grant.entry, |h| &h.owner).clone();
-        self.actions.push(Action::send(&next, Message::Grant(grant)));
+        self.actions.push(Action::send(&next, message::Message::Grant(grant)));
     }
 
-    fn deny(&mut self, grant: Grant, key: PermitKey) {
+    fn deny(&mut self, grant: message::Grant, key: message::PermitKey) {
         for hop in grant.hops.iter().filter(|h| h.index.is_some()) {
             self.actions.push(Action::release(&hop.owner, &grant, &hop.key));
         }
         let scheduler = grant.scheduler.clone();
-        self.actions.push(Action::send(&scheduler, Message::Denied { grant, key }));
+        self.actions.push(Action::send(&scheduler, message::Message::Denied { grant, key }));
     }
 
     /// A grant is good only if every owner that reserved for it is still listed: one that was
     /// dropped may have been replaced, and its word no longer counts.
-    fn grant_arrived(&mut self, grant: Grant) {
+    fn grant_arrived(&mut self, grant: message::Grant) {
         let listed = grant.hops.iter().all(|h| self.view.members.contains(&h.owner));
         let valid = listed && !self.quarantined && self.may_dispatch(&grant.endpoint);
         self.entry.granted(grant, valid, &mut self.actions);
@@ -433,27 +450,27 @@
     }
 
     /// The requests held here.
-    pub fn entry(&self) -> &Entry {
+    pub fn entry(&self) -> &entry::Entry {
         &self.entry
     }
 
     /// The permits owned here.
-    pub fn permits(&self) -> &Permits {
+    pub fn permits(&self) -> &permits::Permits {
         &self.permits
     }
 
     /// The instances known.
-    pub fn members(&self) -> &Membership {
+    pub fn members(&self) -> &membership::Membership {
         &self.view.members
     }
 
     /// The scheduler that this instance runs for a pool, if it was chosen for it.
-    pub fn scheduler(&self, pool: &str) -> Option<&Scheduler<Predicted>> {
+    pub fn scheduler(&self, pool: &str) -> Option<&scheduler::Scheduler<choose::Predicted>> {
         self.pools.get(pool)
     }
 
     /// The configuration in use.
-    pub fn topology(&self) -> &Arc<Topology> {
+    pub fn topology(&self) -> &Arc<topology::Topology> {
         &self.view.topology
     }
 }
--- a/oxbowbend-core/src/node/upkeep.rs
+++ b/oxbowbend-core/src/node/upkeep.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::{Action, Node, LEAVING_KEEP};
-use crate::ids::EndpointId;
-use crate::message::Message;
+use crate::ids;
+use crate::message;
 
 impl Node {
     pub(super) fn tick(&mut self, now: Instant) {
@@ -14,7 +14,7 @@
         self.beat_schedulers(now);
         self.suspect_silent(now);
         for (owner, uses) in self.permits.inquiries(now) {
-            self.actions.push(Action::send(&owner, Message::Inquire { uses }));
+            self.actions.push(Action::send(&owner, message::Message::Inquire { uses }));
         }
         if self.next_claim.is_some_and(|at| at <= now) {
             self.claim(now);
@@ -48,19 +48,19 @@
         }
     }
 
-    pub(super) fn endpoint_leaving(&mut self, now: Instant, endpoint: EndpointId, tell: bool) {
+    pub(super) fn endpoint_leaving(&mut self, now: Instant, endpoint: ids::EndpointId, tell: bool) {
         if self.leaving_endpoints.insert(endpoint.clone(), now).is_none() {
             self.configure_schedulers(now);
         }
         if tell {
             for to in self.view.members.others() {
-                let message = Message::EndpointLeaving(endpoint.clone());
+                let message = message::Message::EndpointLeaving(endpoint.clone());
                 self.actions.push(Action::send(to, message));
             }
         }
     }
 
-    pub(super) fn load(&mut self, endpoint: &EndpointId, running: u32, asked_at: Instant) {
+    pub(super) fn load(&mut self, endpoint: &ids::EndpointId, running: u32, asked_at: Instant) {
         let Some(shown) = asked_at.checked_sub(self.view.topology.report_lag) else { return };
         self.permits.prove(endpoint, running, shown);
         if running == 0 {
@@ -94,7 +94,7 @@
 
     pub(super) fn announce_leaving(&mut self) {
         for to in self.view.members.others() {
-            self.actions.push(Action::send(to, Message::Leaving));
+            self.actions.push(Action::send(to, message::Message::Leaving));
         }
     }
 
--- a/oxbowbend-core/src/permits.rs
+++ b/oxbowbend-core/src/permits.rs
@@ -17,8 +17,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use crate::ids::{Attempt, EndpointId, InstanceId, RequestId};
-use crate::message::{Grant, GrantRef, Permit, PermitKey, PermitUse};
+use crate::ids;
+use crate::message;
 
 /// Time after which an owner asks an entry instance whether it uses a grant.
 pub const INQUIRE_AFTER: Duration = Duration::from_secs(1);
@@ -29,13 +29,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Use {
     /// The request that runs on it.
-    pub request: RequestId,
+    pub request: ids::RequestId,
     /// The attempt granted.
-    pub attempt: Attempt,
+    pub attempt: ids::Attempt,
     /// Entry instance of the request.
-    pub entry: InstanceId,
+    pub entry: ids::InstanceId,
     /// Endpoint at which it runs.
-    pub endpoint: EndpointId,
+    pub endpoint: ids::EndpointId,
     ask_at: Instant,
     orphaned: Option<Instant>,
 }
@@ -56,24 +56,24 @@
 #[derive(Clone, Debug)]
 struct PendingClaim {
     nonce: u64,
-    permits: BTreeSet<Permit>,
-    unanswered: BTreeSet<InstanceId>,
-    ceded: HashSet<Permit>,
-    used: HashMap<Permit, (InstanceId, PermitUse)>,
+    permits: BTreeSet<message::Permit>,
+    unanswered: BTreeSet<ids::InstanceId>,
+    ceded: HashSet<message::Permit>,
+    used: HashMap<message::Permit, (ids::InstanceId, message::PermitUse)>,
 }
 
 /// Questions to ask after a while, by entry instance.
-pub type Inquiries = BTreeMap<InstanceId, Vec<PermitUse>>;
+pub type Inquiries = BTreeMap<ids::InstanceId, Vec<message::PermitUse>>;
 
 /// The permits that one instance owns.
 #[derive(Clone, Debug)]
 pub struct Permits {
-    shares: BTreeMap<PermitKey, Share>,
-    by_request: HashMap<GrantRef, Vec<Permit>>,
+    shares: BTreeMap<message::PermitKey, Share>,
+    by_request: HashMap<message::GrantRef, Vec<message::Permit>>,
     claim: Option<PendingClaim>,
     next_nonce: u64,
-    cleared: HashSet<Permit>,
-    changed: BTreeSet<EndpointId>,
+    cleared: HashSet<message::Permit>,
+    changed: BTreeSet<ids::EndpointId>,
 }
 
 impl Permits {
@@ -90,7 +90,12 @@
     }
 
     /// Reserves a permit of `key` for a grant. Asking again for the same grant changes nothing.
-    pub fn reserve(&mut self, now: Instant, key: &PermitKey, grant: &Grant) -> Option<u32> {
+    pub fn reserve(
+        &mut self,
+        now: Instant,
+        key: &message::PermitKey,
+        grant: &message::Grant,
+    ) -> Option<u32> {
         let reference = (grant.request.clone(), grant.attempt);
         if let Some(index) = self.reserved(&reference, key) {
             return Some(index);
@@ -106,22 +111,22 @@
             orphaned: None,
         };
         share.holds.insert(index, Hold::Used(used));
-        let permit = Permit { key: key.clone(), index };
+        let permit = message::Permit { key: key.clone(), index };
         self.by_request.entry(reference).or_default().push(permit);
         self.note_change(key);
         Some(index)
     }
 
-    fn reserved(&self, reference: &GrantRef, key: &PermitKey) -> Option<u32> {
+    fn reserved(&self, reference: &message::GrantRef, key: &message::PermitKey) -> Option<u32> {
         let permits = self.by_request.get(reference)?;
         permits.iter().find(|p| p.key == *key).map(|p| p.index)
     }
 
     /// Frees the permits that a grant holds here; `key` restricts it to one.
-    pub fn release(&mut self, reference: &GrantRef, key: Option<&PermitKey>) {
+    pub fn release(&mut self, reference: &message::GrantRef, key: Option<&message::PermitKey>) {
         let Some(permits) = self.by_request.get_mut(reference) else { return };
-        let wanted = |p: &Permit| key.is_none_or(|k| *k == p.key);
-        let freed: Vec<Permit> = permits.iter().filter(|p| wanted(p)).cloned().collect();
+        let wanted = |p: &message::Permit| key.is_none_or(|k| *k == p.key);
+        let freed: Vec<message::Permit> = permits.iter().filter(|p| wanted(p)).cloned().collect();
         permits.retain(|p| !wanted(p));
         if permits.is_empty() {
             self.by_request.remove(reference);
@@ -129,7 +134,7 @@
         freed.iter().for_each(|p| self.set_free(p));
     }
 
-    fn set_free(&mut self, permit: &Permit) {
+    fn set_free(&mut self, permit: &message::Permit) {
         if let Some(share) = self.shares.get_mut(&permit.key) {
             share.holds.insert(permit.index, Hold::Free);
             share.free.insert(permit.index);
@@ -137,35 +142,35 @@
         self.note_change(&permit.key);
     }
 
-    fn note_change(&mut self, key: &PermitKey) {
-        if let PermitKey::Endpoint(endpoint) = key {
+    fn note_change(&mut self, key: &message::PermitKey) {
+        if let message::PermitKey::Endpoint(endpoint) = key {
             self.changed.insert(endpoint.clone());
         }
     }
 
     /// Endpoints whose numbers have changed since this was last asked.
-    pub fn take_changed(&mut self) -> BTreeSet<EndpointId> {
+    pub fn take_changed(&mut self) -> BTreeSet<ids::EndpointId> {
         std::mem::take(&mut self.changed)
     }
 
     /// Free and owned permits of a key.
-    pub fn count(&self, key: &PermitKey) -> (u32, u32) {
+    pub fn count(&self, key: &message::PermitKey) -> (u32, u32) {
         let Some(share) = self.shares.get(key) else { return (0, 0) };
         (share.free.len() as u32, share.holds.len() as u32)
     }
 
     /// Whether this instance owns `permit`.
-    pub fn owns(&self, permit: &Permit) -> bool {
+    pub fn owns(&self, permit: &message::Permit) -> bool {
         self.shares.get(&permit.key).is_some_and(|s| s.holds.contains_key(&permit.index))
     }
 
     /// Keys of which this instance owns permits.
-    pub fn keys(&self) -> impl Iterator<Item = &PermitKey> {
+    pub fn keys(&self) -> impl Iterator<Item = &message::PermitKey> {
         self.shares.keys()
     }
 
     /// Permits in use here, for tests and status pages.
-    pub fn uses(&self) -> impl Iterator<Item = (&PermitKey, &Use)> {
+    pub fn uses(&self) -> impl Iterator<Item = (&message::PermitKey, &Use)> {
         self.shares.iter().flat_map(|(key, share)| {
             share.holds.values().filter_map(move |h| match h {
                 Hold::Used(u) => Some((key, u)),
@@ -195,9 +200,9 @@
                     continue;
                 }
                 used.ask_at = now + INQUIRE_AFTER;
-                let permit = Permit { key: key.clone(), index: *index };
+                let permit = message::Permit { key: key.clone(), index: *index };
                 let grant = (used.request.clone(), used.attempt);
-                let asked = PermitUse { permit, grant, endpoint: used.endpoint.clone() };
+                let asked = message::PermitUse { permit, grant, endpoint: used.endpoint.clone() };
                 due.entry(used.entry.clone()).or_default().push(asked);
             }
         }
@@ -205,12 +210,12 @@
     }
 
     /// An entry instance has said that it does not use a permit and never will under this grant.
-    pub fn not_used(&mut self, u: &PermitUse) {
+    pub fn not_used(&mut self, u: &message::PermitUse) {
         self.release(&u.grant, Some(&u.permit.key));
     }
 
     /// An entry instance has confirmed that it uses grants.
-    pub fn confirm(&mut self, now: Instant, grants: &[GrantRef]) {
+    pub fn confirm(&mut self, now: Instant, grants: &[message::GrantRef]) {
         for reference in grants {
             let Some(permits) = self.by_request.get(reference) else { continue };
             for p in permits {
@@ -237,7 +242,7 @@
     }
 
     /// Runs whose entry instance is gone, to be asked about at their endpoints.
-    pub fn orphans(&self) -> Vec<(EndpointId, GrantRef)> {
+    pub fn orphans(&self) -> Vec<(ids::EndpointId, message::GrantRef)> {
         let orphaned = self.uses().filter(|(_, u)| u.orphaned.is_some());
         let mut runs: Vec<_> =
             orphaned.map(|(_, u)| (u.endpoint.clone(), (u.request.clone(), u.attempt))).collect();
@@ -247,12 +252,12 @@
     }
 
     /// Endpoints with unproven permits, to be asked for their load.
-    pub fn doubtful(&self) -> BTreeSet<EndpointId> {
+    pub fn doubtful(&self) -> BTreeSet<ids::EndpointId> {
         let unproven = |s: &Share| s.holds.values().any(|h| matches!(h, Hold::Unproven { .. }));
         let keys = self.shares.iter().filter(|(_, s)| unproven(s)).map(|(k, _)| k);
         keys.filter_map(|k| match k {
-            PermitKey::Endpoint(e) => Some(e.clone()),
-            PermitKey::Account(_) => None,
+            message::PermitKey::Endpoint(e) => Some(e.clone()),
+            message::PermitKey::Account(_) => None,
         })
         .collect()
     }
@@ -260,7 +265,7 @@
     /// Whether account permits wait for every endpoint to have been seen idle.
     pub fn doubtful_accounts(&self) -> bool {
         self.shares.iter().any(|(k, s)| {
-            matches!(k, PermitKey::Account(_))
+            matches!(k, message::PermitKey::Account(_))
                 && s.holds.values().any(|h| matches!(h, Hold::Unproven { .. }))
         })
     }
@@ -270,26 +275,26 @@
     /// Requests of unknown origin are among those running, so of `n` unproven permits at least
     /// `n - running` are really free, however many claimants reason so at once. Only permits that
     /// came into doubt before `shown`, the time that the report is sure to describe, count.
-    pub fn prove(&mut self, endpoint: &EndpointId, running: u32, shown: Instant) {
-        let key = PermitKey::Endpoint(endpoint.clone());
+    pub fn prove(&mut self, endpoint: &ids::EndpointId, running: u32, shown: Instant) {
+        let key = message::PermitKey::Endpoint(endpoint.clone());
         let unproven = self.unproven_before(&key, shown);
         let freed = unproven.len().saturating_sub(running as usize);
         for index in unproven.into_iter().take(freed) {
-            self.set_free(&Permit { key: key.clone(), index });
+            self.set_free(&message::Permit { key: key.clone(), index });
         }
     }
 
     /// Learns that every endpoint was idle at `shown` or later.
     pub fn prove_accounts(&mut self, shown: Instant) {
-        let keys: Vec<PermitKey> = self.shares.keys().cloned().collect();
-        for key in keys.into_iter().filter(|k| matches!(k, PermitKey::Account(_))) {
+        let keys: Vec<message::PermitKey> = self.shares.keys().cloned().collect();
+        for key in keys.into_iter().filter(|k| matches!(k, message::PermitKey::Account(_))) {
             for index in self.unproven_before(&key, shown) {
-                self.set_free(&Permit { key: key.clone(), index });
+                self.set_free(&message::Permit { key: key.clone(), index });
             }
         }
     }
 
-    fn unproven_before(&self, key: &PermitKey, shown: Instant) -> Vec<u32> {
+    fn unproven_before(&self, key: &message::PermitKey, shown: Instant) -> Vec<u32> {
         let Some(share) = self.shares.get(key) else { return Vec::new() };
         let old = |h: &Hold| match h {
             Hold::Unproven { since } => *since <= shown,
@@ -299,13 +304,13 @@
     }
 
     /// Frees what has been in doubt for longer than any run may last.
-    pub fn expire(&mut self, now: Instant, max_run: impl Fn(&PermitKey) -> Duration) {
+    pub fn expire(&mut self, now: Instant, max_run: impl Fn(&message::PermitKey) -> Duration) {
         let mut freed = Vec::new();
         for (key, share) in &self.shares {
             let max_run = max_run(key);
             let over = |since: Instant| now.duration_since(since) >= max_run;
             for (index, hold) in &share.holds {
-                let permit = Permit { key: key.clone(), index: *index };
+                let permit = message::Permit { key: key.clone(), index: *index };
                 match hold {
                     Hold::Unproven { since } if over(*since) => freed.push((permit, None)),
                     Hold::Used(u) if u.orphaned.is_some_and(over) => {
@@ -330,20 +335,22 @@
         self.claim = None;
         for (key, share) in shares {
             self.note_change(&key);
-            let owned = share.holds.into_keys().map(|index| Permit { key: key.clone(), index });
+            let owned =
+                share.holds.into_keys().map(|index| message::Permit { key: key.clone(), index });
             self.cleared.extend(owned);
         }
     }
 
     /// Drops permits that no longer exist, once they are free.
-    pub fn trim(&mut self, exists: impl Fn(&Permit) -> bool) {
+    pub fn trim(&mut self, exists: impl Fn(&message::Permit) -> bool) {
         let mut changed = Vec::new();
         for (key, share) in &mut self.shares {
             let gone: Vec<u32> = share
                 .holds
                 .iter()
                 .filter(|(i, h)| {
-                    !matches!(h, Hold::Used(_)) && !exists(&Permit { key: key.clone(), index: **i })
+                    !matches!(h, Hold::Used(_))
+                        && !exists(&message::Permit { key: key.clone(), index: **i })
                 })
                 .map(|(i, _)| *i)
                 .collect();
@@ -364,10 +371,11 @@
     /// Returns the nonce and permits to send, or `None` if there is nothing to ask for.
     pub fn start_claim(
         &mut self,
-        desired: &BTreeSet<Permit>,
-        others: BTreeSet<InstanceId>,
-    ) -> Option<(u64, Vec<Permit>)> {
-        let missing: BTreeSet<Permit> = desired.iter().filter(|p| !self.owns(p)).cloned().collect();
+        desired: &BTreeSet<message::Permit>,
+        others: BTreeSet<ids::InstanceId>,
+    ) -> Option<(u64, Vec<message::Permit>)> {
+        let missing: BTreeSet<message::Permit> =
+            desired.iter().filter(|p| !self.owns(p)).cloned().collect();
         if missing.is_empty() {
             self.claim = None;
             return None;
@@ -388,9 +396,9 @@
     /// and returns the permits that the claimant must not take, and those ceded.
     pub fn answer_claim(
         &mut self,
-        permits: &[Permit],
-        mine: impl Fn(&Permit) -> bool,
-    ) -> (Vec<Permit>, Vec<Permit>) {
+        permits: &[message::Permit],
+        mine: impl Fn(&message::Permit) -> bool,
+    ) -> (Vec<message::Permit>, Vec<message::Permit>) {
         let mut held = Vec::new();
         let mut ceded = Vec::new();
         for permit in permits {
@@ -411,7 +419,11 @@
     }
 
     /// Two claims for one permit: whoever the newest list names goes on, the other withdraws.
-    fn contest(&mut self, permit: &Permit, mine: &impl Fn(&Permit) -> bool) -> bool {
+    fn contest(
+        &mut self,
+        permit: &message::Permit,
+        mine: &impl Fn(&message::Permit) -> bool,
+    ) -> bool {
         let Some(claim) = &mut self.claim else { return false };
         if !claim.permits.contains(permit) {
             return false;
@@ -423,7 +435,7 @@
         false
     }
 
-    fn cede(&mut self, permit: &Permit) {
+    fn cede(&mut self, permit: &message::Permit) {
         self.cleared.insert(permit.clone());
         if let Some(share) = self.shares.get_mut(&permit.key) {
             share.holds.remove(&permit.index);
@@ -438,11 +450,11 @@
     /// Takes in an answer to this instance's claim.
     pub fn answered(
         &mut self,
-        from: &InstanceId,
+        from: &ids::InstanceId,
         nonce: u64,
-        held: &[Permit],
-        ceded: &[Permit],
-        used: &[PermitUse],
+        held: &[message::Permit],
+        ceded: &[message::Permit],
+        used: &[message::PermitUse],
     ) {
         let Some(claim) = self.claim.as_mut().filter(|c| c.nonce == nonce) else { return };
         claim.unanswered.remove(from);
@@ -456,12 +468,12 @@
     }
 
     /// Permits that are being claimed.
-    pub fn claimed(&self) -> impl Iterator<Item = &Permit> {
+    pub fn claimed(&self) -> impl Iterator<Item = &message::Permit> {
         self.claim.iter().flat_map(|c| &c.permits)
     }
 
     /// Takes in which of the claimed permits this instance's own requests use.
-    pub fn note_own_uses(&mut self, me: &InstanceId, used: &[PermitUse]) {
+    pub fn note_own_uses(&mut self, me: &ids::InstanceId, used: &[message::PermitUse]) {
         let Some(claim) = &mut self.claim else { return };
         for u in used {
             claim.used.insert(u.permit.clone(), (me.clone(), u.clone()));
@@ -477,7 +489,7 @@
 
     /// Takes over the claimed permits once everybody has answered. `fresh` tells of a permit that
     /// has come into being since this instance joined, so that nobody can have used it before.
-    pub fn settle(&mut self, now: Instant, fresh: impl Fn(&Permit) -> bool) -> bool {
+    pub fn settle(&mut self, now: Instant, fresh: impl Fn(&message::Permit) -> bool) -> bool {
         if self.claim.as_ref().is_none_or(|c| !c.unanswered.is_empty()) {
             return false;
         }
@@ -495,12 +507,12 @@
         true
     }
 
-    fn take_free(&mut self, permit: &Permit) {
+    fn take_free(&mut self, permit: &message::Permit) {
         self.insert(permit, Hold::Free);
         self.set_free(permit);
     }
 
-    fn take_used(&mut self, now: Instant, entry: &InstanceId, u: &PermitUse) {
+    fn take_used(&mut self, now: Instant, entry: &ids::InstanceId, u: &message::PermitUse) {
         let (request, attempt) = u.grant.clone();
         let (entry, endpoint) = (entry.clone(), u.endpoint.clone());
         let used = Use { request, attempt, entry, endpoint, ask_at: now, orphaned: None };
@@ -508,7 +520,7 @@
         self.by_request.entry(u.grant.clone()).or_default().push(u.permit.clone());
     }
 
-    fn insert(&mut self, permit: &Permit, hold: Hold) {
+    fn insert(&mut self, permit: &message::Permit, hold: Hold) {
         let share = self.shares.entry(permit.key.clone()).or_default();
         share.holds.insert(permit.index, hold);
         self.note_change(&permit.key);
--- a/oxbowbend-core/src/queue.rs
+++ b/oxbowbend-core/src/queue.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::ids::{AccountId, RequestId, TierLevel};
+use crate::ids;
 
 /// Virtual time advances by work times this, divided by the weight, to keep integer precision.
 const VIRTUAL_SCALE: u64 = 1 << 10;
@@ -18,11 +18,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
     /// The request.
-    pub id: RequestId,
+    pub id: ids::RequestId,
     /// Its account.
-    pub account: AccountId,
+    pub account: ids::AccountId,
     /// Its tier.
-    pub tier: TierLevel,
+    pub tier: ids::TierLevel,
     /// Weight of the account, at least 1.
     pub weight: u32,
     /// Estimated work in tokens.
@@ -37,9 +37,9 @@
 
 #[derive(Clone, Debug, Default)]
 struct Tier {
-    flows: HashMap<AccountId, Flow>,
-    ready: BTreeSet<(u64, AccountId)>,
-    by_size: BTreeSet<(u32, u64, RequestId)>,
+    flows: HashMap<ids::AccountId, Flow>,
+    ready: BTreeSet<(u64, ids::AccountId)>,
+    by_size: BTreeSet<(u32, u64, ids::RequestId)>,
     virtual_time: u64,
     work: u64,
     sweep_at: usize,
@@ -60,8 +60,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    tiers: BTreeMap<TierLevel, Tier>,
-    index: HashMap<RequestId, (TierLevel, AccountId, u64)>,
+    tiers: BTreeMap<ids::TierLevel, Tier>,
+    index: HashMap<ids::RequestId, (ids::TierLevel, ids::AccountId, u64)>,
     next_seq: u64,
 }
 
@@ -109,14 +109,14 @@
     }
 
     /// The request to serve next within one tier.
-    pub fn next_in(&self, tier: TierLevel, eligible: impl Fn(&Item) -> bool) -> Option<&Item> {
+    pub fn next_in(&self, tier: ids::TierLevel, eligible: impl Fn(&Item) -> bool) -> Option<&Item> {
         self.tiers.get(&tier)?.next(&eligible)
     }
 
     /// The first `most` requests of an account in a tier, in order of arrival.
     pub fn first_of(
         &self,
-        tier: TierLevel,
+        tier: ids::TierLevel,
         account: &str,
         most: usize,
     ) -> impl Iterator<Item = &Item> {
@@ -125,7 +125,7 @@
     }
 
     /// Tiers that have requests waiting, the highest first.
-    pub fn levels(&self) -> Vec<TierLevel> {
+    pub fn levels(&self) -> Vec<ids::TierLevel> {
         self.tiers.iter().filter(|(_, t)| !t.by_size.is_empty()).map(|(l, _)| *l).collect()
     }
 
@@ -148,7 +148,7 @@
     }
 
     /// Work waiting in `tier` and every higher one, in tokens.
-    pub fn work_down_to(&self, tier: TierLevel) -> u64 {
+    pub fn work_down_to(&self, tier: ids::TierLevel) -> u64 {
         self.tiers.range(..=tier).map(|(_, t)| t.work).sum()
     }
 }
@@ -166,7 +166,7 @@
         flow.items.insert(seq, item);
     }
 
-    fn remove(&mut self, account: &AccountId, seq: u64) -> Option<Item> {
+    fn remove(&mut self, account: &ids::AccountId, seq: u64) -> Option<Item> {
         let flow = self.flows.get_mut(account)?;
         let item = flow.items.remove(&seq)?;
         self.work -= item.work;
@@ -189,7 +189,7 @@
 
     /// Advances the account's virtual time. The account may have left `flows` when its last
     /// request was taken out, and is then put back to remember what it owes.
-    fn charge(&mut self, account: &AccountId, item: &Item) {
+    fn charge(&mut self, account: &ids::AccountId, item: &Item) {
         let floor = self.virtual_time;
         let flow = self.flows.entry(account.clone()).or_default();
         let waiting = !flow.items.is_empty();
--- a/oxbowbend-core/src/scheduler/account.rs
+++ b/oxbowbend-core/src/scheduler/account.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::ids::InstanceId;
+use crate::ids;
 
 /// Time for which an account is passed over after an owner denied it a permit.
 const ACCOUNT_PAUSE: Duration = Duration::from_millis(50);
@@ -11,8 +11,8 @@
 /// What this scheduler's own grants use of an account's permits, and what was denied.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AccountUse {
-    pub(super) in_use: BTreeMap<InstanceId, u32>,
-    pub(super) full: BTreeSet<InstanceId>,
+    pub(super) in_use: BTreeMap<ids::InstanceId, u32>,
+    pub(super) full: BTreeSet<ids::InstanceId>,
     pub(super) paused_until: Option<Instant>,
 }
 
@@ -23,22 +23,22 @@
     }
 
     /// A grant came to nothing.
-    pub(super) fn take_back(&mut self, owner: &InstanceId) {
+    pub(super) fn take_back(&mut self, owner: &ids::InstanceId) {
         if let Some(n) = self.in_use.get_mut(owner) {
             *n = n.saturating_sub(1);
         }
     }
 
     /// A run has ended, which makes room.
-    pub(super) fn give_back(&mut self, owner: &InstanceId) {
+    pub(super) fn give_back(&mut self, owner: &ids::InstanceId) {
         self.take_back(owner);
         self.full.remove(owner);
         self.paused_until = None;
     }
 
     /// The owner that should have the most permits left.
-    pub(super) fn best_owner(&self, shares: &[(InstanceId, u32)]) -> Option<InstanceId> {
-        let left = |(owner, n): &(InstanceId, u32)| {
+    pub(super) fn best_owner(&self, shares: &[(ids::InstanceId, u32)]) -> Option<ids::InstanceId> {
+        let left = |(owner, n): &(ids::InstanceId, u32)| {
             n.saturating_sub(self.in_use.get(owner).copied().unwrap_or(0))
         };
         let open = shares.iter().filter(|s| !self.full.contains(&s.0) && left(s) > 0);
--- a/oxbowbend-core/src/scheduler/decide.rs
+++ b/oxbowbend-core/src/scheduler/decide.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use super::site::Site;
+use super::site;
 use super::{Directory, Scheduler, State, ASK_AGAIN};
-use crate::choose::{Candidate, Choose};
-use crate::ids::{AccountId, RequestId, TierLevel};
-use crate::message::{Grant, Hop, Message, PermitKey, Refusal};
-use crate::node::Action;
-use crate::queue::Item;
+use crate::choose::{self, Choose};
+use crate::ids;
+use crate::message;
+use crate::node;
+use crate::queue;
 
 /// Requests of an account among which the one is chosen whose prompt a free endpoint has cached.
 const LOOK_AHEAD: usize = 32;
@@ -30,14 +30,14 @@
 
 impl<C: Choose> Scheduler<C> {
     /// Decides everything that can be decided now.
-    pub fn pump(&mut self, now: Instant, directory: &impl Directory, out: &mut Vec<Action>) {
+    pub fn pump(&mut self, now: Instant, directory: &impl Directory, out: &mut Vec<node::Action>) {
         self.give_up_late(now, out);
         self.ask_again(now, out);
         while self.grant_next(now, directory, out) {}
         self.bound_queue(now, directory, out);
     }
 
-    fn give_up_late(&mut self, now: Instant, out: &mut Vec<Action>) {
+    fn give_up_late(&mut self, now: Instant, out: &mut Vec<node::Action>) {
         if self.deadlines.is_empty() {
             return;
         }
@@ -53,7 +53,7 @@
             }
             self.deadlines.pop_first();
             if known.state == State::Queued {
-                self.refuse(now, &id, Refusal::Deadline, out);
+                self.refuse(now, &id, message::Refusal::Deadline, out);
             }
         }
     }
@@ -75,9 +75,9 @@
     pub(super) fn refuse(
         &mut self,
         now: Instant,
-        id: &RequestId,
-        reason: Refusal,
-        out: &mut Vec<Action>,
+        id: &ids::RequestId,
+        reason: message::Refusal,
+        out: &mut Vec<node::Action>,
     ) {
         let retry_after_ms = self.retry_after().as_millis() as u64;
         self.queue.remove(id);
@@ -85,21 +85,22 @@
         known.state = State::Refused { reason, retry_after_ms, at: now };
         self.unanswered.insert((now, id.clone()));
         let (request, attempt) = (id.clone(), known.record.attempt);
-        let message = Message::Refuse { request, attempt, reason, retry_after_ms };
-        out.push(Action::send(&known.entry, message));
+        let message = message::Message::Refuse { request, attempt, reason, retry_after_ms };
+        out.push(node::Action::send(&known.entry, message));
     }
 
     /// Time after which the work that waits now should have been served.
     fn retry_after(&self) -> Duration {
-        let rate = |s: &Site| f64::from(s.endpoint.slots) / s.speed.predict_seconds(0, 1).max(1e-9);
+        let rate =
+            |s: &site::Site| f64::from(s.endpoint.slots) / s.speed.predict_seconds(0, 1).max(1e-9);
         let rate: f64 = self.sites.iter().filter(|s| !s.endpoint.leaving).map(rate).sum();
-        let seconds = self.queue.work_down_to(TierLevel::MAX) as f64 / rate.max(1e-9);
+        let seconds = self.queue.work_down_to(ids::TierLevel::MAX) as f64 / rate.max(1e-9);
         let longest = MAX_RETRY_AFTER.as_secs_f64();
         Duration::from_secs_f64(seconds.min(longest)).max(MIN_RETRY_AFTER)
     }
 
     /// A grant or refusal that nobody has answered may be lost.
-    fn ask_again(&mut self, now: Instant, out: &mut Vec<Action>) {
+    fn ask_again(&mut self, now: Instant, out: &mut Vec<node::Action>) {
         while let Some((at, id)) = self.unanswered.first().cloned() {
             if now.saturating_duration_since(at) < ASK_AGAIN {
                 break;
@@ -117,7 +118,7 @@
         &mut self,
         now: Instant,
         directory: &impl Directory,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) -> bool {
         let free: u32 = self.open_sites(now).map(|(_, s)| s.free).sum();
         if free == 0 {
@@ -128,7 +129,7 @@
                 return false;
             }
             let accounts = &self.account_use;
-            let eligible = |i: &Item| {
+            let eligible = |i: &queue::Item| {
                 let paused = accounts.get(&i.account).and_then(|a| a.paused_until);
                 paused.is_none_or(|until| until <= now)
             };
@@ -148,16 +149,16 @@
 
     /// When only a few endpoints are free, it is worth more to send them what they have cached than
     /// to keep to the order of arrival within the account. Whose turn it is stays as it was.
-    fn cached_pair(&mut self, now: Instant, head: &Item) -> Option<(RequestId, usize)> {
+    fn cached_pair(&mut self, now: Instant, head: &queue::Item) -> Option<(ids::RequestId, usize)> {
         if self.requests.get(&head.id)?.passed >= MAX_PASSED {
             return None;
         }
         let free = self.open_sites(now).filter(|(_, s)| !s.speed.avoid(now));
-        let free: Vec<(usize, &Site)> = free.take(FEW_SITES + 1).collect();
+        let free: Vec<(usize, &site::Site)> = free.take(FEW_SITES + 1).collect();
         if free.len() > FEW_SITES {
             return None;
         }
-        let mut best: Option<(u32, &RequestId, usize)> = None;
+        let mut best: Option<(u32, &ids::RequestId, usize)> = None;
         for item in self.queue.first_of(head.tier, &head.account, LOOK_AHEAD) {
             let Some(known) = self.requests.get(&item.id) else { continue };
             for (index, site) in &free {
@@ -175,11 +176,11 @@
         Some((id, site))
     }
 
-    fn choose_site(&mut self, now: Instant, id: &RequestId) -> Option<usize> {
+    fn choose_site(&mut self, now: Instant, id: &ids::RequestId) -> Option<usize> {
         let record = &self.requests.get(id)?.record;
-        let candidates: Vec<Candidate> = self
+        let candidates: Vec<choose::Candidate> = self
             .open_sites(now)
-            .map(|(index, s)| Candidate {
+            .map(|(index, s)| choose::Candidate {
                 index,
                 seconds: s.cost(record, self.prefill_bias),
                 outstanding: s.running,
@@ -194,10 +195,10 @@
     fn grant(
         &mut self,
         now: Instant,
-        id: &RequestId,
+        id: &ids::RequestId,
         site: usize,
         directory: &impl Directory,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) {
         let Some(owner) = self.sites[site].best_owner(&self.me) else { return };
         let Some(known) = self.requests.get(id).cloned() else { return };
@@ -214,12 +215,12 @@
         target.offers.entry(owner.clone()).or_default().pending.insert(ask);
         self.recount(site);
         let target = &self.sites[site];
-        let key = PermitKey::Endpoint(target.id.clone());
+        let key = message::PermitKey::Endpoint(target.id.clone());
         let endpoint = target.id.clone();
         let account_owner = account_hop.as_ref().map(|h| h.owner.clone());
-        let mut hops: Vec<Hop> = account_hop.into_iter().collect();
-        hops.push(Hop { owner: owner.clone(), key, index: None });
-        let grant = Grant {
+        let mut hops: Vec<message::Hop> = account_hop.into_iter().collect();
+        hops.push(message::Hop { owner: owner.clone(), key, index: None });
+        let grant = message::Grant {
             request: id.clone(),
             attempt: known.record.attempt,
             pool: self.pool.clone(),
@@ -230,7 +231,7 @@
             hops,
         };
         let first = grant.hops[0].owner.clone();
-        out.push(Action::send(&first, Message::Grant(grant)));
+        out.push(node::Action::send(&first, message::Message::Grant(grant)));
         self.unanswered.insert((now, id.clone()));
         if let Some(k) = self.requests.get_mut(id) {
             k.account_owner = account_owner;
@@ -243,9 +244,9 @@
     fn account_hop(
         &mut self,
         now: Instant,
-        account: &AccountId,
+        account: &ids::AccountId,
         directory: &impl Directory,
-    ) -> Result<Option<Hop>, AccountFull> {
+    ) -> Result<Option<message::Hop>, AccountFull> {
         let Some(shares) = directory.account_owners(account) else { return Ok(None) };
         let used = self.account_use.entry(account.clone()).or_default();
         let Some(owner) = used.best_owner(shares) else {
@@ -253,11 +254,15 @@
             return Err(AccountFull);
         };
         *used.in_use.entry(owner.clone()).or_default() += 1;
-        Ok(Some(Hop { owner, key: PermitKey::Account(account.clone()), index: None }))
+        Ok(Some(message::Hop {
+            owner,
+            key: message::PermitKey::Account(account.clone()),
+            index: None,
+        }))
     }
 }
 
 /// Slots that stay free of a tier, so that one long request of it does not hold up higher ones.
-fn kept_from(level: TierLevel, total: u32) -> u32 {
+fn kept_from(level: ids::TierLevel, total: u32) -> u32 {
     (f64::from(total) * KEEP_PER_LEVEL * f64::from(level)) as u32
 }
--- a/oxbowbend-core/src/scheduler/mod.rs
+++ b/oxbowbend-core/src/scheduler/mod.rs
@@ -14,13 +14,11 @@
 use std::time::{Duration, Instant};
 
 use crate::choose::Choose;
-use crate::entry::fingerprint;
-use crate::ids::{AccountId, Attempt, EndpointId, InstanceId, PoolId, RequestId, TierLevel};
-use crate::message::{
-    Grant, GrantRef, Offer, PermitKey, PoolBeat, Record, Refusal, RunEnd, RunReport,
-};
-use crate::queue::{Item, Queue};
-use crate::topology::Pool;
+use crate::entry;
+use crate::ids;
+use crate::message;
+use crate::queue;
+use crate::topology;
 use account::AccountUse;
 use site::{Offered, Site};
 
@@ -32,17 +30,17 @@
 #[derive(Clone, Debug, PartialEq)]
 enum State {
     Queued,
-    Asked { site: usize, owner: InstanceId, ask: u64, at: Instant },
+    Asked { site: usize, owner: ids::InstanceId, ask: u64, at: Instant },
     Running { site: usize },
-    Refused { reason: Refusal, retry_after_ms: u64, at: Instant },
+    Refused { reason: message::Refusal, retry_after_ms: u64, at: Instant },
 }
 
 #[derive(Clone, Debug)]
 struct Known {
-    record: Record,
-    entry: InstanceId,
+    record: message::Record,
+    entry: ids::InstanceId,
     due: Instant,
-    account_owner: Option<InstanceId>,
+    account_owner: Option<ids::InstanceId>,
     passed: u32,
     state: State,
 }
@@ -56,7 +54,7 @@
 
 #[derive(Clone, Debug)]
 struct Floor {
-    keep: TierLevel,
+    keep: ids::TierLevel,
     sent: BTreeMap<u64, Instant>,
     renewed: Instant,
 }
@@ -64,32 +62,32 @@
 /// What a scheduler must know of the other instances.
 pub trait Directory {
     /// The owners of the account's permits with their numbers; `None` if it has no limit.
-    fn account_owners(&self, account: &AccountId) -> Option<&[(InstanceId, u32)]>;
+    fn account_owners(&self, account: &ids::AccountId) -> Option<&[(ids::InstanceId, u32)]>;
     /// Instances that may hold requests of the pool.
-    fn entries(&self, pool: &PoolId) -> Vec<InstanceId>;
+    fn entries(&self, pool: &ids::PoolId) -> Vec<ids::InstanceId>;
     /// Whether the lowest declared tier is `tier` or a higher one.
-    fn is_lowest(&self, tier: TierLevel) -> bool;
+    fn is_lowest(&self, tier: ids::TierLevel) -> bool;
 }
 
 /// The scheduler of one pool.
 #[derive(Clone, Debug)]
 pub struct Scheduler<C> {
-    me: InstanceId,
-    pool: PoolId,
+    me: ids::InstanceId,
+    pool: ids::PoolId,
     queue_bound: usize,
     prefill_bias: f64,
     choose: C,
-    requests: HashMap<RequestId, Known>,
-    queue: Queue,
+    requests: HashMap<ids::RequestId, Known>,
+    queue: queue::Queue,
     sites: Vec<Site>,
-    mirrors: BTreeMap<InstanceId, Mirror>,
-    asks: BTreeMap<InstanceId, u64>,
-    account_use: HashMap<AccountId, AccountUse>,
-    deadlines: BTreeSet<(Instant, RequestId)>,
+    mirrors: BTreeMap<ids::InstanceId, Mirror>,
+    asks: BTreeMap<ids::InstanceId, u64>,
+    account_use: HashMap<ids::AccountId, AccountUse>,
+    deadlines: BTreeSet<(Instant, ids::RequestId)>,
     floor: Option<Floor>,
     next_floor: u64,
-    unanswered: BTreeSet<(Instant, RequestId)>,
-    site_of: HashMap<EndpointId, usize>,
+    unanswered: BTreeSet<(Instant, ids::RequestId)>,
+    site_of: HashMap<ids::EndpointId, usize>,
     /// Sites with free permits, so that a decision looks at no others.
     open: BTreeSet<usize>,
     total_slots: u32,
@@ -98,7 +96,12 @@
 
 impl<C: Choose> Scheduler<C> {
     /// Creates a scheduler that knows of no requests and no permits.
-    pub fn new(me: InstanceId, pool: PoolId, config: &Pool, choose: C) -> Scheduler<C> {
+    pub fn new(
+        me: ids::InstanceId,
+        pool: ids::PoolId,
+        config: &topology::Pool,
+        choose: C,
+    ) -> Scheduler<C> {
         let mut scheduler = Scheduler {
             me,
             pool,
@@ -106,7 +109,7 @@
             prefill_bias: config.prefill_bias,
             choose,
             requests: HashMap::new(),
-            queue: Queue::default(),
+            queue: queue::Queue::default(),
             sites: Vec::new(),
             mirrors: BTreeMap::new(),
             asks: BTreeMap::new(),
@@ -126,7 +129,7 @@
 
     /// Takes over a changed configuration, keeping what was learned of endpoints that remain.
     /// Sites are never removed, so that positions stay valid; those gone are marked as leaving.
-    pub fn configure(&mut self, config: &Pool) {
+    pub fn configure(&mut self, config: &topology::Pool) {
         self.queue_bound = config.queue_bound;
         self.prefill_bias = config.prefill_bias;
         for site in &mut self.sites {
@@ -174,7 +177,7 @@
     }
 
     /// Takes in a waiting request.
-    pub fn enqueue(&mut self, now: Instant, from: &InstanceId, record: Record) {
+    pub fn enqueue(&mut self, now: Instant, from: &ids::InstanceId, record: message::Record) {
         let id = record.id.clone();
         if let Some(known) = self.requests.get(&id) {
             if known.record.attempt >= record.attempt {
@@ -192,9 +195,9 @@
         self.requests.insert(id, known);
     }
 
-    fn mirror(&mut self, entry: &InstanceId, record: &Record, running: bool) {
+    fn mirror(&mut self, entry: &ids::InstanceId, record: &message::Record, running: bool) {
         let mirror = self.mirrors.entry(entry.clone()).or_default();
-        mirror.digest ^= fingerprint(&record.id, record.attempt, running);
+        mirror.digest ^= entry::fingerprint(&record.id, record.attempt, running);
     }
 
     /// Removes every trace of a request.
@@ -226,7 +229,7 @@
         }
     }
 
-    fn settle_ask(&mut self, site: usize, owner: &InstanceId, ask: u64) {
+    fn settle_ask(&mut self, site: usize, owner: &ids::InstanceId, ask: u64) {
         if let Some(offered) = self.sites[site].offers.get_mut(owner) {
             offered.pending.remove(&ask);
         }
@@ -234,18 +237,18 @@
     }
 
     /// The entry gives a waiting request up.
-    pub fn withdraw(&mut self, reference: &GrantRef) {
+    pub fn withdraw(&mut self, reference: &message::GrantRef) {
         if self.is_current(reference) {
             self.forget(&reference.0);
         }
     }
 
-    fn is_current(&self, (id, attempt): &GrantRef) -> bool {
+    fn is_current(&self, (id, attempt): &message::GrantRef) -> bool {
         self.requests.get(id).is_some_and(|k| k.record.attempt == *attempt)
     }
 
     /// The entry has accepted a grant.
-    pub fn taken(&mut self, reference: &GrantRef) {
+    pub fn taken(&mut self, reference: &message::GrantRef) {
         if !self.is_current(reference) {
             return;
         }
@@ -261,7 +264,12 @@
     }
 
     /// A run has ended; the endpoint's speed is learned from it.
-    pub fn done(&mut self, now: Instant, reference: &GrantRef, report: &RunReport) {
+    pub fn done(
+        &mut self,
+        now: Instant,
+        reference: &message::GrantRef,
+        report: &message::RunReport,
+    ) {
         if !self.is_current(reference) {
             return;
         }
@@ -269,12 +277,12 @@
         let State::Running { site } = known.state else { return };
         let site = &mut self.sites[site];
         match report.end {
-            RunEnd::Complete => {
+            message::RunEnd::Complete => {
                 site.breaker.succeeded();
                 site.speed.learn(now, report);
             }
-            RunEnd::Failed => site.breaker.failed(now),
-            RunEnd::Cancelled => {}
+            message::RunEnd::Failed => site.breaker.failed(now),
+            message::RunEnd::Cancelled => {}
         }
     }
 
@@ -282,12 +290,12 @@
     pub fn report(
         &mut self,
         now: Instant,
-        from: &InstanceId,
-        waiting: Vec<Record>,
-        running: Vec<(Record, EndpointId)>,
+        from: &ids::InstanceId,
+        waiting: Vec<message::Record>,
+        running: Vec<(message::Record, ids::EndpointId)>,
     ) {
         let of_entry = |k: &&Known| k.entry == *from;
-        let mut former: Vec<RequestId> =
+        let mut former: Vec<ids::RequestId> =
             self.requests.values().filter(of_entry).map(|k| k.record.id.clone()).collect();
         former.sort();
         former.iter().for_each(|id| {
@@ -298,7 +306,13 @@
         running.into_iter().for_each(|(record, at)| self.learn_running(now, from, record, &at));
     }
 
-    fn learn_running(&mut self, now: Instant, from: &InstanceId, record: Record, at: &EndpointId) {
+    fn learn_running(
+        &mut self,
+        now: Instant,
+        from: &ids::InstanceId,
+        record: message::Record,
+        at: &ids::EndpointId,
+    ) {
         self.mirror(from, &record, true);
         let Some(site) = self.site_of.get(at).copied() else { return };
         self.sites[site].running += 1;
@@ -310,7 +324,7 @@
     }
 
     /// Compares an entry's digest with the mirror; says whether a report is needed.
-    pub fn beat(&mut self, from: &InstanceId, beat: &PoolBeat) -> bool {
+    pub fn beat(&mut self, from: &ids::InstanceId, beat: &message::PoolBeat) -> bool {
         let mirror = self.mirrors.entry(from.clone()).or_default();
         mirror.floor = beat.floor;
         mirror.digest != beat.digest
@@ -319,7 +333,7 @@
     /// Drops what belongs to instances that are gone.
     pub fn retain_members(&mut self, listed: impl Fn(&str) -> bool) {
         let gone = |k: &&Known| !listed(&k.entry);
-        let mut lost: Vec<RequestId> =
+        let mut lost: Vec<ids::RequestId> =
             self.requests.values().filter(gone).map(|k| k.record.id.clone()).collect();
         lost.sort();
         lost.iter().for_each(|id| {
@@ -332,7 +346,7 @@
     }
 
     /// An owner tells how many permits it has free.
-    pub fn offer(&mut self, from: &InstanceId, offer: &Offer) {
+    pub fn offer(&mut self, from: &ids::InstanceId, offer: &message::Offer) {
         let Some(at) = self.site_of.get(&offer.endpoint).copied() else { return };
         let site = &mut self.sites[at];
         if offer.owned == 0 {
@@ -347,7 +361,7 @@
     }
 
     /// An owner had no permit to give; the request goes back into the queue.
-    pub fn denied(&mut self, now: Instant, grant: &Grant, key: &PermitKey) {
+    pub fn denied(&mut self, now: Instant, grant: &message::Grant, key: &message::PermitKey) {
         let reference = (grant.request.clone(), grant.attempt);
         if !self.is_current(&reference) {
             return;
@@ -358,19 +372,19 @@
             return;
         }
         match key {
-            PermitKey::Endpoint(_) => {
+            message::PermitKey::Endpoint(_) => {
                 if let Some(offered) = self.sites[site].offers.get_mut(&owner) {
                     offered.free = 0;
                 }
                 self.recount(site);
             }
-            PermitKey::Account(account) => self.account_denied(grant, account),
+            message::PermitKey::Account(account) => self.account_denied(grant, account),
         }
         self.put_back(now, &grant.request);
     }
 
-    fn account_denied(&mut self, grant: &Grant, account: &AccountId) {
-        let asked = grant.hops.iter().find(|h| matches!(h.key, PermitKey::Account(_)));
+    fn account_denied(&mut self, grant: &message::Grant, account: &ids::AccountId) {
+        let asked = grant.hops.iter().find(|h| matches!(h.key, message::PermitKey::Account(_)));
         let Some(hop) = asked else { return };
         let used = self.account_use.entry(account.clone()).or_default();
         used.full.insert(hop.owner.clone());
@@ -378,7 +392,7 @@
 
     /// Puts a request whose grant came to nothing back into the queue. The account's pause is left
     /// as it is: only the end of a run makes room.
-    fn put_back(&mut self, now: Instant, id: &RequestId) {
+    fn put_back(&mut self, now: Instant, id: &ids::RequestId) {
         let Some(known) = self.requests.get(id).cloned() else { return };
         self.leave_state(&known);
         if let Some(owner) = &known.account_owner {
@@ -393,20 +407,20 @@
     }
 
     /// An endpoint's report of its load, for requests that are not ours.
-    pub fn load(&mut self, endpoint: &EndpointId, running: u32) {
+    pub fn load(&mut self, endpoint: &ids::EndpointId, running: u32) {
         if let Some(at) = self.site_of.get(endpoint) {
             self.sites[*at].reported = running;
         }
     }
 
     /// Attempt and state of a request, for tests and status pages.
-    pub fn attempt(&self, id: &str) -> Option<Attempt> {
+    pub fn attempt(&self, id: &str) -> Option<ids::Attempt> {
         self.requests.get(id).map(|k| k.record.attempt)
     }
 }
 
-fn item(record: &Record) -> Item {
-    Item {
+fn item(record: &message::Record) -> queue::Item {
+    queue::Item {
         id: record.id.clone(),
         account: record.account.clone(),
         tier: record.tier,
--- a/oxbowbend-core/src/scheduler/shed.rs
+++ b/oxbowbend-core/src/scheduler/shed.rs
@@ -4,9 +4,9 @@
 
 use super::{Directory, Floor, Mirror, Scheduler, FLOOR_TRUST};
 use crate::choose::Choose;
-use crate::ids::TierLevel;
-use crate::message::{Message, Refusal};
-use crate::node::Action;
+use crate::ids;
+use crate::message;
+use crate::node;
 
 /// Time between two sendings of a shed floor that is in force.
 const FLOOR_RENEW: Duration = Duration::from_millis(500);
@@ -20,7 +20,7 @@
         &mut self,
         now: Instant,
         directory: &impl Directory,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) {
         while self.queue.len() > self.queue_bound {
             let Some(victim) = self.queue.victim().map(|i| (i.id.clone(), i.tier)) else { return };
@@ -28,7 +28,7 @@
             if !directory.is_lowest(tier) && !self.floor_holds(now, tier, directory, out) {
                 return;
             }
-            self.refuse(now, &id, Refusal::Shed, out);
+            self.refuse(now, &id, message::Refusal::Shed, out);
         }
         let low = (self.queue_bound as f64 * FLOOR_LIFT) as usize;
         if self.floor.is_some() && self.queue.len() <= low {
@@ -40,9 +40,9 @@
     fn floor_holds(
         &mut self,
         now: Instant,
-        tier: TierLevel,
+        tier: ids::TierLevel,
         directory: &impl Directory,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) -> bool {
         let renew = self
             .floor
@@ -66,15 +66,15 @@
 
     fn send_floor(
         &mut self,
-        keep: Option<TierLevel>,
+        keep: Option<ids::TierLevel>,
         directory: &impl Directory,
-        out: &mut Vec<Action>,
+        out: &mut Vec<node::Action>,
     ) -> u64 {
         self.next_floor += 1;
         let seq = self.next_floor;
         for entry in directory.entries(&self.pool) {
-            let message = Message::Floor { pool: self.pool.clone(), seq, keep };
-            out.push(Action::send(&entry, message));
+            let message = message::Message::Floor { pool: self.pool.clone(), seq, keep };
+            out.push(node::Action::send(&entry, message));
         }
         seq
     }
--- a/oxbowbend-core/src/scheduler/site.rs
+++ b/oxbowbend-core/src/scheduler/site.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::budget::Breaker;
-use crate::cache::PrefixCache;
-use crate::ids::{EndpointId, InstanceId};
-use crate::message::Record;
-use crate::speed::Speed;
-use crate::topology::Endpoint;
+use crate::budget;
+use crate::cache;
+use crate::ids;
+use crate::message;
+use crate::speed;
+use crate::topology;
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct Offered {
@@ -26,12 +26,12 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Site {
-    pub(super) id: EndpointId,
-    pub(super) endpoint: Endpoint,
-    pub(super) offers: BTreeMap<InstanceId, Offered>,
-    pub(super) speed: Speed,
-    pub(super) cache: PrefixCache,
-    pub(super) breaker: Breaker,
+    pub(super) id: ids::EndpointId,
+    pub(super) endpoint: topology::Endpoint,
+    pub(super) offers: BTreeMap<ids::InstanceId, Offered>,
+    pub(super) speed: speed::Speed,
+    pub(super) cache: cache::PrefixCache,
+    pub(super) breaker: budget::Breaker,
     pub(super) running: u32,
     pub(super) reported: u32,
     /// Free permits, kept up to date by [`Scheduler::recount`].
@@ -39,14 +39,14 @@
 }
 
 impl Site {
-    pub(super) fn new(id: EndpointId, endpoint: Endpoint) -> Site {
+    pub(super) fn new(id: ids::EndpointId, endpoint: topology::Endpoint) -> Site {
         Site {
             id,
-            speed: Speed::new(endpoint.prefill_rate, endpoint.decode_rate),
-            cache: PrefixCache::new(endpoint.cache_tokens),
+            speed: speed::Speed::new(endpoint.prefill_rate, endpoint.decode_rate),
+            cache: cache::PrefixCache::new(endpoint.cache_tokens),
             endpoint,
             offers: BTreeMap::new(),
-            breaker: Breaker::default(),
+            breaker: budget::Breaker::default(),
             running: 0,
             reported: 0,
             free: 0,
@@ -58,7 +58,7 @@
     }
 
     /// Predicted seconds, with prefill weighed as the pool's settings say.
-    pub(super) fn cost(&self, record: &Record, prefill_bias: f64) -> f64 {
+    pub(super) fn cost(&self, record: &message::Record, prefill_bias: f64) -> f64 {
         let cached = self.cache.cached_tokens(&record.prefix).min(record.prompt_tokens);
         let fresh = record.prompt_tokens - cached;
         let seconds = self.speed.predict_seconds(fresh, record.output_tokens);
@@ -66,8 +66,8 @@
     }
 
     /// This instance if it has a permit free, which saves a hop, or else the owner with the most.
-    pub(super) fn best_owner(&self, me: &InstanceId) -> Option<InstanceId> {
-        let rank = |(owner, o): &(&InstanceId, &Offered)| (*owner == me, o.available());
+    pub(super) fn best_owner(&self, me: &ids::InstanceId) -> Option<ids::InstanceId> {
+        let rank = |(owner, o): &(&ids::InstanceId, &Offered)| (*owner == me, o.available());
         let free = self.offers.iter().filter(|(_, o)| o.available() > 0);
         free.max_by_key(rank).map(|(owner, _)| owner.clone())
     }
--- a/oxbowbend-core/src/speed.rs
+++ b/oxbowbend-core/src/speed.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::message::{RunEnd, RunReport};
+use crate::message;
 
 /// Weight of the newest run in the fast mean.
 const FAST: f64 = 0.25;
@@ -41,8 +41,8 @@
     }
 
     /// Learns from a finished run.
-    pub fn learn(&mut self, now: Instant, report: &RunReport) {
-        if report.end != RunEnd::Complete {
+    pub fn learn(&mut self, now: Instant, report: &message::RunReport) {
+        if report.end != message::RunEnd::Complete {
             return;
         }
         let fresh = report.prompt_tokens.saturating_sub(report.cached_tokens);
@@ -55,7 +55,7 @@
         self.judge(now, ratio);
     }
 
-    fn learn_phases(&mut self, report: &RunReport, fresh: u32, first: u64) {
+    fn learn_phases(&mut self, report: &message::RunReport, fresh: u32, first: u64) {
         if fresh > 0 {
             mix(&mut self.prefill, first as f64 / 1000.0 / f64::from(fresh), FAST);
         }
--- a/oxbowbend-core/src/topology.rs
+++ b/oxbowbend-core/src/topology.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ids::{AccountId, EndpointId, PoolId, TierLevel, ZoneId};
-use crate::message::PermitKey;
+use crate::ids;
+use crate::message;
 
 /// Declared endpoint as a scheduler sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,9 +31,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
     /// Availability zones whose instances may serve the pool.
-    pub zones: BTreeSet<ZoneId>,
+    pub zones: BTreeSet<ids::ZoneId>,
     /// Endpoints by name.
-    pub endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub endpoints: BTreeMap<ids::EndpointId, Endpoint>,
     /// Number of waiting requests above which the pool sheds.
     pub queue_bound: usize,
     /// Time after which a run of unknown fate is taken to have ended.
@@ -54,11 +54,11 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Topology {
     /// Pools by id.
-    pub pools: BTreeMap<PoolId, Pool>,
+    pub pools: BTreeMap<ids::PoolId, Pool>,
     /// Accounts by id; accounts without limits may be left out.
-    pub accounts: BTreeMap<AccountId, Account>,
+    pub accounts: BTreeMap<ids::AccountId, Account>,
     /// The lowest tier declared.
-    pub lowest_tier: TierLevel,
+    pub lowest_tier: ids::TierLevel,
     /// The longest of the pools' times after which a run is taken to have ended.
     pub max_run: Duration,
     /// How far an endpoint's report of its load may lag behind.
@@ -67,15 +67,15 @@
 
 impl Topology {
     /// Returns the pool that an endpoint belongs to.
-    pub fn pool_of(&self, endpoint: &str) -> Option<&PoolId> {
+    pub fn pool_of(&self, endpoint: &str) -> Option<&ids::PoolId> {
         self.pools.iter().find(|(_, p)| p.endpoints.contains_key(endpoint)).map(|(id, _)| id)
     }
 
     /// Time after which a run of unknown fate that holds a permit is taken to have ended.
-    pub fn max_run_of(&self, key: &PermitKey) -> Duration {
+    pub fn max_run_of(&self, key: &message::PermitKey) -> Duration {
         let pool = match key {
-            PermitKey::Endpoint(endpoint) => self.pool_of(endpoint),
-            PermitKey::Account(_) => None,
+            message::PermitKey::Endpoint(endpoint) => self.pool_of(endpoint),
+            message::PermitKey::Account(_) => None,
         };
         pool.and_then(|id| self.pools.get(id)).map_or(self.max_run, |p| p.max_run)
     }
--- a/oxbowbend-ctl/src/apply.rs
+++ b/oxbowbend-ctl/src/apply.rs
@@ -7,17 +7,17 @@
 use async_std::task;
 use http_types::Method;
 use oxbowbend_resource::file;
-use oxbowbend_resource::kinds::{Kind, Resource, ResourceId, Spec};
-use oxbowbend_resource::manifest::{Change, Operation};
-use oxbowbend_resource::set::ResourceSet;
+use oxbowbend_resource::kinds;
+use oxbowbend_resource::manifest;
+use oxbowbend_resource::set;
 use rand::Rng;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
-use crate::api::{Api, SendError};
-use crate::command::{Apply, Check, Delete, Drain};
-use crate::failure::Failure;
-use crate::show::Output;
+use crate::api;
+use crate::command;
+use crate::failure;
+use crate::show;
 use crate::wait;
 
 /// Times that a change whose fate is not known is sent again.
@@ -30,31 +30,35 @@
     revision: u64,
 }
 
-fn read(path: &str) -> Result<String, Failure> {
+fn read(path: &str) -> Result<String, failure::Failure> {
     let mut text = String::new();
     let read = match path {
         "-" => std::io::stdin().read_to_string(&mut text).map(|_| ()),
         path => std::fs::read_to_string(path).map(|t| text = t),
     };
-    read.map_err(|e| Failure::Usage(format!("cannot read {path:?}: {e}")))?;
+    read.map_err(|e| failure::Failure::Usage(format!("cannot read {path:?}: {e}")))?;
     Ok(text)
 }
 
 /// Finds every mistake in a file.
-pub(crate) async fn check(api: &Api, flags: &Check) -> Result<(), Failure> {
+pub(crate) async fn check(api: &api::Api, flags: &command::Check) -> Result<(), failure::Failure> {
     let text = read(&flags.file)?;
-    let known = if flags.offline { ResourceSet::default() } else { api.everything().await? };
-    let resources = file::parse(&text, &known).map_err(Failure::Mistakes)?;
+    let known = if flags.offline { set::ResourceSet::default() } else { api.everything().await? };
+    let resources = file::parse(&text, &known).map_err(failure::Failure::Mistakes)?;
     println!("{} resources, no mistakes", resources.len());
     Ok(())
 }
 
 /// Declares the resources of a file. What another operator changed between this command's reading
 /// and its change is not overwritten: the change is refused.
-pub(crate) async fn apply(api: &Api, flags: &Apply, output: Output) -> Result<(), Failure> {
+pub(crate) async fn apply(
+    api: &api::Api,
+    flags: &command::Apply,
+    output: show::Output,
+) -> Result<(), failure::Failure> {
     let text = read(&flags.file)?;
     let known = api.everything().await?;
-    let resources = file::parse(&text, &known).map_err(Failure::Mistakes)?;
+    let resources = file::parse(&text, &known).map_err(failure::Failure::Mistakes)?;
     let mut verbs = BTreeMap::new();
     let mut operations = Vec::new();
     for resource in resources {
@@ -77,73 +81,87 @@
         }
     }
     match output {
-        Output::Json => println!("{}", json!(verbs)),
-        Output::Table => verbs.iter().for_each(|(id, verb)| println!("{id} {verb}")),
+        show::Output::Json => println!("{}", json!(verbs)),
+        show::Output::Table => verbs.iter().for_each(|(id, verb)| println!("{id} {verb}")),
     }
     Ok(())
 }
 
 /// A version in the file is the one that the operator has seen, and is kept.
-fn put(mut resource: Resource, present: Option<&Resource>) -> Operation {
+fn put(mut resource: kinds::Resource, present: Option<&kinds::Resource>) -> manifest::Operation {
     if resource.version == 0 {
         resource.version = present.map_or(0, |p| p.version);
     }
-    Operation::Put(resource)
+    manifest::Operation::Put(resource)
 }
 
 /// Sends a change, again under the same id while its fate is not known; returns its revision.
-async fn send(api: &Api, operations: Vec<Operation>) -> Result<u64, Failure> {
+async fn send(
+    api: &api::Api,
+    operations: Vec<manifest::Operation>,
+) -> Result<u64, failure::Failure> {
     let id = format!("c{:032x}", rand::rng().random::<u128>());
-    let change = Change { id: id.clone(), operations };
-    let body = serde_json::to_value(&change).map_err(|e| Failure::Other(e.to_string()))?;
+    let change = manifest::Change { id: id.clone(), operations };
+    let body = serde_json::to_value(&change).map_err(|e| failure::Failure::Other(e.to_string()))?;
     let mut reason = String::new();
     for _ in 0..MAX_TRIES {
         match api.try_call::<Accepted>(Method::Post, "/v1/changes", Some(&body)).await {
             Ok(accepted) => return Ok(accepted.revision),
-            Err(SendError::Call(e)) if e.is_unsent() => return Err(e.into()),
-            Err(SendError::Call(e)) => reason = e.to_string(),
-            Err(SendError::Failure(Failure::Refused(p))) if p.status == 504 => reason = p.detail,
-            Err(SendError::Failure(Failure::Refused(p))) if p.status == 409 => {
-                return Err(Failure::Conflict(p.detail));
+            Err(api::SendError::Call(e)) if e.is_unsent() => return Err(e.into()),
+            Err(api::SendError::Call(e)) => reason = e.to_string(),
+            Err(api::SendError::Failure(failure::Failure::Refused(p))) if p.status == 504 => {
+                reason = p.detail
             }
-            Err(SendError::Failure(e)) => return Err(e),
+            Err(api::SendError::Failure(failure::Failure::Refused(p))) if p.status == 409 => {
+                return Err(failure::Failure::Conflict(p.detail));
+            }
+            Err(api::SendError::Failure(e)) => return Err(e),
         }
         task::sleep(PAUSE).await;
     }
-    Err(Failure::Unknown { change: id, reason })
+    Err(failure::Failure::Unknown { change: id, reason })
 }
 
-pub(crate) fn kind_and_name(what: &[String]) -> Result<(Kind, String), Failure> {
+pub(crate) fn kind_and_name(what: &[String]) -> Result<(kinds::Kind, String), failure::Failure> {
     let parts: Vec<&str> = what.iter().flat_map(|w| w.split('/')).collect();
     let [kind, name] = parts.as_slice() else {
-        return Err(Failure::Usage("name a kind and a resource".to_owned()));
+        return Err(failure::Failure::Usage("name a kind and a resource".to_owned()));
     };
     Ok((find_kind(kind)?, (*name).to_owned()))
 }
 
-pub(crate) fn find_kind(name: &str) -> Result<Kind, Failure> {
-    let kinds: Vec<&str> = Kind::ALL.iter().map(|k| k.name()).collect();
-    let unknown = || Failure::Usage(format!("no kind {name:?}; there are {}", kinds.join(", ")));
-    Kind::find(name).ok_or_else(unknown)
+pub(crate) fn find_kind(name: &str) -> Result<kinds::Kind, failure::Failure> {
+    let kinds: Vec<&str> = kinds::Kind::ALL.iter().map(|k| k.name()).collect();
+    let unknown =
+        || failure::Failure::Usage(format!("no kind {name:?}; there are {}", kinds.join(", ")));
+    kinds::Kind::find(name).ok_or_else(unknown)
 }
 
 /// Deletes a resource at the version it is at.
-pub(crate) async fn delete(api: &Api, flags: &Delete) -> Result<(), Failure> {
+pub(crate) async fn delete(
+    api: &api::Api,
+    flags: &command::Delete,
+) -> Result<(), failure::Failure> {
     let (kind, name) = kind_and_name(&flags.what)?;
     let present = present(api, kind, &name).await?;
-    let id = ResourceId { kind, name };
-    send(api, vec![Operation::Delete { id: id.clone(), version: present.version }]).await?;
+    let id = kinds::ResourceId { kind, name };
+    send(api, vec![manifest::Operation::Delete { id: id.clone(), version: present.version }])
+        .await?;
     println!("{id} deleted");
     Ok(())
 }
 
-async fn present(api: &Api, kind: Kind, name: &str) -> Result<Resource, Failure> {
-    let missing = || Failure::Other(format!("{kind}/{name} is not declared"));
+async fn present(
+    api: &api::Api,
+    kind: kinds::Kind,
+    name: &str,
+) -> Result<kinds::Resource, failure::Failure> {
+    let missing = || failure::Failure::Other(format!("{kind}/{name} is not declared"));
     api.get(kind, name).await?.ok_or_else(missing)
 }
 
 /// Takes an endpoint, or the instance spoken to, out of service.
-pub(crate) async fn drain(api: &Api, flags: &Drain) -> Result<(), Failure> {
+pub(crate) async fn drain(api: &api::Api, flags: &command::Drain) -> Result<(), failure::Failure> {
     if flags.what == ["instance"] {
         let _: Value = api.call(Method::Post, "/v1/drain", None).await?;
         println!("the instance is stopping");
@@ -151,11 +169,13 @@
     }
     let (kind, name) = kind_and_name(&flags.what)?;
     let mut resource = present(api, kind, &name).await?;
-    let Spec::Endpoint(endpoint) = &mut resource.spec else {
-        return Err(Failure::Usage("only an endpoint or the instance can be drained".to_owned()));
+    let kinds::Spec::Endpoint(endpoint) = &mut resource.spec else {
+        return Err(failure::Failure::Usage(
+            "only an endpoint or the instance can be drained".to_owned(),
+        ));
     };
     endpoint.leaving = true;
-    let revision = send(api, vec![Operation::Put(resource)]).await?;
+    let revision = send(api, vec![manifest::Operation::Put(resource)]).await?;
     wait::revision(api, revision, None).await?;
     println!("Endpoint/{name} receives no new work");
     Ok(())
--- a/oxbowbend-ctl/src/failure.rs
+++ b/oxbowbend-ctl/src/failure.rs
@@ -1,8 +1,8 @@
 //! What can go wrong, and the exit code that tells it.
 
-use oxbowbend_http::client::CallError;
-use oxbowbend_http::problem::Problem;
-use oxbowbend_resource::check::Mistake;
+use oxbowbend_http::client;
+use oxbowbend_http::problem;
+use oxbowbend_resource::check;
 use thiserror::Error;
 
 /// Why a command failed.
@@ -13,7 +13,7 @@
     Usage(String),
     /// A file holds mistakes. Exit code 2.
     #[error("{} mistakes:{}", .0.len(), .0.iter().map(|m| format!("\n  {m}")).collect::<String>())]
-    Mistakes(Vec<Mistake>),
+    Mistakes(Vec<check::Mistake>),
     /// Somebody else changed a resource meanwhile. Exit code 3.
     #[error("{0}; read it again and decide anew")]
     Conflict(String),
@@ -33,15 +33,15 @@
     Unreachable(String),
     /// The instance refused. Exit code 1.
     #[error("{} {}: {}{}", .0.status, .0.title, .0.detail, mistakes(.0))]
-    Refused(Box<Problem>),
+    Refused(Box<problem::Problem>),
     /// Something else. Exit code 1.
     #[error("{0}")]
     Other(String),
 }
 
-fn mistakes(problem: &Problem) -> String {
+fn mistakes(problem: &problem::Problem) -> String {
     let listed = problem.errors["mistakes"].clone();
-    let listed: Vec<Mistake> = serde_json::from_value(listed).unwrap_or_default();
+    let listed: Vec<check::Mistake> = serde_json::from_value(listed).unwrap_or_default();
     listed.iter().map(|m| format!("\n  {m}")).collect()
 }
 
@@ -64,8 +64,8 @@
     }
 }
 
-impl From<CallError> for Failure {
-    fn from(e: CallError) -> Failure {
+impl From<client::CallError> for Failure {
+    fn from(e: client::CallError) -> Failure {
         Failure::Unreachable(e.to_string())
     }
 }
--- a/oxbowbend-ctl/src/main.rs
+++ b/oxbowbend-ctl/src/main.rs
@@ -3,12 +3,12 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use oxbowbend_ctl::command::Flags;
-use oxbowbend_ctl::failure::Failure;
+use oxbowbend_ctl::command;
+use oxbowbend_ctl::failure;
 
 #[async_std::main]
 async fn main() -> ExitCode {
-    let flags = Flags::parse_args_default_or_exit();
+    let flags = command::Flags::parse_args_default_or_exit();
     if flags.version {
         println!("oxbowctl {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
@@ -22,6 +22,6 @@
     }
 }
 
-fn report(failure: &Failure) {
+fn report(failure: &failure::Failure) {
     eprintln!("oxbowctl: {failure}");
 }
--- a/oxbowbend-ctl/src/show.rs
+++ b/oxbowbend-ctl/src/show.rs
@@ -1,13 +1,13 @@
 //! Commands that show something.
 
 use http_types::Method;
-use oxbowbend_resource::kinds::{Resource, Spec};
+use oxbowbend_resource::kinds;
 use serde_json::Value;
 
-use crate::api::Api;
-use crate::apply::{find_kind, kind_and_name};
-use crate::command::{Get, Status, Watch};
-use crate::failure::Failure;
+use crate::api;
+use crate::apply;
+use crate::command;
+use crate::failure;
 
 /// Form of what is printed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,19 +19,20 @@
 }
 
 impl Output {
-    pub(crate) fn parse(text: Option<&str>) -> Result<Output, Failure> {
+    pub(crate) fn parse(text: Option<&str>) -> Result<Output, failure::Failure> {
         match text {
             None | Some("table") => Ok(Output::Table),
             Some("json") => Ok(Output::Json),
-            Some(other) => {
-                Err(Failure::Usage(format!("--output: {other:?} is neither table nor json")))
-            }
+            Some(other) => Err(failure::Failure::Usage(format!(
+                "--output: {other:?} is neither table nor json"
+            ))),
         }
     }
 }
 
-fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
-    let text = serde_json::to_string_pretty(value).map_err(|e| Failure::Other(e.to_string()))?;
+fn print_json(value: &impl serde::Serialize) -> Result<(), failure::Failure> {
+    let text =
+        serde_json::to_string_pretty(value).map_err(|e| failure::Failure::Other(e.to_string()))?;
     println!("{text}");
     Ok(())
 }
@@ -48,18 +49,22 @@
 }
 
 /// Shows resources.
-pub(crate) async fn get(api: &Api, flags: &Get, output: Output) -> Result<(), Failure> {
+pub(crate) async fn get(
+    api: &api::Api,
+    flags: &command::Get,
+    output: Output,
+) -> Result<(), failure::Failure> {
     let Some(first) = flags.what.first() else {
-        return Err(Failure::Usage("name a kind".to_owned()));
+        return Err(failure::Failure::Usage("name a kind".to_owned()));
     };
     if flags.what.len() > 1 || first.contains('/') {
-        let (kind, name) = kind_and_name(&flags.what)?;
+        let (kind, name) = apply::kind_and_name(&flags.what)?;
         let found = api.get(kind, &name).await?;
-        let found =
-            found.ok_or_else(|| Failure::Other(format!("{kind}/{name} is not declared")))?;
+        let found = found
+            .ok_or_else(|| failure::Failure::Other(format!("{kind}/{name} is not declared")))?;
         return print_json(&found);
     }
-    let kind = find_kind(first)?;
+    let kind = apply::find_kind(first)?;
     let mut filter = String::new();
     if let Some(prefix) = &flags.prefix {
         filter.push_str(&format!("&prefix={prefix}"));
@@ -89,23 +94,23 @@
     columns.iter().map(|c| (*c).to_owned()).collect()
 }
 
-fn row(resource: &Resource) -> Vec<String> {
+fn row(resource: &kinds::Resource) -> Vec<String> {
     let mut row = vec![resource.name.clone(), resource.version.to_string()];
     row.extend(match &resource.spec {
-        Spec::ClientAccount(s) => {
+        kinds::Spec::ClientAccount(s) => {
             vec![s.tiers.join(","), s.places.join(","), or_dash(s.weight), or_dash(s.max_running)]
         }
-        Spec::Tier(s) => vec![or_dash(s.level), or_dash(s.deadline_seconds)],
-        Spec::Place(s) => vec![s.zones.join(",")],
-        Spec::Endpoint(s) => vec![
+        kinds::Spec::Tier(s) => vec![or_dash(s.level), or_dash(s.deadline_seconds)],
+        kinds::Spec::Place(s) => vec![s.zones.join(",")],
+        kinds::Spec::Endpoint(s) => vec![
             s.place.clone(),
             s.address.clone(),
             s.model.clone().or_else(|| s.service.clone()).unwrap_or_default(),
             s.slots.to_string(),
             s.leaving.to_string(),
         ],
-        Spec::Model(s) => vec![or_dash(s.queue_bound), or_dash(s.output_tokens)],
-        Spec::Service(s) => {
+        kinds::Spec::Model(s) => vec![or_dash(s.queue_bound), or_dash(s.output_tokens)],
+        kinds::Spec::Service(s) => {
             let routes = s.repeatable.iter().map(|r| format!("{} {}", r.method, r.path_prefix));
             vec![or_dash(s.queue_bound), routes.collect::<Vec<_>>().join(",")]
         }
@@ -126,11 +131,15 @@
 }
 
 /// Shows instances and pools, or where one resource is in force.
-pub(crate) async fn status(api: &Api, flags: &Status, output: Output) -> Result<(), Failure> {
+pub(crate) async fn status(
+    api: &api::Api,
+    flags: &command::Status,
+    output: Output,
+) -> Result<(), failure::Failure> {
     let path = if flags.what.is_empty() {
         "/v1/status".to_owned()
     } else {
-        let (kind, name) = kind_and_name(&flags.what)?;
+        let (kind, name) = apply::kind_and_name(&flags.what)?;
         format!("/v1/resources/{kind}/{name}/status")
     };
     let status: Value = api.call(Method::Get, &path, None).await?;
@@ -162,15 +171,19 @@
 }
 
 /// Shows changes as lines of JSON as they come.
-pub(crate) async fn watch(api: &Api, flags: &Watch) -> Result<(), Failure> {
-    let kind = flags.what.first().map(|k| find_kind(k)).transpose()?;
+pub(crate) async fn watch(api: &api::Api, flags: &command::Watch) -> Result<(), failure::Failure> {
+    let kind = flags.what.first().map(|k| apply::find_kind(k)).transpose()?;
     let mut answer = api.watch(kind).await?;
     if !answer.head.status().is_success() {
-        return Err(Failure::Other(format!("the instance answered {}", answer.head.status())));
+        return Err(failure::Failure::Other(format!(
+            "the instance answered {}",
+            answer.head.status()
+        )));
     }
     let mut shown = 0;
     let mut line = Vec::new();
-    let ended = |e: &dyn std::fmt::Display| Failure::Unreachable(format!("the watch ended: {e}"));
+    let ended =
+        |e: &dyn std::fmt::Display| failure::Failure::Unreachable(format!("the watch ended: {e}"));
     while let Some(piece) = answer.next().await.map_err(|e| ended(&e))? {
         for byte in piece {
             if byte != b'\n' {
--- a/oxbowbend-ctl/src/wait.rs
+++ b/oxbowbend-ctl/src/wait.rs
@@ -6,10 +6,10 @@
 use http_types::Method;
 use serde::Deserialize;
 
-use crate::api::Api;
-use crate::apply::kind_and_name;
-use crate::command::Wait;
-use crate::failure::Failure;
+use crate::api;
+use crate::apply;
+use crate::command;
+use crate::failure;
 
 /// Longest wait if nothing is said.
 const DEFAULT_TIMEOUT: u64 = 60;
@@ -29,13 +29,13 @@
 }
 
 /// Waits for one resource, or for all that the instance spoken to has.
-pub(crate) async fn wait(api: &Api, flags: &Wait) -> Result<(), Failure> {
+pub(crate) async fn wait(api: &api::Api, flags: &command::Wait) -> Result<(), failure::Failure> {
     let wanted = if flags.what.is_empty() {
         let status: Status = api.call(Method::Get, "/v1/status", None).await?;
         status.revision.unwrap_or(0)
     } else {
-        let (kind, name) = kind_and_name(&flags.what)?;
-        let missing = || Failure::Other(format!("{kind}/{name} is not declared"));
+        let (kind, name) = apply::kind_and_name(&flags.what)?;
+        let missing = || failure::Failure::Other(format!("{kind}/{name} is not declared"));
         api.get(kind, &name).await?.ok_or_else(missing)?.version
     };
     revision(api, wanted, flags.timeout).await?;
@@ -44,7 +44,11 @@
 }
 
 /// Waits until every listed instance has a revision in force, or names those that have not.
-pub(crate) async fn revision(api: &Api, wanted: u64, timeout: Option<u64>) -> Result<(), Failure> {
+pub(crate) async fn revision(
+    api: &api::Api,
+    wanted: u64,
+    timeout: Option<u64>,
+) -> Result<(), failure::Failure> {
     let longest = Duration::from_secs(timeout.unwrap_or(DEFAULT_TIMEOUT));
     let began = Instant::now();
     loop {
@@ -56,7 +60,7 @@
             return Ok(());
         }
         if began.elapsed() >= longest {
-            return Err(Failure::NotInForce(missing.join(", ")));
+            return Err(failure::Failure::NotInForce(missing.join(", ")));
         }
         task::sleep(PAUSE).await;
     }
--- a/oxbowbend-daemon/src/callers/admission.rs
+++ b/oxbowbend-daemon/src/callers/admission.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use http_types::{Request, StatusCode};
-use oxbowbend_http::problem::Problem;
-use oxbowbend_resource::kinds::{ClientAccount, Kind, Spec};
+use oxbowbend_http::problem;
+use oxbowbend_resource::kinds;
 
 use crate::clock;
-use crate::config::Current;
+use crate::config;
 
 /// Header with the tier asked for.
 const TIER: &str = "Oxbow-Tier";
@@ -60,20 +60,24 @@
 
 /// Finds the client account whose key the request bears.
 pub(crate) fn authenticate<'a>(
-    current: &'a Current,
+    current: &'a config::Current,
     req: &Request,
-) -> Result<(&'a str, &'a ClientAccount), Problem> {
+) -> Result<(&'a str, &'a kinds::ClientAccount), problem::Problem> {
     let header = req.header("Authorization").map(|v| v.as_str());
     let key = header.and_then(|v| v.strip_prefix("Bearer "));
     let account = key.and_then(|key| current.keys.find(key.trim()));
     account.ok_or_else(|| {
-        let problem = Problem::new(StatusCode::Unauthorized, "no known key");
+        let problem = problem::Problem::new(StatusCode::Unauthorized, "no known key");
         problem.detail("send the key of a client account as a bearer token")
     })
 }
 
 /// Decides what a request may do, by its headers and the client account.
-pub(crate) fn admit(current: &Current, zone: &str, req: &Request) -> Result<Admitted, Problem> {
+pub(crate) fn admit(
+    current: &config::Current,
+    zone: &str,
+    req: &Request,
+) -> Result<Admitted, problem::Problem> {
     let (name, account) = authenticate(current, req)?;
     let tier = choose(req, TIER, &account.tiers, "tier")?;
     let (level, tier_deadline) = tier_of(current, &tier)?;
@@ -99,42 +103,51 @@
     req.header(name).map(|v| v.as_str().trim())
 }
 
-fn choose(req: &Request, name: &str, allowed: &[String], what: &str) -> Result<String, Problem> {
+fn choose(
+    req: &Request,
+    name: &str,
+    allowed: &[String],
+    what: &str,
+) -> Result<String, problem::Problem> {
     let Some(asked) = header(req, name) else {
-        let none = || Problem::new(StatusCode::Forbidden, "nothing allowed");
+        let none = || problem::Problem::new(StatusCode::Forbidden, "nothing allowed");
         return allowed.first().cloned().ok_or_else(none);
     };
     if allowed.iter().any(|a| a == asked) {
         return Ok(asked.to_owned());
     }
-    let problem = Problem::new(StatusCode::Forbidden, "not allowed to the client account");
+    let problem = problem::Problem::new(StatusCode::Forbidden, "not allowed to the client account");
     Err(problem.detail(format!("{what} {asked:?} is not one of the client account's")))
 }
 
-fn tier_of(current: &Current, name: &str) -> Result<(u8, Option<Duration>), Problem> {
-    match current.manifest.set().get(Kind::Tier, name).map(|r| &r.spec) {
-        Some(Spec::Tier(tier)) => {
+fn tier_of(
+    current: &config::Current,
+    name: &str,
+) -> Result<(u8, Option<Duration>), problem::Problem> {
+    match current.manifest.set().get(kinds::Kind::Tier, name).map(|r| &r.spec) {
+        Some(kinds::Spec::Tier(tier)) => {
             let deadline = tier.deadline_seconds.map(|s| Duration::from_secs(s.into()));
             Ok((tier.level.unwrap_or(u8::MAX), deadline))
         }
-        _ => Err(Problem::new(StatusCode::Forbidden, "the tier is not declared")),
+        _ => Err(problem::Problem::new(StatusCode::Forbidden, "the tier is not declared")),
     }
 }
 
 /// A request is handled in its place or nowhere, and this instance is a part of handling it.
-fn check_place(current: &Current, name: &str, zone: &str) -> Result<(), Problem> {
-    match current.manifest.set().get(Kind::Place, name).map(|r| &r.spec) {
-        Some(Spec::Place(place)) if place.zones.iter().any(|z| z == zone) => Ok(()),
+fn check_place(current: &config::Current, name: &str, zone: &str) -> Result<(), problem::Problem> {
+    match current.manifest.set().get(kinds::Kind::Place, name).map(|r| &r.spec) {
+        Some(kinds::Spec::Place(place)) if place.zones.iter().any(|z| z == zone) => Ok(()),
         Some(_) => {
-            let problem = Problem::new(StatusCode::MisdirectedRequest, "outside the place");
+            let problem =
+                problem::Problem::new(StatusCode::MisdirectedRequest, "outside the place");
             let detail = format!("zone {zone:?}, where this instance is, is not in place {name:?}");
             Err(problem.detail(detail))
         }
-        None => Err(Problem::new(StatusCode::Forbidden, "the place is not declared")),
+        None => Err(problem::Problem::new(StatusCode::Forbidden, "the place is not declared")),
     }
 }
 
-fn deadline(req: &Request) -> Result<Option<Duration>, Problem> {
+fn deadline(req: &Request) -> Result<Option<Duration>, problem::Problem> {
     let Some(text) = header(req, DEADLINE) else { return Ok(None) };
     let seconds: Option<f64> = text.parse().ok();
     match seconds.and_then(|s| Duration::try_from_secs_f64(s).ok()) {
@@ -143,7 +156,7 @@
     }
 }
 
-fn repeatable(req: &Request) -> Result<bool, Problem> {
+fn repeatable(req: &Request) -> Result<bool, problem::Problem> {
     match header(req, REPEATABLE) {
         None | Some("false") => Ok(false),
         Some("true") => Ok(true),
@@ -151,7 +164,7 @@
     }
 }
 
-fn idempotency_key(req: &Request) -> Result<Option<String>, Problem> {
+fn idempotency_key(req: &Request) -> Result<Option<String>, problem::Problem> {
     match header(req, IDEMPOTENCY_KEY) {
         None => Ok(None),
         Some(key) if !key.is_empty() && key.len() <= MAX_KEY => Ok(Some(key.to_owned())),
@@ -159,7 +172,7 @@
     }
 }
 
-fn bad_header(name: &str, expected: &str) -> Problem {
-    let problem = Problem::new(StatusCode::BadRequest, "a header cannot be used");
+fn bad_header(name: &str, expected: &str) -> problem::Problem {
+    let problem = problem::Problem::new(StatusCode::BadRequest, "a header cannot be used");
     problem.detail(format!("{name} must be {expected}"))
 }
--- a/oxbowbend-daemon/src/callers/flow.rs
+++ b/oxbowbend-daemon/src/callers/flow.rs
@@ -6,18 +6,18 @@
 use futures::future::{self, Either};
 use http_types::{Request, Response, StatusCode};
 use oxbowbend_core::ids::{EndpointId, PoolId};
-use oxbowbend_core::message::{Record, Refusal};
-use oxbowbend_core::node::Event;
-use oxbowbend_http::problem::{Outcome, Problem};
-use oxbowbend_http::server::Caller;
+use oxbowbend_core::message;
+use oxbowbend_core::node;
+use oxbowbend_http::problem;
+use oxbowbend_http::server;
 use oxbowbend_platform::kv::KeyValue;
 
-use super::admission::Admitted;
-use super::keyed::Keyed;
+use super::admission;
+use super::keyed;
 use super::{OpenGuard, Service, COME_BACK};
 use crate::clock;
-use crate::config::Current;
-use crate::hub::{Decision, Ticket};
+use crate::config;
+use crate::hub;
 use crate::ids;
 use crate::observe;
 
@@ -29,9 +29,9 @@
 /// A request on its way through this instance.
 pub(crate) struct Flow<K> {
     pub(crate) service: Arc<Service<K>>,
-    pub(crate) current: Arc<Current>,
-    pub(crate) admitted: Admitted,
-    pub(crate) caller: Caller,
+    pub(crate) current: Arc<config::Current>,
+    pub(crate) admitted: admission::Admitted,
+    pub(crate) caller: server::Caller,
     /// Id that the caller is told.
     pub(crate) id: String,
     runs: u32,
@@ -49,7 +49,7 @@
 
 /// A grant that may be dispatched now.
 pub(crate) struct Granted {
-    pub(crate) ticket: Ticket,
+    pub(crate) ticket: hub::Ticket,
     pub(crate) run: String,
     pub(crate) endpoint: EndpointId,
     pub(crate) address: std::net::SocketAddr,
@@ -60,11 +60,12 @@
     pub(crate) fn begin(
         service: &Arc<Service<K>>,
         req: &Request,
-        caller: &Caller,
+        caller: &server::Caller,
     ) -> Result<Flow<K>, Response> {
         let id = ids::request();
-        let refuse =
-            |problem: Problem| problem.outcome(Outcome::NotRun).request_id(&id).into_response();
+        let refuse = |problem: problem::Problem| {
+            problem.outcome(problem::Outcome::NotRun).request_id(&id).into_response()
+        };
         let Some(current) = service.config.current() else { return Err(super::not_ready()) };
         let admitted = super::admission::admit(&current, &service.settings.zone, req);
         let admitted = admitted.map_err(refuse)?;
@@ -78,13 +79,13 @@
     }
 
     /// A refusal with its outcome, noted in the metrics.
-    pub(crate) fn refuse(&self, problem: Problem, outcome: Outcome) -> Response {
+    pub(crate) fn refuse(&self, problem: problem::Problem, outcome: problem::Outcome) -> Response {
         self.note(outcome);
         problem.outcome(outcome).request_id(&self.id).into_response()
     }
 
     /// Notes in the metrics that the request has been answered.
-    pub(crate) fn note(&self, outcome: Outcome) {
+    pub(crate) fn note(&self, outcome: problem::Outcome) {
         let time = clock::now().saturating_duration_since(self.admitted.arrived);
         observe::answered(&self.admitted.tier, &self.admitted.account, outcome.name(), time);
     }
@@ -119,9 +120,9 @@
         run: String,
         pool: &PoolId,
         work: &Work,
-        keyed: Option<&Keyed<K>>,
+        keyed: Option<&keyed::Keyed<K>>,
     ) -> Result<Granted, Response> {
-        let record = Record {
+        let record = message::Record {
             id: run.as_str().into(),
             attempt: 1,
             pool: pool.clone(),
@@ -147,8 +148,8 @@
     /// Waits for the next grant, while the caller is there.
     pub(crate) async fn next_grant(
         &self,
-        ticket: &Ticket,
-        keyed: Option<&Keyed<K>>,
+        ticket: &hub::Ticket,
+        keyed: Option<&keyed::Keyed<K>>,
     ) -> Result<EndpointId, Response> {
         let decision = Box::pin(ticket.decision());
         let gone = Box::pin(self.caller.gone());
@@ -158,22 +159,23 @@
                 if !ticket.withdraw() {
                     ticket.finish(super::settle::cancelled());
                 }
-                let problem = Problem::new(StatusCode::BadRequest, "the caller has hung up");
+                let problem =
+                    problem::Problem::new(StatusCode::BadRequest, "the caller has hung up");
                 return Err(self.not_run(keyed, problem).await);
             }
         };
         match decision {
-            Decision::Refuse { reason, retry_after } => {
+            hub::Decision::Refuse { reason, retry_after } => {
                 Err(self.not_run(keyed, refusal(reason, retry_after)).await)
             }
-            Decision::Dispatch { grant, at } => {
+            hub::Decision::Dispatch { grant, at } => {
                 if !self.service.hub.node().may_dispatch(&grant.endpoint) {
                     return self.requeue(ticket, keyed).await;
                 }
                 if let Some(keyed) = keyed {
                     if let Err(problem) = keyed.dispatch(&grant.endpoint).await {
                         ticket.finish(super::settle::cancelled());
-                        return Err(self.refuse(problem, Outcome::Unknown));
+                        return Err(self.refuse(problem, problem::Outcome::Unknown));
                     }
                 }
                 // An instance that was paused may have been dropped from the list, and its grants
@@ -190,13 +192,13 @@
     /// Goes back into the queue, because the run never began.
     pub(crate) async fn again(
         &self,
-        ticket: &Ticket,
-        keyed: Option<&Keyed<K>>,
+        ticket: &hub::Ticket,
+        keyed: Option<&keyed::Keyed<K>>,
     ) -> Result<EndpointId, Response> {
         if let Some(keyed) = keyed {
             if let Err(problem) = keyed.undo().await {
                 ticket.finish(super::settle::cancelled());
-                return Err(self.refuse(problem, Outcome::Unknown));
+                return Err(self.refuse(problem, problem::Outcome::Unknown));
             }
         }
         self.requeue(ticket, keyed).await
@@ -204,8 +206,8 @@
 
     async fn requeue(
         &self,
-        ticket: &Ticket,
-        keyed: Option<&Keyed<K>>,
+        ticket: &hub::Ticket,
+        keyed: Option<&keyed::Keyed<K>>,
     ) -> Result<EndpointId, Response> {
         ticket.requeue();
         Box::pin(self.next_grant(ticket, keyed)).await
@@ -215,11 +217,11 @@
     pub(crate) async fn elsewhere(
         &self,
         granted: Granted,
-        keyed: Option<&Keyed<K>>,
+        keyed: Option<&keyed::Keyed<K>>,
         leaving: bool,
     ) -> Result<Granted, Response> {
         if leaving {
-            self.service.hub.feed(Event::EndpointLeaving(granted.endpoint.clone()));
+            self.service.hub.feed(node::Event::EndpointLeaving(granted.endpoint.clone()));
         }
         let endpoint = self.again(&granted.ticket, keyed).await?;
         let Some(address) = self.service.config.address(&endpoint) else {
@@ -231,33 +233,38 @@
 
     /// Says that the request was not run, which holds for a keyed one only if its entry in the
     /// ledger could be released.
-    async fn not_run(&self, keyed: Option<&Keyed<K>>, problem: Problem) -> Response {
+    async fn not_run(
+        &self,
+        keyed: Option<&keyed::Keyed<K>>,
+        problem: problem::Problem,
+    ) -> Response {
         let released = match keyed {
             None => true,
             Some(keyed) => keyed.release().await,
         };
-        let outcome = if released { Outcome::NotRun } else { Outcome::Unknown };
+        let outcome = if released { problem::Outcome::NotRun } else { problem::Outcome::Unknown };
         self.refuse(problem, outcome)
     }
 }
 
 /// A refusal because nothing can serve the request now.
-pub(crate) fn unavailable() -> Problem {
-    let problem = Problem::new(StatusCode::ServiceUnavailable, "no endpoint");
+pub(crate) fn unavailable() -> problem::Problem {
+    let problem = problem::Problem::new(StatusCode::ServiceUnavailable, "no endpoint");
     problem.detail("no endpoint can serve this at present").retry_after(COME_BACK)
 }
 
-fn refusal(reason: Refusal, retry_after: Duration) -> Problem {
+fn refusal(reason: message::Refusal, retry_after: Duration) -> problem::Problem {
     let problem = match reason {
-        Refusal::Shed => {
-            let problem = Problem::new(StatusCode::TooManyRequests, "shed");
+        message::Refusal::Shed => {
+            let problem = problem::Problem::new(StatusCode::TooManyRequests, "shed");
             problem.detail("more work waits than can be served in time")
         }
-        Refusal::Deadline => {
-            let problem = Problem::new(StatusCode::GatewayTimeout, "the deadline cannot be met");
+        message::Refusal::Deadline => {
+            let problem =
+                problem::Problem::new(StatusCode::GatewayTimeout, "the deadline cannot be met");
             problem.detail("the answer would come too late")
         }
-        Refusal::Unavailable => return unavailable(),
+        message::Refusal::Unavailable => return unavailable(),
     };
     problem.retry_after(retry_after)
 }
--- a/oxbowbend-daemon/src/callers/keyed.rs
+++ b/oxbowbend-daemon/src/callers/keyed.rs
@@ -5,9 +5,9 @@
 
 use async_std::task;
 use http_types::StatusCode;
-use oxbowbend_core::ids::{EndpointId, InstanceId};
-use oxbowbend_core::ledger::{ledger_key, LedgerKey, Step, StepAction, Verdict};
-use oxbowbend_http::problem::{Outcome, Problem};
+use oxbowbend_core::ids;
+use oxbowbend_core::ledger;
+use oxbowbend_http::problem;
 use oxbowbend_platform::kv::KeyValue;
 use oxbowbend_platform::ledger::LedgerError;
 
@@ -19,7 +19,7 @@
 /// A request's entry in the ledger, held under one run.
 pub(crate) struct Keyed<K> {
     service: Arc<Service<K>>,
-    key: LedgerKey,
+    key: ledger::LedgerKey,
     run: String,
 }
 
@@ -37,7 +37,7 @@
         done: bool,
     },
     /// The caller gets its final answer at once.
-    Refused(Problem, Outcome),
+    Refused(problem::Problem, problem::Outcome),
 }
 
 impl<K: KeyValue> Keyed<K> {
@@ -49,47 +49,47 @@
         run: &str,
         body: u64,
     ) -> Standing<K> {
-        let key = ledger_key(account, idempotency_key);
+        let key = ledger::ledger_key(account, idempotency_key);
         let keyed = Keyed { service: service.clone(), key, run: run.to_owned() };
         // Noted before the ledger says so: a copy that arrives elsewhere in between must find it.
         service.held.enter(&keyed.key);
         let mut takeover = false;
         for _ in 0..MAX_TAKEOVERS {
             match keyed.take(keyed.hold_step(body, takeover)).await {
-                Ok(Verdict::Taken) => return Standing::Mine(keyed),
-                Ok(Verdict::HeldBy { holder }) if keyed.is_alive(&holder).await => {
-                    return Standing::Refused(in_progress(), Outcome::Unknown);
+                Ok(ledger::Verdict::Taken) => return Standing::Mine(keyed),
+                Ok(ledger::Verdict::HeldBy { holder }) if keyed.is_alive(&holder).await => {
+                    return Standing::Refused(in_progress(), problem::Outcome::Unknown);
                 }
-                Ok(Verdict::HeldBy { .. }) => takeover = true,
-                Ok(Verdict::Dispatched { endpoint, run }) => {
+                Ok(ledger::Verdict::HeldBy { .. }) => takeover = true,
+                Ok(ledger::Verdict::Dispatched { endpoint, run }) => {
                     return keyed.elsewhere(endpoint, &run, false);
                 }
-                Ok(Verdict::Done { endpoint, run }) => {
+                Ok(ledger::Verdict::Done { endpoint, run }) => {
                     return keyed.elsewhere(endpoint, &run, true)
                 }
-                Ok(Verdict::OtherBody) => {
-                    return Standing::Refused(other_body(), Outcome::NotRun);
+                Ok(ledger::Verdict::OtherBody) => {
+                    return Standing::Refused(other_body(), problem::Outcome::NotRun);
                 }
-                Ok(Verdict::Lost) => break,
-                Err(e) => return Standing::Refused(no_ledger(&e), Outcome::Unknown),
+                Ok(ledger::Verdict::Lost) => break,
+                Err(e) => return Standing::Refused(no_ledger(&e), problem::Outcome::Unknown),
             }
         }
-        Standing::Refused(in_progress(), Outcome::Unknown)
+        Standing::Refused(in_progress(), problem::Outcome::Unknown)
     }
 
-    fn hold_step(&self, body: u64, takeover: bool) -> StepAction {
+    fn hold_step(&self, body: u64, takeover: bool) -> ledger::StepAction {
         let window = self.service.settings.ledger_window.as_secs();
-        StepAction::Hold { holder: self.service.hub.me().clone(), body, takeover, window }
+        ledger::StepAction::Hold { holder: self.service.hub.me().clone(), body, takeover, window }
     }
 
-    async fn take(&self, action: StepAction) -> Result<Verdict, LedgerError> {
-        let step = Step { key: self.key.clone(), run: self.run.as_str().into(), action };
+    async fn take(&self, action: ledger::StepAction) -> Result<ledger::Verdict, LedgerError> {
+        let step = ledger::Step { key: self.key.clone(), run: self.run.as_str().into(), action };
         self.service.ledger.take(step).await
     }
 
     /// Whether the holder of the entry lives and still has the request. Taking over is safe all
     /// the same; this only spares the caller that is waiting there.
-    async fn is_alive(&self, holder: &InstanceId) -> bool {
+    async fn is_alive(&self, holder: &ids::InstanceId) -> bool {
         if *holder == *self.service.hub.me() {
             // One of them is this request itself.
             return self.service.held.count(&self.key) > 1;
@@ -97,26 +97,29 @@
         self.service.peers.holds(holder, &self.key).await.unwrap_or(false)
     }
 
-    fn elsewhere(&self, endpoint: EndpointId, run: &str, done: bool) -> Standing<K> {
+    fn elsewhere(&self, endpoint: ids::EndpointId, run: &str, done: bool) -> Standing<K> {
         let address = self.service.config.address(&endpoint);
         Standing::Elsewhere { run: run.to_owned(), address, done }
     }
 
     /// Enters that the request is about to be dispatched. Nothing may be sent unless this
     /// succeeds.
-    pub(crate) async fn dispatch(&self, endpoint: &EndpointId) -> Result<(), Problem> {
-        match self.take(StepAction::Dispatch { endpoint: endpoint.clone() }).await {
-            Ok(Verdict::Taken) => Ok(()),
+    pub(crate) async fn dispatch(
+        &self,
+        endpoint: &ids::EndpointId,
+    ) -> Result<(), problem::Problem> {
+        match self.take(ledger::StepAction::Dispatch { endpoint: endpoint.clone() }).await {
+            Ok(ledger::Verdict::Taken) => Ok(()),
             Ok(_) => Err(taken_over()),
             Err(e) => Err(no_ledger(&e)),
         }
     }
 
     /// Takes the dispatch back, because no byte was sent.
-    pub(crate) async fn undo(&self) -> Result<(), Problem> {
+    pub(crate) async fn undo(&self) -> Result<(), problem::Problem> {
         let holder = self.service.hub.me().clone();
-        match self.take(StepAction::Undo { holder }).await {
-            Ok(Verdict::Taken) => Ok(()),
+        match self.take(ledger::StepAction::Undo { holder }).await {
+            Ok(ledger::Verdict::Taken) => Ok(()),
             Ok(_) => Err(taken_over()),
             Err(e) => Err(no_ledger(&e)),
         }
@@ -124,15 +127,15 @@
 
     /// Gives the request up; `false` if it may be somebody else's by now.
     pub(crate) async fn release(&self) -> bool {
-        matches!(self.take(StepAction::Release).await, Ok(Verdict::Taken))
+        matches!(self.take(ledger::StepAction::Release).await, Ok(ledger::Verdict::Taken))
     }
 
     /// Enters, without waiting, that the whole answer has been read.
     pub(crate) fn finish(&self) {
-        let step = Step {
+        let step = ledger::Step {
             key: self.key.clone(),
             run: self.run.as_str().into(),
-            action: StepAction::Finish,
+            action: ledger::StepAction::Finish,
         };
         let ledger = self.service.ledger.clone();
         task::spawn(async move {
@@ -149,25 +152,26 @@
     }
 }
 
-fn in_progress() -> Problem {
-    let problem = Problem::new(StatusCode::Conflict, "in progress");
+fn in_progress() -> problem::Problem {
+    let problem = problem::Problem::new(StatusCode::Conflict, "in progress");
     let detail = "a request with this idempotency key is being served";
     problem.detail(detail).retry_after(COME_BACK)
 }
 
-fn other_body() -> Problem {
-    let problem = Problem::new(StatusCode::UnprocessableEntity, "another request's key");
+fn other_body() -> problem::Problem {
+    let problem = problem::Problem::new(StatusCode::UnprocessableEntity, "another request's key");
     problem.detail("this idempotency key was used for a request with another body")
 }
 
-fn taken_over() -> Problem {
-    let problem = Problem::new(StatusCode::Conflict, "taken over");
+fn taken_over() -> problem::Problem {
+    let problem = problem::Problem::new(StatusCode::Conflict, "taken over");
     let detail = "a copy of this request is being served elsewhere";
     problem.detail(detail).retry_after(COME_BACK)
 }
 
-fn no_ledger(e: &LedgerError) -> Problem {
-    let problem = Problem::new(StatusCode::ServiceUnavailable, "the ledger cannot be used");
+fn no_ledger(e: &LedgerError) -> problem::Problem {
+    let problem =
+        problem::Problem::new(StatusCode::ServiceUnavailable, "the ledger cannot be used");
     let detail = format!("whether a request with this key has run cannot be told: {e}");
     problem.detail(detail).retry_after(COME_BACK)
 }
--- a/oxbowbend-daemon/src/callers/mod.rs
+++ b/oxbowbend-daemon/src/callers/mod.rs
@@ -15,19 +15,19 @@
 use std::time::Duration;
 
 use http_types::{Method, Request, Response, StatusCode};
-use oxbowbend_core::budget::RetryBudget;
-use oxbowbend_http::client::Client;
-use oxbowbend_http::problem::{json, Outcome, Problem};
-use oxbowbend_http::server::{Caller, Handler};
+use oxbowbend_core::budget;
+use oxbowbend_http::client;
+use oxbowbend_http::problem;
+use oxbowbend_http::server::{self, Handler};
 use oxbowbend_platform::kv::KeyValue;
-use oxbowbend_resource::kinds::Kind;
+use oxbowbend_resource::kinds;
 use serde_json::json;
 
-use crate::config::Config;
-use crate::hub::Hub;
-use crate::peers::Peers;
-use crate::router::Router;
-use crate::settings::Settings;
+use crate::config;
+use crate::hub;
+use crate::peers;
+use crate::router;
+use crate::settings;
 
 /// When to come back if this instance cannot serve yet.
 const COME_BACK: Duration = Duration::from_secs(1);
@@ -79,15 +79,17 @@
         account: &str,
         bound: Option<u32>,
         total: usize,
-    ) -> Result<OpenGuard, Problem> {
+    ) -> Result<OpenGuard, problem::Problem> {
         let mut by_account = self.by_account.lock().expect("no panic under lock");
         if by_account.values().sum::<usize>() >= total {
-            let problem = Problem::new(StatusCode::ServiceUnavailable, "too many open requests");
+            let problem =
+                problem::Problem::new(StatusCode::ServiceUnavailable, "too many open requests");
             return Err(problem.detail("this instance holds all the requests that it can"));
         }
         let n = by_account.entry(account.to_owned()).or_default();
         if bound.is_some_and(|bound| *n >= bound as usize) {
-            let problem = Problem::new(StatusCode::TooManyRequests, "too many open requests");
+            let problem =
+                problem::Problem::new(StatusCode::TooManyRequests, "too many open requests");
             return Err(problem.detail("the client account has all the requests open that it may"));
         }
         *n += 1;
@@ -109,15 +111,15 @@
 
 /// What serving callers needs.
 pub(crate) struct Service<K> {
-    pub(crate) hub: Arc<Hub>,
-    pub(crate) config: Arc<Config>,
-    pub(crate) peers: Arc<Peers>,
-    pub(crate) ledger: Router<K>,
-    pub(crate) settings: Settings,
-    pub(crate) client: Client,
+    pub(crate) hub: Arc<hub::Hub>,
+    pub(crate) config: Arc<config::Config>,
+    pub(crate) peers: Arc<peers::Peers>,
+    pub(crate) ledger: router::Router<K>,
+    pub(crate) settings: settings::Settings,
+    pub(crate) client: client::Client,
     pub(crate) held: Arc<Held>,
     open: Arc<Open>,
-    retries: Mutex<RetryBudget>,
+    retries: Mutex<budget::RetryBudget>,
 }
 
 /// Answers callers; clones share everything.
@@ -128,11 +130,11 @@
 impl<K: KeyValue> Callers<K> {
     /// Prepares to answer callers.
     pub(crate) fn new(
-        hub: Arc<Hub>,
-        config: Arc<Config>,
-        peers: Arc<Peers>,
-        ledger: Router<K>,
-        settings: Settings,
+        hub: Arc<hub::Hub>,
+        config: Arc<config::Config>,
+        peers: Arc<peers::Peers>,
+        ledger: router::Router<K>,
+        settings: settings::Settings,
         held: Arc<Held>,
     ) -> Callers<K> {
         let service = Service {
@@ -141,7 +143,7 @@
             peers,
             ledger,
             settings,
-            client: Client::new(),
+            client: client::Client::new(),
             held,
             open: Arc::default(),
             retries: Mutex::default(),
@@ -154,14 +156,14 @@
         if let Err(problem) = admission::authenticate(&current, req) {
             return problem.into_response();
         }
-        let models = current.manifest.set().of(Kind::Model);
+        let models = current.manifest.set().of(kinds::Kind::Model);
         let models: Vec<_> = models.map(|m| json!({ "id": m.name, "object": "model" })).collect();
-        json(StatusCode::Ok, &json!({ "object": "list", "data": models }))
+        problem::json(StatusCode::Ok, &json!({ "object": "list", "data": models }))
     }
 }
 
 impl<K: KeyValue> Handler for Callers<K> {
-    async fn handle(&self, req: Request, caller: Caller) -> Response {
+    async fn handle(&self, req: Request, caller: server::Caller) -> Response {
         let path = req.url().path().to_owned();
         match (req.method(), path.as_str()) {
             (Method::Get, "/healthz") => Response::new(StatusCode::Ok),
@@ -174,12 +176,12 @@
                 services::serve(self.service.clone(), req, caller).await
             }
             (_, "/v1/chat/completions" | "/v1/responses" | "/v1/models") => {
-                let problem = Problem::new(StatusCode::MethodNotAllowed, "wrong method");
-                problem.outcome(Outcome::NotRun).into_response()
+                let problem = problem::Problem::new(StatusCode::MethodNotAllowed, "wrong method");
+                problem.outcome(problem::Outcome::NotRun).into_response()
             }
             _ => {
-                let problem = Problem::new(StatusCode::NotFound, "no such path");
-                problem.outcome(Outcome::NotRun).into_response()
+                let problem = problem::Problem::new(StatusCode::NotFound, "no such path");
+                problem.outcome(problem::Outcome::NotRun).into_response()
             }
         }
     }
@@ -187,13 +189,13 @@
 
 /// Whether new requests should be sent here: there is a configuration, the instance is listed, and
 /// it is not stopping.
-pub(crate) fn readiness(hub: &Hub, config: &Config) -> Response {
+pub(crate) fn readiness(hub: &hub::Hub, config: &config::Config) -> Response {
     let (draining, listed) = {
         let node = hub.node();
         (node.is_draining(), node.members().contains(hub.me()))
     };
     if draining {
-        let problem = Problem::new(StatusCode::ServiceUnavailable, "stopping");
+        let problem = problem::Problem::new(StatusCode::ServiceUnavailable, "stopping");
         return problem.into_response();
     }
     if config.revision().is_none() || !listed {
@@ -203,9 +205,9 @@
 }
 
 fn not_ready() -> Response {
-    Problem::new(StatusCode::ServiceUnavailable, "not ready")
+    problem::Problem::new(StatusCode::ServiceUnavailable, "not ready")
         .detail("this instance has no configuration yet, or is not listed yet")
-        .outcome(Outcome::NotRun)
+        .outcome(problem::Outcome::NotRun)
         .retry_after(COME_BACK)
         .into_response()
 }
--- a/oxbowbend-daemon/src/callers/models.rs
+++ b/oxbowbend-daemon/src/callers/models.rs
@@ -8,23 +8,23 @@
 use futures::future::{self, Either};
 use futures::TryStreamExt;
 use http_types::{Body, Mime, Request, Response, StatusCode};
-use oxbowbend_core::cache::BLOCK_TOKENS;
-use oxbowbend_core::ids::PoolId;
-use oxbowbend_core::message::{RunEnd, RunReport};
-use oxbowbend_endpoint::events::{Api, Event};
-use oxbowbend_endpoint::run::{self, Observed, Run, StartError, Target, Whole};
+use oxbowbend_core::cache;
+use oxbowbend_core::ids;
+use oxbowbend_core::message;
+use oxbowbend_endpoint::events;
+use oxbowbend_endpoint::run;
 use oxbowbend_http::body;
-use oxbowbend_http::client::Limits;
-use oxbowbend_http::problem::{Outcome, Problem, OUTCOME, REQUEST_ID};
-use oxbowbend_http::server::Caller;
+use oxbowbend_http::client;
+use oxbowbend_http::problem;
+use oxbowbend_http::server;
 use oxbowbend_platform::kv::KeyValue;
 use oxbowbend_resource::derive;
-use oxbowbend_resource::kinds::{Kind, Spec};
+use oxbowbend_resource::kinds;
 use serde_json::Value;
 use xxhash_rust::xxh3;
 
-use super::flow::{unavailable, Flow, Granted, Work};
-use super::keyed::{Keyed, Standing};
+use super::flow::{self, unavailable};
+use super::keyed;
 use super::settle::{cancelled, failed, settle};
 use super::{Service, COME_BACK};
 use crate::clock;
@@ -45,12 +45,12 @@
 
 /// A request as far as it matters here.
 struct Ask {
-    api: Api,
+    api: events::Api,
     model: String,
     stream: bool,
     body: Value,
     digest: u64,
-    work: Work,
+    work: flow::Work,
 }
 
 type Pieces = Sender<Result<Vec<u8>, std::io::Error>>;
@@ -59,16 +59,16 @@
 pub(super) async fn serve<K: KeyValue>(
     service: Arc<Service<K>>,
     mut req: Request,
-    caller: Caller,
+    caller: server::Caller,
 ) -> Response {
-    let flow = match Flow::begin(&service, &req, &caller) {
+    let flow = match flow::Flow::begin(&service, &req, &caller) {
         Ok(flow) => flow,
         Err(refusal) => return refusal,
     };
     let (limit, time) = (service.settings.max_body, service.settings.body_time);
     let bytes = match body::read_request(&mut req, limit, time).await {
         Ok(bytes) => bytes,
-        Err(e) => return flow.refuse(e.to_problem(), Outcome::NotRun),
+        Err(e) => return flow.refuse(e.to_problem(), problem::Outcome::NotRun),
     };
     let asked = Ask::parse(&flow, req.url().path(), &bytes).and_then(|ask| {
         let pool = find_pool(&flow, &ask)?;
@@ -76,7 +76,7 @@
     });
     let (ask, pool) = match asked {
         Ok(asked) => asked,
-        Err(problem) => return flow.refuse(problem, Outcome::NotRun),
+        Err(problem) => return flow.refuse(problem, problem::Outcome::NotRun),
     };
     match enter_ledger(&flow, &ask).await {
         Ok(Entered::Unkeyed) => run_until_answered(flow, ask, pool, None).await,
@@ -87,23 +87,33 @@
 }
 
 impl Ask {
-    fn parse<K: KeyValue>(flow: &Flow<K>, path: &str, bytes: &[u8]) -> Result<Ask, Problem> {
+    fn parse<K: KeyValue>(
+        flow: &flow::Flow<K>,
+        path: &str,
+        bytes: &[u8],
+    ) -> Result<Ask, problem::Problem> {
         let bad = |detail: String| {
-            Problem::new(StatusCode::BadRequest, "the request cannot be used").detail(detail)
+            problem::Problem::new(StatusCode::BadRequest, "the request cannot be used")
+                .detail(detail)
         };
         let body: Value = serde_json::from_slice(bytes).map_err(|e| bad(e.to_string()))?;
         if !body.is_object() {
             return Err(bad("the body must be a JSON object".to_owned()));
         }
-        let api = if path == Api::Chat.path() { Api::Chat } else { Api::Responses };
+        let api = if path == events::Api::Chat.path() {
+            events::Api::Chat
+        } else {
+            events::Api::Responses
+        };
         let model = body["model"].as_str().unwrap_or_default().to_owned();
         if model.is_empty() {
             return Err(bad("the body must name a model".to_owned()));
         }
-        let declared = match flow.current.manifest.set().get(Kind::Model, &model) {
+        let declared = match flow.current.manifest.set().get(kinds::Kind::Model, &model) {
             Some(resource) => resource.spec.clone(),
             None => {
-                let problem = Problem::new(StatusCode::NotFound, "the model is not declared");
+                let problem =
+                    problem::Problem::new(StatusCode::NotFound, "the model is not declared");
                 return Err(problem.detail(format!("no model {model:?} is declared")));
             }
         };
@@ -118,19 +128,19 @@
     }
 }
 
-fn estimate(body: &Value, api: Api, declared: &Spec) -> Work {
+fn estimate(body: &Value, api: events::Api, declared: &kinds::Spec) -> flow::Work {
     let prompt = match api {
-        Api::Chat => body["messages"].to_string(),
-        Api::Responses => body["input"].to_string(),
+        events::Api::Chat => body["messages"].to_string(),
+        events::Api::Responses => body["input"].to_string(),
     };
     let limits = ["max_completion_tokens", "max_tokens", "max_output_tokens"];
     let stated = limits.iter().find_map(|name| body[name].as_u64());
     let expected = match declared {
-        Spec::Model(model) => model.output_tokens,
+        kinds::Spec::Model(model) => model.output_tokens,
         _ => None,
     };
     let expected = expected.unwrap_or(DEFAULT_OUTPUT_TOKENS);
-    Work {
+    flow::Work {
         prompt_tokens: prompt.len().div_ceil(BYTES_PER_TOKEN) as u32,
         output_tokens: stated.map_or(expected, |n| n.min(u64::from(u32::MAX)) as u32).max(1),
         prefix: prefix_hashes(prompt.as_bytes()),
@@ -139,7 +149,7 @@
 
 /// Hashes of the prompt's blocks, each over everything up to the block's end.
 fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
-    let block = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+    let block = cache::BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
     let mut hash = 0;
     let blocks = prompt.chunks_exact(block).take(MAX_BLOCKS);
     blocks
@@ -150,7 +160,10 @@
         .collect()
 }
 
-fn find_pool<K: KeyValue>(flow: &Flow<K>, ask: &Ask) -> Result<PoolId, Problem> {
+fn find_pool<K: KeyValue>(
+    flow: &flow::Flow<K>,
+    ask: &Ask,
+) -> Result<ids::PoolId, problem::Problem> {
     let pool = derive::model_pool(&flow.admitted.place, &ask.model);
     let node = flow.service.hub.node();
     let known = node.topology().pools.get(&pool).is_some_and(|p| !p.endpoints.is_empty());
@@ -159,35 +172,38 @@
 
 enum Entered<K> {
     Unkeyed,
-    Mine(Keyed<K>),
-    PickUp(Target, bool),
+    Mine(keyed::Keyed<K>),
+    PickUp(run::Target, bool),
 }
 
-async fn enter_ledger<K: KeyValue>(flow: &Flow<K>, ask: &Ask) -> Result<Entered<K>, Response> {
+async fn enter_ledger<K: KeyValue>(
+    flow: &flow::Flow<K>,
+    ask: &Ask,
+) -> Result<Entered<K>, Response> {
     let Some(key) = &flow.admitted.key else { return Ok(Entered::Unkeyed) };
     let account = &flow.admitted.account;
-    match Keyed::hold(&flow.service, account, key, &flow.id, ask.digest).await {
-        Standing::Mine(keyed) => Ok(Entered::Mine(keyed)),
-        Standing::Refused(problem, outcome) => Err(flow.refuse(problem, outcome)),
-        Standing::Elsewhere { run, address: Some(address), done } => {
-            let target = Target { address, run, api: ask.api, limits: limits(flow) };
+    match keyed::Keyed::hold(&flow.service, account, key, &flow.id, ask.digest).await {
+        keyed::Standing::Mine(keyed) => Ok(Entered::Mine(keyed)),
+        keyed::Standing::Refused(problem, outcome) => Err(flow.refuse(problem, outcome)),
+        keyed::Standing::Elsewhere { run, address: Some(address), done } => {
+            let target = run::Target { address, run, api: ask.api, limits: limits(flow) };
             Ok(Entered::PickUp(target, done))
         }
-        Standing::Elsewhere { address: None, done, .. } => Err(lost_run(flow, done)),
+        keyed::Standing::Elsewhere { address: None, done, .. } => Err(lost_run(flow, done)),
     }
 }
 
-fn limits<K: KeyValue>(flow: &Flow<K>) -> Limits {
+fn limits<K: KeyValue>(flow: &flow::Flow<K>) -> client::Limits {
     let longest = flow.service.hub.node().topology().max_run;
-    Limits { connect: CONNECT, head: longest, piece: SILENCE }
+    client::Limits { connect: CONNECT, head: longest, piece: SILENCE }
 }
 
 /// Runs a request, at other endpoints too if it does not begin, until there is an answer.
 async fn run_until_answered<K: KeyValue>(
-    mut flow: Flow<K>,
+    mut flow: flow::Flow<K>,
     ask: Ask,
-    pool: PoolId,
-    keyed: Option<Keyed<K>>,
+    pool: ids::PoolId,
+    keyed: Option<keyed::Keyed<K>>,
 ) -> Response {
     loop {
         let run = flow.next_run();
@@ -206,8 +222,8 @@
                 Err(failed) => failed,
             };
             let leaving = match error {
-                StartError::NotSent(_) => false,
-                StartError::Leaving => true,
+                run::StartError::NotSent(_) => false,
+                run::StartError::Leaving => true,
                 other => break (other, back),
             };
             granted = match flow.elsewhere(back, keyed.as_ref(), leaving).await {
@@ -222,21 +238,21 @@
 }
 
 enum Started {
-    Whole(Whole, Granted),
-    Stream(Box<Run>, Granted),
+    Whole(run::Whole, flow::Granted),
+    Stream(Box<run::Run>, flow::Granted),
 }
 
 async fn attempt<K: KeyValue>(
-    flow: &Flow<K>,
+    flow: &flow::Flow<K>,
     ask: &Ask,
-    granted: Granted,
-) -> Result<Started, (StartError, Granted)> {
+    granted: flow::Granted,
+) -> Result<Started, (run::StartError, flow::Granted)> {
     let client = &flow.service.client;
     let (address, run) = (granted.address, granted.run.clone());
-    let target = Target { address, run, api: ask.api, limits: limits(flow) };
+    let target = run::Target { address, run, api: ask.api, limits: limits(flow) };
     let body = ask.body.clone();
     if ask.stream {
-        return match Run::start(client, target, body).await {
+        return match run::Run::start(client, target, body).await {
             Ok(run) => Ok(Started::Stream(Box::new(run), granted)),
             Err(e) => Err((e, granted)),
         };
@@ -255,31 +271,31 @@
             }
         }
         Either::Right(_) => {
-            Err((StartError::InDoubt("the caller has hung up".to_owned()), granted))
+            Err((run::StartError::InDoubt("the caller has hung up".to_owned()), granted))
         }
     }
 }
 
 /// Answers a run that failed for good, or returns `None` if the request is to be run again.
 fn answer_failure<K: KeyValue>(
-    flow: &Flow<K>,
-    error: StartError,
-    granted: Granted,
+    flow: &flow::Flow<K>,
+    error: run::StartError,
+    granted: flow::Granted,
     keyed: bool,
 ) -> Option<Response> {
     match error {
-        StartError::Answered { status, content_type, body } => {
+        run::StartError::Answered { status, content_type, body } => {
             let report = if status.is_server_error() { failed() } else { cancelled() };
             granted.ticket.finish(report);
             if status.is_server_error() && flow.may_repeat() {
                 return None;
             }
-            flow.note(Outcome::Failed);
+            flow.note(problem::Outcome::Failed);
             let mut res = Response::new(status);
             res.set_body(body);
             res.insert_header("Content-Type", content_type.as_str());
-            res.insert_header(OUTCOME, Outcome::Failed.name());
-            res.insert_header(REQUEST_ID, flow.id.as_str());
+            res.insert_header(problem::OUTCOME, problem::Outcome::Failed.name());
+            res.insert_header(problem::REQUEST_ID, flow.id.as_str());
             Some(res)
         }
         other => {
@@ -289,18 +305,18 @@
             if flow.may_repeat() {
                 return None;
             }
-            let problem = Problem::new(StatusCode::BadGateway, "the answer was lost");
+            let problem = problem::Problem::new(StatusCode::BadGateway, "the answer was lost");
             let problem = problem.detail(other.to_string()).retry_after(COME_BACK);
-            Some(flow.refuse(problem, Outcome::Unknown))
+            Some(flow.refuse(problem, problem::Outcome::Unknown))
         }
     }
 }
 
 fn answer_whole<K: KeyValue>(
-    flow: Flow<K>,
-    granted: Granted,
-    keyed: Option<Keyed<K>>,
-    whole: Whole,
+    flow: flow::Flow<K>,
+    granted: flow::Granted,
+    keyed: Option<keyed::Keyed<K>>,
+    whole: run::Whole,
 ) -> Response {
     granted.ticket.finish(report(&flow, &whole.observed));
     observe::resumed(whole.observed.resumes);
@@ -310,21 +326,21 @@
     whole_response(&flow, whole.body)
 }
 
-fn whole_response<K: KeyValue>(flow: &Flow<K>, body: Vec<u8>) -> Response {
-    flow.note(Outcome::Done);
+fn whole_response<K: KeyValue>(flow: &flow::Flow<K>, body: Vec<u8>) -> Response {
+    flow.note(problem::Outcome::Done);
     let mut res = Response::new(StatusCode::Ok);
     res.set_body(body);
     res.set_content_type(Mime::from("application/json"));
-    res.insert_header(OUTCOME, Outcome::Done.name());
-    res.insert_header(REQUEST_ID, flow.id.as_str());
+    res.insert_header(problem::OUTCOME, problem::Outcome::Done.name());
+    res.insert_header(problem::REQUEST_ID, flow.id.as_str());
     res
 }
 
-fn report<K: KeyValue>(flow: &Flow<K>, observed: &Observed) -> RunReport {
+fn report<K: KeyValue>(flow: &flow::Flow<K>, observed: &run::Observed) -> message::RunReport {
     let usage = observed.usage.unwrap_or_default();
     let total = clock::now().saturating_duration_since(flow.granted_at());
-    RunReport {
-        end: RunEnd::Complete,
+    message::RunReport {
+        end: message::RunEnd::Complete,
         first_token_ms: observed.first.map(|d| d.as_millis() as u64),
         total_ms: total.as_millis() as u64,
         prompt_tokens: usage.prompt,
@@ -335,16 +351,16 @@
 
 /// Streams an answer; the stream goes on after this returns.
 fn answer_stream<K: KeyValue>(
-    flow: Flow<K>,
-    granted: Option<Granted>,
-    keyed: Option<Keyed<K>>,
-    run: Run,
+    flow: flow::Flow<K>,
+    granted: Option<flow::Granted>,
+    keyed: Option<keyed::Keyed<K>>,
+    run: run::Run,
 ) -> Response {
     let (tx, rx) = bounded(MAX_AHEAD);
     let mut res = Response::new(StatusCode::Ok);
     res.set_content_type(Mime::from("text/event-stream"));
     res.insert_header("Cache-Control", "no-cache");
-    res.insert_header(REQUEST_ID, flow.id.as_str());
+    res.insert_header(problem::REQUEST_ID, flow.id.as_str());
     res.set_body(Body::from_reader(rx.into_async_read(), None));
     task::spawn(Pump { flow, granted, keyed, run, pieces: Some(tx) }.run());
     res
@@ -352,15 +368,15 @@
 
 /// Moves the events of a run to the caller.
 struct Pump<K> {
-    flow: Flow<K>,
-    granted: Option<Granted>,
-    keyed: Option<Keyed<K>>,
-    run: Run,
+    flow: flow::Flow<K>,
+    granted: Option<flow::Granted>,
+    keyed: Option<keyed::Keyed<K>>,
+    run: run::Run,
     pieces: Option<Pieces>,
 }
 
 enum Next {
-    Event(Event),
+    Event(events::Event),
     End,
     Cut(String),
     CallerGone,
@@ -404,7 +420,7 @@
         }
     }
 
-    async fn pass_on(&mut self, event: Event) {
+    async fn pass_on(&mut self, event: events::Event) {
         if self.run.observed().events == 1 {
             let admitted = &self.flow.admitted;
             let time = clock::now().saturating_duration_since(admitted.arrived);
@@ -424,33 +440,33 @@
         if let Some(keyed) = &self.keyed {
             keyed.finish();
         }
-        self.flow.note(Outcome::Done);
+        self.flow.note(problem::Outcome::Done);
     }
 
     async fn cut(self, reason: String) {
         log::warn!("caller: The answer of {} was cut: {reason}.", self.flow.id);
         if let Some(pieces) = &self.pieces {
-            let problem = Problem::new(StatusCode::BadGateway, "the answer was cut");
-            let problem = problem.detail(reason).outcome(Outcome::Unknown);
+            let problem = problem::Problem::new(StatusCode::BadGateway, "the answer was cut");
+            let problem = problem.detail(reason).outcome(problem::Outcome::Unknown);
             let problem = problem.request_id(&self.flow.id).retry_after(COME_BACK);
             let data = serde_json::json!({ "error": problem }).to_string();
-            let event = Event { name: "error".to_owned(), data };
+            let event = events::Event { name: "error".to_owned(), data };
             pieces.send(Ok(event.encode())).await.ok();
             // Broken off, so that the transport too shows that the answer is not whole.
             let cut = std::io::Error::new(std::io::ErrorKind::UnexpectedEof, "cut");
             pieces.send(Err(cut)).await.ok();
         }
-        self.flow.note(Outcome::Unknown);
+        self.flow.note(problem::Outcome::Unknown);
         let cancel = self.keyed.is_none();
         self.settle(failed(), cancel);
     }
 
     fn abandon(self) {
-        self.flow.note(Outcome::Unknown);
+        self.flow.note(problem::Outcome::Unknown);
         self.settle(cancelled(), true);
     }
 
-    fn settle(self, report: RunReport, cancel: bool) {
+    fn settle(self, report: message::RunReport, cancel: bool) {
         if let Some(granted) = self.granted {
             let (address, run) = (granted.address, granted.run.clone());
             settle(self.flow.service.clone(), address, run, report, cancel);
@@ -459,10 +475,15 @@
 }
 
 /// Answers with a run that another request with the same idempotency key has started.
-async fn pick_up<K: KeyValue>(flow: Flow<K>, ask: Ask, target: Target, done: bool) -> Response {
+async fn pick_up<K: KeyValue>(
+    flow: flow::Flow<K>,
+    ask: Ask,
+    target: run::Target,
+    done: bool,
+) -> Response {
     let client = flow.service.client.clone();
     let failure = if ask.stream {
-        match Run::resume(&client, target, 0).await {
+        match run::Run::resume(&client, target, 0).await {
             Ok(run) => return answer_stream(flow, None, None, run),
             Err(e) => e,
         }
@@ -473,11 +494,12 @@
         }
     };
     match failure {
-        StartError::UnknownRun => lost_run(&flow, done),
+        run::StartError::UnknownRun => lost_run(&flow, done),
         other => {
-            let problem = Problem::new(StatusCode::BadGateway, "the answer cannot be fetched");
+            let problem =
+                problem::Problem::new(StatusCode::BadGateway, "the answer cannot be fetched");
             let problem = problem.detail(other.to_string()).retry_after(COME_BACK);
-            let outcome = if done { Outcome::Done } else { Outcome::Unknown };
+            let outcome = if done { problem::Outcome::Done } else { problem::Outcome::Unknown };
             flow.refuse(problem, outcome)
         }
     }
@@ -485,13 +507,14 @@
 
 /// The request was dispatched before, and its endpoint no longer has the answer, or never had the
 /// request. It is not run again.
-fn lost_run<K: KeyValue>(flow: &Flow<K>, done: bool) -> Response {
+fn lost_run<K: KeyValue>(flow: &flow::Flow<K>, done: bool) -> Response {
     if done {
-        let problem = Problem::new(StatusCode::Gone, "the answer is no longer kept");
+        let problem = problem::Problem::new(StatusCode::Gone, "the answer is no longer kept");
         let detail = "the request with this idempotency key was run and answered";
-        return flow.refuse(problem.detail(detail), Outcome::Done);
+        return flow.refuse(problem.detail(detail), problem::Outcome::Done);
     }
-    let problem = Problem::new(StatusCode::Conflict, "the fate of the request is not known");
+    let problem =
+        problem::Problem::new(StatusCode::Conflict, "the fate of the request is not known");
     let detail = "the request with this idempotency key may have run; it is not run again";
-    flow.refuse(problem.detail(detail), Outcome::Unknown)
+    flow.refuse(problem.detail(detail), problem::Outcome::Unknown)
 }
