--- a/oxbowbend-standin/src/experiment/run.rs
+++ b/oxbowbend-standin/src/experiment/run.rs
@@ -5,15 +5,15 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use oxbowbend_core::cache::BLOCK_TOKENS;
-use oxbowbend_core::message::{Record, RunEnd, RunReport};
+use oxbowbend_core::cache;
+use oxbowbend_core::message;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde::Serialize;
 
-use super::deployment::{Class, Deployment, Scenario};
-use super::engines::{Begun, Engine, Job, Processed};
-use super::policy::{self, Policy, Verdict, POOL};
+use super::deployment;
+use super::engines;
+use super::policy::{self, Policy};
 
 /// Time between two ticks of the policy.
 const TICK: f64 = 0.1;
@@ -28,9 +28,9 @@
     class: usize,
     account: String,
     at: f64,
-    record: Record,
+    record: message::Record,
     engine: Option<usize>,
-    begun: Option<(f64, Begun)>,
+    begun: Option<(f64, engines::Begun)>,
     over: bool,
 }
 
@@ -86,12 +86,12 @@
 }
 
 struct Play<'a> {
-    deployment: &'a Deployment,
-    scenario: &'a Scenario,
-    engines: Vec<Engine>,
+    deployment: &'a deployment::Deployment,
+    scenario: &'a deployment::Scenario,
+    engines: Vec<engines::Engine>,
     policy: Box<dyn Policy>,
     requests: Vec<Request>,
-    processed: Processed,
+    processed: engines::Processed,
     events: BinaryHeap<Reverse<(u64, u64, What)>>,
     seq: u64,
     now: f64,
@@ -105,14 +105,14 @@
 
 /// Plays a scenario under a policy.
 pub fn play(
-    deployment: &Deployment,
-    scenario: &Scenario,
+    deployment: &deployment::Deployment,
+    scenario: &deployment::Scenario,
     policy_name: &str,
     seed: u64,
 ) -> Option<Outcome> {
     let groups = deployment.engines.iter();
-    let engines: Vec<Engine> = groups
-        .flat_map(|g| std::iter::repeat_with(|| Engine::new(g.clone())).take(g.count))
+    let engines: Vec<engines::Engine> = groups
+        .flat_map(|g| std::iter::repeat_with(|| engines::Engine::new(g.clone())).take(g.count))
         .collect();
     let policy = policy::create(policy_name, &engines, deployment, seed)?;
     let mut play = Play {
@@ -121,7 +121,7 @@
         engines,
         policy,
         requests: generate(deployment, scenario, seed),
-        processed: Processed::new(),
+        processed: engines::Processed::new(),
         events: BinaryHeap::new(),
         seq: 0,
         now: 0.0,
@@ -137,7 +137,11 @@
     Some(play.outcome(policy_name))
 }
 
-fn generate(deployment: &Deployment, scenario: &Scenario, seed: u64) -> Vec<Request> {
+fn generate(
+    deployment: &deployment::Deployment,
+    scenario: &deployment::Scenario,
+    seed: u64,
+) -> Vec<Request> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let rates = deployment.rates(scenario.load);
     let mut requests = Vec::new();
@@ -165,24 +169,30 @@
     requests
 }
 
-fn request(n: usize, class: &Class, account: &str, at: f64, rng: &mut Pcg64) -> Request {
+fn request(
+    n: usize,
+    class: &deployment::Class,
+    account: &str,
+    at: f64,
+    rng: &mut Pcg64,
+) -> Request {
     let prompt = rng.random_range(class.prompt[0]..=class.prompt[1]);
     let output = rng.random_range(class.output[0]..=class.output[1]);
     let shared = match class.prefixes {
         0 => None,
         n => Some(u64::from(rng.random_range(0..n))),
     };
-    let blocks = prompt / BLOCK_TOKENS;
-    let shared_blocks = class.prefix_tokens.min(prompt) / BLOCK_TOKENS;
+    let blocks = prompt / cache::BLOCK_TOKENS;
+    let shared_blocks = class.prefix_tokens.min(prompt) / cache::BLOCK_TOKENS;
     let block = |i: u32| match shared {
         Some(which) if i < shared_blocks => ((n as u64) << 56) | (which << 32) | u64::from(i),
         _ => UNSHARED | rng.random::<u64>(),
     };
     let prefix = (0..blocks).map(block).collect();
-    let record = Record {
+    let record = message::Record {
         id: "".into(),
         attempt: 1,
-        pool: POOL.into(),
+        pool: policy::POOL.into(),
         account: account.into(),
         tier: class.tier,
         weight: 1,
@@ -234,7 +244,7 @@
                 return;
             }
             self.happen(what);
-            let over = |e: &&Engine| e.load() > e.group.slots;
+            let over = |e: &&engines::Engine| e.load() > e.group.slots;
             self.limits_passed += self.engines.iter().filter(over).count();
         }
     }
@@ -242,7 +252,7 @@
     fn happen(&mut self, what: What) {
         match what {
             What::Arrive(n) => self.arrive(n),
-            What::End(n) => self.end(n, RunEnd::Complete),
+            What::End(n) => self.end(n, message::RunEnd::Complete),
             What::Deadline(n) => self.deadline(n),
             What::Tick => {
                 if self.scheduler_up {
@@ -283,11 +293,11 @@
         self.carry_out(verdicts);
     }
 
-    fn carry_out(&mut self, verdicts: Vec<Verdict>) {
+    fn carry_out(&mut self, verdicts: Vec<policy::Verdict>) {
         for verdict in verdicts {
             match verdict {
-                Verdict::Refuse(n) => self.requests[n].over = true,
-                Verdict::Send(n, engine) => self.send(n, engine),
+                policy::Verdict::Refuse(n) => self.requests[n].over = true,
+                policy::Verdict::Send(n, engine) => self.send(n, engine),
             }
         }
     }
@@ -298,25 +308,25 @@
         }
         let record = &self.requests[n].record;
         let (prompt, output) = (record.prompt_tokens, record.output_tokens);
-        let job = Job { request: n, prompt, output, prefix: record.prefix.clone() };
+        let job = engines::Job { request: n, prompt, output, prefix: record.prefix.clone() };
         self.requests[n].engine = Some(engine);
         let begun = self.engines[engine].admit(job, &mut self.processed);
         self.note_begun(begun);
     }
 
-    fn note_begun(&mut self, begun: Option<Begun>) {
+    fn note_begun(&mut self, begun: Option<engines::Begun>) {
         let Some(begun) = begun else { return };
         let n = begun.request;
         self.at(self.now + begun.total, What::End(n));
         self.requests[n].begun = Some((self.now, begun));
     }
 
-    fn end(&mut self, n: usize, end: RunEnd) {
+    fn end(&mut self, n: usize, end: message::RunEnd) {
         let Some(engine) = self.requests[n].engine.take() else { return };
         let report = self.run_report(n, end);
         let next = self.engines[engine].end(n, &mut self.processed);
         self.note_begun(next);
-        let useful = end == RunEnd::Complete && !self.requests[n].over;
+        let useful = end == message::RunEnd::Complete && !self.requests[n].over;
         if let Some((_, begun)) = &self.requests[n].begun {
             if !useful {
                 self.wasted += u64::from(begun.prefilled);
@@ -331,11 +341,11 @@
         self.carry_out(verdicts);
     }
 
-    fn run_report(&self, n: usize, end: RunEnd) -> RunReport {
+    fn run_report(&self, n: usize, end: message::RunEnd) -> message::RunReport {
         let Some((at, begun)) = &self.requests[n].begun else {
-            return RunReport { end, ..RunReport::default() };
+            return message::RunReport { end, ..message::RunReport::default() };
         };
-        RunReport {
+        message::RunReport {
             end,
             first_token_ms: Some((begun.first * 1000.0) as u64),
             total_ms: ((self.now - at) * 1000.0) as u64,
@@ -351,14 +361,14 @@
             return;
         }
         if self.requests[n].engine.is_some() {
-            self.end(n, RunEnd::Cancelled);
+            self.end(n, message::RunEnd::Cancelled);
         } else {
             self.requests[n].over = true;
         }
     }
 
     fn report(&mut self) {
-        let loads = self.engines.iter().map(Engine::load).collect();
+        let loads = self.engines.iter().map(engines::Engine::load).collect();
         self.reports.push((self.now, loads));
         let seen = self.now - self.scenario.report_lag;
         if let Some((_, loads)) = self.reports.iter().rev().find(|(at, _)| *at <= seen) {
@@ -374,7 +384,7 @@
             let lost = self.engines[engine].kill();
             self.policy.gone(engine);
             for n in lost {
-                self.end(n, RunEnd::Failed);
+                self.end(n, message::RunEnd::Failed);
             }
         }
     }
--- a/oxbowbend-standin/src/load.rs
+++ b/oxbowbend-standin/src/load.rs
@@ -8,11 +8,11 @@
 use futures::future;
 use hdrhistogram::Histogram;
 use http_types::Method;
-use oxbowbend_http::client::{self, Client, Limits};
-use oxbowbend_http::problem::{Problem, OUTCOME};
+use oxbowbend_http::client;
+use oxbowbend_http::problem;
 use serde_json::{json, Value};
 
-use crate::engine::answer_words;
+use crate::engine;
 
 /// Longest answer that is read.
 const MAX_ANSWER: usize = 64 << 20;
@@ -73,7 +73,7 @@
 
 /// The words that a caller should be answered with.
 pub fn expected(ask: &Ask) -> String {
-    answer_words(&messages(ask).to_string(), ask.max_tokens).join(" ")
+    engine::answer_words(&messages(ask).to_string(), ask.max_tokens).join(" ")
 }
 
 fn messages(ask: &Ask) -> Value {
@@ -81,7 +81,7 @@
 }
 
 /// Sends one chat request and checks the answer.
-pub async fn send(client: &Client, to: SocketAddr, ask: &Ask) -> Result {
+pub async fn send(client: &client::Client, to: SocketAddr, ask: &Ask) -> Result {
     let began = Instant::now();
     let mut first = None;
     let ended = match try_send(client, to, ask, &mut first, began).await {
@@ -92,7 +92,7 @@
 }
 
 async fn try_send(
-    client: &Client,
+    client: &client::Client,
     to: SocketAddr,
     ask: &Ask,
     first: &mut Option<Duration>,
@@ -112,7 +112,7 @@
     for (name, value) in &ask.headers {
         req.insert_header(name.as_str(), value.as_str());
     }
-    let answer = client.send(to, req, Limits::all(LIMIT)).await;
+    let answer = client.send(to, req, client::Limits::all(LIMIT)).await;
     let mut answer = answer.map_err(|e| e.to_string())?;
     let mut bytes = Vec::new();
     while let Some(piece) = answer.next().await.map_err(|e| e.to_string())? {
@@ -124,8 +124,8 @@
     }
     let status = answer.head.status();
     if !status.is_success() {
-        let outcome = answer.head.header(OUTCOME).map(|v| v.as_str().to_owned());
-        let problem: Option<Problem> = serde_json::from_slice(&bytes).ok();
+        let outcome = answer.head.header(problem::OUTCOME).map(|v| v.as_str().to_owned());
+        let problem: Option<problem::Problem> = serde_json::from_slice(&bytes).ok();
         let retry_after = problem.and_then(|p| p.retry_after);
         let outcome = outcome.unwrap_or_default();
         return Ok(Ended::Refused { status: status as u16, outcome, retry_after });
@@ -232,7 +232,7 @@
     let caller = |n: usize| {
         let (asks, next, to) = (asks.clone(), next.clone(), to[n % to.len()]);
         task::spawn(async move {
-            let client = Client::new();
+            let client = client::Client::new();
             let mut results = Vec::new();
             loop {
                 let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
--- a/oxbowbend-standin/src/local.rs
+++ b/oxbowbend-standin/src/local.rs
@@ -1,20 +1,21 @@
 //! A whole deployment of stand-ins inside one process, for demos and measurements.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use async_std::net::TcpListener;
 use async_std::task;
 use http_types::Method;
-use oxbowbend_http::client::{self, Client, Limits};
-use oxbowbend_resource::kinds::{self, Resource, Spec};
-use oxbowbend_resource::manifest::{Change, Operation};
-use oxbowbend_resource::set::hash_key;
+use oxbowbend_http::client;
+use oxbowbend_resource::kinds;
+use oxbowbend_resource::manifest;
+use oxbowbend_resource::set;
 use serde_json::Value;
 
-use crate::engine::{self, Engine};
-use crate::platform::{self, Platform};
-use crate::service::Service;
+use crate::engine;
+use crate::platform;
+use crate::service;
 
 /// Place in which the deployment is.
 pub const PLACE: &str = "ankara";
@@ -36,13 +37,13 @@
 /// The stand-ins of a deployment.
 pub struct Surroundings {
     /// The platform.
-    pub platform: Platform,
+    pub platform: platform::Platform,
     /// Its address.
     pub platform_address: SocketAddr,
     /// The engines with their addresses.
-    pub engines: Vec<(Engine, SocketAddr, engine::Options)>,
+    pub engines: Vec<(engine::Engine, SocketAddr, engine::Options)>,
     /// The plain service.
-    pub service: Service,
+    pub service: service::Service,
     /// Its address.
     pub service_address: SocketAddr,
 }
@@ -58,13 +59,30 @@
     Ok((listener, address))
 }
 
+/// First port for others to listen at; below those that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 10_000;
+/// Number of ports for others to listen at.
+const PORTS: u16 = 20_000;
+
 /// Finds a free port on loopback for somebody else to listen at.
 ///
+/// A port that the system picks may be given to an outgoing connection before the other one
+/// listens; these are not, and each is handed out once by a process.
+///
 /// # Errors
 ///
 /// Fails if no port can be had.
 pub async fn free_address() -> std::io::Result<SocketAddr> {
-    Ok(listen().await?.1)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    for _ in 0..PORTS {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % u32::from(PORTS);
+        let port = FIRST_PORT + offset as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener.local_addr();
+        }
+    }
+    Err(std::io::Error::other("no port is free"))
 }
 
 impl Surroundings {
@@ -74,15 +92,15 @@
     ///
     /// Fails if no port can be had.
     pub async fn start(engines: &[engine::Options]) -> std::io::Result<Surroundings> {
-        let platform = Platform::new(platform::Options::default());
+        let platform = platform::Platform::new(platform::Options::default());
         let (listener, platform_address) = listen().await?;
         task::spawn(platform.clone().serve(listener));
-        let service = Service::new();
+        let service = service::Service::new();
         let (listener, service_address) = listen().await?;
         task::spawn(service.clone().serve(listener));
         let mut started = Vec::new();
         for options in engines {
-            let engine = Engine::new(options.clone());
+            let engine = engine::Engine::new(options.clone());
             let (listener, address) = listen().await?;
             task::spawn(engine.clone().serve(listener));
             started.push((engine, address, options.clone()));
@@ -92,23 +110,23 @@
     }
 
     /// Resources that describe the deployment in the given availability zones.
-    pub fn resources(&self, zones: &[&str]) -> Vec<Resource> {
+    pub fn resources(&self, zones: &[&str]) -> Vec<kinds::Resource> {
         let zones = zones.iter().map(|z| (*z).to_owned()).collect();
         let mut resources = vec![
-            resource(PLACE, Spec::Place(kinds::Place { zones })),
-            resource(MODEL, Spec::Model(kinds::Model::default())),
-            resource(SERVICE, Spec::Service(service_spec())),
+            resource(PLACE, kinds::Spec::Place(kinds::Place { zones })),
+            resource(MODEL, kinds::Spec::Model(kinds::Model::default())),
+            resource(SERVICE, kinds::Spec::Service(service_spec())),
         ];
         for (level, tier) in TIERS.iter().enumerate() {
             let spec = kinds::Tier { level: Some(level as u8), deadline_seconds: Some(60) };
-            resources.push(resource(tier, Spec::Tier(spec)));
+            resources.push(resource(tier, kinds::Spec::Tier(spec)));
         }
         for (name, key) in [ACCOUNT, OTHER_ACCOUNT] {
-            resources.push(resource(name, Spec::ClientAccount(account_spec(key))));
+            resources.push(resource(name, kinds::Spec::ClientAccount(account_spec(key))));
         }
         for (n, (_, address, options)) in self.engines.iter().enumerate() {
             let spec = engine_spec(address, options);
-            resources.push(resource(&format!("engine-{n}"), Spec::Endpoint(spec)));
+            resources.push(resource(&format!("engine-{n}"), kinds::Spec::Endpoint(spec)));
         }
         let spec = kinds::Endpoint {
             place: PLACE.to_owned(),
@@ -117,18 +135,18 @@
             slots: 16,
             ..kinds::Endpoint::default()
         };
-        resources.push(resource("intake-0", Spec::Endpoint(spec)));
+        resources.push(resource("intake-0", kinds::Spec::Endpoint(spec)));
         resources
     }
 }
 
-fn resource(name: &str, spec: Spec) -> Resource {
-    Resource { name: name.to_owned(), version: 0, spec }
+fn resource(name: &str, spec: kinds::Spec) -> kinds::Resource {
+    kinds::Resource { name: name.to_owned(), version: 0, spec }
 }
 
 fn account_spec(key: &str) -> kinds::ClientAccount {
     kinds::ClientAccount {
-        key_hashes: vec![hash_key(key)],
+        key_hashes: vec![set::hash_key(key)],
         tiers: TIERS.iter().map(|t| (*t).to_owned()).collect(),
         places: vec![PLACE.to_owned()],
         ..kinds::ClientAccount::default()
@@ -160,9 +178,9 @@
 /// # Errors
 ///
 /// Returns the last refusal if the change is not accepted in time.
-pub async fn declare(operator: SocketAddr, resources: Vec<Resource>) -> Result<(), String> {
-    let operations = resources.into_iter().map(Operation::Put).collect();
-    let change = Change { id: format!("c{:016x}", rand::random::<u64>()), operations };
+pub async fn declare(operator: SocketAddr, resources: Vec<kinds::Resource>) -> Result<(), String> {
+    let operations = resources.into_iter().map(manifest::Operation::Put).collect();
+    let change = manifest::Change { id: format!("c{:016x}", rand::random::<u64>()), operations };
     let body = serde_json::to_value(&change).map_err(|e| e.to_string())?;
     let mut last = String::new();
     for _ in 0..100 {
@@ -194,8 +212,8 @@
     };
     let mut req = req.map_err(|e| e.to_string())?;
     req.insert_header("Authorization", format!("Bearer {OPERATOR_KEY}"));
-    let limits = Limits::all(Duration::from_secs(10));
-    let answer = Client::new().call(operator, req, limits, 64 << 20).await;
+    let limits = client::Limits::all(Duration::from_secs(10));
+    let answer = client::Client::new().call(operator, req, limits, 64 << 20).await;
     let (status, bytes) = answer.map_err(|e| e.to_string())?;
     Ok((status as u16, serde_json::from_slice(&bytes).unwrap_or(Value::Null)))
 }
--- a/oxbowbend-standin/src/platform.rs
+++ b/oxbowbend-standin/src/platform.rs
@@ -15,11 +15,11 @@
 use futures::TryStreamExt;
 use http_types::{Body, Method, Request, Response, StatusCode};
 use oxbowbend_http::body;
-use oxbowbend_http::problem::{json, Problem};
-use oxbowbend_http::server::{self, Caller, Gate, Handler};
+use oxbowbend_http::problem;
+use oxbowbend_http::server::{self, Handler};
 use serde_json::{json, Value};
 
-use crate::switches::{self, Panel};
+use crate::switches;
 
 /// Longest request that is read.
 const MAX_REQUEST: usize = 4 << 20;
@@ -82,18 +82,18 @@
 #[derive(Clone)]
 pub struct Platform {
     options: Options,
-    panel: Panel,
+    panel: switches::Panel,
     state: Arc<Mutex<State>>,
 }
 
 impl Platform {
     /// Creates an empty platform.
     pub fn new(options: Options) -> Platform {
-        Platform { options, panel: Panel::default(), state: Arc::default() }
+        Platform { options, panel: switches::Panel::default(), state: Arc::default() }
     }
 
     /// Its switches. `refuse` is an outage of the key-value service, `refuse_list` of the list.
-    pub fn panel(&self) -> &Panel {
+    pub fn panel(&self) -> &switches::Panel {
         &self.panel
     }
 
@@ -129,7 +129,7 @@
             }
         });
         let options = server::Options { idle: Duration::from_secs(600), ..Default::default() };
-        server::serve(listener, self, options, Arc::new(Gate::default())).await
+        server::serve(listener, self, options, Arc::new(server::Gate::default())).await
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -182,20 +182,20 @@
 }
 
 impl Handler for Platform {
-    async fn handle(&self, mut req: Request, _: Caller) -> Response {
+    async fn handle(&self, mut req: Request, _: server::Caller) -> Response {
         let path = req.url().path().to_owned();
         if path == switches::PATH {
             return self.panel.serve(&mut req).await;
         }
         if path == "/standin/counts" {
             let (reads, writes) = self.counts();
-            return json(StatusCode::Ok, &json!({ "reads": reads, "writes": writes }));
+            return problem::json(StatusCode::Ok, &json!({ "reads": reads, "writes": writes }));
         }
         let switches = self.panel.get();
         let is_list = path.starts_with("/v1/");
         if (is_list && switches.refuse_list) || (!is_list && switches.refuse) {
             // An outage: nothing is done, and the gateway says so.
-            let problem = Problem::new(StatusCode::TooManyRequests, "outage");
+            let problem = problem::Problem::new(StatusCode::TooManyRequests, "outage");
             return problem.into_response();
         }
         let res = self.answer(&mut req).await;
@@ -377,7 +377,7 @@
         let (version, services) = seen.map_or((0, &none), |(_, v, s)| (*v, s));
         let of_name = services.iter().filter(|(_, s)| s.name == name);
         let entries: Vec<Value> = of_name.map(|(id, s)| health_entry(id, s)).collect();
-        let mut res = json(StatusCode::Ok, &entries);
+        let mut res = problem::json(StatusCode::Ok, &entries);
         res.insert_header("X-Consul-Index", version.to_string());
         res
     }
@@ -394,7 +394,7 @@
 }
 
 fn ok(value: Value) -> Response {
-    json(StatusCode::Ok, &value)
+    problem::json(StatusCode::Ok, &value)
 }
 
 fn entry(key: &str, stored: &Stored) -> Value {
--- a/oxbowbend-standin/src/service.rs
+++ b/oxbowbend-standin/src/service.rs
@@ -8,10 +8,10 @@
 use futures::io::Cursor;
 use http_types::{Body, Request, Response, StatusCode};
 use oxbowbend_http::body;
-use oxbowbend_http::problem::{json, Problem};
-use oxbowbend_http::server::{self, Caller, Gate, Handler};
+use oxbowbend_http::problem;
+use oxbowbend_http::server::{self, Handler};
 
-use crate::switches::{self, Panel};
+use crate::switches;
 
 /// Longest request that is read.
 const MAX_REQUEST: usize = 16 << 20;
@@ -19,7 +19,7 @@
 /// A plain service; clones share it.
 #[derive(Clone, Default)]
 pub struct Service {
-    panel: Panel,
+    panel: switches::Panel,
     calls: Arc<Mutex<BTreeMap<String, u32>>>,
 }
 
@@ -30,7 +30,7 @@
     }
 
     /// Its switches.
-    pub fn panel(&self) -> &Panel {
+    pub fn panel(&self) -> &switches::Panel {
         &self.panel
     }
 
@@ -42,15 +42,15 @@
     /// Serves until the listener fails.
     pub async fn serve(self, listener: TcpListener) -> std::io::Result<()> {
         let options = server::Options { idle: Duration::from_secs(600), ..Default::default() };
-        server::serve(listener, self, options, Arc::new(Gate::default())).await
+        server::serve(listener, self, options, Arc::new(server::Gate::default())).await
     }
 }
 
 impl Handler for Service {
-    async fn handle(&self, mut req: Request, _: Caller) -> Response {
+    async fn handle(&self, mut req: Request, _: server::Caller) -> Response {
         match req.url().path() {
             switches::PATH => return self.panel.serve(&mut req).await,
-            "/standin/calls" => return json(StatusCode::Ok, &self.calls()),
+            "/standin/calls" => return problem::json(StatusCode::Ok, &self.calls()),
             _ => {}
         }
         let bytes = match body::read_request(&mut req, MAX_REQUEST, Duration::from_secs(10)).await {
@@ -58,7 +58,8 @@
             Err(e) => return e.to_problem().into_response(),
         };
         if self.panel.get().refuse {
-            return Problem::new(StatusCode::ServiceUnavailable, "refused").into_response();
+            return problem::Problem::new(StatusCode::ServiceUnavailable, "refused")
+                .into_response();
         }
         let marker = req.header("X-Marker").map(|v| v.as_str().to_owned()).unwrap_or_default();
         *self.calls.lock().expect("no panic under lock").entry(marker).or_default() += 1;
--- a/oxbowbend-standin/src/switches.rs
+++ b/oxbowbend-standin/src/switches.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use http_types::{Request, Response, StatusCode};
 use oxbowbend_http::body;
-use oxbowbend_http::problem::{json, Problem};
+use oxbowbend_http::problem;
 use serde::{Deserialize, Serialize};
 
 /// Path at which switches are read and set.
@@ -69,17 +69,18 @@
     /// Reads or sets the switches over HTTP.
     pub async fn serve(&self, req: &mut Request) -> Response {
         if req.method() == http_types::Method::Get {
-            return json(StatusCode::Ok, &self.get());
+            return problem::json(StatusCode::Ok, &self.get());
         }
         let read = body::read_request(req, 64 * 1024, Duration::from_secs(5)).await;
         let parsed = read.map(|bytes| serde_json::from_slice::<Switches>(&bytes));
         match parsed {
             Ok(Ok(switches)) => {
                 self.set(switches);
-                json(StatusCode::Ok, &self.get())
+                problem::json(StatusCode::Ok, &self.get())
             }
             Ok(Err(e)) => {
-                let problem = Problem::new(StatusCode::BadRequest, "not a set of switches");
+                let problem =
+                    problem::Problem::new(StatusCode::BadRequest, "not a set of switches");
                 problem.detail(e.to_string()).into_response()
             }
             Err(e) => e.to_problem().into_response(),
