--- a/oxbowbend-core/src/entry.rs
+++ b/oxbowbend-core/src/entry.rs
@@ -66,6 +66,10 @@
 }
 
 /// The requests held by one entry instance.
+///
+/// ```
+/// assert!(oxbowbend_core::entry::Entry::new("a".into()).is_empty());
+/// ```
 #[derive(Clone, Debug)]
 pub struct Entry {
     me: ids::InstanceId,
--- a/oxbowbend-core/src/membership.rs
+++ b/oxbowbend-core/src/membership.rs
@@ -85,6 +85,14 @@
 }
 
 /// An instance's view of the others.
+///
+/// ```
+/// use oxbowbend_core::membership::{InstanceList, Membership};
+/// let mut members = Membership::new("a".into());
+/// let newer = InstanceList { version: 2, ..InstanceList::default() };
+/// assert!(members.adopt(&newer));
+/// assert!(!members.adopt(&InstanceList { version: 1, ..InstanceList::default() }));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Membership {
     me: ids::InstanceId,
--- a/oxbowbend-core/src/node/mod.rs
+++ b/oxbowbend-core/src/node/mod.rs
@@ -187,6 +187,18 @@
 }
 
 /// One instance's decisions.
+///
+/// ```
+/// use std::time::Instant;
+/// use oxbowbend_core::membership::{InstanceList, Member};
+/// use oxbowbend_core::node::{Event, Node};
+/// let now = Instant::now();
+/// let mut node = Node::new("a".into(), "zone".into(), 1);
+/// let member = Member { zone: "zone".into(), address: "10.0.0.1:1".into(), leaving: false };
+/// let list = InstanceList { version: 1, members: [("a".into(), member)].into() };
+/// node.handle(now, Event::List(list));
+/// assert!(node.members().contains("a"));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Node {
     me: ids::InstanceId,
--- a/oxbowbend-core/src/permits.rs
+++ b/oxbowbend-core/src/permits.rs
@@ -66,6 +66,18 @@
 pub type Inquiries = BTreeMap<ids::InstanceId, Vec<message::PermitUse>>;
 
 /// The permits that one instance owns.
+///
+/// ```
+/// use std::time::Instant;
+/// use oxbowbend_core::message::{Permit, PermitKey};
+/// use oxbowbend_core::permits::Permits;
+/// let mut permits = Permits::new(1);
+/// let permit = Permit { key: PermitKey::Endpoint("e".into()), index: 0 };
+/// // With nobody else to ask, a claim is settled at once.
+/// permits.start_claim(&[permit.clone()].into(), [].into());
+/// assert!(permits.settle(Instant::now(), |_| true));
+/// assert_eq!(permits.count(&permit.key), (1, 1));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Permits {
     shares: BTreeMap<message::PermitKey, Share>,
--- a/oxbowbend-core/src/scheduler/mod.rs
+++ b/oxbowbend-core/src/scheduler/mod.rs
@@ -70,6 +70,14 @@
 }
 
 /// The scheduler of one pool.
+///
+/// ```
+/// use oxbowbend_core::choose::Predicted;
+/// use oxbowbend_core::scheduler::Scheduler;
+/// use oxbowbend_core::topology::Pool;
+/// let scheduler = Scheduler::new("a".into(), "p/m".into(), &Pool::default(), Predicted);
+/// assert_eq!(scheduler.waiting(), 0);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Scheduler<C> {
     me: ids::InstanceId,
--- a/oxbowbend-core/src/speed.rs
+++ b/oxbowbend-core/src/speed.rs
@@ -21,6 +21,12 @@
 const PROBE_AFTER: Duration = Duration::from_secs(10);
 
 /// Estimates for one endpoint.
+///
+/// ```
+/// use oxbowbend_core::speed::Speed;
+/// let speed = Speed::new(1000.0, 10.0);
+/// assert_eq!(speed.predict_seconds(500, 20), 2.5);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Speed {
     prefill: f64,
--- a/oxbowbend-core/src/topology.rs
+++ b/oxbowbend-core/src/topology.rs
@@ -67,6 +67,10 @@
 
 impl Topology {
     /// Returns the pool that an endpoint belongs to.
+    ///
+    /// ```
+    /// assert!(oxbowbend_core::topology::Topology::default().pool_of("e").is_none());
+    /// ```
     pub fn pool_of(&self, endpoint: &str) -> Option<&ids::PoolId> {
         self.pools.iter().find(|(_, p)| p.endpoints.contains_key(endpoint)).map(|(id, _)| id)
     }
--- a/oxbowbend-http/src/server.rs
+++ b/oxbowbend-http/src/server.rs
@@ -75,6 +75,17 @@
 }
 
 /// Answers requests.
+///
+/// ```
+/// use http_types::{Request, Response, StatusCode};
+/// use oxbowbend_http::server::{Caller, Handler};
+/// struct Teapot;
+/// impl Handler for Teapot {
+///     async fn handle(&self, _: Request, _: Caller) -> Response {
+///         Response::new(StatusCode::ImATeapot)
+///     }
+/// }
+/// ```
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
     fn handle(&self, req: Request, caller: Caller) -> impl Future<Output = Response> + Send;
--- a/oxbowbend-platform/src/config.rs
+++ b/oxbowbend-platform/src/config.rs
@@ -37,6 +37,14 @@
 }
 
 /// The configuration as it is stored.
+///
+/// ```
+/// use oxbowbend_platform::{config::ConfigStore, memory::Memory};
+/// async_std::task::block_on(async {
+///     let store = ConfigStore::new(Memory::new());
+///     assert_eq!(store.head().await.unwrap().head.revision, 0);
+/// });
+/// ```
 #[derive(Clone, Debug)]
 pub struct ConfigStore<K> {
     kv: K,
--- a/oxbowbend-platform/src/ledger.rs
+++ b/oxbowbend-platform/src/ledger.rs
@@ -61,6 +61,19 @@
 }
 
 /// The ledger; clones share it.
+///
+/// ```
+/// use std::time::Duration;
+/// use oxbowbend_core::ledger::{Step, StepAction, Verdict};
+/// use oxbowbend_platform::{ledger::Ledger, memory::Memory};
+/// async_std::task::block_on(async {
+///     let ledger = Ledger::new(Memory::new(), 4, Duration::from_secs(1), Duration::ZERO);
+///     let action =
+///         StepAction::Hold { holder: "a".into(), body: 1, takeover: false, window: 60 };
+///     let step = Step { key: "key".into(), run: "run".into(), action };
+///     assert_eq!(ledger.take(step).await.unwrap(), Verdict::Taken);
+/// });
+/// ```
 pub struct Ledger<K> {
     inner: Arc<Inner<K>>,
 }
--- a/oxbowbend-platform/src/memory.rs
+++ b/oxbowbend-platform/src/memory.rs
@@ -29,6 +29,18 @@
 }
 
 /// The service; clones share its content.
+///
+/// ```
+/// use oxbowbend_platform::kv::{KeyValue, Swap};
+/// use oxbowbend_platform::memory::{Fault, Memory};
+/// async_std::task::block_on(async {
+///     let kv = Memory::new();
+///     kv.inject(&[Fault::ReplyLost]);
+///     assert!(kv.swap("key", 0, b"1".to_vec(), None).await.unwrap_err().is_ambiguous());
+///     // The write took effect all the same.
+///     assert_eq!(kv.swap("key", 0, b"2".to_vec(), None).await, Ok(Swap::Conflict));
+/// });
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
     state: Arc<Mutex<State>>,
--- a/oxbowbend-resource/src/derive.rs
+++ b/oxbowbend-resource/src/derive.rs
@@ -42,6 +42,11 @@
 }
 
 /// Reduces a checked set of resources to what scheduling needs.
+///
+/// ```
+/// use oxbowbend_resource::{derive, set};
+/// assert!(derive::topology(&set::ResourceSet::default()).pools.is_empty());
+/// ```
 pub fn topology(set: &set::ResourceSet) -> topology::Topology {
     let mut topology =
         topology::Topology { report_lag: report_lag(set), ..topology::Topology::default() };
--- a/oxbowbend-resource/src/set.rs
+++ b/oxbowbend-resource/src/set.rs
@@ -7,6 +7,15 @@
 use crate::kinds;
 
 /// Resources by kind and name.
+///
+/// ```
+/// use oxbowbend_resource::kinds::{Kind, Place, Resource, Spec};
+/// use oxbowbend_resource::set::ResourceSet;
+/// let mut set = ResourceSet::default();
+/// let spec = Spec::Place(Place { zones: vec!["z".into()] });
+/// set.insert(Resource { name: "north".into(), version: 0, spec });
+/// assert_eq!(set.of(Kind::Place).count(), 1);
+/// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResourceSet {
     resources: BTreeMap<kinds::ResourceId, kinds::Resource>,
@@ -61,6 +70,11 @@
 }
 
 /// Accounts by the digest of each of their keys.
+///
+/// ```
+/// use oxbowbend_resource::set::{KeyIndex, ResourceSet};
+/// assert!(KeyIndex::new(&ResourceSet::default()).find("a key").is_none());
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct KeyIndex {
     by_hash: BTreeMap<String, (String, kinds::ClientAccount)>,
--- a/oxbowbend-standin/examples/capacity.rs
+++ b/oxbowbend-standin/examples/capacity.rs
@@ -12,31 +12,17 @@
 use oxbowbend_core::membership;
 use oxbowbend_core::message;
 use oxbowbend_core::node;
-use oxbowbend_core::scheduler::{self, Directory};
+use oxbowbend_core::scheduler;
 use oxbowbend_core::topology;
 use oxbowbend_resource::derive;
 use oxbowbend_resource::kinds;
 use oxbowbend_resource::manifest;
+use oxbowbend_standin::experiment::policy;
 
+/// An instance's name of usual length.
 const ENTRY: &str = "entry-zone-a-0123abcd";
 const POOL: &str = "ankara/minutes";
 
-struct Alone;
-
-impl Directory for Alone {
-    fn account_owners(&self, _: &ids::AccountId) -> Option<&[(ids::InstanceId, u32)]> {
-        None
-    }
-
-    fn entries(&self, _: &ids::PoolId) -> Vec<ids::InstanceId> {
-        vec![ENTRY.into()]
-    }
-
-    fn is_lowest(&self, tier: ids::TierLevel) -> bool {
-        tier >= 2
-    }
-}
-
 /// Points (size, value) with the line through them.
 struct Series {
     name: String,
@@ -124,7 +110,7 @@
     for (n, record) in records.into_iter().enumerate() {
         s.enqueue(now, &entry, record);
         offer(&mut s, n, 1, seen);
-        s.pump(now, &Alone, &mut out);
+        s.pump(now, &policy::Alone, &mut out);
         for action in out.drain(..) {
             if let node::Action::Send { message: message::Message::Grant(grant), .. } = &action {
                 seen = seen.max(grant.ask);
--- a/oxbowbend-standin/src/experiment/policy.rs
+++ b/oxbowbend-standin/src/experiment/policy.rs
@@ -15,7 +15,8 @@
 
 /// Name of the one pool.
 pub const POOL: &str = "pool";
-const ENTRY: &str = "entry";
+/// Name of the one instance.
+pub const ENTRY: &str = "entry";
 
 /// What a policy decides.
 #[derive(Clone, Debug, PartialEq)]
@@ -113,7 +114,8 @@
     }
 }
 
-struct Alone;
+/// A directory of one instance, in which nothing is limited.
+pub struct Alone;
 
 impl Directory for Alone {
     fn account_owners(&self, _: &ids::AccountId) -> Option<&[(ids::InstanceId, u32)]> {
