--- a/oxbowbend-daemon/src/settings.rs
+++ b/oxbowbend-daemon/src/settings.rs
@@ -326,6 +326,10 @@
                 .parse("log", &log, |t| t.parse().ok(), "a level of detail")
                 .unwrap_or(LevelFilter::Info),
         };
+        if settings.peer_listen.ip().is_unspecified() && r.wrong.is_empty() {
+            let wrong = "--peer-listen: name the address at which other instances reach this one";
+            r.wrong.push(wrong.to_owned());
+        }
         if r.wrong.is_empty() {
             Ok(settings)
         } else {
--- a/oxbowbend-platform/src/etcd.rs
+++ b/oxbowbend-platform/src/etcd.rs
@@ -86,31 +86,41 @@
         Etcd { addresses, client: client::Client::new(), limits: client::Limits::all(time), watch }
     }
 
-    /// Tries the gateways in turn until one is reached.
-    async fn call<T: for<'de> Deserialize<'de>>(
+    /// Sends a call to the first gateway that is reached.
+    async fn send(
         &self,
         path: &str,
         body: &impl Serialize,
-    ) -> Result<T, kv::KvError> {
+        limits: client::Limits,
+    ) -> Result<client::Answer, kv::KvError> {
         let mut last = kv::KvError::Unreachable("no address is set".to_owned());
         for address in &self.addresses {
             let req = client::json_request(Method::Post, *address, path, body)
                 .map_err(|e| kv::KvError::Refused(e.to_string()))?;
-            match self.client.call(*address, req, self.limits, MAX_ANSWER).await {
-                Ok((status, bytes)) if status.is_success() => {
-                    return serde_json::from_slice(&bytes)
-                        .map_err(|e| kv::KvError::NoReply(e.to_string()));
-                }
-                Ok((status, bytes)) => {
-                    let text = String::from_utf8_lossy(&bytes).into_owned();
-                    return Err(refusal(status as u16, text));
-                }
+            match self.client.send(*address, req, limits).await {
+                Ok(answer) => return Ok(answer),
                 Err(e) if e.is_unsent() => last = kv::KvError::Unreachable(e.to_string()),
                 Err(e) => return Err(kv::KvError::NoReply(e.to_string())),
             }
         }
         Err(last)
     }
+
+    async fn call<T: for<'de> Deserialize<'de>>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, kv::KvError> {
+        let mut answer = self.send(path, body, self.limits).await?;
+        let no_reply = |e: String| kv::KvError::NoReply(e);
+        let bytes = answer.read_to_end(MAX_ANSWER).await.map_err(|e| no_reply(e.to_string()))?;
+        let status = answer.head.status();
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            return Err(refusal(status as u16, text));
+        }
+        serde_json::from_slice(&bytes).map_err(|e| no_reply(e.to_string()))
+    }
 }
 
 /// A gateway answers 4xx before it acts; after 5xx the write may still take effect.
@@ -201,14 +211,10 @@
         key: &str,
         after: kv::KeyVersion,
     ) -> Result<Option<kv::Versioned>, kv::KvError> {
-        let Some(address) = self.addresses.first() else { return Ok(None) };
         let create = json!({ "key": encode(key), "start_revision": (after + 1).to_string() });
         let body = json!({ "create_request": create });
-        let req = client::json_request(Method::Post, *address, "/v3/watch", &body)
-            .map_err(|e| kv::KvError::Refused(e.to_string()))?;
         let limits = client::Limits { piece: self.watch, ..self.limits };
-        let unreachable = |e: client::CallError| kv::KvError::Unreachable(e.to_string());
-        let mut answer = self.client.send(*address, req, limits).await.map_err(unreachable)?;
+        let mut answer = self.send("/v3/watch", &body, limits).await?;
         let mut text = Vec::new();
         loop {
             let piece = match answer.next().await {
--- a/oxbowbend-platform/src/memory.rs
+++ b/oxbowbend-platform/src/memory.rs
@@ -22,7 +22,7 @@
     values: BTreeMap<String, kv::Versioned>,
     leased: HashMap<kv::LeaseId, Vec<String>>,
     revision: kv::KeyVersion,
-    faults: Vec<Fault>,
+    faults: Vec<Option<Fault>>,
     down: bool,
     writes: u64,
     reads: u64,
@@ -55,7 +55,14 @@
     /// Makes the next call, and those after it, fail as listed.
     pub fn inject(&self, faults: &[Fault]) {
         let mut state = self.lock();
-        state.faults = faults.iter().rev().copied().collect();
+        state.faults = faults.iter().rev().copied().map(Some).collect();
+    }
+
+    /// Makes one call fail after `calls` that succeed.
+    pub fn inject_after(&self, calls: usize, fault: Fault) {
+        let mut faults = vec![Some(fault)];
+        faults.resize(calls + 1, None);
+        self.lock().faults = faults;
     }
 
     /// Makes every call fail, or none.
@@ -86,7 +93,7 @@
         if state.down {
             return Err(kv::KvError::Unreachable("down".to_owned()));
         }
-        match state.faults.pop() {
+        match state.faults.pop().flatten() {
             None => Ok(act(&mut state)),
             Some(Fault::Unreachable) => Err(kv::KvError::Unreachable("injected".to_owned())),
             Some(Fault::RequestLost) => Err(kv::KvError::NoReply("request lost".to_owned())),
