Do not hold a leaving endpoint or a late grant against the endpoint

Cause: found in reading: whatever sent a request back into the queue counted as a failure of the endpoint, so that three late grants would open its breaker. Change: the report says what the requeue means; only a refused connection counts.

--- a/oxbowbend-daemon/src/callers/flow.rs
+++ b/oxbowbend-daemon/src/callers/flow.rs
@@ -13,7 +13,7 @@
 use oxbowbend_platform::kv::KeyValue;
 
 use super::admission;
-use super::keyed;
+use super::{keyed, settle};
 use super::{OpenGuard, Service, COME_BACK};
 use crate::clock;
 use crate::config;
@@ -139,7 +139,7 @@
         let waited = clock::now().saturating_duration_since(self.admitted.arrived);
         observe::granted(&self.admitted.tier, &self.admitted.account, waited);
         let Some(address) = self.service.config.address(&endpoint) else {
-            ticket.finish(super::settle::cancelled());
+            ticket.finish(settle::cancelled());
             return Err(self.not_run(keyed, unavailable()).await);
         };
         Ok(Granted { ticket, run, endpoint, address })
@@ -157,7 +157,7 @@
             Either::Left((decision, _)) => decision,
             Either::Right(_) => {
                 if !ticket.withdraw() {
-                    ticket.finish(super::settle::cancelled());
+                    ticket.finish(settle::cancelled());
                 }
                 let problem =
                     problem::Problem::new(StatusCode::BadRequest, "the caller has hung up");
@@ -170,18 +170,18 @@
             }
             hub::Decision::Dispatch { grant, at } => {
                 if !self.service.hub.node().may_dispatch(&grant.endpoint) {
-                    return self.requeue(ticket, keyed).await;
+                    return self.requeue(ticket, keyed, settle::cancelled()).await;
                 }
                 if let Some(keyed) = keyed {
                     if let Err(problem) = keyed.dispatch(&grant.endpoint).await {
-                        ticket.finish(super::settle::cancelled());
+                        ticket.finish(settle::cancelled());
                         return Err(self.refuse(problem, problem::Outcome::Unknown));
                     }
                 }
                 // An instance that was paused may have been dropped from the list, and its grants
                 // with it.
                 if clock::now().saturating_duration_since(at) >= DISPATCH_WITHIN {
-                    return self.again(ticket, keyed).await;
+                    return self.again(ticket, keyed, settle::cancelled()).await;
                 }
                 *self.granted_at.lock().expect("no panic under lock") = clock::now();
                 Ok(grant.endpoint)
@@ -190,26 +190,28 @@
     }
 
     /// Goes back into the queue, because the run never began.
-    pub(crate) async fn again(
+    async fn again(
         &self,
         ticket: &hub::Ticket,
         keyed: Option<&keyed::Keyed<K>>,
+        report: message::RunReport,
     ) -> Result<EndpointId, Response> {
         if let Some(keyed) = keyed {
             if let Err(problem) = keyed.undo().await {
-                ticket.finish(super::settle::cancelled());
+                ticket.finish(settle::cancelled());
                 return Err(self.refuse(problem, problem::Outcome::Unknown));
             }
         }
-        self.requeue(ticket, keyed).await
+        self.requeue(ticket, keyed, report).await
     }
 
     async fn requeue(
         &self,
         ticket: &hub::Ticket,
         keyed: Option<&keyed::Keyed<K>>,
+        report: message::RunReport,
     ) -> Result<EndpointId, Response> {
-        ticket.requeue();
+        ticket.requeue(report);
         Box::pin(self.next_grant(ticket, keyed)).await
     }
 
@@ -223,9 +225,11 @@
         if leaving {
             self.service.hub.feed(node::Event::EndpointLeaving(granted.endpoint.clone()));
         }
-        let endpoint = self.again(&granted.ticket, keyed).await?;
+        // One that is leaving has not failed.
+        let report = if leaving { settle::cancelled() } else { settle::failed() };
+        let endpoint = self.again(&granted.ticket, keyed, report).await?;
         let Some(address) = self.service.config.address(&endpoint) else {
-            granted.ticket.finish(super::settle::cancelled());
+            granted.ticket.finish(settle::cancelled());
             return Err(self.not_run(keyed, unavailable()).await);
         };
         Ok(Granted { endpoint, address, ..granted })
--- a/oxbowbend-daemon/src/hub.rs
+++ b/oxbowbend-daemon/src/hub.rs
@@ -175,10 +175,9 @@
         self.hub.feed(node::Event::Finish { request: self.id.clone(), report });
     }
 
-    /// Puts the request back into the queue, because the run never began.
-    pub(crate) fn requeue(&self) {
-        let report =
-            message::RunReport { end: message::RunEnd::Failed, ..message::RunReport::default() };
+    /// Puts the request back into the queue, because the run never began. The report tells what
+    /// that says of the endpoint.
+    pub(crate) fn requeue(&self, report: message::RunReport) {
         self.hub.feed(node::Event::Requeue { request: self.id.clone(), report });
     }
 }
