--- a/oxbowbend-standin/examples/platform_cost.rs
+++ b/oxbowbend-standin/examples/platform_cost.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -13,6 +14,8 @@
 use oxbowbend_daemon::daemon;
 use oxbowbend_platform::etcd;
 use oxbowbend_platform::ledger::Ledger;
+use oxbowbend_standin::engine;
+use oxbowbend_standin::load;
 use oxbowbend_standin::local;
 use oxbowbend_standin::platform;
 use oxbowbend_standin::switches;
@@ -42,9 +45,72 @@
     for daemons in [1, 3, 5, 7] {
         in_force(daemons).await?;
     }
+    println!("\nleaving: time from the request to the last dispatch to the endpoint, 3 daemons");
+    for _ in 0..5 {
+        let (millis, before) = leaving().await?;
+        println!("{millis:>10.1} ms at the most, after {before} runs there");
+    }
     Ok(())
 }
 
+/// Milliseconds from the operator's request to the last run that began at the endpoint, under load,
+/// and the runs that began there before.
+async fn leaving() -> Result<(f64, usize), Failure> {
+    let options = engine::Options { decode_rate: 500.0, ..engine::Options::default() };
+    let around = local::Surroundings::start(&[options.clone(), options]).await?;
+    let zones = ["zone-0", "zone-1", "zone-2"];
+    let (operators, callers) = start_daemons(&zones, &around).await?;
+    let asks = (0..20_000).map(|n| load::Ask {
+        key: local::ACCOUNT.1.to_owned(),
+        model: local::MODEL.to_owned(),
+        tier: None,
+        prompt: format!("request {n}"),
+        max_tokens: 5,
+        stream: false,
+        run: None,
+        headers: Vec::new(),
+    });
+    let callers = task::spawn(load::closed_loop(callers, asks.collect(), 24));
+    task::sleep(Duration::from_secs(8)).await;
+    let path = "/v1/resources/Endpoint/engine-0";
+    let (_, mut engine) = local::operator_call(operators[0], Method::Get, path, None).await?;
+    engine["spec"]["leaving"] = json!(true);
+    let began = Instant::now();
+    local::operator_call(operators[0], Method::Put, path, Some(&engine)).await?;
+    // What began while the operator waited is counted as begun when the answer came.
+    let mut last = (around.engines[0].0.runs().len(), began.elapsed());
+    let before = last.0;
+    while began.elapsed() < last.1 + Duration::from_secs(1) {
+        let runs = around.engines[0].0.runs().len();
+        if runs > last.0 {
+            last = (runs, began.elapsed());
+        }
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    callers.cancel().await;
+    Ok((last.1.as_secs_f64() * 1000.0, before))
+}
+
+/// Starts daemons in the given zones, declares the resources and waits until all are ready.
+async fn start_daemons(
+    zones: &[&str],
+    around: &local::Surroundings,
+) -> Result<(Vec<SocketAddr>, Vec<SocketAddr>), Failure> {
+    let mut operators = Vec::new();
+    let mut callers = Vec::new();
+    for zone in zones {
+        let settings = settings(zone, around.platform_address).await?;
+        operators.push(settings.operator_listen);
+        callers.push(settings.caller_listen);
+        daemon::Daemon::start(settings).await?;
+    }
+    local::declare(operators[0], around.resources(zones)).await?;
+    for caller in &callers {
+        local::wait_ok(*caller, "/readyz", Duration::from_secs(20)).await;
+    }
+    Ok((operators, callers))
+}
+
 async fn group_commit(writers: usize, shards: u32) -> Result<(), Failure> {
     let platform = platform::Platform::new(platform::Options::default());
     let (listener, address) = local::listen().await?;
@@ -94,19 +160,8 @@
 async fn in_force(daemons: usize) -> Result<(), Failure> {
     let around = local::Surroundings::start(&[]).await?;
     let zones: Vec<String> = (0..daemons).map(|n| format!("zone-{n}")).collect();
-    let mut operators = Vec::new();
-    let mut callers = Vec::new();
-    for zone in &zones {
-        let settings = settings(zone, around.platform_address).await?;
-        operators.push(settings.operator_listen);
-        callers.push(settings.caller_listen);
-        daemon::Daemon::start(settings).await?;
-    }
     let names: Vec<&str> = zones.iter().map(String::as_str).collect();
-    local::declare(operators[0], around.resources(&names)).await?;
-    for caller in &callers {
-        local::wait_ok(*caller, "/readyz", Duration::from_secs(20)).await;
-    }
+    let (operators, _) = start_daemons(&names, &around).await?;
     let mut times = Vec::new();
     for n in 0..20 {
         let path = "/v1/resources/Tier/live";
