Let a scheduler that takes a pool over know which endpoints leave

Entries refused its grants to a leaving endpoint, so nothing ran there, but requests waited for up to 30 s. A test, seen failing first (a request not granted at once), covers it.

--- a/oxbowbend-core/src/node/duties.rs
+++ b/oxbowbend-core/src/node/duties.rs
@@ -54,14 +54,23 @@
 
     pub(super) fn configure_schedulers(&mut self, now: Instant) {
         self.leaving_endpoints.retain(|_, since| now.duration_since(*since) < LEAVING_KEEP);
-        for (pool, scheduler) in &mut self.pools {
-            let mut config = self.view.topology.pools.get(pool).cloned().unwrap_or_default();
-            for (endpoint, declared) in &mut config.endpoints {
-                declared.leaving |= self.leaving_endpoints.contains_key(endpoint);
+        let pools: Vec<ids::PoolId> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            let config = self.pool_config(&pool);
+            if let Some(scheduler) = self.pools.get_mut(&pool) {
+                scheduler.configure(&config);
             }
-            scheduler.configure(&config);
-            self.dirty.insert(pool.clone());
+            self.dirty.insert(pool);
+        }
+    }
+
+    /// A pool as its scheduler is to see it: as declared, less what endpoints said of themselves.
+    pub(super) fn pool_config(&self, pool: &str) -> topology::Pool {
+        let mut config = self.view.topology.pools.get(pool).cloned().unwrap_or_default();
+        for (endpoint, declared) in &mut config.endpoints {
+            declared.leaving |= self.leaving_endpoints.contains_key(endpoint);
         }
+        config
     }
 
     /// Remembers which permits existed before this instance could be sure to be asked about them.
--- a/oxbowbend-core/src/node/mod.rs
+++ b/oxbowbend-core/src/node/mod.rs
@@ -404,11 +404,18 @@
         pool: &ids::PoolId,
         with: impl FnOnce(&mut scheduler::Scheduler<choose::Predicted>),
     ) {
-        let Some(config) = self.view.topology.pools.get(pool) else { return };
-        let scheduler = self.pools.entry(pool.clone()).or_insert_with(|| {
-            scheduler::Scheduler::new(self.me.clone(), pool.clone(), config, choose::Predicted)
-        });
-        with(scheduler);
+        if !self.view.topology.pools.contains_key(pool) {
+            return;
+        }
+        if !self.pools.contains_key(pool) {
+            let config = self.pool_config(pool);
+            let me = self.me.clone();
+            let new = scheduler::Scheduler::new(me, pool.clone(), &config, choose::Predicted);
+            self.pools.insert(pool.clone(), new);
+        }
+        if let Some(scheduler) = self.pools.get_mut(pool) {
+            with(scheduler);
+        }
         self.dirty.insert(pool.clone());
     }
 
--- a/oxbowbend-core/tests/nodes.rs
+++ b/oxbowbend-core/tests/nodes.rs
@@ -95,6 +95,26 @@
     assert_eq!(world.free_permits().values().sum::<u32>(), 6);
 }
 
+/// An endpoint that said itself that it leaves is passed over also by a scheduler that takes the pool
+/// over afterwards, so that its requests go elsewhere at once.
+#[test]
+fn a_new_scheduler_knows_which_endpoints_leave() {
+    let mut world = World::new(&THREE, topology(&[("e1", 2), ("e2", 2)], None));
+    let former = world.scheduler("a");
+    let others: Vec<_> = world.ids().into_iter().filter(|id| *id != former).collect();
+    for id in &others {
+        let leaving = oxbowbend_core::node::Event::EndpointLeaving("e1".into());
+        world.feed(id, leaving);
+    }
+    world.kill(&former);
+    world.run_for(Duration::from_secs(3));
+    for n in 0..2 {
+        world.arrive(&others[0], record(&format!("r{n}"), 0));
+        assert!(world.runs.contains_key(format!("r{n}").as_str()), "r{n} was not granted at once");
+    }
+    assert!(world.runs.values().all(|r| r.endpoint == "e2"));
+}
+
 /// Finds the instance that owns the one slot.
 fn owner(world: &World) -> oxbowbend_core::ids::InstanceId {
     let owns = |id: &oxbowbend_core::ids::InstanceId| world.node(id).permits().owned() > 0;
