--- /dev/null
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -0,0 +1,210 @@
+//! The assignment of waiting requests to free places, the same at every instance of a cell.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::{Cell, Ticket, Want, CLAIM_TTL, FIXED_UNITS, LOAD_TTL};
+use crate::ids::{EndpointId, ServiceId, ZoneId};
+use crate::routes::Endpoint;
+
+/// Added to the first event's time for each place in use, as a share: a batch slows with its size.
+const CROWDING: f64 = 0.3;
+/// Extra time of an endpoint in another availability zone, also to save the traffic between zones.
+const OTHER_ZONE: Duration = Duration::from_millis(3);
+/// Nanoseconds for a unit of work where nothing has been measured: 50 tokens in a millisecond.
+const UNKNOWN_NS: f64 = 20_000.0;
+
+/// Place of a request in the order: rank, then the time at which it should be answered.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Order {
+    rank: u16,
+    due: Instant,
+}
+
+impl Order {
+    /// Place of a request of this instance.
+    pub fn of(want: &Want) -> Order {
+        Order { rank: want.rank, due: want.arrived + want.objective }
+    }
+}
+
+/// A request that has got a place.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    /// The request.
+    pub ticket: Ticket,
+    /// Where it goes.
+    pub endpoint: Endpoint,
+    /// Requests at the endpoint, this one included.
+    pub load: u32,
+    /// Expected time to the first event.
+    pub expected: Duration,
+}
+
+/// A waiting request of this instance or another one.
+struct Candidate<'a> {
+    order: Order,
+    ticket: Option<Ticket>,
+    service: &'a ServiceId,
+    zone: &'a ZoneId,
+    prompt: u32,
+    avoid: &'a [EndpointId],
+}
+
+/// An endpoint with what it could still take.
+struct Place<'a> {
+    endpoint: &'a Endpoint,
+    load: u32,
+    room: u32,
+    ns: f64,
+}
+
+impl Cell {
+    /// Assigns what waits to free places and returns this instance's part of that, which counts
+    /// as running from now on.
+    pub fn assign(&mut self, now: Instant) -> Vec<Assignment> {
+        self.set_failing_aside(now);
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let assignments = self.work_out(now);
+        for a in &assignments {
+            self.waiting.remove(&a.ticket);
+            if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
+                site.running += 1;
+                site.touched = Some(now);
+            }
+        }
+        assignments
+    }
+
+    fn work_out(&self, now: Instant) -> Vec<Assignment> {
+        let mut places = self.places(now);
+        let mut assignments = Vec::new();
+        for candidate in self.candidates(now) {
+            let Some((place, expected)) = choose(&mut places, &candidate, now) else { continue };
+            place.room -= 1;
+            place.load += 1;
+            if let Some(ticket) = candidate.ticket {
+                let (endpoint, load) = (place.endpoint.clone(), place.load);
+                assignments.push(Assignment { ticket, endpoint, load, expected });
+            }
+        }
+        assignments
+    }
+
+    fn candidates(&self, now: Instant) -> Vec<Candidate<'_>> {
+        let mine = self.waiting.iter().map(|(ticket, want)| Candidate {
+            order: Order::of(want),
+            ticket: Some(*ticket),
+            service: &want.service,
+            zone: &self.zone,
+            prompt: want.prompt,
+            avoid: &want.avoid,
+        });
+        let others = self.peers.values().filter(|p| p.is_live(now, CLAIM_TTL)).flat_map(|p| {
+            p.report.claims.iter().filter_map(move |claim| {
+                let waited = Duration::from_millis(claim.waited_ms.into());
+                let arrived = p.heard.checked_sub(waited)?;
+                let due = arrived + Duration::from_millis(claim.objective_ms.into());
+                Some(Candidate {
+                    order: Order { rank: claim.rank, due },
+                    ticket: None,
+                    service: &claim.service,
+                    zone: &p.report.zone,
+                    prompt: claim.prompt,
+                    avoid: &[],
+                })
+            })
+        });
+        let mut all: Vec<_> = mine.chain(others).collect();
+        all.sort_by_key(|c| c.order);
+        all
+    }
+
+    fn places(&self, now: Instant) -> Vec<Place<'_>> {
+        let mut loads: HashMap<&str, u32> = HashMap::new();
+        for peer in self.peers.values().filter(|p| p.is_live(now, LOAD_TTL)) {
+            for load in &peer.report.loads {
+                *loads.entry(&load.endpoint).or_default() += load.running;
+            }
+        }
+        let paces = self.paces(now);
+        let usual = usual(paces.values().copied());
+        let open = self.sites.values().filter(|s| !s.endpoint.leaving && !s.health.is_aside(now));
+        let place = |s: &'_ super::Site| {
+            let load = s.running + loads.get(&*s.endpoint.id).copied().unwrap_or(0);
+            let slots = if s.health.is_on_trial() { 1 } else { s.endpoint.slots };
+            (load, slots.saturating_sub(load))
+        };
+        open.map(|s| {
+            let (load, room) = place(s);
+            let ns = paces.get(&s.endpoint.id).copied().unwrap_or(usual);
+            Place { endpoint: &s.endpoint, load, room, ns }
+        })
+        .collect()
+    }
+
+    /// Sets failing endpoints aside, at most half of a service.
+    fn set_failing_aside(&mut self, now: Instant) {
+        let mut services: HashMap<ServiceId, (usize, usize)> = HashMap::new();
+        for site in self.sites.values().filter(|s| !s.endpoint.leaving) {
+            let (all, aside) = services.entry(site.endpoint.service.clone()).or_default();
+            *all += 1;
+            *aside += usize::from(site.health.is_aside(now));
+        }
+        for site in self.sites.values_mut() {
+            if site.health.is_aside(now) || !site.health.is_failing(now) {
+                continue;
+            }
+            let Some((all, aside)) = services.get_mut(&site.endpoint.service) else { continue };
+            if (*aside + 1) * 2 > *all {
+                continue;
+            }
+            *aside += 1;
+            let pause = site.health.set_aside(now);
+            self.news.push(super::SetAside { endpoint: site.endpoint.id.clone(), pause });
+        }
+    }
+}
+
+/// The best place for a request, if there is one. A request that would miss its time at every free
+/// place, but not at one that is in use now, waits for that one.
+fn choose<'a, 'b>(
+    places: &'b mut [Place<'a>],
+    candidate: &Candidate<'_>,
+    now: Instant,
+) -> Option<(&'b mut Place<'a>, Duration)> {
+    let left = candidate.order.due.saturating_duration_since(now);
+    let fits = |p: &Place<'_>| {
+        p.endpoint.service == *candidate.service && !candidate.avoid.contains(&p.endpoint.id)
+    };
+    let in_time = places.iter().any(|p| fits(p) && first(p, candidate) <= left);
+    let free = places.iter_mut().filter(|p| p.room > 0 && fits(p));
+    let best = free.min_by_key(|p| cost(p, candidate))?;
+    let expected = first(best, candidate);
+    if expected > left && in_time {
+        return None;
+    }
+    Some((best, expected))
+}
+
+/// Expected time to the first event.
+fn first(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
+    let units = f64::from(candidate.prompt + FIXED_UNITS);
+    let slots = f64::from(place.endpoint.slots.max(1));
+    let crowd = 1.0 + CROWDING * f64::from(place.load) / slots;
+    Duration::from_nanos((place.ns * units * crowd) as u64)
+}
+
+fn cost(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
+    let zone = if place.endpoint.zone == *candidate.zone { Duration::ZERO } else { OTHER_ZONE };
+    first(place, candidate) + zone
+}
+
+/// The middle of what has been measured, for endpoints that have not been.
+fn usual(paces: impl Iterator<Item = f64>) -> f64 {
+    let mut paces: Vec<_> = paces.collect();
+    paces.sort_by(f64::total_cmp);
+    paces.get(paces.len() / 2).copied().unwrap_or(UNKNOWN_NS)
+}
--- /dev/null
+++ b/oxbowbend-core/src/cell/health.rs
@@ -0,0 +1,77 @@
+//! Which endpoints fail, judged by what all instances have seen of them.
+//!
+//! A health check can be good while requests fail, so only the outcome of requests counts. An
+//! endpoint that fails too often is set aside for a while and then tried with one request at a
+//! time. At most half of a service is set aside: if all fail, the cause is not the endpoint.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Time for which outcomes count: about 18 requests an endpoint at the users' sites.
+const WINDOW: Duration = Duration::from_secs(3);
+/// Failures in the window below which nothing follows.
+const MIN_BAD: u32 = 3;
+/// Share of failures from which an endpoint is set aside. The users' services fail up to 14 in
+/// 100 requests of one kind by themselves; a failing endpoint fails 40 in 100.
+const BAD_SHARE: f64 = 0.3;
+/// First time for which an endpoint is set aside.
+const FIRST_PAUSE: Duration = Duration::from_millis(1000);
+/// Longest such time.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// What a service's endpoint has lately done.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    outcomes: VecDeque<(Instant, u32, u32)>,
+    until: Option<Instant>,
+    strikes: u32,
+    on_trial: bool,
+}
+
+impl Health {
+    /// Notes outcomes.
+    pub fn note(&mut self, now: Instant, good: u32, bad: u32) {
+        if good + bad == 0 {
+            return;
+        }
+        self.outcomes.push_back((now, good, bad));
+        if self.on_trial && good > 0 && bad == 0 {
+            self.on_trial = false;
+            self.strikes = 0;
+            self.outcomes.clear();
+        }
+    }
+
+    /// Whether the endpoint has failed enough to be set aside.
+    pub fn is_failing(&mut self, now: Instant) -> bool {
+        while self.outcomes.front().is_some_and(|(t, ..)| now.duration_since(*t) > WINDOW) {
+            self.outcomes.pop_front();
+        }
+        let good: u32 = self.outcomes.iter().map(|(_, g, _)| g).sum();
+        let bad: u32 = self.outcomes.iter().map(|(.., b)| b).sum();
+        if self.on_trial {
+            return bad > 0;
+        }
+        bad >= MIN_BAD && f64::from(bad) >= BAD_SHARE * f64::from(good + bad)
+    }
+
+    /// Sets the endpoint aside; returns for how long.
+    pub fn set_aside(&mut self, now: Instant) -> Duration {
+        let pause = (FIRST_PAUSE * (1 << self.strikes.min(4))).min(LONGEST_PAUSE);
+        self.strikes += 1;
+        self.on_trial = true;
+        self.until = Some(now + pause);
+        self.outcomes.clear();
+        pause
+    }
+
+    /// Whether the endpoint is set aside now.
+    pub fn is_aside(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it may have one request at a time only.
+    pub fn is_on_trial(&self) -> bool {
+        self.on_trial
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -0,0 +1,309 @@
+//! A cell: instances that share a set of endpoints and decide alike, without a scheduler.
+//!
+//! Every instance tells the others what it runs and what waits at it. From that each works out the
+//! same order of everything that waits and the same assignment to free places, and dispatches what
+//! falls to its own requests. What was traded: two instances may take the same place within the
+//! few milliseconds that a report travels; the endpoint then queues one of the two. Nobody waits
+//! for anybody: an instance that is cut off, or has just started, serves with what it knows.
+//!
+//! This stands in for the pool's [`crate::scheduler`] where slots are no promise of the endpoint.
+
+mod assign;
+mod health;
+mod pace;
+mod report;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+pub use assign::{Assignment, Order};
+pub use pace::FIXED_UNITS;
+pub use report::{Claim, Load, Report};
+
+use crate::ids::{EndpointId, InstanceId, ServiceId, ZoneId};
+use crate::routes::Endpoint;
+
+/// Silence after which an instance's waiting requests hold nobody else's back.
+pub const CLAIM_TTL: Duration = Duration::from_millis(400);
+/// Silence after which what an instance had running is taken to have ended with it.
+pub const LOAD_TTL: Duration = Duration::from_millis(1500);
+/// Silence after which an instance is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+/// Waiting requests told to others. More than the places of a cell's endpoints would tell nothing.
+const MAX_CLAIMS: usize = 32;
+/// Time after a request's end for which its endpoint is still in the reports, so that the last
+/// counters get through in spite of losses.
+const MENTION: Duration = Duration::from_secs(3);
+
+/// Number of a waiting or running request at this instance.
+pub type Ticket = u64;
+
+/// What a request needs to be placed.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// Service that must execute it.
+    pub service: ServiceId,
+    /// Rank; 0 goes first.
+    pub rank: u16,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Time from its arrival within which its first event should be there.
+    pub objective: Duration,
+    /// Endpoints that it has been sent to already.
+    pub avoid: Vec<EndpointId>,
+}
+
+/// How a run at an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// With a whole answer.
+    Good,
+    /// The endpoint failed: no connection, a broken or spoilt answer, or an error of its own.
+    Bad,
+    /// Nothing that speaks for or against the endpoint, such as a caller that left.
+    Neutral,
+}
+
+/// A change in what this instance believes of an endpoint, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SetAside {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// For how long.
+    pub pause: Duration,
+}
+
+#[derive(Debug)]
+struct Site {
+    endpoint: Endpoint,
+    running: u32,
+    good: u64,
+    bad: u64,
+    pace: pace::Pace,
+    health: health::Health,
+    touched: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    report: Report,
+    heard: Instant,
+}
+
+/// One instance's part in its cell.
+#[derive(Debug)]
+pub struct Cell {
+    me: InstanceId,
+    zone: ZoneId,
+    life: u64,
+    number: u64,
+    sites: BTreeMap<EndpointId, Site>,
+    waiting: BTreeMap<Ticket, Want>,
+    next: Ticket,
+    peers: HashMap<InstanceId, Peer>,
+    news: Vec<SetAside>,
+}
+
+impl Cell {
+    /// Starts with no endpoints and no other instances. `life` is a random number that tells this
+    /// life from others of the same name.
+    pub fn new(me: InstanceId, zone: ZoneId, life: u64) -> Cell {
+        Cell {
+            me,
+            zone,
+            life,
+            number: 0,
+            sites: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next: 0,
+            peers: HashMap::new(),
+            news: Vec::new(),
+        }
+    }
+
+    /// Puts the list of endpoints in force; what is known of those that stay is kept.
+    pub fn set_endpoints(&mut self, endpoints: impl IntoIterator<Item = Endpoint>) {
+        let mut old = std::mem::take(&mut self.sites);
+        for endpoint in endpoints {
+            let site = match old.remove(&endpoint.id) {
+                Some(site) => Site { endpoint, ..site },
+                None => Site {
+                    endpoint,
+                    running: 0,
+                    good: 0,
+                    bad: 0,
+                    pace: pace::Pace::default(),
+                    health: health::Health::default(),
+                    touched: None,
+                },
+            };
+            self.sites.insert(site.endpoint.id.clone(), site);
+        }
+    }
+
+    /// The endpoint of that id, if it is in force.
+    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+        self.sites.get(id).map(|s| &s.endpoint)
+    }
+
+    /// Takes in another instance's report. Returns the units that it admitted since its last one,
+    /// by account, and whether the report was news at all.
+    pub fn hear(&mut self, now: Instant, report: Report) -> Option<Vec<(crate::ids::AccountId, u64)>> {
+        if report.instance == self.me {
+            return None;
+        }
+        let before = self.peers.get(&report.instance).map(|p| &p.report);
+        let before = before.filter(|b| b.life == report.life);
+        if before.is_some_and(|b| b.number >= report.number) {
+            return None;
+        }
+        for load in &report.loads {
+            let old = before.and_then(|b| b.loads.iter().find(|l| l.endpoint == load.endpoint));
+            let (good, bad) = old.map_or((load.good, load.bad), |o| (o.good, o.bad));
+            if let Some(site) = self.sites.get_mut(&load.endpoint) {
+                let good = load.good.saturating_sub(good) as u32;
+                site.health.note(now, good, load.bad.saturating_sub(bad) as u32);
+            }
+        }
+        let spent = report.spent.iter().map(|(account, units)| {
+            let old = before.and_then(|b| b.spent.iter().find(|(a, _)| a == account));
+            (account.clone(), units.saturating_sub(old.map_or(0, |(_, u)| *u)))
+        });
+        let spent = spent.collect();
+        self.peers.insert(report.instance.clone(), Peer { report, heard: now });
+        Some(spent)
+    }
+
+    /// What to tell the others, but for what only the caller knows: revision, version, address and
+    /// peers.
+    pub fn report(&mut self, now: Instant) -> Report {
+        self.number += 1;
+        let mentioned = |s: &&Site| {
+            s.running > 0 || s.touched.is_some_and(|t| now.duration_since(t) < MENTION)
+        };
+        let loads = self.sites.values().filter(mentioned).map(|s| {
+            let (ns_per_unit, samples) = s.pace.as_parts();
+            let endpoint = s.endpoint.id.clone();
+            Load { endpoint, running: s.running, good: s.good, bad: s.bad, ns_per_unit, samples }
+        });
+        let mut waiting: Vec<_> = self.waiting.values().collect();
+        waiting.sort_by_key(|w| Order::of(w));
+        let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
+            service: w.service.clone(),
+            rank: w.rank,
+            waited_ms: now.saturating_duration_since(w.arrived).as_millis() as u32,
+            objective_ms: w.objective.as_millis() as u32,
+            prompt: w.prompt,
+        });
+        Report {
+            instance: self.me.clone(),
+            zone: self.zone.clone(),
+            life: self.life,
+            number: self.number,
+            loads: loads.collect(),
+            claims: claims.collect(),
+            ..Report::default()
+        }
+    }
+
+    /// Other instances heard within [`LOAD_TTL`].
+    pub fn heard(&self, now: Instant) -> usize {
+        self.peers.values().filter(|p| p.is_live(now, LOAD_TTL)).count()
+    }
+
+    /// Last reports of the instances heard within [`LOAD_TTL`].
+    pub fn live_reports(&self, now: Instant) -> impl Iterator<Item = &Report> {
+        self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL)).map(|p| &p.report)
+    }
+
+    /// Forgets instances that have been silent for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.peers.retain(|_, p| p.is_live(now, FORGET));
+    }
+
+    /// Brings in a request that waits for a place.
+    pub fn arrive(&mut self, want: Want) -> Ticket {
+        self.next += 1;
+        self.waiting.insert(self.next, want);
+        self.next
+    }
+
+    /// Takes a request out of the queue; `false` means that it has been placed.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(&ticket).is_some()
+    }
+
+    /// Requests that wait here.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Notes the time that an endpoint took to its first event.
+    pub fn began(&mut self, endpoint: &str, prompt: u32, first: Duration) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.pace.learn(prompt, first);
+        }
+    }
+
+    /// Ends a run.
+    pub fn finish(&mut self, now: Instant, endpoint: &str, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        site.running = site.running.saturating_sub(1);
+        site.touched = Some(now);
+        self.judge(now, endpoint, outcome);
+    }
+
+    /// Notes what a run that goes on says of its endpoint.
+    pub fn judge(&mut self, now: Instant, endpoint: &str, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        let (good, bad) = match outcome {
+            Outcome::Good => (1, 0),
+            Outcome::Bad => (0, 1),
+            Outcome::Neutral => (0, 0),
+        };
+        site.good += u64::from(good);
+        site.bad += u64::from(bad);
+        site.health.note(now, good, bad);
+    }
+
+    /// What was newly believed of endpoints since the last call.
+    pub fn take_news(&mut self) -> Vec<SetAside> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Requests at an endpoint, of all instances that are heard.
+    pub fn load(&self, now: Instant, endpoint: &str) -> u32 {
+        let mine = self.sites.get(endpoint).map_or(0, |s| s.running);
+        let loads = self.live_reports(now).flat_map(|r| &r.loads);
+        mine + loads.filter(|l| &*l.endpoint == endpoint).map(|l| l.running).sum::<u32>()
+    }
+
+    /// Usual time of a request to its first event, by the best endpoint of the service.
+    pub fn best_first(&self, now: Instant, service: &str, prompt: u32) -> Option<Duration> {
+        let paces = self.paces(now);
+        let of = self.sites.values().filter(|s| &*s.endpoint.service == service);
+        let best = of.filter_map(|s| paces.get(&s.endpoint.id)).copied().fold(f64::INFINITY, f64::min);
+        best.is_finite().then(|| Duration::from_nanos((best * f64::from(prompt + FIXED_UNITS)) as u64))
+    }
+
+    fn paces(&self, now: Instant) -> HashMap<EndpointId, f64> {
+        let mut all: HashMap<&str, Vec<pace::Pace>> = HashMap::new();
+        for load in self.live_reports(now).flat_map(|r| &r.loads) {
+            let pace = pace::Pace::reported(load.ns_per_unit, load.samples);
+            all.entry(&load.endpoint).or_default().push(pace);
+        }
+        let of = |s: &Site| {
+            let others = all.get(&*s.endpoint.id).into_iter().flatten().copied();
+            Some((s.endpoint.id.clone(), pace::Pace::combine(others.chain([s.pace]))?))
+        };
+        self.sites.values().filter_map(of).collect()
+    }
+}
+
+impl Peer {
+    fn is_live(&self, now: Instant, ttl: Duration) -> bool {
+        now.saturating_duration_since(self.heard) < ttl
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/cell/report.rs
@@ -0,0 +1,92 @@
+//! What the instances of a cell tell each other.
+//!
+//! A report is the sender's whole state, never a change of it, so that one lost on the way is made
+//! up for by the next one, and one that comes late is told by its number.
+
+use std::net::SocketAddr;
+
+use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
+
+/// State of one instance.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Report {
+    /// The sender's name, the same across its lives.
+    #[serde(rename = "i")]
+    pub instance: InstanceId,
+    /// Its availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneId,
+    /// Random number of this life.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Number of the report in this life.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Revision of the store up to which the sender knows.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Version of the operator's configuration that it applies.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Where it answers questions.
+    #[serde(rename = "a")]
+    pub address: Option<SocketAddr>,
+    /// Whether it is stopping.
+    #[serde(rename = "x", default)]
+    pub stopping: bool,
+    /// What it has at endpoints.
+    #[serde(rename = "e", default)]
+    pub loads: Vec<Load>,
+    /// What waits at it, the first in order first.
+    #[serde(rename = "w", default)]
+    pub claims: Vec<Claim>,
+    /// Units admitted in this life, by client account.
+    #[serde(rename = "u", default)]
+    pub spent: Vec<(AccountId, u64)>,
+    /// Where it knows other instances to be.
+    #[serde(rename = "p", default)]
+    pub peers: Vec<SocketAddr>,
+}
+
+/// What an instance has at one endpoint. The counters run from the start of its life.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Load {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: EndpointId,
+    /// Requests that it executes for the sender.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Requests that it answered well.
+    #[serde(rename = "k")]
+    pub good: u64,
+    /// Requests that it failed.
+    #[serde(rename = "b")]
+    pub bad: u64,
+    /// Nanoseconds to the first event for each unit of work; 0 if not measured.
+    #[serde(rename = "t")]
+    pub ns_per_unit: u64,
+    /// Measurements behind that.
+    #[serde(rename = "m")]
+    pub samples: u32,
+}
+
+/// A waiting request. Ages are sent instead of times, since no two clocks agree.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Claim {
+    /// The service it waits for.
+    #[serde(rename = "s")]
+    pub service: ServiceId,
+    /// Its rank; 0 goes first.
+    #[serde(rename = "k")]
+    pub rank: u16,
+    /// Milliseconds for which it has waited.
+    #[serde(rename = "w")]
+    pub waited_ms: u32,
+    /// Milliseconds from its arrival within which it should be answered.
+    #[serde(rename = "o")]
+    pub objective_ms: u32,
+    /// Tokens of its prompt.
+    #[serde(rename = "p")]
+    pub prompt: u32,
+}
--- a/oxbowbend-core/src/ids.rs
+++ b/oxbowbend-core/src/ids.rs
@@ -10,6 +10,8 @@
 pub type EndpointId = Arc<str>;
 /// A declared client account.
 pub type AccountId = Arc<str>;
+/// A declared service.
+pub type ServiceId = Arc<str>;
 /// A pool: the endpoints that serve one model or service inside one place.
 pub type PoolId = Arc<str>;
 /// A declared place.
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -11,6 +11,10 @@
 requests, the [`scheduler`] of each pool this instance was chosen for, and the [`permits`] this
 instance owns. The daemon feeds it [`node::Event`]s and carries out the [`node::Action`]s.
 
+[`cell::Cell`] is the decision where endpoints do not promise their slots: every instance tells the
+others what it runs and what waits, and all come to the same order on their own. [`routes::Table`],
+[`quota::Quotas`] and [`repeats::Repeats`] stand beside it.
+
 # Limits
 
 Times are [`std::time::Instant`]s supplied by the caller. The crate trusts them to be monotonic
@@ -19,6 +23,7 @@
 
 pub mod budget;
 pub mod cache;
+pub mod cell;
 pub mod choose;
 pub mod entry;
 pub mod ids;
@@ -28,6 +33,9 @@
 pub mod node;
 pub mod permits;
 pub mod queue;
+pub mod quota;
+pub mod repeats;
+pub mod routes;
 pub mod scheduler;
 pub mod speed;
 pub mod topology;
--- /dev/null
+++ b/oxbowbend-core/src/routes.rs
@@ -0,0 +1,219 @@
+//! What the operator has declared for plain routing: routes, client accounts, services, limits.
+//!
+//! A [`Table`] is one version of it, whole and immutable. A table is never changed in place, so
+//! that a request is handled by one version from its arrival to its end, whatever comes in force
+//! meanwhile.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ids::{AccountId, EndpointId, ServiceId, ZoneId};
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    Once,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host that a request must name.
+    pub host: String,
+    /// Beginning of the path that a request must have; ends with a slash.
+    pub prefix: String,
+    /// Services with their weights.
+    pub targets: Vec<(ServiceId, u32)>,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Whether a broken stream may be continued by another endpoint.
+    pub resumable: bool,
+    /// Endpoints that one request may be sent to.
+    pub sends: u32,
+    /// Longest time that a request is kept.
+    pub timeout: Duration,
+    /// Time within which the answer, or its first event, should be there.
+    pub objective: Duration,
+    /// Rank; 0 goes first.
+    pub tier: u8,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// Bound on what a client account may have executed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Units a second.
+    pub per_s: f64,
+    /// Units that may be saved up.
+    pub burst: f64,
+}
+
+/// One client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Name.
+    pub name: AccountId,
+    /// Rank; goes before the route's.
+    pub tier: Option<u8>,
+    /// Bound; none if unlimited.
+    pub quota: Option<Quota>,
+    /// Units of a request that does not tell its own.
+    pub plain_units: u64,
+    /// Whether requests count by their tokens rather than one each.
+    pub by_tokens: bool,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Connections that each of its endpoints accepts from all instances.
+    pub connections: u32,
+    /// Whether its endpoints are model engines.
+    pub engine: bool,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Bytes of a head.
+    pub head: usize,
+    /// Bytes of a body.
+    pub body: usize,
+    /// Time for which callers may leave a connection idle.
+    pub idle: Duration,
+}
+
+/// An endpoint as it has registered itself.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Endpoint {
+    /// Id of this life of the endpoint.
+    pub id: EndpointId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Where it is reached.
+    pub address: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it executes at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// One version of the operator's configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table {
+    version: u64,
+    limits: Limits,
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+    accounts: HashMap<AccountId, Account>,
+    by_key: HashMap<String, AccountId>,
+    services: HashMap<ServiceId, Service>,
+}
+
+impl Table {
+    /// Builds a table. Of two accounts with the same key the later one has it.
+    pub fn new(version: u64, limits: Limits) -> Table {
+        Table {
+            version,
+            limits,
+            by_host: HashMap::new(),
+            accounts: HashMap::new(),
+            by_key: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Adds a route.
+    pub fn add_route(&mut self, route: Route) {
+        let routes = self.by_host.entry(route.host.to_ascii_lowercase()).or_default();
+        routes.push(Arc::new(route));
+        routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+    }
+
+    /// Adds a client account with its keys.
+    pub fn add_account(&mut self, account: Account, keys: impl IntoIterator<Item = String>) {
+        for key in keys {
+            self.by_key.insert(key, account.name.clone());
+        }
+        self.accounts.insert(account.name.clone(), account);
+    }
+
+    /// Adds a service.
+    pub fn add_service(&mut self, name: ServiceId, service: Service) {
+        self.services.insert(name, service);
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on what callers may send.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// The route of a request: of its host, the one with the longest prefix of its path.
+    ///
+    /// ```
+    /// use oxbowbend_core::routes::{Limits, Table};
+    /// use std::time::Duration;
+    /// let limits = Limits { head: 8192, body: 1 << 20, idle: Duration::from_secs(60) };
+    /// assert!(Table::new(1, limits).route("example.org", "/a/").is_none());
+    /// ```
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.by_host.get(&host.to_ascii_lowercase())?;
+        routes.iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// The account that holds a key.
+    pub fn account_of(&self, key: &str) -> Option<&Account> {
+        self.accounts.get(self.by_key.get(key)?)
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.accounts.values()
+    }
+
+    /// Whether requests need a key at all.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Number of routes.
+    pub fn routes(&self) -> usize {
+        self.by_host.values().map(Vec::len).sum()
+    }
+}
+
+impl Route {
+    /// The service for a request, by weight; `draw` is a random number.
+    pub fn target(&self, draw: u64) -> Option<&ServiceId> {
+        let total: u64 = self.targets.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut left = draw % total.max(1);
+        for (service, weight) in &self.targets {
+            let weight = u64::from(*weight);
+            if left < weight {
+                return Some(service);
+            }
+            left -= weight;
+        }
+        self.targets.first().map(|(service, _)| service)
+    }
+}
--- a/oxbowbend-daemon/src/callers/flow.rs
+++ b/oxbowbend-daemon/src/callers/flow.rs
@@ -10,7 +10,7 @@
 use oxbowbend_core::node;
 use oxbowbend_http::problem;
 use oxbowbend_http::server;
-use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_store::kv::KeyValue;
 
 use super::admission;
 use super::{keyed, settle};
--- a/oxbowbend-daemon/src/callers/keyed.rs
+++ b/oxbowbend-daemon/src/callers/keyed.rs
@@ -8,8 +8,8 @@
 use oxbowbend_core::ids;
 use oxbowbend_core::ledger;
 use oxbowbend_http::problem;
-use oxbowbend_platform::kv::KeyValue;
-use oxbowbend_platform::ledger::LedgerError;
+use oxbowbend_store::kv::KeyValue;
+use oxbowbend_store::ledger::LedgerError;
 
 use super::{Service, COME_BACK};
 
--- a/oxbowbend-daemon/src/callers/mod.rs
+++ b/oxbowbend-daemon/src/callers/mod.rs
@@ -19,7 +19,7 @@
 use oxbowbend_http::client;
 use oxbowbend_http::problem;
 use oxbowbend_http::server::{self, Handler};
-use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_store::kv::KeyValue;
 use oxbowbend_resource::kinds;
 use serde_json::json;
 
--- a/oxbowbend-daemon/src/callers/services.rs
+++ b/oxbowbend-daemon/src/callers/services.rs
@@ -13,7 +13,7 @@
 use oxbowbend_http::client;
 use oxbowbend_http::problem;
 use oxbowbend_http::server;
-use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_store::kv::KeyValue;
 use oxbowbend_resource::derive;
 use oxbowbend_resource::kinds;
 use xxhash_rust::xxh3;
--- a/oxbowbend-daemon/src/callers/settle.rs
+++ b/oxbowbend-daemon/src/callers/settle.rs
@@ -11,7 +11,7 @@
 use oxbowbend_core::node;
 use oxbowbend_endpoint::control;
 use oxbowbend_http::client;
-use oxbowbend_platform::kv::KeyValue;
+use oxbowbend_store::kv::KeyValue;
 
 use super::Service;
 use crate::probes;
--- a/oxbowbend-daemon/src/daemon.rs
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -8,10 +8,10 @@
 use async_std::task;
 use oxbowbend_core::node;
 use oxbowbend_http::server;
-use oxbowbend_platform::catalog;
-use oxbowbend_platform::config::ConfigStore;
-use oxbowbend_platform::etcd;
-use oxbowbend_platform::ledger;
+use oxbowbend_store::catalog;
+use oxbowbend_store::config::ConfigStore;
+use oxbowbend_store::etcd;
+use oxbowbend_store::ledger;
 use thiserror::Error;
 
 use crate::callers;
--- a/oxbowbend-daemon/src/drain.rs
+++ b/oxbowbend-daemon/src/drain.rs
@@ -13,7 +13,7 @@
 use jsonrpsee::server::ServerHandle;
 use oxbowbend_core::node;
 use oxbowbend_http::server;
-use oxbowbend_platform::catalog;
+use oxbowbend_store::catalog;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
--- a/oxbowbend-daemon/src/listing.rs
+++ b/oxbowbend-daemon/src/listing.rs
@@ -7,7 +7,7 @@
 use async_std::channel::Receiver;
 use oxbowbend_core::ids;
 use oxbowbend_core::node;
-use oxbowbend_platform::catalog;
+use oxbowbend_store::catalog;
 
 use crate::config;
 use crate::hub;
--- a/oxbowbend-daemon/src/orders.rs
+++ b/oxbowbend-daemon/src/orders.rs
@@ -16,7 +16,7 @@
 use oxbowbend_core::membership;
 use oxbowbend_endpoint::control;
 use oxbowbend_http::client;
-use oxbowbend_platform::kv::{self, KeyValue};
+use oxbowbend_store::kv::{self, KeyValue};
 use oxbowbend_resource::kinds;
 
 use crate::clock;
--- a/oxbowbend-daemon/src/router.rs
+++ b/oxbowbend-daemon/src/router.rs
@@ -10,8 +10,8 @@
 
 use oxbowbend_core::ids;
 use oxbowbend_core::ledger;
-use oxbowbend_platform::kv::KeyValue;
-use oxbowbend_platform::ledger::{Ledger, LedgerError};
+use oxbowbend_store::kv::KeyValue;
+use oxbowbend_store::ledger::{Ledger, LedgerError};
 
 use crate::hub;
 use crate::peers;
--- a/oxbowbend-daemon/src/settings.rs
+++ b/oxbowbend-daemon/src/settings.rs
@@ -28,6 +28,19 @@
     /// Print the version.
     #[options(help = "print the version", no_short)]
     pub version: bool,
+    /// Check the settings and end.
+    #[options(help = "check the settings, print all that is wrong, and end", no_short)]
+    pub check: bool,
+    /// Whose requests are spoken.
+    #[options(
+        help = "own, or platform: settings, store and requests of the users' platform [own]",
+        meta = "WIRE",
+        no_short
+    )]
+    pub wire: Option<String>,
+    /// Port of the metrics on the platform.
+    #[options(help = "port of the metrics, with --wire platform [9464]", meta = "PORT", no_short)]
+    pub metrics_port: Option<String>,
     /// Name of the instance.
     #[options(help = "name of this instance (required)", meta = "NAME", no_short)]
     pub instance: Option<String>,
@@ -140,6 +153,54 @@
     }
 }
 
+/// Port of the metrics if none is named; the field's customary one for exporters.
+const METRICS_PORT: u64 = 9464;
+
+/// Whose requests a daemon speaks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Wire {
+    /// The product's own interface.
+    Own,
+    /// The users' platform.
+    Platform {
+        /// Port of the metrics.
+        metrics_port: u16,
+        /// Detail of the log.
+        log: LevelFilter,
+    },
+}
+
+impl Wire {
+    /// Reads from flags and environment whose requests are spoken.
+    ///
+    /// # Errors
+    ///
+    /// Names everything that is wrong.
+    pub fn read(flags: &Flags) -> Result<Wire, SettingsError> {
+        let mut r = Reader { variable: |name: &str| env::var(name).ok(), wrong: Vec::new() };
+        let wire = r.raw("wire", &flags.wire).unwrap_or_else(|| "own".to_owned());
+        let port = r.number("metrics-port", &flags.metrics_port, METRICS_PORT, 1);
+        let port = u16::try_from(port).unwrap_or_else(|_| {
+            r.wrong.push(format!("--metrics-port: {port} is not a port"));
+            0
+        });
+        let log = r.log(&flags.log);
+        let wire = match wire.as_str() {
+            "own" => Wire::Own,
+            "platform" => Wire::Platform { metrics_port: port, log },
+            other => {
+                r.wrong.push(format!("--wire: {other:?} is neither own nor platform"));
+                Wire::Own
+            }
+        };
+        if r.wrong.is_empty() {
+            Ok(wire)
+        } else {
+            Err(SettingsError(r.wrong))
+        }
+    }
+}
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -240,6 +301,12 @@
         Duration::from_secs(self.number(name, flag, default, least))
     }
 
+    fn log(&mut self, flag: &Option<String>) -> LevelFilter {
+        let text = self.raw("log", flag).unwrap_or_else(|| "info".to_owned());
+        let level = self.parse("log", &text, |t| t.parse().ok(), "a level of detail");
+        level.unwrap_or(LevelFilter::Info)
+    }
+
     fn secret(&mut self, name: &str, file: &Option<String>) -> Secret {
         let file_name = format!("{name}-file");
         let text = match self.raw(&file_name, file) {
@@ -293,7 +360,6 @@
         let kv = r.required("kv", &flags.kv);
         let list = r.required("list", &flags.list);
         let addresses = |t: &str| t.split(',').map(|a| a.trim().parse().ok()).collect();
-        let log = r.raw("log", &flags.log).unwrap_or_else(|| "info".to_owned());
         let drain_limit = r.seconds("drain-limit", &flags.drain_limit, 0, 0);
         let settings = Settings {
             instance: r.required("instance", &flags.instance),
@@ -322,9 +388,7 @@
             ) as usize,
             max_open: r.number("max-open", &flags.max_open, 10_000, 1) as usize,
             drain_limit: Some(drain_limit).filter(|d| !d.is_zero()),
-            log: r
-                .parse("log", &log, |t| t.parse().ok(), "a level of detail")
-                .unwrap_or(LevelFilter::Info),
+            log: r.log(&flags.log),
         };
         if settings.peer_listen.ip().is_unspecified() && r.wrong.is_empty() {
             let wrong = "--peer-listen: name the address at which other instances reach this one";
--- /dev/null
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -0,0 +1,204 @@
+//! The gateway as a whole: its parts are started here and wired to each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::channel::Receiver;
+use async_std::net::{TcpListener, UdpSocket};
+use async_std::task;
+use http::{Response, StatusCode};
+use oxbowbend_core::cell::Cell;
+use oxbowbend_core::ids::{InstanceId, ZoneId};
+use oxbowbend_core::repeats::{Allowance, Repeats};
+use oxbowbend_http::h1;
+use thiserror::Error;
+
+use crate::follow;
+use crate::observe;
+use crate::peers;
+use crate::relay;
+use crate::seam::{Store, Wire};
+use crate::shared::Shared;
+use crate::stop;
+
+/// Time that a connection to an endpoint or another instance may take. Across zones it takes about
+/// 4 ms; a machine that is overloaded takes some tens.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Time for which idle connections to endpoints are kept if these name none.
+const KEEP: Duration = Duration::from_secs(20);
+/// Bytes of a head that are read before the operator's bound is known.
+const HEAD: usize = 64 * 1024;
+/// Upkeep: lapsed endpoints, claims of silent instances, gauges.
+const TICK: Duration = Duration::from_millis(25);
+/// Ticks between two sweeps of idle connections.
+const SWEEP: u32 = 80;
+
+/// What a gateway needs to know at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name of this instance, the same in all its lives.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this instance is ready.
+    pub readiness: SocketAddr,
+    /// Where other instances reach this one, by datagram and connection.
+    pub peers: SocketAddr,
+    /// Where the metrics are shown.
+    pub metrics: SocketAddr,
+    /// Instances that may be there at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between the signal to stop and the end by force.
+    pub grace: Duration,
+    /// Bound on repeats over all instances.
+    pub repeats: Allowance,
+    /// Connections from callers at once.
+    pub connections: usize,
+}
+
+/// Why a gateway did not start, or how it stopped.
+#[derive(Debug, Error)]
+pub enum GatewayError {
+    /// A socket could not be opened.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// The signals could not be subscribed to.
+    #[error("cannot subscribe to signals: {0}")]
+    Signals(std::io::Error),
+    /// Requests were cut off at the stop.
+    #[error("stopped with {0} requests in progress")]
+    CutOff(usize),
+}
+
+/// A running gateway.
+pub struct Gateway {
+    door: Arc<h1::Door>,
+    signals: Receiver<i32>,
+    grace: Duration,
+}
+
+impl Gateway {
+    /// Starts a gateway. It says that it is ready as soon as it knows configuration and endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be opened or the signals cannot be subscribed to.
+    pub async fn start<W: Wire, S: Store>(
+        cfg: Config,
+        wire: W,
+        store: S,
+    ) -> Result<Gateway, GatewayError> {
+        let signals = stop::signals().map_err(GatewayError::Signals)?;
+        observe::recorder();
+        let life = rand::random();
+        let cell = Cell::new(cfg.instance.clone(), cfg.zone.clone(), life);
+        let (shared, changed) = Shared::new(cell, Repeats::new(cfg.repeats));
+        let door = Arc::new(h1::Door::default());
+        let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
+        let peers = Arc::new(peers::Peers {
+            shared: shared.clone(),
+            wire: wire.clone(),
+            socket: UdpSocket::bind(cfg.peers).await.map_err(listen(cfg.peers))?,
+            address: cfg.peers,
+            seeds: cfg.seeds.clone(),
+            pool: pool.clone(),
+            door: door.clone(),
+        });
+        let serving = h1::ServeConfig { connections: cfg.connections, head: HEAD };
+        let aside = Arc::new(h1::Door::default());
+
+        let callers = bind(cfg.callers).await?;
+        let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone());
+        task::spawn(h1::serve(callers, serving, door.clone(), move |req| relay.clone().serve(req)));
+        let readiness = bind(cfg.readiness).await?;
+        let (shared_, door_) = (shared.clone(), door.clone());
+        let is_ready = move || shared_.table().is_some() && !door_.is_closing();
+        task::spawn(h1::serve(readiness, serving, aside.clone(), move |_| {
+            let status =
+                if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            std::future::ready(status_only(status))
+        }));
+        let questions = bind(cfg.peers).await?;
+        let peers_ = peers.clone();
+        task::spawn(h1::serve(questions, serving, aside.clone(), move |req| {
+            peers_.clone().answer(req)
+        }));
+        let metrics = bind(cfg.metrics).await?;
+        task::spawn(h1::serve(metrics, serving, aside, |_| {
+            std::future::ready(Response::new(h1::Whole::from(observe::page())))
+        }));
+
+        task::spawn(follow::run(store.clone(), wire, shared.clone()));
+        let entry = (cfg.instance.clone(), cfg.peers);
+        task::spawn(follow::stay_entered(store, entry.0, entry.1, door.clone()));
+        task::spawn(peers.clone().speak(changed));
+        task::spawn(peers.listen());
+        task::spawn(keep_up(shared, pool, door.clone(), cfg.seeds.len()));
+        log::info!(
+            "event=started instance={} zone={} life={life:016x} callers={}",
+            cfg.instance,
+            cfg.zone,
+            cfg.callers
+        );
+        Ok(Gateway { door, signals, grace: cfg.grace })
+    }
+
+    /// Waits for the signal to stop and for the last answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if requests were cut off.
+    pub async fn stopped(self) -> Result<(), GatewayError> {
+        match stop::run(self.signals, self.door, self.grace).await {
+            0 => Ok(()),
+            n => Err(GatewayError::CutOff(n)),
+        }
+    }
+}
+
+fn status_only(status: StatusCode) -> Response<h1::Whole> {
+    let mut answer = Response::new(h1::Whole::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+fn listen(address: SocketAddr) -> impl Fn(std::io::Error) -> GatewayError {
+    move |error| GatewayError::Listen { address, error }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.map_err(listen(address))
+}
+
+async fn keep_up(shared: Shared, pool: h1::Pool, door: Arc<h1::Door>, seeds: usize) {
+    for tick in 0_u32.. {
+        task::sleep(TICK).await;
+        let now = Instant::now();
+        let (news, waiting, heard) = {
+            let mut state = shared.lock();
+            let news = state.world.expire(now);
+            let heard = state.cell.heard(now);
+            let entered = state.world.instances().len();
+            state.instances = entered.max(heard + 1).max(seeds);
+            let share = (heard + 1) as f64 / state.instances as f64;
+            state.quotas.set_share(now, share);
+            (news, state.cell.waiting(), heard)
+        };
+        shared.apply(now, &news, "time");
+        if waiting > 0 {
+            shared.place();
+        }
+        if tick % SWEEP == 0 {
+            pool.sweep();
+            observe::state(waiting, door.busy(), heard);
+        }
+    }
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+/*!
+Passes plain HTTP requests on to endpoints.
+
+An operator's platform brings callers, declares routes, lists endpoints and stores what must last;
+this crate is the product's side of that. What the platform's messages look like is behind the
+traits of [`seam`], so that nothing here knows a name of theirs.
+
+# Usage
+
+[`gateway::Gateway::start`] takes a [`seam::Wire`], a [`seam::Store`] and a [`gateway::Config`].
+Decisions are `oxbowbend-core`'s; here they are fed and carried out.
+
+# Limits
+
+Bodies of requests are read whole before they are passed on, within the operator's bound. Instances
+trust each other's datagrams; the network between them must not be open to others.
+*/
+
+pub mod gateway;
+pub mod seam;
+pub mod world;
+
+mod follow;
+mod observe;
+mod peers;
+mod relay;
+mod shared;
+mod stop;
--- /dev/null
+++ b/oxbowbend-gateway/src/observe.rs
@@ -0,0 +1,74 @@
+//! Counters and latency histograms, and the page that shows them.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the histograms' buckets in seconds, around the users' objectives of 0.1 to 0.8 s.
+const BUCKETS: [f64; 14] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
+
+/// The recorder of the process; none if another one was installed before.
+pub(crate) fn recorder() -> Option<&'static PrometheusHandle> {
+    static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+    HANDLE
+        .get_or_init(|| {
+            let matcher = Matcher::Suffix("_seconds".to_owned());
+            let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
+            let installed = builder.map(|b| b.install_recorder());
+            match installed {
+                Ok(Ok(handle)) => Some(handle),
+                Ok(Err(e)) | Err(e) => {
+                    log::warn!("event=metrics_unavailable error=\"{e}\"");
+                    None
+                }
+            }
+        })
+        .as_ref()
+}
+
+/// The page of all metrics.
+pub(crate) fn page() -> String {
+    recorder().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Notes a request that has got its final answer.
+pub(crate) fn answered(route: &str, outcome: &'static str, took: Duration) {
+    counter!("oxbow_requests_total", "route" => route.to_owned(), "outcome" => outcome).increment(1);
+    histogram!("oxbow_request_seconds", "route" => route.to_owned()).record(took);
+}
+
+/// Notes how long a request waited for its place.
+pub(crate) fn placed(route: &str, waited: Duration) {
+    histogram!("oxbow_wait_seconds", "route" => route.to_owned()).record(waited);
+}
+
+/// Notes the time from a request's arrival to the first event of its answer.
+pub(crate) fn began(route: &str, took: Duration) {
+    histogram!("oxbow_first_event_seconds", "route" => route.to_owned()).record(took);
+}
+
+/// Notes a request that was sent to a further endpoint.
+pub(crate) fn sent_again(why: &'static str) {
+    counter!("oxbow_sent_again_total", "why" => why).increment(1);
+}
+
+/// Notes a report to or from another instance.
+pub(crate) fn reported(direction: &'static str, bytes: usize) {
+    counter!("oxbow_reports_total", "direction" => direction).increment(1);
+    counter!("oxbow_report_bytes_total", "direction" => direction).increment(bytes as u64);
+}
+
+/// Notes a call to the store.
+pub(crate) fn store_call(what: &'static str, outcome: &'static str) {
+    counter!("oxbow_store_calls_total", "call" => what, "outcome" => outcome).increment(1);
+}
+
+/// Notes the present state.
+pub(crate) fn state(waiting: usize, busy: usize, heard: usize) {
+    gauge!("oxbow_waiting").set(waiting as f64);
+    gauge!("oxbow_in_progress").set(busy as f64);
+    gauge!("oxbow_instances_heard").set(heard as f64);
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/peers.rs
@@ -0,0 +1,267 @@
+//! Talking to the other instances.
+//!
+//! Reports go as JSON-RPC notifications in datagrams, not over a connection: each holds the whole
+//! state, so a lost one needs no repeat, and a machine that has gone dark holds up nothing. What
+//! does not fit a datagram, the configuration and the list of endpoints, is asked for by a JSON-RPC
+//! call, and only when a report shows that the other one knows more.
+
+use std::borrow::Cow;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::channel::Receiver;
+use async_std::net::UdpSocket;
+use async_std::{future, task};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jsonrpsee_types::Notification;
+use oxbowbend_core::cell::Report;
+use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::routes::Endpoint;
+use oxbowbend_http::h1;
+use serde::{Deserialize, Serialize};
+
+use crate::observe;
+use crate::seam::{Record, Snapshot, Wire};
+use crate::shared::Shared;
+
+/// Method of a report.
+const REPORT: &str = "report";
+/// Method that asks for configuration and endpoints.
+const SNAPSHOT: &str = "snapshot";
+/// Shortest time between two reports. What changes meanwhile goes into the next one.
+const PACE: Duration = Duration::from_millis(4);
+/// Longest time between two reports. Three of them fit into the time after which an instance's
+/// waiting requests hold nobody else's back.
+const BEAT: Duration = Duration::from_millis(130);
+/// Share of beats that also go to addresses from which nothing is heard.
+const KNOCK: u64 = 4;
+/// Shortest time between two questions for a snapshot.
+const ASK_PACE: Duration = Duration::from_millis(200);
+/// Time limit of such a question.
+const ASK: Duration = Duration::from_millis(1000);
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// What one instance tells another that knows less.
+#[derive(Debug, Deserialize, Serialize)]
+struct Knowledge {
+    revision: u64,
+    document: String,
+    endpoints: Vec<Endpoint>,
+    instances: Vec<(InstanceId, SocketAddr)>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Question {
+    jsonrpc: String,
+    id: u64,
+    method: String,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Answer {
+    jsonrpc: String,
+    id: u64,
+    result: Knowledge,
+}
+
+/// This instance's side of the talk.
+pub(crate) struct Peers<W> {
+    pub(crate) shared: Shared,
+    pub(crate) wire: W,
+    pub(crate) socket: UdpSocket,
+    pub(crate) address: SocketAddr,
+    /// Addresses known from the settings.
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) pool: h1::Pool,
+    pub(crate) door: Arc<h1::Door>,
+}
+
+impl<W: Wire> Peers<W> {
+    /// Reports what changes, and a beat when nothing does.
+    pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
+        let mut beats: u64 = 0;
+        loop {
+            let is_beat = future::timeout(BEAT, changed.recv()).await.is_err();
+            beats += u64::from(is_beat);
+            self.report(is_beat && beats % KNOCK == 1).await;
+            task::sleep(PACE).await;
+        }
+    }
+
+    async fn report(&self, knock: bool) {
+        let now = Instant::now();
+        let (report, known) = {
+            let mut state = self.shared.lock();
+            state.cell.forget(now);
+            let known = self.known(&state, now, knock);
+            let mut report = state.cell.report(now);
+            report.revision = state.world.revision();
+            report.version = state.world.table().map_or(0, |t| t.version());
+            report.address = Some(self.address);
+            report.stopping = self.door.is_closing();
+            let spent = state.quotas.spent().filter(|(_, units)| *units > 0);
+            report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
+            if knock {
+                report.peers = known.iter().copied().collect();
+            }
+            (report, known)
+        };
+        let notification = Notification::new(Cow::Borrowed(REPORT), report);
+        let datagram = match serde_json::to_vec(&notification) {
+            Ok(datagram) => datagram,
+            Err(e) => return log::error!("event=report_not_written error=\"{e}\""),
+        };
+        for address in known {
+            observe::reported("out", datagram.len());
+            if let Err(e) = self.socket.send_to(&datagram, address).await {
+                log::debug!("event=report_not_sent address={address} error=\"{e}\"");
+            }
+        }
+    }
+
+    /// Where to report: everybody who is heard, and now and then everybody who should be there.
+    fn known(&self, state: &crate::shared::State, now: Instant, all: bool) -> BTreeSet<SocketAddr> {
+        let heard = state.cell.live_reports(now);
+        let mut known: BTreeSet<_> = heard.filter_map(|r| r.address).collect();
+        if all || known.is_empty() {
+            known.extend(&self.seeds);
+            known.extend(state.world.instances().values());
+            let told = state.cell.live_reports(now).flat_map(|r| &r.peers);
+            known.extend(told);
+        }
+        known.remove(&self.address);
+        known
+    }
+
+    /// Takes in the others' reports.
+    pub(crate) async fn listen(self: Arc<Peers<W>>) {
+        let mut buf = vec![0; MAX_DATAGRAM];
+        let mut asked = Instant::now();
+        let mut behind_since: Option<Instant> = None;
+        loop {
+            let (n, from) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(e) => {
+                    log::debug!("event=report_not_received error=\"{e}\"");
+                    task::sleep(PACE).await;
+                    continue;
+                }
+            };
+            observe::reported("in", n);
+            let report = match serde_json::from_slice::<Notification<'_, Report>>(&buf[..n]) {
+                Ok(notification) if notification.method == REPORT => notification.params,
+                Ok(notification) => {
+                    log::warn!("event=report_unknown from={from} method={}", notification.method);
+                    continue;
+                }
+                Err(e) => {
+                    log::warn!("event=report_unreadable from={from} error=\"{e}\"");
+                    continue;
+                }
+            };
+            let now = Instant::now();
+            let is_behind = self.is_behind(&report);
+            let address = report.address;
+            self.shared.hear(now, report);
+            if !is_behind {
+                continue;
+            }
+            let since = *behind_since.get_or_insert(now);
+            let patience = if self.is_blind() { Duration::ZERO } else { ASK_PACE };
+            if now.duration_since(since) < patience || now.duration_since(asked) < ASK_PACE {
+                continue;
+            }
+            (asked, behind_since) = (now, None);
+            if let Some(address) = address {
+                task::spawn(self.clone().ask(address));
+            }
+        }
+    }
+
+    /// Whether a report shows that its sender knows more than this instance will soon be told.
+    fn is_behind(&self, report: &Report) -> bool {
+        let state = self.shared.lock();
+        let version = state.world.table().map_or(0, |t| t.version());
+        let is_cut_off = state.world.is_store_away() || !state.world.is_loaded();
+        report.version > version || (is_cut_off && report.revision > state.world.revision())
+    }
+
+    /// Whether the store tells this instance nothing.
+    fn is_blind(&self) -> bool {
+        let state = self.shared.lock();
+        state.world.is_store_away() || !state.world.is_loaded()
+    }
+
+    async fn ask(self: Arc<Peers<W>>, address: SocketAddr) {
+        let question =
+            Question { jsonrpc: "2.0".to_owned(), id: 1, method: SNAPSHOT.to_owned() };
+        let Ok(body) = serde_json::to_vec(&question) else { return };
+        let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
+        let Ok(req) = req else { return };
+        let answer = match self.pool.call(address, req, ASK).await {
+            Ok(answer) => answer,
+            Err(e) => return log::warn!("event=snapshot_failed peer={address} error=\"{e}\""),
+        };
+        let knowledge = match serde_json::from_slice::<Answer>(answer.body()) {
+            Ok(answer) => answer.result,
+            Err(e) => return log::warn!("event=snapshot_unreadable peer={address} error=\"{e}\""),
+        };
+        let now = Instant::now();
+        let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
+        let news = self.shared.lock().world.learn(now, knowledge.into_snapshot(), read);
+        self.shared.apply(now, &news, "peer");
+    }
+
+    /// Answers another instance's question.
+    pub(crate) async fn answer(self: Arc<Peers<W>>, req: Request<Incoming>) -> Response<h1::Whole> {
+        let question = match req.into_body().collect().await {
+            Ok(body) => serde_json::from_slice::<Question>(&body.to_bytes()),
+            Err(e) => {
+                log::debug!("event=question_cut error=\"{e}\"");
+                return Response::new(h1::Whole::default());
+            }
+        };
+        let body = match question {
+            Ok(question) if question.method == SNAPSHOT => {
+                let result = Knowledge::of(&self.shared);
+                let id = question.id;
+                serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result })
+            }
+            _ => Ok(METHOD_NOT_FOUND.to_vec()),
+        };
+        Response::new(h1::Whole::from(body.unwrap_or_else(|_| METHOD_NOT_FOUND.to_vec())))
+    }
+}
+
+/// Answer to a question that nobody asks here.
+const METHOD_NOT_FOUND: &[u8] =
+    br#"{"jsonrpc":"2.0","id":null,"error":{"code":-32601,"message":"Method not found"}}"#;
+
+impl Knowledge {
+    fn of(shared: &Shared) -> Knowledge {
+        let state = shared.lock();
+        let world = &state.world;
+        Knowledge {
+            revision: if world.is_loaded() { world.revision() } else { 0 },
+            document: String::from_utf8_lossy(world.document()).into_owned(),
+            endpoints: world.endpoints().cloned().collect(),
+            instances: world.instances().iter().map(|(n, a)| (n.clone(), *a)).collect(),
+        }
+    }
+
+    fn into_snapshot(self) -> Snapshot {
+        let mut records = Vec::new();
+        if !self.document.is_empty() {
+            records.push(Record::Config(Bytes::from(self.document)));
+        }
+        records.extend(self.endpoints.into_iter().map(Record::Endpoint));
+        records.extend(self.instances.into_iter().map(|(n, a)| Record::Instance(n, a)));
+        Snapshot { revision: self.revision, records }
+    }
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -0,0 +1,115 @@
+//! Admission: the route, the client account, the body, the quota, in that order.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{request, Request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use oxbowbend_core::routes::{Account, Route, Table};
+
+use super::job::Job;
+use super::refusal::Refusal;
+use super::Relay;
+use crate::seam::{Ask, Wire};
+
+/// Largest body that is read before a configuration is known.
+const MAX_UNKNOWN_BODY: usize = 4 << 20;
+/// Tiers that a rank leaves room for below an account's.
+const TIERS: u16 = 256;
+
+type Refused = (String, Refusal);
+
+impl<W: Wire> Relay<W> {
+    /// Admits a request. The body is read before anything is refused, so that a refusal does not
+    /// meet a caller that is still sending.
+    pub(super) async fn admit(
+        &self,
+        req: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Job, Refused> {
+        let (head, body) = req.into_parts();
+        let table = self.shared.table();
+        let limit = table.as_ref().map_or(MAX_UNKNOWN_BODY, |t| t.limits().body);
+        let ask = self.wire.read(&head);
+        let id = ask.as_ref().map_or("-", |ask| &ask.id).to_owned();
+        let refused = |refusal| (id.clone(), refusal);
+        let body = read_body(body, limit).await.map_err(refused)?;
+        let ask = ask.map_err(|e| refused(Refusal::Unreadable(e.0)))?;
+        let table = table.ok_or_else(|| refused(Refusal::NotReady))?;
+        let job = self.check(&table, head, ask, body, arrived).map_err(refused)?;
+        Ok(job)
+    }
+
+    fn check(
+        &self,
+        table: &Table,
+        head: request::Parts,
+        ask: Ask,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Job, Refusal> {
+        let route = table.route(&ask.host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+        let account = account(table, &route, &ask)?;
+        let service = route.target(rand::random()).cloned().ok_or(Refusal::NoRoute)?;
+        let units = account.map_or(0, |a| units(a, &ask));
+        let mut state = self.shared.lock();
+        if let Some(account) = account {
+            if let Err(retry_after) = state.quotas.admit(arrived, &account.name, units) {
+                return Err(Refusal::OverQuota { retry_after });
+            }
+        }
+        state.repeats.requested(arrived, &service);
+        drop(state);
+        let patience = ask.patience.unwrap_or(Duration::MAX).min(route.timeout);
+        let tier = account.and_then(|a| a.tier).map_or(0, u16::from);
+        log::info!(
+            "event=admitted id={} route={} service={service} account={} version={} units={units} \
+             prompt={} patience_ms={}",
+            ask.id,
+            route.name,
+            account.map_or("-", |a| &a.name),
+            table.version(),
+            ask.prompt,
+            patience.as_millis()
+        );
+        Ok(Job {
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            service,
+            account: account.map(|a| a.name.clone()),
+            units,
+            rank: tier * TIERS + u16::from(route.tier),
+            arrived,
+            limit: arrived + patience,
+            route,
+            ask,
+        })
+    }
+}
+
+fn account<'a>(table: &'a Table, route: &Route, ask: &Ask) -> Result<Option<&'a Account>, Refusal> {
+    let account = ask.key.as_ref().and_then(|key| table.account_of(key));
+    match account {
+        Some(account) => Ok(Some(account)),
+        None if route.public || !table.has_accounts() => Ok(None),
+        None => Err(Refusal::NoAccount),
+    }
+}
+
+fn units(account: &Account, ask: &Ask) -> u64 {
+    match account.by_tokens {
+        true => ask.units.unwrap_or(account.plain_units),
+        false => 1,
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Err(_) => Err(Refusal::CutBody),
+    }
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -0,0 +1,111 @@
+//! Final answers of this instance's own, each true about whether the request has run.
+
+use std::time::{Duration, Instant};
+
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use oxbowbend_http::h1;
+
+/// When to come back to an instance that cannot serve yet.
+const NOT_READY: Duration = Duration::from_millis(200);
+
+/// Why a request is not answered by an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    NotReady,
+    /// The head contradicts the protocol.
+    Unreadable(String),
+    /// No route has that host and path.
+    NoRoute,
+    /// No client account has that key.
+    NoAccount,
+    /// The body is larger than the operator allows.
+    TooLarge,
+    /// The caller did not send the whole body.
+    CutBody,
+    /// The client account has used its quota up.
+    OverQuota { retry_after: Duration },
+    /// No endpoint had a place in time.
+    Busy { retry_after: Duration },
+    /// An endpoint was asked and gave no usable answer.
+    Failed,
+    /// An endpoint was asked and gave no answer in time.
+    TimedOut,
+}
+
+impl Refusal {
+    fn status(&self) -> StatusCode {
+        match self {
+            Refusal::NotReady | Refusal::Busy { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Unreadable(_) | Refusal::CutBody => StatusCode::BAD_REQUEST,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NoAccount => StatusCode::UNAUTHORIZED,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::Failed => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Whether the request has certainly not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        !matches!(self, Refusal::Failed | Refusal::TimedOut)
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Refusal::NotReady => Some(NOT_READY),
+            Refusal::OverQuota { retry_after } | Refusal::Busy { retry_after } => {
+                Some(*retry_after)
+            }
+            _ => None,
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub(crate) fn outcome(&self) -> &'static str {
+        match self {
+            Refusal::NotReady => "not_ready",
+            Refusal::Unreadable(_) => "unreadable",
+            Refusal::NoRoute => "no_route",
+            Refusal::NoAccount => "no_account",
+            Refusal::TooLarge => "too_large",
+            Refusal::CutBody => "cut_body",
+            Refusal::OverQuota { .. } => "over_quota",
+            Refusal::Busy { .. } => "busy",
+            Refusal::Failed => "failed",
+            Refusal::TimedOut => "timed_out",
+        }
+    }
+
+    /// Logs it.
+    pub(crate) fn log(&self, id: &str, route: &str, arrived: Instant) {
+        let retry_after = self.retry_after().map_or(-1, |d| d.as_millis() as i64);
+        let detail = match self {
+            Refusal::Unreadable(e) => e.as_str(),
+            _ => "",
+        };
+        log::info!(
+            "event=refused id={id} route={route} outcome={} status={} not_run={} after_ms={} \
+             retry_after_ms={retry_after} detail=\"{detail}\"",
+            self.outcome(),
+            self.status().as_u16(),
+            self.is_not_run(),
+            arrived.elapsed().as_millis()
+        );
+    }
+
+    /// The answer for the caller.
+    pub(crate) fn into_answer(self) -> Response<h1::Whole> {
+        let mut answer = Response::new(h1::Whole::from(format!("{}\n", self.outcome())));
+        *answer.status_mut() = self.status();
+        if let Some(after) = self.retry_after() {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                answer.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -0,0 +1,291 @@
+//! One exchange with one endpoint.
+
+use std::time::{Duration, Instant};
+
+use async_std::future;
+use bytes::Bytes;
+use http::{response, Request, Response, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use oxbowbend_core::cell::{Assignment, Outcome};
+use oxbowbend_core::routes::Endpoint;
+use oxbowbend_http::h1;
+use thiserror::Error;
+
+use super::job::Job;
+use super::refusal::Refusal;
+use super::stream::Streaming;
+use super::{until, Relay};
+use crate::observe;
+use crate::seam::{Onward, Verdict, Wire};
+use crate::shared::Shared;
+
+/// Times the expected time after which an endpoint that has not begun is suspected.
+const SUSPECT_TIMES: u32 = 4;
+/// Least time before that, so that a short stall of either side is no suspicion.
+const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+
+/// An endpoint's answer.
+pub(crate) enum Sent {
+    /// All of it.
+    Whole(Response<Bytes>),
+    /// Its head, and the stream that has begun.
+    Stream(response::Parts, Streaming),
+}
+
+/// Why an exchange brought no answer.
+#[derive(Debug, Error)]
+pub(crate) enum Failure {
+    /// No connection; nothing was sent.
+    #[error("not sent: {0}")]
+    Unsent(h1::CallError),
+    /// The endpoint did not run it.
+    #[error("not run: {0:?}")]
+    NotRun(Verdict),
+    /// It may have run: a broken connection, or bytes that are no answer to it.
+    #[error("broken: {0}")]
+    Broken(String),
+    /// The endpoint is suspected to hang.
+    #[error("no event for too long")]
+    Hanging,
+    /// The request's time is over.
+    #[error("the request's time is over")]
+    Timeout,
+}
+
+impl Failure {
+    /// Whether the request has certainly not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self, Failure::Unsent(_) | Failure::NotRun(_))
+    }
+
+    /// Whether the request has reached the endpoint.
+    pub(crate) fn has_arrived(&self) -> bool {
+        !matches!(self, Failure::Unsent(_))
+    }
+
+    /// Whether the request's time is over.
+    pub(crate) fn is_timeout(&self) -> bool {
+        matches!(self, Failure::Timeout)
+    }
+
+    /// The final answer that follows if nothing else may be tried.
+    pub(crate) fn into_refusal(self) -> Refusal {
+        match self {
+            Failure::Timeout | Failure::Hanging => Refusal::TimedOut,
+            _ => Refusal::Failed,
+        }
+    }
+}
+
+/// A request at an endpoint. Dropping it closes the connection and ends the run.
+pub(crate) struct Run {
+    shared: Shared,
+    id: String,
+    pub(crate) endpoint: Endpoint,
+    conn: Option<h1::Conn>,
+    began: Instant,
+    is_over: bool,
+}
+
+impl Run {
+    fn new(shared: &Shared, id: &str, endpoint: Endpoint) -> Run {
+        let (shared, id) = (shared.clone(), id.to_owned());
+        Run { shared, id, endpoint, conn: None, began: Instant::now(), is_over: false }
+    }
+
+    /// Ends the run after a clean end of its answer, and keeps the connection.
+    pub(crate) fn end_clean(mut self, pool: &h1::Pool, outcome: Outcome) {
+        if let Some(conn) = self.conn.take() {
+            pool.put(conn);
+        }
+        self.end(outcome);
+    }
+
+    /// Ends the run, and its connection with it.
+    pub(crate) fn end(&mut self, outcome: Outcome) {
+        self.is_over = true;
+        self.conn = None;
+        self.shared.finish(&self.endpoint.id, outcome);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        log::info!(
+            "event=caller_left id={} endpoint={} after_ms={}",
+            self.id,
+            self.endpoint.id,
+            self.began.elapsed().as_millis()
+        );
+        self.end(Outcome::Neutral);
+    }
+}
+
+impl<W: Wire> Relay<W> {
+    /// Sends a request to the endpoint that it was given.
+    pub(super) async fn send(
+        &self,
+        job: &Job,
+        place: Assignment,
+        after: Option<u64>,
+    ) -> Result<Sent, Failure> {
+        let Assignment { endpoint, load, expected, .. } = place;
+        let mut run = Run::new(&self.shared, &job.ask.id, endpoint);
+        let is_crowded = load > run.endpoint.slots;
+        let result = self.exchange(job, &mut run, expected, after).await;
+        let failure = match result {
+            Ok(Begun::Whole(answer)) => {
+                let is_bad = answer.status().is_server_error();
+                let outcome = if is_bad { Outcome::Bad } else { Outcome::Good };
+                log_answered(job, &run, answer.status().as_u16(), answer.body().len());
+                run.end_clean(&self.pool, outcome);
+                return Ok(Sent::Whole(answer));
+            }
+            Ok(Begun::Stream(head, first, body)) => {
+                let streaming = Streaming::new(run, first, body);
+                return Ok(Sent::Stream(head, streaming));
+            }
+            Err(failure) => failure,
+        };
+        let outcome = match &failure {
+            Failure::NotRun(Verdict::NotThere) | Failure::Timeout => Outcome::Neutral,
+            Failure::NotRun(_) if is_crowded => Outcome::Neutral,
+            _ => Outcome::Bad,
+        };
+        log::warn!(
+            "event=send_failed id={} endpoint={} load={load} after_ms={} blame={outcome:?} \
+             failure=\"{failure}\"",
+            job.ask.id,
+            run.endpoint.id,
+            run.began.elapsed().as_millis()
+        );
+        if matches!(failure, Failure::Unsent(_)) {
+            self.pool.forget(run.endpoint.address);
+        }
+        run.end(outcome);
+        Err(failure)
+    }
+
+    async fn exchange(
+        &self,
+        job: &Job,
+        run: &mut Run,
+        expected: Duration,
+        after: Option<u64>,
+    ) -> Result<Begun, Failure> {
+        let suspect = (expected * SUSPECT_TIMES).max(job.route.objective).max(SUSPECT_AFTER);
+        let limit = until(job.limit);
+        let beginning = self.begin(job, run, after);
+        // A request that may not be repeated gains nothing from a suspicion.
+        let patience = if job.is_repeatable() { suspect.min(limit) } else { limit };
+        match future::timeout(patience, beginning).await {
+            Ok(begun) => begun,
+            Err(_) if patience < limit => Err(Failure::Hanging),
+            Err(_) => Err(Failure::Timeout),
+        }
+    }
+
+    /// Sends the request; returns with the whole answer, or with the first event of a stream.
+    async fn begin(
+        &self,
+        job: &Job,
+        run: &mut Run,
+        after: Option<u64>,
+    ) -> Result<Begun, Failure> {
+        let answer = self.ask(job, run, after).await?;
+        let (mut head, mut body) = answer.into_parts();
+        match self.wire.judge(&head, &job.ask.id) {
+            Verdict::Answer => {}
+            Verdict::Foreign => {
+                let status = head.status;
+                return Err(Failure::Broken(format!("no answer to this request: {status}")));
+            }
+            verdict => return Err(Failure::NotRun(verdict)),
+        }
+        self.wire.back(&mut head.headers);
+        let broken = |e: hyper::Error| Failure::Broken(e.to_string());
+        if job.route.stream && head.status.is_success() {
+            let first = match body.frame().await {
+                Some(frame) => Some(frame.map_err(broken)?),
+                None => None,
+            };
+            let took = run.began.elapsed();
+            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, took);
+            observe::began(&job.route.name, job.arrived.elapsed());
+            return Ok(Begun::Stream(head, first, body));
+        }
+        let whole = body.collect().await.map_err(broken)?.to_bytes();
+        if head.status.is_success() {
+            let took = run.began.elapsed();
+            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, took);
+        }
+        Ok(Begun::Whole(Response::from_parts(head, whole)))
+    }
+
+    async fn ask(
+        &self,
+        job: &Job,
+        run: &mut Run,
+        after: Option<u64>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let address = run.endpoint.address;
+        let mut conn = self.pool.get(address).await.map_err(Failure::Unsent)?;
+        let mut result = conn.send(self.request(job, run, after)?).await;
+        if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
+            conn = self.pool.connect(address).await.map_err(Failure::Unsent)?;
+            result = conn.send(self.request(job, run, after)?).await;
+        }
+        run.conn = Some(conn);
+        result.map_err(|e| match e.is_unsent() {
+            true => Failure::Unsent(e),
+            false => Failure::Broken(e.to_string()),
+        })
+    }
+
+    fn request(
+        &self,
+        job: &Job,
+        run: &Run,
+        after: Option<u64>,
+    ) -> Result<Request<h1::Whole>, Failure> {
+        let onward = Onward {
+            left: until(job.limit),
+            endpoint: &run.endpoint.id,
+            account: job.account.as_ref(),
+            after,
+        };
+        let mut req = Request::new(h1::Whole::new(job.body.clone()));
+        *req.method_mut() = job.method.clone();
+        *req.uri_mut() = path_only(&job.uri);
+        *req.headers_mut() = self.wire.forward(&job.headers, onward);
+        Ok(req)
+    }
+}
+
+/// What an exchange has brought so far.
+enum Begun {
+    Whole(Response<Bytes>),
+    Stream(response::Parts, Option<hyper::body::Frame<Bytes>>, Incoming),
+}
+
+/// Path and query, as endpoints expect them.
+fn path_only(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+/// Logs an answer that is complete.
+pub(crate) fn log_answered(job: &Job, run: &Run, status: u16, bytes: usize) {
+    observe::answered(&job.route.name, "answered", job.arrived.elapsed());
+    log::info!(
+        "event=answered id={} endpoint={} status={status} bytes={bytes} at_endpoint_ms={} total_ms={}",
+        job.ask.id,
+        run.endpoint.id,
+        run.began.elapsed().as_millis(),
+        job.arrived.elapsed().as_millis()
+    );
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/seam.rs
@@ -0,0 +1,159 @@
+//! What the product asks of a platform.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{request, response, HeaderMap};
+use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId};
+use oxbowbend_core::routes::{Endpoint, Table};
+use thiserror::Error;
+
+/// Revision of the store.
+pub type Revision = u64;
+/// A lease at the store.
+pub type LeaseId = u64;
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Ask {
+    /// Id of the request.
+    pub id: String,
+    /// Host that it names.
+    pub host: String,
+    /// Key of a client account.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Units that it counts for in a quota by tokens, if it tells them.
+    pub units: Option<u64>,
+    /// Last event that the caller has, if it continues a stream.
+    pub after: Option<u64>,
+}
+
+/// What a request is given on its way to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Onward<'a> {
+    /// Time that is left.
+    pub left: Duration,
+    /// The endpoint that must execute it, and no other at its address.
+    pub endpoint: &'a EndpointId,
+    /// The client account.
+    pub account: Option<&'a AccountId>,
+    /// Last event of the stream to continue, if this instance continues it.
+    pub after: Option<u64>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is the endpoint's answer to this request.
+    Answer,
+    /// The endpoint has not executed the request and will not.
+    NotRun,
+    /// The endpoint is not the one that was meant, and has not executed the request.
+    NotThere,
+    /// It is no answer to this request.
+    Foreign,
+}
+
+/// Why a request cannot be read.
+#[derive(Debug, Error, PartialEq)]
+#[error("{0}")]
+pub struct Unreadable(pub String);
+
+/// How requests and answers look. Implementations only translate.
+pub trait Wire: Clone + Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head contradicts the protocol.
+    fn read(&self, head: &request::Parts) -> Result<Ask, Unreadable>;
+
+    /// Turns a caller's headers into those for an endpoint.
+    fn forward(&self, headers: &HeaderMap, onward: Onward<'_>) -> HeaderMap;
+
+    /// Judges the head of an endpoint's answer to the request of that id.
+    fn judge(&self, head: &response::Parts, id: &str) -> Verdict;
+
+    /// Takes off an answer's headers what concerns one connection only.
+    fn back(&self, headers: &mut HeaderMap);
+
+    /// Reads the operator's configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all that is wrong.
+    fn table(&self, document: &[u8]) -> Result<Table, Unreadable>;
+}
+
+/// Something in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// The operator's configuration as it was written.
+    Config(Bytes),
+    /// An endpoint.
+    Endpoint(Endpoint),
+    /// An endpoint's entry has gone.
+    EndpointGone(EndpointId),
+    /// An instance and where its peers reach it.
+    Instance(InstanceId, SocketAddr),
+    /// An instance's entry has gone.
+    InstanceGone(InstanceId),
+    /// An entry that cannot be read.
+    Unreadable(String),
+}
+
+/// All that the store holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Revision to continue from.
+    pub revision: Revision,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
+/// Why the store did not do what was asked.
+#[derive(Debug, Error, PartialEq)]
+pub enum StoreError {
+    /// The changes asked for are not kept any more.
+    #[error("the changes since then are not kept any more")]
+    Compacted,
+    /// The lease has ended, or the key is taken.
+    #[error("the condition does not hold")]
+    Condition,
+    /// No usable answer; a write may have been done.
+    #[error("{0}")]
+    Unavailable(String),
+}
+
+/// The platform's store.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads everything, as of now.
+    fn load(&self) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
+
+    /// Waits for changes after a revision. No records mean that there were none.
+    fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
+
+    /// Enters this instance for as long as the lease is renewed.
+    fn enroll(
+        &self,
+        name: &InstanceId,
+        address: SocketAddr,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+
+    /// Renews the lease.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Ends the lease.
+    fn retire(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/shared.rs
@@ -0,0 +1,214 @@
+//! State that the parts of a gateway share, behind one lock that is never held across a wait.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use async_std::channel;
+use futures::channel::oneshot;
+use oxbowbend_core::cell::{Assignment, Cell, Outcome, Report, Ticket, Want};
+use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::quota::Quotas;
+use oxbowbend_core::repeats::Repeats;
+use oxbowbend_core::routes::Table;
+
+use crate::world::{News, World};
+
+/// What the lock guards.
+pub(crate) struct State {
+    pub(crate) world: World,
+    pub(crate) cell: Cell,
+    pub(crate) quotas: Quotas,
+    pub(crate) repeats: Repeats,
+    waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
+    /// Number of instances that the fleet has, as far as is known.
+    pub(crate) instances: usize,
+}
+
+/// The shared state with its signals; clones share it.
+#[derive(Clone)]
+pub(crate) struct Shared {
+    state: Arc<Mutex<State>>,
+    changed: channel::Sender<()>,
+}
+
+impl Shared {
+    /// Wraps the parts. The receiver tells that something should be reported to other instances.
+    pub(crate) fn new(cell: Cell, repeats: Repeats) -> (Shared, channel::Receiver<()>) {
+        let (changed, rx) = channel::bounded(1);
+        let state = State {
+            world: World::default(),
+            cell,
+            quotas: Quotas::default(),
+            repeats,
+            waiters: HashMap::new(),
+            instances: 1,
+        };
+        (Shared { state: Arc::new(Mutex::new(state)), changed }, rx)
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under lock")
+    }
+
+    /// Asks for a report to the others.
+    pub(crate) fn tell_others(&self) {
+        // A full channel means that a report is asked for already.
+        let _ = self.changed.try_send(());
+    }
+
+    /// The configuration in force, if requests can be served.
+    pub(crate) fn table(&self) -> Option<Arc<Table>> {
+        let state = self.lock();
+        state.world.table().filter(|_| state.world.is_loaded()).cloned()
+    }
+
+    /// Carries out news of the world: the log tells them, quotas and endpoints follow.
+    pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
+        let mut state = self.lock();
+        let State { world, cell, quotas, .. } = &mut *state;
+        let revision = world.revision();
+        for item in news {
+            log_news(item, revision, source);
+        }
+        if news.iter().any(|n| matches!(n, News::Config(_))) {
+            if let Some(table) = world.table() {
+                let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
+                quotas.set(now, limited);
+            }
+        }
+        if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
+            cell.set_endpoints(world.endpoints().cloned());
+        }
+        drop(state);
+        if !news.is_empty() {
+            self.tell_others();
+            self.place();
+        }
+    }
+
+    /// Takes in another instance's report.
+    pub(crate) fn hear(&self, now: Instant, report: Report) {
+        let mut state = self.lock();
+        let Some(spent) = state.cell.hear(now, report) else { return };
+        for (account, units) in spent {
+            if units > 0 {
+                state.quotas.draw(now, &account, units as f64);
+            }
+        }
+        drop(state);
+        self.place();
+    }
+
+    /// Brings in a request; the ticket gets its place.
+    pub(crate) fn arrive(&self, want: Want) -> Waiting {
+        let (tx, rx) = oneshot::channel();
+        let mut state = self.lock();
+        let ticket = state.cell.arrive(want);
+        state.waiters.insert(ticket, tx);
+        drop(state);
+        let waiting = Waiting { shared: self.clone(), ticket, rx };
+        self.place();
+        if self.lock().waiters.contains_key(&ticket) {
+            self.tell_others();
+        }
+        waiting
+    }
+
+    /// Gives free places to what waits.
+    pub(crate) fn place(&self) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let assignments = state.cell.assign(now);
+        for aside in state.cell.take_news() {
+            let pause = aside.pause.as_millis();
+            log::warn!("event=endpoint_set_aside endpoint={} pause_ms={pause}", aside.endpoint);
+        }
+        let placed = !assignments.is_empty();
+        for assignment in assignments {
+            if let Some(tx) = state.waiters.remove(&assignment.ticket) {
+                // A receiver that is gone has a guard that ends the run.
+                let _ = tx.send(assignment);
+            }
+        }
+        drop(state);
+        if placed {
+            self.tell_others();
+        }
+    }
+
+    /// Ends a run.
+    pub(crate) fn finish(&self, endpoint: &EndpointId, outcome: Outcome) {
+        self.lock().cell.finish(Instant::now(), endpoint, outcome);
+        self.tell_others();
+        self.place();
+    }
+}
+
+/// A request that waits for its place. Dropping it takes it out of the queue, or ends the run that
+/// it was given and did not take.
+pub(crate) struct Waiting {
+    shared: Shared,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Assignment>,
+}
+
+impl Waiting {
+    /// The place, if it comes in time.
+    pub(crate) async fn place(mut self, limit: Duration) -> Option<Assignment> {
+        match async_std::future::timeout(limit, &mut self.rx).await {
+            Ok(Ok(assignment)) => Some(assignment),
+            // Withdrawn below; what was placed in the same instant is taken all the same.
+            _ => {
+                self.withdraw();
+                self.rx.try_recv().ok().flatten()
+            }
+        }
+    }
+
+    fn withdraw(&self) -> bool {
+        let mut state = self.shared.lock();
+        state.waiters.remove(&self.ticket);
+        state.cell.withdraw(self.ticket)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.withdraw() {
+            self.shared.tell_others();
+        } else if let Ok(Some(assignment)) = self.rx.try_recv() {
+            self.shared.finish(&assignment.endpoint.id, Outcome::Neutral);
+        }
+    }
+}
+
+fn log_news(news: &News, revision: u64, source: &str) {
+    match news {
+        News::Config(version) => {
+            log::info!("event=config_in_force version={version} revision={revision} source={source}");
+        }
+        News::OldConfig(version) => {
+            log::warn!("event=config_older version={version} revision={revision} source={source}");
+        }
+        News::BadConfig(e) => {
+            log::error!("event=config_unreadable revision={revision} source={source} error=\"{e}\"");
+        }
+        News::Endpoint(e) => log::info!(
+            "event=endpoint endpoint={} service={} address={} zone={} slots={} leaving={} \
+             revision={revision} source={source}",
+            e.id,
+            e.service,
+            e.address,
+            e.zone,
+            e.slots,
+            e.leaving
+        ),
+        News::EndpointGone(id) => {
+            log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
+        }
+        News::Unreadable(what) => {
+            log::warn!("event=entry_unreadable revision={revision} source={source} what=\"{what}\"");
+        }
+    }
+}
--- /dev/null
+++ b/oxbowbend-gateway/src/world.rs
@@ -0,0 +1,213 @@
+//! What an instance knows of the store: configuration, endpoints, instances.
+//!
+//! Configuration never goes back within one life. Endpoints whose entries went while the store was
+//! away are kept for a moment after its return, because those that live enter themselves again; an
+//! entry that is missing after that is gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use oxbowbend_core::ids::{EndpointId, InstanceId};
+use oxbowbend_core::routes::{Endpoint, Table};
+
+use crate::seam::{Record, Revision, Snapshot};
+
+/// Time after the store's return within which lapsed endpoints enter themselves again. The users
+/// promise about two seconds, and bound the time to leave an endpoint alone by the same; the
+/// difference is for requests on their way.
+pub const LAPSE: Duration = Duration::from_millis(1700);
+
+/// A change of what is known, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A configuration came in force.
+    Config(u64),
+    /// An older configuration was not taken.
+    OldConfig(u64),
+    /// A configuration could not be read.
+    BadConfig(String),
+    /// An endpoint is new or has changed.
+    Endpoint(Endpoint),
+    /// An endpoint has gone.
+    EndpointGone(EndpointId),
+    /// An entry cannot be read.
+    Unreadable(String),
+}
+
+/// All that is known.
+#[derive(Debug, Default)]
+pub struct World {
+    revision: Revision,
+    is_loaded: bool,
+    document: Bytes,
+    table: Option<Arc<Table>>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    lapsed: BTreeMap<EndpointId, Instant>,
+    instances: BTreeMap<InstanceId, SocketAddr>,
+    returned: Option<Instant>,
+    is_away: bool,
+}
+
+impl World {
+    /// Revision up to which changes are known.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// The configuration in force as the operator wrote it.
+    pub fn document(&self) -> &Bytes {
+        &self.document
+    }
+
+    /// Whether requests can be served: configuration and endpoints are known.
+    pub fn is_loaded(&self) -> bool {
+        self.is_loaded && self.table.is_some()
+    }
+
+    /// The endpoints in force.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Instances that have entered themselves.
+    pub fn instances(&self) -> &BTreeMap<InstanceId, SocketAddr> {
+        &self.instances
+    }
+
+    /// Whether the store does not answer.
+    pub fn is_store_away(&self) -> bool {
+        self.is_away
+    }
+
+    /// Notes that the store does not answer; `true` if that is new.
+    pub fn store_lost(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_away, true)
+    }
+
+    /// Notes that the store answers; `true` if that is new.
+    pub fn store_found(&mut self, now: Instant) -> bool {
+        let was_away = std::mem::replace(&mut self.is_away, false);
+        if was_away {
+            self.returned = Some(now);
+        }
+        was_away
+    }
+
+    /// Takes in everything that the store holds.
+    pub fn load<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
+        let mut instances = BTreeMap::new();
+        for record in &snapshot.records {
+            match record {
+                Record::Endpoint(endpoint) => drop(missing.remove(&endpoint.id)),
+                Record::Instance(name, address) => drop(instances.insert(name.clone(), *address)),
+                _ => {}
+            }
+        }
+        self.instances = instances;
+        let mut news = self.change(now, snapshot, read);
+        for id in missing {
+            news.extend(self.lapse(now, id));
+        }
+        self.is_loaded = true;
+        news
+    }
+
+    /// Takes in changes.
+    pub fn change<F>(&mut self, now: Instant, changes: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        let mut news = Vec::new();
+        for record in changes.records {
+            match record {
+                Record::Config(document) => news.extend(self.configure(document, &read)),
+                Record::Endpoint(endpoint) => news.extend(self.enter(endpoint)),
+                Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
+                Record::Instance(name, address) => drop(self.instances.insert(name, address)),
+                Record::InstanceGone(name) => drop(self.instances.remove(&name)),
+                Record::Unreadable(what) => news.push(News::Unreadable(what)),
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+        news
+    }
+
+    /// Takes in what another instance knows, if that is more. Its list of endpoints is taken only
+    /// while the store is away here, since the store's own word is better.
+    pub fn learn<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        if snapshot.revision > self.revision && (self.is_away || !self.is_loaded) {
+            return self.load(now, snapshot, read);
+        }
+        let is_config = |r: &Record| matches!(r, Record::Config(_));
+        let records = snapshot.records.into_iter().filter(is_config).collect();
+        self.change(now, Snapshot { revision: 0, records }, read)
+    }
+
+    /// Removes endpoints that have not entered themselves again.
+    pub fn expire(&mut self, now: Instant) -> Vec<News> {
+        if self.is_away {
+            return Vec::new();
+        }
+        let due = self.lapsed.iter().filter(|(_, until)| now >= **until);
+        let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
+        due.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    fn configure<F>(&mut self, document: Bytes, read: F) -> Option<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        if !self.document.is_empty() && document == self.document {
+            return None;
+        }
+        let table = match read(&document) {
+            Ok(table) => table,
+            Err(e) => return Some(News::BadConfig(e)),
+        };
+        let version = table.version();
+        if self.table.as_ref().is_some_and(|t| t.version() >= version) {
+            return Some(News::OldConfig(version));
+        }
+        self.table = Some(Arc::new(table));
+        self.document = document;
+        Some(News::Config(version))
+    }
+
+    fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
+        self.lapsed.remove(&endpoint.id);
+        let old = self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        (old.as_ref() != Some(&endpoint)).then_some(News::Endpoint(endpoint))
+    }
+
+    fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
+        let until = match self.returned {
+            _ if self.is_away => now + LAPSE,
+            Some(returned) if now < returned + LAPSE => returned + LAPSE,
+            _ => return self.remove(id),
+        };
+        if self.endpoints.contains_key(&id) {
+            self.lapsed.entry(id).or_insert(until);
+        }
+        None
+    }
+
+    fn remove(&mut self, id: EndpointId) -> Option<News> {
+        self.lapsed.remove(&id);
+        self.endpoints.remove(&id).map(|_| News::EndpointGone(id))
+    }
+}
--- /dev/null
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP/1.1 on `hyper`'s connections over async-std's sockets.
+//!
+//! `async-h1` takes an answer without a length for an empty one, a cut one for whole and an
+//! interim one for the answer. Traffic that is passed on needs the truth there, so this module
+//! uses the nearest kin that tells it. Pools, bounds and the end of connections are here; framing
+//! is the library's.
+
+mod pool;
+mod server;
+
+pub use pool::{CallError, Conn, Pool, PoolConfig};
+pub use server::{serve, Door, ServeConfig};
+
+/// A body that has been read whole.
+pub type Whole = http_body_util::Full<bytes::Bytes>;
--- /dev/null
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -0,0 +1,261 @@
+//! Connections to endpoints, kept for the next request.
+//!
+//! A connection is given back only after a clean end of its answer. Whoever drops one ends its
+//! exchange: the socket closes at once, which tells the endpoint that nobody waits any more.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use async_std::{future, task};
+use bytes::Bytes;
+use futures::future::AbortHandle;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use smol_hyper::rt::FuturesIo;
+use thiserror::Error;
+
+use super::Whole;
+
+/// Time after which an unanswered packet or probe ends a connection. A machine that lost power
+/// answers nothing, and nothing else would tell.
+const PEER_SILENT: Duration = Duration::from_millis(1500);
+/// Interval of the probes of an idle connection, in the system's smallest unit.
+const PROBE: Duration = Duration::from_secs(1);
+/// Time that a connection may take to become ready after its answer has ended. It is a matter of
+/// one turn of its task.
+const SETTLE: Duration = Duration::from_millis(20);
+/// Part of the endpoint's idle time within which a connection is used again; the rest covers the
+/// way there.
+const IDLE_SHARE: f64 = 0.7;
+
+/// Bounds of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolConfig {
+    /// Time that a connection may take to be established.
+    pub connect: Duration,
+    /// Time for which an idle connection is kept if the endpoint names none.
+    pub idle: Duration,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection; nothing has been sent.
+    #[error("no connection to {address}: {error}")]
+    Connect {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// The connection had closed before anything was written.
+    #[error("the connection closed before the request was sent: {0}")]
+    Unsent(hyper::Error),
+    /// The connection failed after at least a part was written.
+    #[error("the connection failed: {0}")]
+    Broken(hyper::Error),
+    /// Not in the time given.
+    #[error("no answer in {0:?}")]
+    Timeout(Duration),
+}
+
+impl CallError {
+    /// Whether the request has certainly not reached the endpoint.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, CallError::Connect { .. } | CallError::Unsent(_))
+    }
+}
+
+/// One connection with its task.
+#[derive(Debug)]
+pub struct Conn {
+    address: SocketAddr,
+    tx: http1::SendRequest<Whole>,
+    task: AbortHandle,
+    idle_for: Duration,
+    idle_since: Instant,
+    is_reused: bool,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Conn {
+    /// Whether the connection has carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Unsent`] if nothing was written, [`CallError::Broken`] otherwise.
+    pub async fn send(&mut self, req: Request<Whole>) -> Result<Response<Incoming>, CallError> {
+        match self.tx.try_send_request(req).await {
+            Ok(answer) => {
+                self.note_idle_time(&answer);
+                Ok(answer)
+            }
+            Err(mut e) if e.message().is_some() => {
+                e.take_message();
+                Err(CallError::Unsent(e.into_error()))
+            }
+            Err(e) => Err(CallError::Broken(e.into_error())),
+        }
+    }
+
+    /// The endpoint's own idle time, as `Keep-Alive: timeout=S`.
+    fn note_idle_time(&mut self, answer: &Response<Incoming>) {
+        let value = answer.headers().get("keep-alive").and_then(|v| v.to_str().ok());
+        let seconds = value.and_then(|v| v.split("timeout=").nth(1)).and_then(|v| {
+            let digits = v.split(|c: char| !c.is_ascii_digit() && c != '.').next();
+            digits.and_then(|d| d.parse::<f64>().ok())
+        });
+        if let Some(seconds) = seconds {
+            let usable = (seconds * IDLE_SHARE).clamp(0.0, self.idle_for.as_secs_f64());
+            self.idle_for = Duration::from_secs_f64(usable);
+        }
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.tx.is_closed() && self.tx.is_ready() && self.idle_since.elapsed() < self.idle_for
+    }
+}
+
+/// Idle connections by address; clones share them.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    cfg: PoolConfig,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Conn>>>>,
+}
+
+impl Pool {
+    /// Starts empty.
+    pub fn new(cfg: PoolConfig) -> Pool {
+        Pool { cfg, idle: Arc::default() }
+    }
+
+    /// A connection: the one used last, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Connect`] if a new one cannot be had.
+    pub async fn get(&self, address: SocketAddr) -> Result<Conn, CallError> {
+        if let Some(conn) = self.take_idle(address) {
+            return Ok(conn);
+        }
+        self.connect(address).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.lock().expect("no panic under lock");
+        let conns = idle.get_mut(&address)?;
+        while let Some(mut conn) = conns.pop() {
+            if conn.is_usable() {
+                conn.is_reused = true;
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Connect`] if it cannot be had in time.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Conn, CallError> {
+        let failed = |error| CallError::Connect { address, error };
+        let connecting = future::timeout(self.cfg.connect, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
+            .map_err(failed)?;
+        watch_peer(&stream).map_err(failed)?;
+        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
+        let (conn, task) = futures::future::abortable(conn);
+        task::spawn(async move {
+            if let Ok(Err(e)) = conn.await {
+                log::debug!("event=connection_ended address={address} error=\"{e}\"");
+            }
+        });
+        let (idle_for, idle_since) = (self.cfg.idle, Instant::now());
+        Ok(Conn { address, tx, task, idle_for, idle_since, is_reused: false })
+    }
+
+    /// Gives a connection back after the clean end of its answer. It is dropped if it does not
+    /// become ready at once, as when the endpoint has not read the whole request.
+    pub fn put(&self, mut conn: Conn) {
+        let pool = self.clone();
+        task::spawn(async move {
+            let ready = future::timeout(SETTLE, conn.tx.ready()).await;
+            if !matches!(ready, Ok(Ok(()))) {
+                return;
+            }
+            conn.idle_since = Instant::now();
+            let mut idle = pool.idle.lock().expect("no panic under lock");
+            idle.entry(conn.address).or_default().push(conn);
+        });
+    }
+
+    /// Drops the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().expect("no panic under lock").remove(&address);
+    }
+
+    /// Drops idle connections that may not be used any more.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.lock().expect("no panic under lock");
+        idle.values_mut().for_each(|conns| conns.retain(Conn::is_usable));
+        idle.retain(|_, conns| !conns.is_empty());
+    }
+
+    /// One call with a whole answer, on a kept connection or a new one. A kept one that had closed
+    /// is replaced once, since then nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Every [`CallError`].
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let call = async {
+            let mut conn = self.get(address).await?;
+            let answer = match conn.send(req.clone().map(Whole::new)).await {
+                Err(CallError::Unsent(_)) if conn.is_reused() => {
+                    conn = self.connect(address).await?;
+                    conn.send(req.map(Whole::new)).await?
+                }
+                other => other?,
+            };
+            let (head, body) = answer.into_parts();
+            let body = http_body_util::BodyExt::collect(body).await;
+            let body = body.map_err(CallError::Broken)?.to_bytes();
+            self.put(conn);
+            Ok(Response::from_parts(head, body))
+        };
+        future::timeout(limit, call).await.unwrap_or(Err(CallError::Timeout(limit)))
+    }
+}
+
+/// Lets the system notice a machine that has gone silent.
+fn watch_peer(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(PEER_SILENT))?;
+    socket.set_tcp_keepalive(
+        &socket2::TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2),
+    )
+}
--- a/oxbowbend-http/src/lib.rs
+++ b/oxbowbend-http/src/lib.rs
@@ -10,6 +10,9 @@
 [`server::serve`] runs a [`server::Handler`] on a listener. [`client::Client`] sends requests.
 [`problem::Problem`] builds error responses as of RFC 9457.
 
+[`h1`] serves and calls on top of `hyper`, for traffic whose framing must be judged exactly: answers
+that end with their connection, cut ones, interim ones.
+
 # Limits
 
 HTTP/1.1 without TLS and without pipelining. A head is at most 8 KiB.
@@ -17,5 +20,6 @@
 
 pub mod body;
 pub mod client;
+pub mod h1;
 pub mod problem;
 pub mod server;
--- a/oxbowbend-platform/src/config.rs
+++ b/oxbowbend-store/src/config.rs
@@ -39,7 +39,7 @@
 /// The configuration as it is stored.
 ///
 /// ```
-/// use oxbowbend_platform::{config::ConfigStore, memory::Memory};
+/// use oxbowbend_store::{config::ConfigStore, memory::Memory};
 /// async_std::task::block_on(async {
 ///     let store = ConfigStore::new(Memory::new());
 ///     assert_eq!(store.head().await.unwrap().head.revision, 0);
--- a/oxbowbend-platform/src/ledger.rs
+++ b/oxbowbend-store/src/ledger.rs
@@ -65,7 +65,7 @@
 /// ```
 /// use std::time::Duration;
 /// use oxbowbend_core::ledger::{Step, StepAction, Verdict};
-/// use oxbowbend_platform::{ledger::Ledger, memory::Memory};
+/// use oxbowbend_store::{ledger::Ledger, memory::Memory};
 /// async_std::task::block_on(async {
 ///     let ledger = Ledger::new(Memory::new(), 4, Duration::from_secs(1), Duration::ZERO);
 ///     let action =
--- a/oxbowbend-platform/src/memory.rs
+++ b/oxbowbend-store/src/memory.rs
@@ -31,8 +31,8 @@
 /// The service; clones share its content.
 ///
 /// ```
-/// use oxbowbend_platform::kv::{KeyValue, Swap};
-/// use oxbowbend_platform::memory::{Fault, Memory};
+/// use oxbowbend_store::kv::{KeyValue, Swap};
+/// use oxbowbend_store::memory::{Fault, Memory};
 /// async_std::task::block_on(async {
 ///     let kv = Memory::new();
 ///     kv.inject(&[Fault::ReplyLost]);
--- a/oxbowbend-platform/tests/contract.rs
+++ b/oxbowbend-store/tests/contract.rs
@@ -6,11 +6,11 @@
 
 use async_std::task;
 use oxbowbend_core::ledger::{Step, StepAction, Verdict};
-use oxbowbend_platform::config::{ConfigError, ConfigStore};
-use oxbowbend_platform::etcd::Etcd;
-use oxbowbend_platform::kv::{KeyValue, KvError, Swap};
-use oxbowbend_platform::ledger::{Ledger, LedgerError};
-use oxbowbend_platform::memory::{Fault, Memory};
+use oxbowbend_store::config::{ConfigError, ConfigStore};
+use oxbowbend_store::etcd::Etcd;
+use oxbowbend_store::kv::{KeyValue, KvError, Swap};
+use oxbowbend_store::ledger::{Ledger, LedgerError};
+use oxbowbend_store::memory::{Fault, Memory};
 use oxbowbend_resource::kinds::{Kind, Place, Resource, Spec};
 use oxbowbend_resource::manifest::{Change, Manifest, Operation};
 use oxbowbend_standin::local::{free_address, listen};
