Let long prompts wait for a place where they hold up no streams

Ruled out: late first events (18 of 2,042). Change: a prompt whose reading takes longer between two events than streams of its kind bear goes to such an endpoint only if nothing else runs there, or when half of its own time is over.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::{Cell, Ticket, Want, CLAIM_TTL, FIXED_UNITS, LOAD_TTL};
+use super::{Cell, Stall, Ticket, Want, CLAIM_TTL, FIXED_UNITS, LOAD_TTL};
 use crate::ids::{EndpointId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
@@ -11,6 +11,12 @@
 const CROWDING: f64 = 0.3;
 /// Extra time of an endpoint in another availability zone, also to save the traffic between zones.
 const OTHER_ZONE: Duration = Duration::from_millis(3);
+/// Part of a stream's longest pause that the reading of another prompt may take. What is learned of
+/// an endpoint's pace is a little slower than its reading alone.
+const STALL_SHARE: f64 = 0.9;
+/// Part of the objective that must be left for a request to wait for a place where it holds nobody
+/// up. With less, its own time goes before the others' pauses.
+const PATIENT_SHARE: f64 = 0.5;
 /// Nanoseconds for a unit of work where nothing has been measured: 50 tokens in a millisecond.
 const UNKNOWN_NS: f64 = 20_000.0;
 
@@ -47,7 +53,9 @@
     ticket: Option<Ticket>,
     service: &'a ServiceId,
     zone: &'a ZoneId,
+    objective: Duration,
     prompt: u32,
+    stall: Stall,
     avoid: &'a [EndpointId],
 }
 
@@ -99,20 +107,25 @@
             ticket: Some(*ticket),
             service: &want.service,
             zone: &self.zone,
+            objective: want.objective,
             prompt: want.prompt,
+            stall: want.stall,
             avoid: &want.avoid,
         });
         let others = self.peers.values().filter(|p| p.is_live(now, CLAIM_TTL)).flat_map(|p| {
             p.report.claims.iter().filter_map(move |claim| {
                 let waited = Duration::from_millis(claim.waited_ms.into());
                 let arrived = p.heard.checked_sub(waited)?;
-                let due = arrived + Duration::from_millis(claim.objective_ms.into());
+                let objective = Duration::from_millis(claim.objective_ms.into());
+                let due = arrived + objective;
                 Some(Candidate {
                     order: Order { rank: claim.rank, due },
                     ticket: None,
                     service: &claim.service,
                     zone: &p.report.zone,
+                    objective,
                     prompt: claim.prompt,
+                    stall: claim.stall,
                     avoid: &[],
                 })
             })
@@ -169,7 +182,8 @@
 }
 
 /// The best place for a request, if there is one. A request that would miss its time at every free
-/// place, but not at one that is in use now, waits for that one.
+/// place, but not at one that is in use now, waits for that one; so does one that would hold up the
+/// streams at every free place, while it has time.
 fn choose<'a, 'b>(
     places: &'b mut [Place<'a>],
     candidate: &Candidate<'_>,
@@ -180,15 +194,24 @@
         p.endpoint.service == *candidate.service && !candidate.avoid.contains(&p.endpoint.id)
     };
     let in_time = places.iter().any(|p| fits(p) && first(p, candidate) <= left);
+    let is_patient = left > candidate.objective.mul_f64(PATIENT_SHARE)
+        && places.iter().any(|p| fits(p) && !stalls(p, candidate, 1));
     let free = places.iter_mut().filter(|p| p.room > 0 && fits(p));
-    let best = free.min_by_key(|p| cost(p, candidate))?;
+    let best = free.min_by_key(|p| (stalls(p, candidate, p.load), cost(p, candidate)))?;
     let expected = first(best, candidate);
-    if expected > left && in_time {
+    if expected > left && in_time || is_patient && stalls(best, candidate, best.load) {
         return None;
     }
     Some((best, expected))
 }
 
+/// Whether reading the prompt would hold up so many streams beside it for too long.
+fn stalls(place: &Place<'_>, candidate: &Candidate<'_>, load: u32) -> bool {
+    let Stall { tokens, pause_ms } = candidate.stall;
+    let takes_ms = f64::from(tokens) * place.ns / 1e6;
+    load > 0 && pause_ms > 0 && takes_ms > f64::from(pause_ms) * STALL_SHARE
+}
+
 /// Expected time to the first event.
 fn first(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
     let units = f64::from(candidate.prompt + FIXED_UNITS);
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -47,6 +47,8 @@
     pub rank: u16,
     /// Tokens of its prompt.
     pub prompt: u32,
+    /// How it holds up the streams beside it.
+    pub stall: Stall,
     /// When it arrived.
     pub arrived: Instant,
     /// Time from its arrival within which its first event should be there.
@@ -55,6 +57,18 @@
     pub avoid: Vec<EndpointId>,
 }
 
+/// How a request holds up the streams that run beside it while its prompt is read, and how much of
+/// that streams of its kind bear.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Stall {
+    /// Tokens of the prompt that may be read between two events of another stream.
+    #[serde(rename = "t")]
+    pub tokens: u32,
+    /// Milliseconds between two events that are still in time; 0 if it does not matter.
+    #[serde(rename = "p")]
+    pub pause_ms: u32,
+}
+
 /// How a run at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -208,6 +222,7 @@
             waited_ms: now.saturating_duration_since(w.arrived).as_millis() as u32,
             objective_ms: w.objective.as_millis() as u32,
             prompt: w.prompt,
+            stall: w.stall,
         });
         Report {
             instance: self.me.clone(),
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -92,4 +92,7 @@
     /// Tokens of its prompt.
     #[serde(rename = "p")]
     pub prompt: u32,
+    /// How it holds up the streams beside it.
+    #[serde(rename = "h")]
+    pub stall: super::Stall,
 }
--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -42,6 +42,8 @@
     pub timeout: Duration,
     /// Time within which the answer, or its first event, should be there.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is still in time.
+    pub pause: Option<Duration>,
     /// Rank; 0 goes first.
     pub tier: u8,
     /// Whether requests need no key.
@@ -77,8 +79,8 @@
 pub struct Service {
     /// Connections that each of its endpoints accepts from all instances.
     pub connections: u32,
-    /// Whether its endpoints are model engines.
-    pub engine: bool,
+    /// Tokens in an event of its streams; 0 if its endpoints are no model engines.
+    pub tokens_per_event: u32,
 }
 
 /// Bounds on what callers may send.
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use oxbowbend_core::cell::{Cell, Outcome, Ticket, Want, CLAIM_TTL, LOAD_TTL};
+use oxbowbend_core::cell::{Cell, Outcome, Stall, Ticket, Want, CLAIM_TTL, LOAD_TTL};
 use oxbowbend_core::routes::Endpoint;
 
 const MS: Duration = Duration::from_millis(1);
@@ -25,7 +25,15 @@
 }
 
 fn want(rank: u16, prompt: u32, arrived: Instant) -> Want {
-    Want { service: "s".into(), rank, prompt, arrived, objective: 500 * MS, avoid: Vec::new() }
+    Want {
+        service: "s".into(),
+        rank,
+        prompt,
+        stall: Stall::default(),
+        arrived,
+        objective: 500 * MS,
+        avoid: Vec::new(),
+    }
 }
 
 fn placed(cell: &mut Cell, now: Instant) -> Vec<(Ticket, String)> {
@@ -210,3 +218,21 @@
     assert_eq!(drawn(b.hear(now, with(a.report(now), 1000))), Some(0));
     assert_eq!(drawn(b.hear(now, with(a.report(now), 1200))), Some(200));
 }
+
+#[test]
+fn a_long_prompt_does_not_hold_up_streams_at_a_slow_endpoint() {
+    let now = Instant::now();
+    let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 1)]);
+    (0..10).for_each(|_| cell.began("e0", 700, 86 * MS));
+    (0..10).for_each(|_| cell.began("e2", 700, 25 * MS));
+    let long = Want { stall: Stall { tokens: 3000, pause_ms: 200 }, ..want(0, 3000, now) };
+    cell.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut cell, now)[0].1, "e2");
+    // 3,000 tokens take 258 ms at e0: alone there it holds up nobody.
+    cell.arrive(long.clone());
+    assert_eq!(placed(&mut cell, now)[0].1, "e0");
+    // The next one waits for e2, but not beyond half of its time.
+    cell.arrive(long);
+    assert_eq!(placed(&mut cell, now).len(), 0);
+    assert_eq!(placed(&mut cell, now + 260 * MS)[0].1, "e0");
+}
--- a/oxbowbend-core/tests/routes.rs
+++ b/oxbowbend-core/tests/routes.rs
@@ -16,6 +16,7 @@
         sends: 1,
         timeout: Duration::from_secs(5),
         objective: Duration::from_millis(500),
+        pause: None,
         tier: 0,
         public: false,
     }
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -6,6 +6,7 @@
 use http::{request, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use oxbowbend_core::cell::Stall;
 use oxbowbend_core::routes::{Account, Route, Table};
 
 use super::job::Job;
@@ -18,6 +19,10 @@
 /// Tiers that a rank leaves room for below an account's.
 const TIERS: u16 = 256;
 
+/// Tokens of a prompt that engines read between two tokens of the other requests; the usual size of
+/// such a chunk, and borne out by the pauses seen at slow endpoints.
+const READ_CHUNK: u32 = 1024;
+
 type Refused = (String, Refusal);
 
 impl<W: Wire> Relay<W> {
@@ -77,6 +82,11 @@
             ask.prompt,
             patience.as_millis()
         );
+        let tokens_per_event = table.service(&service).map_or(0, |s| s.tokens_per_event);
+        let stall = Stall {
+            tokens: ask.prompt.min(tokens_per_event.saturating_mul(READ_CHUNK)),
+            pause_ms: route.pause.map_or(0, |p| p.as_millis() as u32),
+        };
         Ok(Job {
             method: head.method,
             uri: head.uri,
@@ -86,6 +96,7 @@
             account: account.map(|a| a.name.clone()),
             units,
             rank,
+            stall,
             arrived,
             limit: arrived + patience,
             route,
--- a/oxbowbend-gateway/src/relay/job.rs
+++ b/oxbowbend-gateway/src/relay/job.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use oxbowbend_core::cell::Stall;
 use oxbowbend_core::ids::{AccountId, ServiceId};
 use oxbowbend_core::routes::{Repeat, Route};
 use rand::Rng;
@@ -27,6 +28,7 @@
     pub(crate) account: Option<AccountId>,
     pub(crate) units: u64,
     pub(crate) rank: u16,
+    pub(crate) stall: Stall,
     pub(crate) arrived: Instant,
     /// When the caller or the route gives the request up.
     pub(crate) limit: Instant,
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -170,6 +170,7 @@
             service: job.service.clone(),
             rank: job.rank,
             prompt: job.ask.prompt,
+            stall: job.stall,
             arrived: job.arrived,
             objective: job.route.objective,
             avoid: tries.avoid.clone(),
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -85,13 +85,37 @@
     pub(crate) endpoint: Endpoint,
     conn: Option<h1::Conn>,
     began: Instant,
+    /// Time to the first event, or to the whole answer.
+    first: Duration,
+    /// Longest time between two events.
+    pause: Duration,
+    last_event: Instant,
     is_over: bool,
 }
 
 impl Run {
     fn new(shared: &Shared, id: &str, endpoint: Endpoint) -> Run {
         let (shared, id) = (shared.clone(), id.to_owned());
-        Run { shared, id, endpoint, conn: None, began: Instant::now(), is_over: false }
+        Run {
+            shared,
+            id,
+            endpoint,
+            conn: None,
+            began: Instant::now(),
+            first: Duration::ZERO,
+            pause: Duration::ZERO,
+            last_event: Instant::now(),
+            is_over: false,
+        }
+    }
+
+    /// Notes an event of the stream.
+    pub(crate) fn note_event(&mut self) {
+        let now = Instant::now();
+        if !self.first.is_zero() {
+            self.pause = self.pause.max(now.duration_since(self.last_event));
+        }
+        self.last_event = now;
     }
 
     /// Ends the run after a clean end of its answer, and keeps the connection.
@@ -208,15 +232,16 @@
                 Some(frame) => Some(frame.map_err(broken)?),
                 None => None,
             };
-            let took = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, took);
+            run.note_event();
+            run.first = run.began.elapsed();
+            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, run.first);
             observe::began(&job.route.name, job.arrived.elapsed());
             return Ok(Begun::Stream(head, first, body));
         }
         let whole = body.collect().await.map_err(broken)?.to_bytes();
         if head.status.is_success() {
-            let took = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, took);
+            run.first = run.began.elapsed();
+            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, run.first);
         }
         Ok(Begun::Whole(Response::from_parts(head, whole)))
     }
@@ -277,9 +302,12 @@
 pub(crate) fn log_answered(job: &Job, run: &Run, status: u16, bytes: usize) {
     observe::answered(&job.route.name, "answered", job.arrived.elapsed());
     log::info!(
-        "event=answered id={} endpoint={} status={status} bytes={bytes} at_endpoint_ms={} total_ms={}",
+        "event=answered id={} endpoint={} status={status} bytes={bytes} first_ms={} pause_ms={} at_endpoint_ms={} \
+         total_ms={}",
         job.ask.id,
         run.endpoint.id,
+        run.first.as_millis(),
+        run.pause.as_millis(),
         run.began.elapsed().as_millis(),
         job.arrived.elapsed().as_millis()
     );
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -169,7 +169,10 @@
     match future::timeout(until(job.limit), streaming.body.frame()).await {
         Err(_) => Next::Timeout,
         Ok(None) => Next::End,
-        Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+        Ok(Some(Ok(frame))) => {
+            streaming.run.note_event();
+            Next::Data(frame.into_data().unwrap_or_default())
+        }
         Ok(Some(Err(e))) => Next::Broken(e.to_string()),
     }
 }
