--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -3,14 +3,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::{Cell, Stall, Ticket, Want, CLAIM_TTL, FIXED_UNITS, LOAD_TTL};
+use super::{Cell, Stall, Ticket, Want, CLAIM_TTL, FIXED_UNITS};
 use crate::ids::{EndpointId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Added to the first event's time for each place in use, as a share: a batch slows with its size.
 const CROWDING: f64 = 0.3;
 /// Extra time of an endpoint in another availability zone, also to save the traffic between zones.
-const OTHER_ZONE: Duration = Duration::from_millis(3);
+const OTHER_ZONE: Duration = Duration::from_millis(10);
 /// Part of a stream's longest pause that the reading of another prompt may take. What is learned of
 /// an endpoint's pace is a little slower than its reading alone.
 const STALL_SHARE: f64 = 0.9;
@@ -137,10 +137,8 @@
 
     fn places(&self, now: Instant) -> Vec<Place<'_>> {
         let mut loads: HashMap<&str, u32> = HashMap::new();
-        for peer in self.peers.values().filter(|p| p.is_live(now, LOAD_TTL)) {
-            for load in &peer.report.loads {
-                *loads.entry(&load.endpoint).or_default() += load.running;
-            }
+        for (endpoint, running) in self.live_reports(now).flat_map(|r| &r.loads) {
+            *loads.entry(endpoint).or_default() += running;
         }
         let paces = self.paces(now);
         let usual = usual(paces.values().copied());
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -18,7 +18,7 @@
 
 pub use assign::{Assignment, Order};
 pub use pace::FIXED_UNITS;
-pub use report::{Claim, Load, Report};
+pub use report::{Claim, Report, Tally};
 
 use crate::ids::{EndpointId, InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
@@ -106,6 +106,8 @@
     heard: Instant,
     /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
     counted: HashMap<EndpointId, (u64, u64)>,
+    /// The paces told last.
+    paces: HashMap<EndpointId, pace::Pace>,
 }
 
 /// One instance's part in its cell.
@@ -181,14 +183,16 @@
             return None;
         }
         let is_first = before.is_none();
-        let (spent_before, mut counted) =
-            before.map(|b| (b.report.spent, b.counted)).unwrap_or_default();
-        for load in &report.loads {
-            let told = (load.good, load.bad);
+        let (spent_before, mut counted, mut paces) =
+            before.map(|b| (b.report.spent, b.counted, b.paces)).unwrap_or_default();
+        for tally in &report.tallies {
+            let told = (tally.good, tally.bad);
+            let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
+            paces.insert(tally.endpoint.clone(), pace);
             // What a new acquaintance has counted so far is not of now.
-            let old = counted.insert(load.endpoint.clone(), told);
+            let old = counted.insert(tally.endpoint.clone(), told);
             let old = old.unwrap_or(if is_first { told } else { (0, 0) });
-            if let Some(site) = self.sites.get_mut(&load.endpoint) {
+            if let Some(site) = self.sites.get_mut(&tally.endpoint) {
                 let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
                 site.health.note(now, good as u32, bad as u32);
             }
@@ -199,21 +203,24 @@
             (account.clone(), units.saturating_sub(old.map_or(unheard, |(_, u)| *u)))
         });
         let spent = spent.collect();
-        self.peers.insert(report.instance.clone(), Peer { report, heard: now, counted });
+        self.peers.insert(report.instance.clone(), Peer { report, heard: now, counted, paces });
         Some(spent)
     }
 
     /// What to tell the others, but for what only the caller knows: revision, version, address and
-    /// peers.
-    pub fn report(&mut self, now: Instant) -> Report {
+    /// peers. Tallies go with it only if `in_full`.
+    pub fn report(&mut self, now: Instant, in_full: bool) -> Report {
         self.number += 1;
-        let mentioned =
-            |s: &&Site| s.running > 0 || s.touched.is_some_and(|t| now.duration_since(t) < MENTION);
-        let loads = self.sites.values().filter(mentioned).map(|s| {
+        let running = self.sites.values().filter(|s| s.running > 0);
+        let loads = running.map(|s| (s.endpoint.id.clone(), s.running)).collect();
+        let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < MENTION);
+        let used = self.sites.values().filter(|_| in_full).filter(lately);
+        let tallies = used.map(|s| {
             let (ns_per_unit, samples) = s.pace.as_parts();
             let endpoint = s.endpoint.id.clone();
-            Load { endpoint, running: s.running, good: s.good, bad: s.bad, ns_per_unit, samples }
+            Tally { endpoint, good: s.good, bad: s.bad, ns_per_unit, samples }
         });
+        let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
         waiting.sort_by_key(|w| Order::of(w));
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
@@ -229,7 +236,8 @@
             zone: self.zone.clone(),
             life: self.life,
             number: self.number,
-            loads: loads.collect(),
+            loads,
+            tallies,
             claims: claims.collect(),
             ..Report::default()
         }
@@ -237,12 +245,16 @@
 
     /// Other instances heard within [`LOAD_TTL`].
     pub fn heard(&self, now: Instant) -> usize {
-        self.peers.values().filter(|p| p.is_live(now, LOAD_TTL)).count()
+        self.live_peers(now).count()
     }
 
     /// Last reports of the instances heard within [`LOAD_TTL`].
     pub fn live_reports(&self, now: Instant) -> impl Iterator<Item = &Report> {
-        self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL)).map(|p| &p.report)
+        self.live_peers(now).map(|p| &p.report)
+    }
+
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL))
     }
 
     /// Forgets instances that have been silent for long.
@@ -304,7 +316,7 @@
     pub fn load(&self, now: Instant, endpoint: &str) -> u32 {
         let mine = self.sites.get(endpoint).map_or(0, |s| s.running);
         let loads = self.live_reports(now).flat_map(|r| &r.loads);
-        mine + loads.filter(|l| &*l.endpoint == endpoint).map(|l| l.running).sum::<u32>()
+        mine + loads.filter(|(e, _)| &**e == endpoint).map(|(_, n)| n).sum::<u32>()
     }
 
     /// Usual time of a request to its first event, by the best endpoint of the service.
@@ -319,9 +331,8 @@
 
     fn paces(&self, now: Instant) -> HashMap<EndpointId, f64> {
         let mut all: HashMap<&str, Vec<pace::Pace>> = HashMap::new();
-        for load in self.live_reports(now).flat_map(|r| &r.loads) {
-            let pace = pace::Pace::reported(load.ns_per_unit, load.samples);
-            all.entry(&load.endpoint).or_default().push(pace);
+        for (endpoint, pace) in self.live_peers(now).flat_map(|p| &p.paces) {
+            all.entry(endpoint).or_default().push(*pace);
         }
         let of = |s: &Site| {
             let others = all.get(&*s.endpoint.id).into_iter().flatten().copied();
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -34,29 +34,29 @@
     /// Whether it reaches the store.
     #[serde(rename = "s", default)]
     pub has_store: bool,
-    /// What it has at endpoints.
-    #[serde(rename = "e", default)]
-    pub loads: Vec<Load>,
+    /// Requests that endpoints execute for it; none where there are none.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<(EndpointId, u32)>,
+    /// What it has seen of endpoints that it used lately. Told now and then only.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub tallies: Vec<Tally>,
     /// What waits at it, the first in order first.
-    #[serde(rename = "w", default)]
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub claims: Vec<Claim>,
     /// Units admitted in this life, by client account.
-    #[serde(rename = "u", default)]
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub spent: Vec<(AccountId, u64)>,
     /// Where it knows other instances to be.
-    #[serde(rename = "p", default)]
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<SocketAddr>,
 }
 
-/// What an instance has at one endpoint. The counters run from the start of its life.
+/// What an instance has seen of one endpoint. The counters run from the start of its life.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Load {
+pub struct Tally {
     /// The endpoint.
     #[serde(rename = "e")]
     pub endpoint: EndpointId,
-    /// Requests that it executes for the sender.
-    #[serde(rename = "r")]
-    pub running: u32,
     /// Requests that it answered well.
     #[serde(rename = "k")]
     pub good: u64,
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -69,7 +69,7 @@
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
     assert_eq!(a.assign(now).len(), 1);
-    b.hear(now, a.report(now));
+    b.hear(now, a.report(now, true));
     b.arrive(want(0, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + LOAD_TTL).len(), 1);
@@ -83,7 +83,7 @@
         let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
         a.arrive(want(rank_a, 100, now));
         b.arrive(want(rank_b, 100, now));
-        let (from_a, from_b) = (a.report(now), b.report(now));
+        let (from_a, from_b) = (a.report(now, true), b.report(now, true));
         a.hear(now, from_b);
         b.hear(now, from_a);
         let got = (a.assign(now).len(), b.assign(now).len());
@@ -97,7 +97,7 @@
     let endpoints = [endpoint(0, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
-    b.hear(now, a.report(now));
+    b.hear(now, a.report(now, true));
     b.arrive(want(1, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + CLAIM_TTL).len(), 1);
@@ -108,10 +108,10 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    let idle = a.report(now);
+    let idle = a.report(now, true);
     a.arrive(want(0, 100, now));
     a.assign(now);
-    assert!(b.hear(now, a.report(now)).is_some());
+    assert!(b.hear(now, a.report(now, true)).is_some());
     assert!(b.hear(now, idle).is_none());
     assert_eq!(b.load(now, "e0"), 1);
 }
@@ -155,9 +155,9 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 8), endpoint(2, 8)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    b.hear(now, a.report(now));
+    b.hear(now, a.report(now, true));
     (0..4).for_each(|_| a.judge(now, "e0", Outcome::Bad));
-    b.hear(now, a.report(now));
+    b.hear(now, a.report(now, true));
     let ticket = b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now), [(ticket, "e2".to_owned())]);
     assert_eq!(b.take_news().len(), 1);
@@ -215,8 +215,8 @@
         report
     };
     let drawn = |heard: Option<Vec<(_, u64)>>| heard.expect("news").first().map(|(_, u)| *u);
-    assert_eq!(drawn(b.hear(now, with(a.report(now), 1000))), Some(0));
-    assert_eq!(drawn(b.hear(now, with(a.report(now), 1200))), Some(200));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, true), 1000))), Some(0));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, true), 1200))), Some(200));
 }
 
 #[test]
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -96,18 +96,18 @@
                 beaten = Instant::now();
                 beats += 1;
             }
-            self.report(is_beat && beats % KNOCK == 1).await;
+            self.report(is_beat, is_beat && beats % KNOCK == 1).await;
             task::sleep(PACE).await;
         }
     }
 
-    async fn report(&self, knock: bool) {
+    async fn report(&self, is_beat: bool, knock: bool) {
         let now = Instant::now();
         let (report, known) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
             let known = self.known(&state, now, knock);
-            let mut report = state.cell.report(now);
+            let mut report = state.cell.report(now, is_beat);
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
