Split a large fleet into cells of at most 12 instances

Change: cells of equal parts of each zone's instances and endpoints, worked out alike by all; other cells get a short report four times a second. Services with few endpoints are shared by all cells. Open: calls to the store are now the largest price.

--- /dev/null
+++ b/oxbowbend-core/src/cell/groups.rs
@@ -0,0 +1,90 @@
+//! Which instances form a cell, and with which endpoints.
+//!
+//! Up to [`MAX_CELL`] instances are one cell with all endpoints. A larger fleet is split into cells of
+//! about that size: each gets an equal part of every availability zone's instances, and of every
+//! service's endpoints there. All instances work this out alike from the list of instances; while
+//! their lists differ, an endpoint may belong to two cells, and queues what both send.
+//!
+//! Members are ordered by a hash of their names and cut into equal parts, so that one that joins or
+//! leaves moves few others. What was traded: a cell whose callers send more than others' has no way
+//! to the others' endpoints.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{InstanceId, ServiceId, ZoneId};
+use crate::routes::Endpoint;
+
+/// Instances of a cell at most. Reports grow with its square: at 12 instances with ten requests a
+/// second each they take 0.5% of a core.
+pub const MAX_CELL: usize = 12;
+/// Endpoints of a service for each cell below which all cells share the service.
+const MIN_ENDPOINTS: usize = 2;
+
+/// The cell of one instance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Group {
+    /// Its other instances.
+    pub peers: BTreeSet<InstanceId>,
+    /// Its endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// How many cells there are.
+    pub cells: usize,
+}
+
+impl Group {
+    /// The cell of instance `me` in a fleet.
+    pub fn of(
+        me: &InstanceId,
+        members: &BTreeMap<InstanceId, ZoneId>,
+        endpoints: &[Endpoint],
+    ) -> Group {
+        let cells = members.len().div_ceil(MAX_CELL).max(1);
+        let mut cell_of = BTreeMap::new();
+        for names in by_zone(members).values() {
+            for (at, name) in names.iter().enumerate() {
+                cell_of.insert(*name, at * cells / names.len());
+            }
+        }
+        let mine = cell_of.get(me).copied().unwrap_or(0);
+        let peers = cell_of.iter().filter(|(name, cell)| **cell == mine && **name != me);
+        Group {
+            peers: peers.map(|(name, _)| (*name).clone()).collect(),
+            endpoints: endpoints_of(mine, cells, endpoints),
+            cells,
+        }
+    }
+}
+
+fn endpoints_of(mine: usize, cells: usize, endpoints: &[Endpoint]) -> Vec<Endpoint> {
+    let mut services: BTreeMap<&ServiceId, usize> = BTreeMap::new();
+    for endpoint in endpoints {
+        *services.entry(&endpoint.service).or_default() += 1;
+    }
+    let mut by_zone: BTreeMap<_, Vec<&Endpoint>> = BTreeMap::new();
+    for endpoint in endpoints {
+        by_zone.entry((&endpoint.service, &endpoint.zone)).or_default().push(endpoint);
+    }
+    let mut own = Vec::new();
+    for ((service, _), mut part) in by_zone {
+        part.sort_by_key(|e| xxh3_64(e.id.as_bytes()));
+        let is_shared = services[service] < cells * MIN_ENDPOINTS;
+        let len = part.len();
+        let of_cell = |(at, _): &(usize, &Endpoint)| is_shared || at * cells / len == mine;
+        own.extend(part.into_iter().enumerate().filter(of_cell).map(|(_, e)| e.clone()));
+    }
+    own
+}
+
+/// Members by availability zone, each ordered by a hash.
+fn by_zone(members: &BTreeMap<InstanceId, ZoneId>) -> BTreeMap<&ZoneId, Vec<&InstanceId>> {
+    let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (name, zone) in members {
+        zones.entry(zone).or_default().push(name);
+    }
+    for names in zones.values_mut() {
+        names.sort_by_key(|name| xxh3_64(name.as_bytes()));
+    }
+    zones
+}
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -9,6 +9,7 @@
 //! This stands in for the pool's [`crate::scheduler`] where slots are no promise of the endpoint.
 
 mod assign;
+mod groups;
 mod health;
 mod pace;
 mod report;
@@ -17,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 pub use assign::{Assignment, Order};
+pub use groups::{Group, MAX_CELL};
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
 
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use oxbowbend_core::cell::Report;
-use oxbowbend_core::ids::{AccountId, InstanceId};
+use oxbowbend_core::ids::{AccountId, InstanceId, ZoneId};
 use oxbowbend_core::quota::Window;
 use oxbowbend_http::h1;
 use rand::Rng;
@@ -138,20 +138,19 @@
 /// what the store holds, since its entry replaces that of its former life.
 pub(crate) async fn stay_entered<S: Store>(
     store: S,
-    name: InstanceId,
-    address: SocketAddr,
+    (name, zone, address): (InstanceId, ZoneId, SocketAddr),
     shared: Shared,
     door: Arc<h1::Door>,
 ) {
     let mut lease: Option<LeaseId> = None;
-    let mut told = Entry { address, used: Vec::new() };
+    let mut told = Entry { zone: zone.clone(), address, used: Vec::new() };
     let mut renewed = Instant::now();
     while !door.is_closing() {
         task::sleep(ENTRY_LOOK).await;
         if shared.table().is_none() {
             continue;
         }
-        let entry = Entry { address, used: windows(&shared, &name) };
+        let entry = Entry { zone: zone.clone(), address, used: windows(&shared, &name) };
         let result = match lease {
             None => store.enroll(&name, &entry, ENTRY_TTL).await,
             Some(id) if entry != told => store.update(&name, &entry, id).await.map(|()| id),
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -32,6 +32,8 @@
 const HEAD: usize = 64 * 1024;
 /// Upkeep: lapsed endpoints, claims of silent instances, gauges.
 const TICK: Duration = Duration::from_millis(25);
+/// Ticks between two looks at who belongs to the cell.
+const REGROUP: u32 = 20;
 /// Ticks between two sweeps of idle connections.
 const SWEEP: u32 = 80;
 
@@ -103,8 +105,13 @@
         observe::recorder();
         let life = rand::random();
         let cell = Cell::new(cfg.instance.clone(), cfg.zone.clone(), life);
-        let (shared, changed) =
-            Shared::new(cell, Quotas::new(cfg.quotas), Repeats::new(cfg.repeats));
+        let (shared, changed) = Shared::new(
+            cfg.instance.clone(),
+            cfg.zone.clone(),
+            cell,
+            Quotas::new(cfg.quotas),
+            Repeats::new(cfg.repeats),
+        );
         let door = Arc::new(h1::Door::default());
         let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
         let peers = Arc::new(peers::Peers {
@@ -142,9 +149,9 @@
 
         let parts = [Part::Config, Part::Endpoints];
         task::spawn(follow::run(store.clone(), wire, shared.clone(), parts));
-        let entry = (cfg.instance.clone(), cfg.peers);
+        let entry = (cfg.instance.clone(), cfg.zone.clone(), cfg.peers);
         task::spawn(follow::count_instances(store.clone(), shared.clone()));
-        task::spawn(follow::stay_entered(store, entry.0, entry.1, shared.clone(), door.clone()));
+        task::spawn(follow::stay_entered(store, entry, shared.clone(), door.clone()));
         task::spawn(peers.clone().speak(changed));
         task::spawn(peers.listen());
         task::spawn(keep_up(shared, pool, door.clone(), cfg.seeds.len()));
@@ -192,8 +199,10 @@
             let mut state = shared.lock();
             let news = state.world.expire(now);
             let heard = state.cell.heard(now);
-            let entered = state.world.instances().len();
-            state.instances = entered.max(heard + 1).max(seeds);
+            if tick % REGROUP == 0 {
+                state.regroup(now);
+            }
+            state.instances = state.instances.max(seeds);
             let share = (heard + 1) as f64 / state.instances as f64;
             state.quotas.set_share(share);
             (news, state.cell.waiting(), heard)
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -38,8 +38,10 @@
 /// Longest time between two reports. Three of them fit into the time after which an instance's
 /// waiting requests hold nobody else's back.
 const BEAT: Duration = Duration::from_millis(130);
-/// Share of beats that also go to addresses from which nothing is heard.
-const KNOCK: u64 = 4;
+/// Beats of which one also goes to addresses from which nothing is heard.
+const KNOCK: u64 = 8;
+/// Beats of which one also goes to other cells. Quotas bear what accounts use meanwhile.
+const FAR: u64 = 2;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question.
@@ -47,6 +49,27 @@
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
+/// Whom a report reaches.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reach {
+    /// The cell, with what changes often.
+    Cell,
+    /// The cell, with everything.
+    CellInFull,
+    /// Everybody who is heard.
+    Heard,
+    /// Everybody who should be there.
+    Everybody,
+}
+
+/// Where a report goes.
+struct Addresses {
+    /// The cell.
+    near: BTreeSet<SocketAddr>,
+    /// Others, who get a short report.
+    far: BTreeSet<SocketAddr>,
+}
+
 /// What one instance tells another that knows less.
 #[derive(Debug, Deserialize, Serialize)]
 struct Knowledge {
@@ -96,35 +119,51 @@
                 beaten = Instant::now();
                 beats += 1;
             }
-            self.report(is_beat, is_beat && beats % KNOCK == 1).await;
+            let reach = match beats {
+                _ if !is_beat => Reach::Cell,
+                n if n % KNOCK == 1 => Reach::Everybody,
+                n if n % FAR == 0 => Reach::Heard,
+                _ => Reach::CellInFull,
+            };
+            self.report(reach).await;
             task::sleep(PACE).await;
         }
     }
 
-    async fn report(&self, is_beat: bool, knock: bool) {
+    async fn report(&self, reach: Reach) {
         let now = Instant::now();
-        let (report, known) = {
+        let (report, addresses) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
-            let known = self.known(&state, now, knock);
-            let mut report = state.cell.report(now, is_beat);
+            let addresses = self.addresses(&state, now, reach);
+            let mut report = state.cell.report(now, reach != Reach::Cell);
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
             report.has_store = !state.world.is_store_away() && !self.door.is_closing();
             let spent = state.quotas.spent().filter(|(_, units)| *units > 0);
             report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
-            if knock {
-                report.peers = known.iter().copied().collect();
-            }
-            (report, known)
+            (report, addresses)
         };
+        let Addresses { near, far } = addresses;
+        if !far.is_empty() {
+            // Other cells need no more than versions and what accounts have spent.
+            let (loads, tallies, claims) = Default::default();
+            let is_wide = reach == Reach::Everybody;
+            let peers = if is_wide { near.iter().copied().collect() } else { Vec::new() };
+            let short = Report { loads, tallies, claims, peers, ..report.clone() };
+            self.send(&short, &far).await;
+        }
+        self.send(&report, &near).await;
+    }
+
+    async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
         let notification = Notification::new(Cow::Borrowed(REPORT), report);
         let datagram = match serde_json::to_vec(&notification) {
             Ok(datagram) => datagram,
             Err(e) => return log::error!("event=report_not_written error=\"{e}\""),
         };
-        for address in known {
+        for address in addresses {
             observe::reported("out", datagram.len());
             if let Err(e) = self.socket.send_to(&datagram, address).await {
                 log::debug!("event=report_not_sent address={address} error=\"{e}\"");
@@ -132,18 +171,28 @@
         }
     }
 
-    /// Where to report: everybody who is heard, and now and then everybody who should be there.
-    fn known(&self, state: &crate::shared::State, now: Instant, all: bool) -> BTreeSet<SocketAddr> {
-        let heard = state.cell.live_reports(now);
-        let mut known: BTreeSet<_> = heard.filter_map(|r| r.address).collect();
-        if all || known.is_empty() {
-            known.extend(&self.seeds);
-            known.extend(state.world.instances().values().map(|e| e.address));
-            let told = state.cell.live_reports(now).flat_map(|r| &r.peers);
-            known.extend(told);
+    /// Where to report: the cell always, all who are heard less often, and now and then everybody
+    /// who should be there.
+    fn addresses(&self, state: &crate::shared::State, now: Instant, reach: Reach) -> Addresses {
+        let mut near = BTreeSet::new();
+        let mut far = BTreeSet::new();
+        for report in state.cell.live_reports(now) {
+            let Some(address) = report.address else { continue };
+            if state.group.peers.contains(&report.instance) {
+                near.insert(address);
+            } else if matches!(reach, Reach::Heard | Reach::Everybody) {
+                far.insert(address);
+            }
+        }
+        if reach == Reach::Everybody || (near.is_empty() && far.is_empty()) {
+            far.extend(&self.seeds);
+            far.extend(state.world.instances().values().map(|e| e.address));
+            far.extend(state.cell.live_reports(now).flat_map(|r| &r.peers));
+            far.retain(|address| !near.contains(address));
         }
-        known.remove(&self.address);
-        known
+        far.remove(&self.address);
+        near.remove(&self.address);
+        Addresses { near, far }
     }
 
     /// Takes in the others' reports.
@@ -253,10 +302,11 @@
     fn of(shared: &Shared, me: &InstanceId, address: SocketAddr) -> Knowledge {
         let mut state = shared.lock();
         let used = state.quotas.windows(Instant::now());
+        let zone = state.zone.clone();
         let world = &state.world;
         let others = world.instances().iter().filter(|(name, _)| *name != me);
         let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
-        instances.push((me.clone(), Entry { address, used }));
+        instances.push((me.clone(), Entry { zone, address, used }));
         Knowledge {
             revision: if world.is_loaded() { world.revision() } else { 0 },
             document: String::from_utf8_lossy(world.document()).into_owned(),
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
-use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId};
+use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::quota::Window;
 use oxbowbend_core::routes::{Endpoint, Table};
 use thiserror::Error;
@@ -95,6 +95,8 @@
 /// How an instance enters itself in the store.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Entry {
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Where other instances reach it.
     pub address: SocketAddr,
     /// What client accounts have used of their quotas, if it is on this instance to note that.
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -1,13 +1,13 @@
 //! State that the parts of a gateway share, behind one lock that is never held across a wait.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use async_std::channel;
 use futures::channel::oneshot;
-use oxbowbend_core::cell::{Assignment, Cell, Outcome, Report, Ticket, Want};
-use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want};
+use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::quota::Quotas;
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
@@ -21,12 +21,43 @@
     pub(crate) quotas: Quotas,
     pub(crate) repeats: Repeats,
     waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
+    /// This instance's cell.
+    pub(crate) group: Group,
+    me: InstanceId,
+    pub(crate) zone: ZoneId,
     /// Whether the quotas have started from what was noted before.
     is_restored: bool,
     /// Number of instances that the fleet has, as far as is known.
     pub(crate) instances: usize,
 }
 
+impl State {
+    /// Works out this instance's cell from what is known of the fleet.
+    pub(crate) fn regroup(&mut self, now: Instant) {
+        let mut members: BTreeMap<_, _> = BTreeMap::from([(self.me.clone(), self.zone.clone())]);
+        let entered = self.world.instances().iter();
+        members.extend(entered.map(|(name, e)| (name.clone(), e.zone.clone())));
+        let heard = self.cell.live_reports(now);
+        members.extend(heard.map(|r| (r.instance.clone(), r.zone.clone())));
+        let endpoints: Vec<_> = self.world.endpoints().cloned().collect();
+        let group = Group::of(&self.me, &members, &endpoints);
+        if group.peers != self.group.peers || group.cells != self.group.cells {
+            log::info!(
+                "event=cell cells={} peers={} endpoints={} instances={}",
+                group.cells,
+                group.peers.len(),
+                group.endpoints.len(),
+                members.len()
+            );
+        }
+        self.instances = members.len();
+        if group.endpoints != self.group.endpoints {
+            self.cell.set_endpoints(group.endpoints.iter().cloned());
+        }
+        self.group = group;
+    }
+}
+
 /// The shared state with its signals; clones share it.
 #[derive(Clone)]
 pub(crate) struct Shared {
@@ -37,6 +68,8 @@
 impl Shared {
     /// Wraps the parts. The receiver tells that something should be reported to other instances.
     pub(crate) fn new(
+        me: InstanceId,
+        zone: ZoneId,
         cell: Cell,
         quotas: Quotas,
         repeats: Repeats,
@@ -48,6 +81,9 @@
             quotas,
             repeats,
             waiters: HashMap::new(),
+            group: Group::default(),
+            me,
+            zone,
             is_restored: false,
             instances: 1,
         };
@@ -73,7 +109,7 @@
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
-        let State { world, cell, quotas, is_restored, .. } = &mut *state;
+        let State { world, quotas, is_restored, .. } = &mut *state;
         let revision = world.revision();
         for item in news {
             log_news(item, revision, source);
@@ -92,7 +128,7 @@
             }
         }
         if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
-            cell.set_endpoints(world.endpoints().cloned());
+            state.regroup(now);
         }
         drop(state);
         if !news.is_empty() {
