Tell accounts' units with beats only, and gather the store's changes

Change: after a change the next ones are asked for 40 ms later for each instance, at most 0.7 s; units of accounts go with beats, whose counters go on from the first full report.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -108,6 +108,10 @@
     heard: Instant,
     /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
     counted: HashMap<EndpointId, (u64, u64)>,
+    /// Whether a full report was heard, which the counters go on from.
+    is_counted: bool,
+    /// Units told to be admitted so far, by account. Frequent reports leave them out.
+    spent: HashMap<crate::ids::AccountId, u64>,
     /// The paces told last.
     paces: HashMap<EndpointId, pace::Pace>,
 }
@@ -184,15 +188,15 @@
             self.peers.extend(before.take().map(|b| (report.instance.clone(), b)));
             return None;
         }
-        let is_first = before.is_none();
-        let (spent_before, mut counted, mut paces) =
-            before.map(|b| (b.report.spent, b.counted, b.paces)).unwrap_or_default();
+        let mut peer = before.unwrap_or_else(|| Peer::new(now));
+        let is_first = !peer.is_counted;
+        peer.is_counted |= report.in_full;
         for tally in &report.tallies {
             let told = (tally.good, tally.bad);
             let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
-            paces.insert(tally.endpoint.clone(), pace);
+            peer.paces.insert(tally.endpoint.clone(), pace);
             // What a new acquaintance has counted so far is not of now.
-            let old = counted.insert(tally.endpoint.clone(), told);
+            let old = peer.counted.insert(tally.endpoint.clone(), told);
             let old = old.unwrap_or(if is_first { told } else { (0, 0) });
             if let Some(site) = self.sites.get_mut(&tally.endpoint) {
                 let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
@@ -200,12 +204,13 @@
             }
         }
         let spent = report.spent.iter().map(|(account, units)| {
-            let old = spent_before.iter().find(|(a, _)| a == account);
-            let unheard = if is_first { *units } else { 0 };
-            (account.clone(), units.saturating_sub(old.map_or(unheard, |(_, u)| *u)))
+            let old = peer.spent.insert(account.clone(), *units);
+            let old = old.unwrap_or(if is_first { *units } else { 0 });
+            (account.clone(), units.saturating_sub(old))
         });
         let spent = spent.collect();
-        self.peers.insert(report.instance.clone(), Peer { report, heard: now, counted, paces });
+        (peer.report, peer.heard) = (report, now);
+        self.peers.insert(peer.report.instance.clone(), peer);
         Some(spent)
     }
 
@@ -238,6 +243,7 @@
             zone: self.zone.clone(),
             life: self.life,
             number: self.number,
+            in_full,
             loads,
             tallies,
             claims: claims.collect(),
@@ -345,6 +351,17 @@
 }
 
 impl Peer {
+    fn new(now: Instant) -> Peer {
+        Peer {
+            report: Report::default(),
+            heard: now,
+            counted: HashMap::new(),
+            is_counted: false,
+            spent: HashMap::new(),
+            paces: HashMap::new(),
+        }
+    }
+
     fn is_live(&self, now: Instant, ttl: Duration) -> bool {
         now.saturating_duration_since(self.heard) < ttl
     }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -37,6 +37,9 @@
     /// Requests that endpoints execute for it; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<(EndpointId, u32)>,
+    /// Whether the counters, of endpoints and accounts, are told too.
+    #[serde(rename = "f", default)]
+    pub in_full: bool,
     /// What it has seen of endpoints that it used lately. Told now and then only.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tallies: Vec<Tally>,
--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -32,7 +32,7 @@
 const PARTS: u32 = 32;
 /// Part of what is tolerated beyond the limit that is used where an instance hears only some of
 /// the others; the rest covers reports on their way.
-const TOLERANCE_SHARE: f64 = 0.8;
+const TOLERANCE_SHARE: f64 = 0.7;
 
 /// Units that an account has used in each of the last seconds, the newest first.
 pub type Window = Vec<u64>;
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -237,3 +237,18 @@
     assert_eq!(placed(&mut cell, now).len(), 0);
     assert_eq!(placed(&mut cell, now + 510 * MS)[0].1, "e0");
 }
+
+#[test]
+fn counters_go_on_from_the_first_full_report() {
+    let now = Instant::now();
+    let endpoints = [endpoint(0, 1), endpoint(2, 1)];
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
+    b.hear(now, a.report(now, false));
+    let mut full = a.report(now, true);
+    full.spent = vec![("acc".into(), 1000)];
+    let drawn = b.hear(now, full).expect("news");
+    assert_eq!(drawn[0].1, 0);
+    b.assign(now);
+    assert_eq!(b.take_news(), []);
+}
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -35,8 +35,8 @@
     }
     for t in &times {
         let n = times.iter().filter(|u| *u >= t && **u < *t + BOUNDS.window).count();
-        // 900, a tenth and 100 are tolerated, and eight tenths of that are used.
-        assert!(n <= 1052, "{n} in a window");
+        // 900, a tenth and 100 are tolerated, and seven tenths of that are used.
+        assert!(n <= 1033, "{n} in a window");
     }
     // Nearly all of what five windows allow is used.
     assert!(times.len() > 4300, "{}", times.len());
@@ -46,20 +46,20 @@
 fn a_start_goes_on_from_the_note() {
     let now = Instant::now() + 20 * S;
     for (window, room) in [
-        (vec![], 1052),
-        (vec![0, 500], 552),
+        (vec![], 1033),
+        (vec![0, 500], 533),
         // What came since the note is taken to have gone on like the last second: 0.6 of it.
-        (vec![100, 400], 492),
-        (vec![1000, 52], 0),
+        (vec![100, 400], 473),
+        (vec![1000, 33], 0),
     ] {
         let mut fresh = quotas();
         fresh.restore(now, "a", &window);
         assert_eq!(admitted(&mut fresh, now), room, "{window:?}");
     }
     let mut fresh = quotas();
-    fresh.restore(now, "a", &[0, 0, 0, 0, 0, 0, 0, 1052]);
+    fresh.restore(now, "a", &[0, 0, 0, 0, 0, 0, 0, 1033]);
     assert_eq!(admitted(&mut fresh, now), 0);
-    assert_eq!(admitted(&mut fresh, now + 2 * S), 1052);
+    assert_eq!(admitted(&mut fresh, now + 2 * S), 1033);
 }
 
 #[test]
@@ -68,7 +68,7 @@
     let now = start + 9 * S;
     let mut quotas = quotas();
     quotas.draw(now, "a", 800.0);
-    assert_eq!(admitted(&mut quotas, now), 252);
+    assert_eq!(admitted(&mut quotas, now), 233);
 }
 
 #[test]
@@ -94,10 +94,10 @@
     let start = Instant::now();
     let now = start + 9 * S;
     let mut quotas = quotas();
-    assert!(quotas.admit(now, "a", 1052).is_ok());
+    assert!(quotas.admit(now, "a", 1033).is_ok());
     assert!(quotas.admit(now, "a", 1).is_err());
-    quotas.give_back("a", 1052);
-    assert!(quotas.admit(now, "a", 1052).is_ok());
+    quotas.give_back("a", 1033);
+    assert!(quotas.admit(now, "a", 1033).is_ok());
 }
 
 #[test]
@@ -105,7 +105,7 @@
     let start = Instant::now();
     let now = start + 9 * S;
     let mut quotas = quotas();
-    quotas.admit(now, "a", 1052).expect("the window is empty");
+    quotas.admit(now, "a", 1033).expect("the window is empty");
     let wait = quotas.admit(now + S, "a", 1).expect_err("the window is full");
     assert!(wait > 7 * S && wait < 8 * S, "{wait:?}");
     assert!(quotas.admit(now + S + wait, "a", 1).is_ok());
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -25,9 +25,10 @@
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1000));
 /// Time for which this instance's entry outlives it. Its absence only makes quotas narrower.
 const ENTRY_TTL: Duration = Duration::from_secs(9);
-/// Time after a change before the next ones are asked for. Changes come in groups, and each call
-/// costs the users.
-const GATHER: Duration = Duration::from_millis(60);
+/// Time after a change before the next ones are asked for, for each instance of the fleet, and the
+/// longest such time. Changes come in groups, and each one that is told alone costs the users a call
+/// of every instance. The operators' bounds are 2 s and more.
+const GATHER: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(700));
 /// How often it is looked whether the entry must change. What accounts use meanwhile is not known
 /// to a restarted fleet; [`oxbowbend_core::quota`] counts on it.
 const ENTRY_LOOK: Duration = Duration::from_millis(400);
@@ -96,7 +97,8 @@
                     let is_news = !changes.records.is_empty();
                     take(&self.shared, &self.wire, Some(part), changes);
                     if is_news {
-                        task::sleep(GATHER).await;
+                        let instances = self.shared.lock().instances as u32;
+                        task::sleep((GATHER.0 * instances).min(GATHER.1)).await;
                     }
                 }
                 Err(e) => {
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -34,14 +34,14 @@
 /// Method that asks for configuration and endpoints.
 const SNAPSHOT: &str = "snapshot";
 /// Shortest time between two reports. What changes meanwhile goes into the next one.
-const PACE: Duration = Duration::from_millis(4);
+const PACE: Duration = Duration::from_millis(5);
 /// Longest time between two reports. Three of them fit into the time after which an instance's
 /// waiting requests hold nobody else's back.
 const BEAT: Duration = Duration::from_millis(130);
 /// Beats of which one also goes to addresses from which nothing is heard.
 const KNOCK: u64 = 8;
 /// Beats of which one also goes to other cells. Quotas bear what accounts use meanwhile.
-const FAR: u64 = 2;
+const FAR: u64 = 3;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question.
@@ -141,7 +141,8 @@
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
             report.has_store = !state.world.is_store_away() && !self.door.is_closing();
-            let spent = state.quotas.spent().filter(|(_, units)| *units > 0);
+            let spent = state.quotas.spent();
+            let spent = spent.filter(|(_, units)| *units > 0 && reach != Reach::Cell);
             report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
             (report, addresses)
         };
