--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -14,8 +14,9 @@
 use oxbowbend_http::h1;
 use rand::Rng;
 
+use crate::entry;
 use crate::observe;
-use crate::seam::{Entry, LeaseId, Part, Revision, Snapshot, Store, StoreError, Wire};
+use crate::seam::{Entry, Part, Revision, Snapshot, Store, StoreError, Wire};
 use crate::shared::Shared;
 
 /// Time for which one watch waits. A call costs the users as much as any other one, so this trades
@@ -23,8 +24,6 @@
 const WATCH: Duration = Duration::from_secs(12);
 /// First pause after a failed call, and the longest one.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1000));
-/// Time for which this instance's entry outlives it. Its absence only makes quotas narrower.
-const ENTRY_TTL: Duration = Duration::from_secs(9);
 /// Time after a change before the next ones are asked for, for each instance of the fleet, and the
 /// longest such time. Changes come in groups, and each one that is told alone costs the users a call
 /// of every instance. The operators' bounds are 2 s and more.
@@ -32,8 +31,6 @@
 /// How often it is looked whether the entry must change. What accounts use meanwhile is not known
 /// to a restarted fleet; [`oxbowbend_core::quota`] counts on it.
 const ENTRY_LOOK: Duration = Duration::from_millis(400);
-/// Time between two renewals: two may be lost.
-const RENEW: Duration = Duration::from_secs(3);
 
 /// Follows the store for ever: reads everything, then follows each part until one has lost track.
 pub(crate) async fn run<S: Store, W: Wire>(store: S, wire: W, shared: Shared, parts: [Part; 2]) {
@@ -144,39 +141,39 @@
     shared: Shared,
     door: Arc<h1::Door>,
 ) {
-    let mut lease: Option<LeaseId> = None;
-    let mut told = Entry { zone: zone.clone(), address, used: Vec::new() };
-    let mut renewed = Instant::now();
+    let mut upkeep = entry::Upkeep::default();
     while !door.is_closing() {
         task::sleep(ENTRY_LOOK).await;
         if shared.table().is_none() {
             continue;
         }
-        let entry = Entry { zone: zone.clone(), address, used: windows(&shared, &name) };
-        let result = match lease {
-            None => store.enroll(&name, &entry, ENTRY_TTL).await,
-            Some(id) if entry != told => store.update(&name, &entry, id).await.map(|()| id),
-            Some(id) if renewed.elapsed() >= RENEW => store.renew(id).await.map(|()| id),
-            Some(_) => continue,
+        let used = windows(&shared, &name);
+        let entry = Entry { zone: zone.clone(), address, used };
+        let began = Instant::now();
+        let Some(step) = upkeep.due(began, &entry) else { continue };
+        let result = match step {
+            entry::Step::Enroll => store.enroll(&name, &entry, entry::TTL).await,
+            entry::Step::Renew(id) => store.renew(id).await.map(|()| id),
+            entry::Step::Update(id) => store.update(&name, &entry, id).await.map(|()| id),
         };
         match result {
             Ok(id) => {
-                (told, renewed) = (entry, Instant::now());
-                if lease.replace(id).is_none() {
+                if step == entry::Step::Enroll {
                     log::info!("event=entered instance={name} lease={id}");
                 }
+                upkeep.done(began, step, id, entry);
             }
             Err(StoreError::Condition) => {
                 log::warn!("event=entry_lost instance={name}");
-                lease = None;
+                upkeep.lost();
             }
             Err(e) => {
-                log::debug!("event=renewal_failed instance={name} error=\"{e}\"");
+                log::debug!("event=entry_not_kept instance={name} step={step:?} error=\"{e}\"");
                 task::sleep(PAUSE.1).await;
             }
         }
     }
-    if let Some(id) = lease {
+    if let Some(id) = upkeep.lease() {
         if let Err(e) = store.retire(id).await {
             log::warn!("event=entry_not_removed instance={name} error=\"{e}\"");
         }
@@ -199,7 +196,7 @@
 /// this tells of those that are not.
 pub(crate) async fn count_instances<S: Store>(store: S, shared: Shared) {
     loop {
-        task::sleep(RENEW).await;
+        task::sleep(entry::RENEW).await;
         match store.instances().await {
             Ok(records) => shared.lock().world.set_instances(records),
             Err(e) => log::debug!("event=instances_not_read error=\"{e}\""),
--- /dev/null
+++ b/oxbowbend-gateway/tests/entry.rs
@@ -0,0 +1,51 @@
+//! The upkeep of an instance's entry.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_gateway::entry::{Step, Upkeep, TTL};
+use oxbowbend_gateway::seam::Entry;
+
+fn entry(units: u64) -> Entry {
+    let address = ([10, 0, 0, 1], 7600).into();
+    Entry { zone: "z".into(), address, used: vec![("a".into(), vec![units])] }
+}
+
+/// A lease that is not renewed ends, however often the entry changes; the note of accounts' windows
+/// goes with it (kalemdar-tutanak, hunt-884d-7).
+#[test]
+fn an_entry_that_always_changes_keeps_its_lease() {
+    let start = Instant::now();
+    let mut upkeep = Upkeep::default();
+    let mut renewed = start;
+    let mut written = 0;
+    for look in 0..100 {
+        let now = start + Duration::from_millis(400) * look;
+        let entry = entry(look.into());
+        match upkeep.due(now, &entry) {
+            Some(step @ (Step::Enroll | Step::Renew(_))) => {
+                renewed = now;
+                upkeep.done(now, step, 7, entry);
+            }
+            Some(step) => {
+                written += 1;
+                upkeep.done(now, step, 7, entry);
+            }
+            None => {}
+        }
+        assert!(now - renewed < TTL, "the lease ends at look {look}");
+    }
+    assert!(written > 80, "{written} changes were written");
+}
+
+#[test]
+fn steps_follow_from_what_was_done() {
+    let now = Instant::now();
+    let mut upkeep = Upkeep::default();
+    assert_eq!(upkeep.due(now, &entry(1)), Some(Step::Enroll));
+    upkeep.done(now, Step::Enroll, 7, entry(1));
+    assert_eq!(upkeep.due(now, &entry(1)), None);
+    assert_eq!(upkeep.due(now, &entry(2)), Some(Step::Update(7)));
+    assert_eq!(upkeep.due(now + TTL, &entry(1)), Some(Step::Renew(7)));
+    upkeep.lost();
+    assert_eq!(upkeep.due(now, &entry(1)), Some(Step::Enroll));
+}
