--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -20,8 +20,10 @@
 use crate::shared::Shared;
 
 /// Time for which one watch waits. A call costs the users as much as any other one, so this trades
-/// seven calls a minute and a half against noticing a watch that hangs.
-const WATCH: Duration = Duration::from_secs(12);
+/// three calls a minute against noticing a watch that hangs.
+const WATCH: Duration = Duration::from_secs(20);
+/// How often a follower that waits for the store's return looks for it.
+const AWAY_LOOK: Duration = Duration::from_millis(100);
 /// First pause after a failed call, and the longest one.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1000));
 /// Time after a change before the next ones are asked for, for each instance of the fleet, and the
@@ -100,10 +102,14 @@
                 }
                 Err(e) => {
                     self.failed("changes", &e);
-                    backoff.wait().await;
                     if e == StoreError::Compacted {
                         return;
                     }
+                    backoff.wait().await;
+                    // One follower tries a store that is away; the other waits for its success.
+                    while part != Part::Config && self.shared.lock().world.is_store_away() {
+                        task::sleep(AWAY_LOOK).await;
+                    }
                 }
             }
         }
@@ -144,7 +150,8 @@
     let mut upkeep = entry::Upkeep::default();
     while !door.is_closing() {
         task::sleep(ENTRY_LOOK).await;
-        if shared.table().is_none() {
+        // While the store is away the followers try it; more callers would only cost.
+        if shared.table().is_none() || shared.lock().world.is_store_away() {
             continue;
         }
         let used = windows(&shared, &name);
@@ -197,6 +204,9 @@
 pub(crate) async fn count_instances<S: Store>(store: S, shared: Shared) {
     loop {
         task::sleep(entry::RENEW).await;
+        if shared.lock().world.is_store_away() {
+            continue;
+        }
         match store.instances().await {
             Ok(records) => shared.lock().world.set_instances(records),
             Err(e) => log::debug!("event=instances_not_read error=\"{e}\""),
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -41,7 +41,7 @@
 /// Beats of which one also goes to addresses from which nothing is heard.
 const KNOCK: u64 = 8;
 /// Beats of which one also goes to other cells. Quotas bear what accounts use meanwhile.
-const FAR: u64 = 3;
+const FAR: u64 = 4;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question.
