Note paces for later lives; let small requests try unknown endpoints

Change: paces are noted beside the windows; an unknown endpoint counts three times the usual, but is tried first by requests that would be in time even so.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -17,6 +17,14 @@
 /// Part of the objective that must be left for a request to wait for a place where it holds nobody
 /// up. With less, its own time goes before the others' pauses.
 const PATIENT_SHARE: f64 = 0.5;
+/// How much slower than the usual an endpoint may be of which nothing is known. Engines at the users'
+/// sites differ by 3.0 to 0.68.
+const UNKNOWN_TIMES: f64 = 3.0;
+/// Part of the usual at which such an endpoint is taken for a request that would be in time even if
+/// it were so slow: it is tried first, by those whom that costs nothing.
+const TRY_TIMES: f64 = 0.9;
+/// Part of the time left within which that is so.
+const TRY_SHARE: f64 = 0.5;
 /// Nanoseconds for a unit of work where nothing has been measured: 50 tokens in a millisecond.
 const UNKNOWN_NS: f64 = 20_000.0;
 
@@ -65,6 +73,8 @@
     load: u32,
     room: u32,
     ns: f64,
+    /// Whether the pace is only a guess.
+    is_guess: bool,
 }
 
 impl Cell {
@@ -150,8 +160,9 @@
         };
         open.map(|s| {
             let (load, room) = place(s);
-            let ns = paces.get(&s.endpoint.id).copied().unwrap_or(usual);
-            Place { endpoint: &s.endpoint, load, room, ns }
+            let known = paces.get(&s.endpoint.id).copied();
+            let (ns, is_guess) = (known.unwrap_or(usual), known.is_none());
+            Place { endpoint: &s.endpoint, load, room, ns, is_guess }
         })
         .collect()
     }
@@ -195,7 +206,7 @@
     let is_patient = left > candidate.objective.mul_f64(PATIENT_SHARE)
         && places.iter().any(|p| fits(p) && !stalls(p, candidate, 1));
     let free = places.iter_mut().filter(|p| p.room > 0 && fits(p));
-    let best = free.min_by_key(|p| (stalls(p, candidate, p.load), cost(p, candidate)))?;
+    let best = free.min_by_key(|p| (stalls(p, candidate, p.load), cost(p, candidate, left)))?;
     let expected = first(best, candidate);
     if expected > left && in_time || is_patient && stalls(best, candidate, best.load) {
         return None;
@@ -218,9 +229,15 @@
     Duration::from_nanos((place.ns * units * crowd) as u64)
 }
 
-fn cost(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
+fn cost(place: &Place<'_>, candidate: &Candidate<'_>, left: Duration) -> Duration {
     let zone = if place.endpoint.zone == *candidate.zone { Duration::ZERO } else { OTHER_ZONE };
-    first(place, candidate) + zone
+    let first = first(place, candidate);
+    if !place.is_guess {
+        return first + zone;
+    }
+    let at_worst = first.mul_f64(UNKNOWN_TIMES);
+    let is_harmless = at_worst <= left.mul_f64(TRY_SHARE);
+    zone + if is_harmless { first.mul_f64(TRY_TIMES) } else { at_worst }
 }
 
 /// The middle of what has been measured, for endpoints that have not been.
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -37,6 +37,9 @@
 /// counters get through in spite of losses.
 const MENTION: Duration = Duration::from_secs(3);
 
+/// Measurements for which a noted pace counts, so that new ones soon outweigh it.
+const NOTED_SAMPLES: u32 = 3;
+
 /// Number of a waiting or running request at this instance.
 pub type Ticket = u64;
 
@@ -315,6 +318,21 @@
         site.health.note(now, good, bad);
     }
 
+    /// The paces of all endpoints that are known, to note for later lives.
+    pub fn known_paces(&self, now: Instant) -> Vec<(EndpointId, u64)> {
+        let mut paces: Vec<_> = self.paces(now).into_iter().map(|(e, ns)| (e, ns as u64)).collect();
+        paces.sort();
+        paces
+    }
+
+    /// Starts from a pace that an earlier life noted, unless there is a measurement.
+    pub fn restore_pace(&mut self, endpoint: &str, ns_per_unit: u64) {
+        let site = self.sites.get_mut(endpoint).filter(|s| s.pace.as_parts().1 == 0);
+        if let Some(site) = site {
+            site.pace = pace::Pace::reported(ns_per_unit, NOTED_SAMPLES);
+        }
+    }
+
     /// What was newly believed of endpoints since the last call.
     pub fn take_news(&mut self) -> Vec<SetAside> {
         std::mem::take(&mut self.news)
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -252,3 +252,28 @@
     b.assign(now);
     assert_eq!(b.take_news(), []);
 }
+
+#[test]
+fn an_unknown_endpoint_is_tried_by_those_whom_it_costs_nothing() {
+    let now = Instant::now();
+    let endpoints = [endpoint(0, 4), endpoint(2, 4)];
+    // Of 500 ms: 400 units at 50 us take 20 ms, and 60 at the worst; 5,000 take 250 and 750.
+    for (prompt, expected) in [(100, "e2"), (4700, "e0")] {
+        let mut cell = cell("a", &endpoints);
+        (0..10).for_each(|_| cell.began("e0", 700, 50 * MS));
+        cell.arrive(want(0, prompt, now));
+        assert_eq!(placed(&mut cell, now)[0].1, expected, "{prompt} tokens");
+    }
+}
+
+#[test]
+fn a_noted_pace_is_taken_until_there_is_a_measurement() {
+    let now = Instant::now();
+    let mut old = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
+    old.began("e0", 700, 90 * MS);
+    old.began("e2", 700, 30 * MS);
+    let mut fresh = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
+    fresh.began("e2", 700, 20 * MS);
+    old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(e, *ns));
+    assert_eq!(fresh.known_paces(now), [("e0".into(), 90_000), ("e2".into(), 20_000)]);
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -9,12 +9,11 @@
 
 use async_std::task;
 use oxbowbend_core::cell::Report;
-use oxbowbend_core::ids::{AccountId, InstanceId, ZoneId};
-use oxbowbend_core::quota::Window;
+use oxbowbend_core::ids::{InstanceId, ZoneId};
 use oxbowbend_http::h1;
 use rand::Rng;
 
-use crate::entry;
+use crate::entry::{Step, Upkeep, RENEW, TTL};
 use crate::observe;
 use crate::seam::{Entry, Part, Revision, Snapshot, Store, StoreError, Wire};
 use crate::shared::Shared;
@@ -147,25 +146,24 @@
     shared: Shared,
     door: Arc<h1::Door>,
 ) {
-    let mut upkeep = entry::Upkeep::default();
+    let mut upkeep = Upkeep::default();
     while !door.is_closing() {
         task::sleep(ENTRY_LOOK).await;
         // While the store is away the followers try it; more callers would only cost.
         if shared.table().is_none() || shared.lock().world.is_store_away() {
             continue;
         }
-        let used = windows(&shared, &name);
-        let entry = Entry { zone: zone.clone(), address, used };
+        let entry = entry(&shared, &name, &zone, address);
         let began = Instant::now();
         let Some(step) = upkeep.due(began, &entry) else { continue };
         let result = match step {
-            entry::Step::Enroll => store.enroll(&name, &entry, entry::TTL).await,
-            entry::Step::Renew(id) => store.renew(id).await.map(|()| id),
-            entry::Step::Update(id) => store.update(&name, &entry, id).await.map(|()| id),
+            Step::Enroll => store.enroll(&name, &entry, TTL).await,
+            Step::Renew(id) => store.renew(id).await.map(|()| id),
+            Step::Update(id) => store.update(&name, &entry, id).await.map(|()| id),
         };
         match result {
             Ok(id) => {
-                if step == entry::Step::Enroll {
+                if step == Step::Enroll {
                     log::info!("event=entered instance={name} lease={id}");
                 }
                 upkeep.done(began, step, id, entry);
@@ -187,23 +185,25 @@
     }
 }
 
-/// What accounts have used, if it is on this instance to note that: the first one that reaches the
-/// store, of those that hear each other.
-fn windows(shared: &Shared, me: &InstanceId) -> Vec<(AccountId, Window)> {
+/// This instance's entry. The first one that reaches the store, of those that hear each other, notes
+/// what later lives start from.
+fn entry(shared: &Shared, me: &InstanceId, zone: &ZoneId, address: SocketAddr) -> Entry {
     let now = Instant::now();
     let mut state = shared.lock();
     let is_before = |r: &Report| r.instance < *me && r.has_store;
-    if state.cell.live_reports(now).any(is_before) {
-        return Vec::new();
+    let (mut used, mut paces) = (Vec::new(), Vec::new());
+    if !state.cell.live_reports(now).any(is_before) {
+        used = state.quotas.windows(now);
+        paces = state.cell.known_paces(now);
     }
-    state.quotas.windows(now)
+    Entry { zone: zone.clone(), address, paces, used }
 }
 
 /// Reads now and then which instances there are. Their reports tell sooner of those that are heard;
 /// this tells of those that are not.
 pub(crate) async fn count_instances<S: Store>(store: S, shared: Shared) {
     loop {
-        task::sleep(entry::RENEW).await;
+        task::sleep(RENEW).await;
         if shared.lock().world.is_store_away() {
             continue;
         }
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -303,11 +303,12 @@
     fn of(shared: &Shared, me: &InstanceId, address: SocketAddr) -> Knowledge {
         let mut state = shared.lock();
         let used = state.quotas.windows(Instant::now());
+        let paces = state.cell.known_paces(Instant::now());
         let zone = state.zone.clone();
         let world = &state.world;
         let others = world.instances().iter().filter(|(name, _)| *name != me);
         let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
-        instances.push((me.clone(), Entry { zone, address, used }));
+        instances.push((me.clone(), Entry { zone, address, paces, used }));
         Knowledge {
             revision: if world.is_loaded() { world.revision() } else { 0 },
             document: String::from_utf8_lossy(world.document()).into_owned(),
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -99,7 +99,11 @@
     pub zone: ZoneId,
     /// Where other instances reach it.
     pub address: SocketAddr,
-    /// What client accounts have used of their quotas, if it is on this instance to note that.
+    /// Nanoseconds that endpoints take for a unit of work, if it is on this instance to note what
+    /// later lives start from.
+    #[serde(default)]
+    pub paces: Vec<(EndpointId, u64)>,
+    /// What client accounts have used of their quotas, likewise.
     #[serde(default)]
     pub used: Vec<(AccountId, Window)>,
 }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -58,6 +58,20 @@
     }
 }
 
+impl State {
+    /// Starts from the paces that were noted before.
+    fn restore_paces(&mut self) {
+        let State { world, cell, .. } = self;
+        let noted = world.instances().values().flat_map(|e| &e.paces);
+        let mut n = 0;
+        for (endpoint, ns) in noted {
+            cell.restore_pace(endpoint, *ns);
+            n += 1;
+        }
+        log::info!("event=paces_restored endpoints={n}");
+    }
+}
+
 /// The shared state with its signals; clones share it.
 #[derive(Clone)]
 pub(crate) struct Shared {
@@ -120,7 +134,8 @@
                 quotas.set(limited);
             }
         }
-        if !*is_restored && world.is_loaded() {
+        let is_start = !*is_restored && world.is_loaded();
+        if is_start {
             *is_restored = true;
             for (account, window) in world.instances().values().flat_map(|e| &e.used) {
                 log::info!("event=window_restored account={account} units={window:?}");
@@ -129,6 +144,9 @@
         }
         if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
             state.regroup(now);
+            if is_start {
+                state.restore_paces();
+            }
         }
         drop(state);
         if !news.is_empty() {
