Count prompts that are still to be read at an endpoint

Ruled out: the endpoint's pace (24 us a unit before and after). Change: reports tell the tokens without a first event; the expected time and what is learned count them.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -51,6 +51,10 @@
     pub endpoint: Endpoint,
     /// Requests at the endpoint, this one included.
     pub load: u32,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Tokens of prompts that the endpoint has to read before.
+    pub backlog: u32,
     /// Expected time to the first event.
     pub expected: Duration,
 }
@@ -72,6 +76,7 @@
     endpoint: &'a Endpoint,
     load: u32,
     room: u32,
+    unread: u32,
     ns: f64,
     /// Whether the pace is only a guess.
     is_guess: bool,
@@ -90,6 +95,7 @@
             self.waiting.remove(&a.ticket);
             if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
                 site.running += 1;
+                site.unread += a.prompt;
                 site.touched = Some(now);
             }
         }
@@ -103,9 +109,11 @@
             let Some((place, expected)) = choose(&mut places, &candidate, now) else { continue };
             place.room -= 1;
             place.load += 1;
+            let (prompt, backlog) = (candidate.prompt, place.unread);
+            place.unread = place.unread.saturating_add(prompt);
             if let Some(ticket) = candidate.ticket {
                 let (endpoint, load) = (place.endpoint.clone(), place.load);
-                assignments.push(Assignment { ticket, endpoint, load, expected });
+                assignments.push(Assignment { ticket, endpoint, load, prompt, backlog, expected });
             }
         }
         assignments
@@ -146,23 +154,25 @@
     }
 
     fn places(&self, now: Instant) -> Vec<Place<'_>> {
-        let mut loads: HashMap<&str, u32> = HashMap::new();
-        for (endpoint, running) in self.live_reports(now).flat_map(|r| &r.loads) {
-            *loads.entry(endpoint).or_default() += running;
+        let mut loads: HashMap<&str, (u32, u32)> = HashMap::new();
+        for (endpoint, running, unread) in self.live_reports(now).flat_map(|r| &r.loads) {
+            let load = loads.entry(endpoint).or_default();
+            *load = (load.0 + running, load.1.saturating_add(*unread));
         }
         let paces = self.paces(now);
         let usual = usual(paces.values().copied());
         let open = self.sites.values().filter(|s| !s.endpoint.leaving && !s.health.is_aside(now));
         let place = |s: &'_ super::Site| {
-            let load = s.running + loads.get(&*s.endpoint.id).copied().unwrap_or(0);
+            let (running, unread) = loads.get(&*s.endpoint.id).copied().unwrap_or_default();
+            let load = s.running + running;
             let slots = if s.health.is_on_trial() { 1 } else { s.endpoint.slots };
-            (load, slots.saturating_sub(load))
+            (load, slots.saturating_sub(load), s.unread.saturating_add(unread))
         };
         open.map(|s| {
-            let (load, room) = place(s);
+            let (load, room, unread) = place(s);
             let known = paces.get(&s.endpoint.id).copied();
             let (ns, is_guess) = (known.unwrap_or(usual), known.is_none());
-            Place { endpoint: &s.endpoint, load, room, ns, is_guess }
+            Place { endpoint: &s.endpoint, load, room, unread, ns, is_guess }
         })
         .collect()
     }
@@ -223,7 +233,7 @@
 
 /// Expected time to the first event.
 fn first(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
-    let units = f64::from(candidate.prompt + FIXED_UNITS);
+    let units = f64::from(candidate.prompt + FIXED_UNITS) + f64::from(place.unread);
     let slots = f64::from(place.endpoint.slots.max(1));
     let crowd = 1.0 + CROWDING * f64::from(place.load) / slots;
     Duration::from_nanos((place.ns * units * crowd) as u64)
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -98,6 +98,8 @@
 struct Site {
     endpoint: Endpoint,
     running: u32,
+    /// Tokens of prompts without a first event. Engines read prompts one after the other.
+    unread: u32,
     good: u64,
     bad: u64,
     pace: pace::Pace,
@@ -159,6 +161,7 @@
                 None => Site {
                     endpoint,
                     running: 0,
+                    unread: 0,
                     good: 0,
                     bad: 0,
                     pace: pace::Pace::default(),
@@ -222,7 +225,7 @@
     pub fn report(&mut self, now: Instant, in_full: bool) -> Report {
         self.number += 1;
         let running = self.sites.values().filter(|s| s.running > 0);
-        let loads = running.map(|s| (s.endpoint.id.clone(), s.running)).collect();
+        let loads = running.map(|s| (s.endpoint.id.clone(), s.running, s.unread)).collect();
         let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < MENTION);
         let used = self.sites.values().filter(|_| in_full).filter(lately);
         let tallies = used.map(|s| {
@@ -290,17 +293,20 @@
         self.waiting.len()
     }
 
-    /// Notes the time that an endpoint took to its first event.
-    pub fn began(&mut self, endpoint: &str, prompt: u32, first: Duration) {
+    /// Notes the time that an endpoint took to the first event of a request, before whose prompt it
+    /// had so many tokens to read.
+    pub fn began(&mut self, endpoint: &str, prompt: u32, backlog: u32, first: Duration) {
         if let Some(site) = self.sites.get_mut(endpoint) {
-            site.pace.learn(prompt, first);
+            site.unread = site.unread.saturating_sub(prompt);
+            site.pace.learn(prompt.saturating_add(backlog), first);
         }
     }
 
-    /// Ends a run.
-    pub fn finish(&mut self, now: Instant, endpoint: &str, outcome: Outcome) {
+    /// Ends a run; `unread` are the tokens of its prompt if there was no first event.
+    pub fn finish(&mut self, now: Instant, endpoint: &str, unread: u32, outcome: Outcome) {
         let Some(site) = self.sites.get_mut(endpoint) else { return };
         site.running = site.running.saturating_sub(1);
+        site.unread = site.unread.saturating_sub(unread);
         self.judge(now, endpoint, outcome);
     }
 
@@ -342,7 +348,7 @@
     pub fn load(&self, now: Instant, endpoint: &str) -> u32 {
         let mine = self.sites.get(endpoint).map_or(0, |s| s.running);
         let loads = self.live_reports(now).flat_map(|r| &r.loads);
-        mine + loads.filter(|(e, _)| &**e == endpoint).map(|(_, n)| n).sum::<u32>()
+        mine + loads.filter(|(e, ..)| &**e == endpoint).map(|(_, n, _)| n).sum::<u32>()
     }
 
     /// Usual time of a request to its first event, by the best endpoint of the service.
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -34,9 +34,10 @@
     /// Whether it reaches the store.
     #[serde(rename = "s", default)]
     pub has_store: bool,
-    /// Requests that endpoints execute for it; none where there are none.
+    /// Requests that endpoints execute for it, and the tokens of prompts that these have not answered
+    /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    pub loads: Vec<(EndpointId, u32)>,
+    pub loads: Vec<(EndpointId, u32, u32)>,
     /// Whether the counters, of endpoints and accounts, are told too.
     #[serde(rename = "f", default)]
     pub in_full: bool,
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -58,7 +58,7 @@
     (0..3).for_each(|_| drop(cell.arrive(want(0, 100, now))));
     assert_eq!(placed(&mut cell, now).len(), 2);
     assert_eq!(placed(&mut cell, now).len(), 0);
-    cell.finish(now, "e0", Outcome::Good);
+    cell.finish(now, "e0", 0, Outcome::Good);
     assert_eq!(placed(&mut cell, now).len(), 1);
 }
 
@@ -120,8 +120,8 @@
 fn the_faster_endpoint_is_chosen() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    (0..10).for_each(|_| cell.began("e0", 1000, 300 * MS));
-    (0..10).for_each(|_| cell.began("e2", 1000, 60 * MS));
+    (0..10).for_each(|_| cell.began("e0", 1000, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began("e2", 1000, 0, 60 * MS));
     let ticket = cell.arrive(want(0, 1000, now));
     assert_eq!(placed(&mut cell, now), [(ticket, "e2".to_owned())]);
 }
@@ -130,8 +130,8 @@
 fn a_request_waits_for_the_place_that_is_in_time() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 1), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began("e0", 700, 300 * MS));
-    (0..10).for_each(|_| cell.began("e2", 700, 50 * MS));
+    (0..10).for_each(|_| cell.began("e0", 700, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began("e2", 700, 0, 50 * MS));
     cell.arrive(want(0, 700, now));
     assert_eq!(placed(&mut cell, now)[0].1, "e2");
     // 4,700 tokens take 1.5 s at e0 and 0.3 s at e2, of 0.5 s.
@@ -187,7 +187,7 @@
     let later = now + Duration::from_secs(2);
     for _ in 0..3 {
         assert_eq!(cell.assign(later).len(), 1);
-        cell.finish(later, "e0", Outcome::Good);
+        cell.finish(later, "e0", 0, Outcome::Good);
     }
     (0..4).for_each(|_| drop(cell.arrive(want(0, 100, now))));
     assert_eq!(cell.assign(later).len(), 4);
@@ -223,8 +223,8 @@
 fn a_long_prompt_does_not_hold_up_streams_at_a_slow_endpoint() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began("e0", 700, 86 * MS));
-    (0..10).for_each(|_| cell.began("e2", 700, 25 * MS));
+    (0..10).for_each(|_| cell.began("e0", 700, 0, 86 * MS));
+    (0..10).for_each(|_| cell.began("e2", 700, 0, 25 * MS));
     let stall = Stall { tokens: 3000, pause_ms: 200 };
     let long = Want { stall, objective: 1000 * MS, ..want(0, 3000, now) };
     cell.arrive(want(0, 100, now));
@@ -232,7 +232,8 @@
     // 3,000 tokens take 258 ms at e0: alone there it holds up nobody.
     cell.arrive(long.clone());
     assert_eq!(placed(&mut cell, now)[0].1, "e0");
-    // The next one waits for e2, but not beyond half of its time.
+    cell.began("e0", 3000, 0, 258 * MS);
+    // It streams now. The next one waits for e2, but not beyond half of its time.
     cell.arrive(long);
     assert_eq!(placed(&mut cell, now).len(), 0);
     assert_eq!(placed(&mut cell, now + 510 * MS)[0].1, "e0");
@@ -260,7 +261,7 @@
     // Of 500 ms: 400 units at 50 us take 20 ms, and 60 at the worst; 5,000 take 250 and 750.
     for (prompt, expected) in [(100, "e2"), (4700, "e0")] {
         let mut cell = cell("a", &endpoints);
-        (0..10).for_each(|_| cell.began("e0", 700, 50 * MS));
+        (0..10).for_each(|_| cell.began("e0", 700, 0, 50 * MS));
         cell.arrive(want(0, prompt, now));
         assert_eq!(placed(&mut cell, now)[0].1, expected, "{prompt} tokens");
     }
@@ -270,10 +271,31 @@
 fn a_noted_pace_is_taken_until_there_is_a_measurement() {
     let now = Instant::now();
     let mut old = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    old.began("e0", 700, 90 * MS);
-    old.began("e2", 700, 30 * MS);
+    old.began("e0", 700, 0, 90 * MS);
+    old.began("e2", 700, 0, 30 * MS);
     let mut fresh = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    fresh.began("e2", 700, 20 * MS);
+    fresh.began("e2", 700, 0, 20 * MS);
     old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(e, *ns));
     assert_eq!(fresh.known_paces(now), [("e0".into(), 90_000), ("e2".into(), 20_000)]);
 }
+
+#[test]
+fn a_request_does_not_queue_behind_a_long_prompt() {
+    let now = Instant::now();
+    let endpoints = [endpoint(0, 4), endpoint(2, 4)];
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    for cell in [&mut a, &mut b] {
+        (0..10).for_each(|_| cell.began("e0", 700, 0, 20 * MS));
+        (0..10).for_each(|_| cell.began("e2", 700, 0, 25 * MS));
+    }
+    a.arrive(Want { objective: 5000 * MS, ..want(0, 30_000, now) });
+    assert_eq!(placed(&mut a, now)[0].1, "e0");
+    b.hear(now, a.report(now, false));
+    b.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut b, now)[0].1, "e2");
+    // Once it is read, and when it ends unread, the endpoint is as good as before.
+    a.began("e0", 30_000, 0, 600 * MS);
+    b.hear(now, a.report(now, false));
+    b.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut b, now)[0].1, "e0");
+}
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -180,11 +180,13 @@
         let waited = now.elapsed();
         observe::placed(&job.route.name, waited);
         log::info!(
-            "event=placed id={} endpoint={} load={} slots={} expected_ms={} waited_ms={}",
+            "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
+             waited_ms={}",
             job.ask.id,
             place.endpoint.id,
             place.load,
             place.endpoint.slots,
+            place.backlog,
             place.expected.as_millis(),
             waited.as_millis()
         );
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -85,7 +85,10 @@
     pub(crate) endpoint: Endpoint,
     conn: Option<h1::Conn>,
     began: Instant,
-    /// Time to the first event, or to the whole answer.
+    /// Tokens of the prompt, and of those that the endpoint had to read before.
+    prompt: u32,
+    backlog: u32,
+    /// Time to the first event, or to the whole answer; zero before that.
     first: Duration,
     /// Longest time between two events.
     pause: Duration,
@@ -94,12 +97,14 @@
 }
 
 impl Run {
-    fn new(shared: &Shared, id: &str, endpoint: Endpoint) -> Run {
+    fn new(shared: &Shared, id: &str, place: Assignment) -> Run {
         let (shared, id) = (shared.clone(), id.to_owned());
         Run {
             shared,
             id,
-            endpoint,
+            endpoint: place.endpoint,
+            prompt: place.prompt,
+            backlog: place.backlog,
             conn: None,
             began: Instant::now(),
             first: Duration::ZERO,
@@ -130,7 +135,8 @@
     pub(crate) fn end(&mut self, outcome: Outcome) {
         self.is_over = true;
         self.conn = None;
-        self.shared.finish(&self.endpoint.id, outcome);
+        let unread = if self.first.is_zero() { self.prompt } else { 0 };
+        self.shared.finish(&self.endpoint.id, unread, outcome);
     }
 }
 
@@ -157,8 +163,8 @@
         place: Assignment,
         after: Option<u64>,
     ) -> Result<Sent, Failure> {
-        let Assignment { endpoint, load, expected, .. } = place;
-        let mut run = Run::new(&self.shared, &job.ask.id, endpoint);
+        let (load, expected) = (place.load, place.expected);
+        let mut run = Run::new(&self.shared, &job.ask.id, place);
         let is_crowded = load > run.endpoint.slots;
         let result = self.exchange(job, &mut run, expected, after).await;
         let failure = match result {
@@ -234,14 +240,14 @@
             };
             run.note_event();
             run.first = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, run.first);
+            self.shared.lock().cell.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
             observe::began(&job.route.name, job.arrived.elapsed());
             return Ok(Begun::Stream(head, first, body));
         }
         let whole = body.collect().await.map_err(broken)?.to_bytes();
         if head.status.is_success() {
             run.first = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, job.ask.prompt, run.first);
+            self.shared.lock().cell.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
         }
         Ok(Begun::Whole(Response::from_parts(head, whole)))
     }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -206,8 +206,8 @@
     }
 
     /// Ends a run.
-    pub(crate) fn finish(&self, endpoint: &EndpointId, outcome: Outcome) {
-        self.lock().cell.finish(Instant::now(), endpoint, outcome);
+    pub(crate) fn finish(&self, endpoint: &EndpointId, unread: u32, outcome: Outcome) {
+        self.lock().cell.finish(Instant::now(), endpoint, unread, outcome);
         self.tell_others();
         self.place();
     }
@@ -246,7 +246,8 @@
         if self.withdraw() {
             self.shared.tell_others();
         } else if let Ok(Some(assignment)) = self.rx.try_recv() {
-            self.shared.finish(&assignment.endpoint.id, Outcome::Neutral);
+            let Assignment { endpoint, prompt, .. } = assignment;
+            self.shared.finish(&endpoint.id, prompt, Outcome::Neutral);
         }
     }
 }
