--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -12,7 +12,7 @@
         id: format!("e{n}").as_str().into(),
         service: "s".into(),
         address: ([10, 0, 0, n], 80).into(),
-        zone: if n % 2 == 0 { "z0".into() } else { "z1".into() },
+        zone: if n.is_multiple_of(2) { "z0".into() } else { "z1".into() },
         slots,
         leaving: false,
     }
@@ -55,7 +55,9 @@
 fn slots_are_never_passed_and_return_at_the_end() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 2)]);
-    (0..3).for_each(|_| drop(cell.arrive(want(0, 100, now))));
+    for _ in 0..3 {
+        cell.arrive(want(0, 100, now));
+    }
     assert_eq!(placed(&mut cell, now).len(), 2);
     assert_eq!(placed(&mut cell, now).len(), 0);
     cell.finish(now, "e0", 0, Outcome::Good);
@@ -171,7 +173,9 @@
     for e in &endpoints {
         (0..9).for_each(|_| cell.judge(now, &e.id, Outcome::Bad));
     }
-    (0..5).for_each(|_| drop(cell.arrive(want(0, 100, now))));
+    for _ in 0..5 {
+        cell.arrive(want(0, 100, now));
+    }
     assert_eq!(cell.assign(now).len(), 3);
     assert_eq!(cell.take_news().len(), 2);
 }
@@ -182,14 +186,18 @@
     let endpoints = [endpoint(0, 4), endpoint(2, 0)];
     let mut cell = cell("a", &endpoints);
     (0..4).for_each(|_| cell.judge(now, "e0", Outcome::Bad));
-    (0..4).for_each(|_| drop(cell.arrive(want(0, 100, now))));
+    for _ in 0..4 {
+        cell.arrive(want(0, 100, now));
+    }
     assert_eq!(cell.assign(now).len(), 0);
     let later = now + Duration::from_secs(2);
     for _ in 0..3 {
         assert_eq!(cell.assign(later).len(), 1);
         cell.finish(later, "e0", 0, Outcome::Good);
     }
-    (0..4).for_each(|_| drop(cell.arrive(want(0, 100, now))));
+    for _ in 0..4 {
+        cell.arrive(want(0, 100, now));
+    }
     assert_eq!(cell.assign(later).len(), 4);
 }
 
--- a/oxbowbend-gateway/src/relay/events.rs
+++ b/oxbowbend-gateway/src/relay/events.rs
@@ -54,5 +54,5 @@
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     };
-    lines.filter_map(id).last()
+    lines.rev().find_map(id)
 }
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -30,7 +30,7 @@
     /// All of it.
     Whole(Response<Bytes>),
     /// Its head, and the stream that has begun.
-    Stream(response::Parts, Streaming),
+    Stream(response::Parts, Box<Streaming>),
 }
 
 /// Why an exchange brought no answer.
@@ -176,7 +176,7 @@
                 return Ok(Sent::Whole(answer));
             }
             Ok(Begun::Stream(head, first, body)) => {
-                let streaming = Streaming::new(run, first, body);
+                let streaming = Box::new(Streaming::new(run, first, body));
                 return Ok(Sent::Stream(head, streaming));
             }
             Err(failure) => failure,
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -47,7 +47,7 @@
 struct State<W> {
     relay: Relay<W>,
     job: Arc<Job>,
-    streaming: Option<Streaming>,
+    streaming: Option<Box<Streaming>>,
     events: Events,
     avoid: Vec<EndpointId>,
     sends: u32,
@@ -58,7 +58,7 @@
 pub(crate) fn frames<W: Wire>(
     relay: Relay<W>,
     job: Arc<Job>,
-    streaming: Streaming,
+    streaming: Box<Streaming>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BrokenOff>> {
     let state = State {
         relay,
