Bound idle connections by what endpoints accept; split the gateway's start

Cause: the operator's bound on connections was read and not used: an instance kept as many idle ones to an endpoint as it had ever needed at once. Change: the most modest service's bound divided by the instances and three to come. The new test fails without it (six connections).

--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -193,6 +193,20 @@
         !self.accounts.is_empty()
     }
 
+    /// Connections that the most modest service accepts, from all instances together.
+    ///
+    /// ```
+    /// use oxbowbend_core::routes::{Limits, Service, Table};
+    /// use std::time::Duration;
+    /// let limits = Limits { head: 8192, body: 1 << 20, idle: Duration::from_secs(60) };
+    /// let mut table = Table::new(1, limits);
+    /// table.add_service("s".into(), Service { connections: 96, tokens_per_event: 0 });
+    /// assert_eq!(table.fewest_connections(), Some(96));
+    /// ```
+    pub fn fewest_connections(&self) -> Option<u32> {
+        self.services.values().map(|s| s.connections).filter(|n| *n > 0).min()
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -34,13 +34,14 @@
 const ENTRY_LOOK: Duration = Duration::from_millis(400);
 
 /// Follows the store for ever: reads everything, then follows each part until one has lost track.
-pub(crate) async fn run<S: Store, W: Wire>(store: S, wire: W, shared: Shared, parts: [Part; 2]) {
+pub(crate) async fn run<S: Store, W: Wire>(store: S, wire: W, shared: Shared) {
     let follower = Follower { store, wire, shared };
     loop {
         let after = follower.load().await;
-        let [one, other] = parts.map(|part| Box::pin(follower.follow(part, after)));
+        let config = Box::pin(follower.follow(Part::Config, after));
+        let endpoints = Box::pin(follower.follow(Part::Endpoints, after));
         // Whichever part has lost track first, everything is read again.
-        futures::future::select(one, other).await;
+        futures::future::select(config, endpoints).await;
     }
 }
 
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::observe;
 use crate::peers;
 use crate::relay;
-use crate::seam::{Part, Store, Wire};
+use crate::seam::{Store, Wire};
 use crate::shared::Shared;
 use crate::stop;
 
@@ -34,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Ticks between two looks at who belongs to the cell.
 const REGROUP: u32 = 20;
+/// Instances that may join before the bound on connections is worked out anew.
+const SPARE: usize = 3;
 /// Ticks between two sweeps of idle connections.
 const SWEEP: u32 = 80;
 
@@ -125,30 +127,12 @@
             door: door.clone(),
         });
         let serving = h1::ServeConfig { connections: cfg.connections, head: HEAD };
-        let aside = Arc::new(h1::Door::default());
-
-        let callers = bind(cfg.callers).await?;
         let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone(), door.clone());
+        let callers = bind(cfg.callers).await?;
         task::spawn(h1::serve(callers, serving, door.clone(), move |req| relay.clone().serve(req)));
-        let readiness = bind(cfg.readiness).await?;
-        let (shared_, door_) = (shared.clone(), door.clone());
-        let is_ready = move || shared_.table().is_some() && !door_.is_closing();
-        task::spawn(h1::serve(readiness, serving, aside.clone(), move |_| {
-            let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            std::future::ready(status_only(status))
-        }));
-        let questions = bind(cfg.peers).await?;
-        let peers_ = peers.clone();
-        task::spawn(h1::serve(questions, serving, aside.clone(), move |req| {
-            peers_.clone().answer(req)
-        }));
-        let metrics = bind(cfg.metrics).await?;
-        task::spawn(h1::serve(metrics, serving, aside, |_| {
-            std::future::ready(Response::new(h1::Whole::from(observe::page())))
-        }));
+        serve_aside(&cfg, serving, &shared, &door, &peers).await?;
 
-        let parts = [Part::Config, Part::Endpoints];
-        task::spawn(follow::run(store.clone(), wire, shared.clone(), parts));
+        task::spawn(follow::run(store.clone(), wire, shared.clone()));
         let entry = (cfg.instance.clone(), cfg.zone.clone(), cfg.peers);
         task::spawn(follow::count_instances(store.clone(), shared.clone()));
         task::spawn(follow::stay_entered(store, entry, shared.clone(), door.clone()));
@@ -177,6 +161,32 @@
     }
 }
 
+/// Serves what no caller asks for: readiness, other instances' questions, metrics.
+async fn serve_aside<W: Wire>(
+    cfg: &Config,
+    serving: h1::ServeConfig,
+    shared: &Shared,
+    door: &Arc<h1::Door>,
+    peers: &Arc<peers::Peers<W>>,
+) -> Result<(), GatewayError> {
+    let aside = Arc::new(h1::Door::default());
+    let listener = bind(cfg.readiness).await?;
+    let (shared, door) = (shared.clone(), door.clone());
+    let is_ready = move || shared.table().is_some() && !door.is_closing();
+    task::spawn(h1::serve(listener, serving, aside.clone(), move |_| {
+        let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        std::future::ready(status_only(status))
+    }));
+    let listener = bind(cfg.peers).await?;
+    let peers = peers.clone();
+    task::spawn(h1::serve(listener, serving, aside.clone(), move |req| peers.clone().answer(req)));
+    let listener = bind(cfg.metrics).await?;
+    task::spawn(h1::serve(listener, serving, aside, |_| {
+        std::future::ready(Response::new(h1::Whole::from(observe::page())))
+    }));
+    Ok(())
+}
+
 fn status_only(status: StatusCode) -> Response<h1::Whole> {
     let mut answer = Response::new(h1::Whole::default());
     *answer.status_mut() = status;
@@ -191,6 +201,7 @@
     TcpListener::bind(address).await.map_err(listen(address))
 }
 
+/// What time brings: lapsed endpoints, the cell, idle connections, gauges.
 async fn keep_up(shared: Shared, pool: h1::Pool, door: Arc<h1::Door>, seeds: usize) {
     for tick in 0_u32.. {
         task::sleep(TICK).await;
@@ -198,11 +209,14 @@
         let (news, waiting, heard) = {
             let mut state = shared.lock();
             let news = state.world.expire(now);
-            let heard = state.cell.heard(now);
-            if tick % REGROUP == 0 {
+            if tick.is_multiple_of(REGROUP) {
                 state.regroup(now);
+                state.instances = state.instances.max(seeds);
+                let bound = state.world.table().and_then(|t| t.fewest_connections());
+                let each = bound.map_or(usize::MAX, |n| n as usize / (state.instances + SPARE));
+                pool.set_bound(each.max(1));
             }
-            state.instances = state.instances.max(seeds);
+            let heard = state.cell.heard(now);
             let share = (heard + 1) as f64 / state.instances as f64;
             state.quotas.set_share(share);
             (news, state.cell.waiting(), heard)
@@ -211,7 +225,7 @@
         if waiting > 0 {
             shared.place();
         }
-        if tick % SWEEP == 0 {
+        if tick.is_multiple_of(SWEEP) {
             pool.sweep();
             observe::state(waiting, door.busy(), heard);
         }
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -142,12 +142,14 @@
 pub struct Pool {
     cfg: PoolConfig,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Conn>>>>,
+    /// Idle connections that may be kept to one address.
+    bound: Arc<AtomicUsize>,
 }
 
 impl Pool {
     /// Starts empty.
     pub fn new(cfg: PoolConfig) -> Pool {
-        Pool { cfg, idle: Arc::default() }
+        Pool { cfg, idle: Arc::default(), bound: Arc::new(AtomicUsize::new(usize::MAX)) }
     }
 
     /// A connection: the one used last, or a new one.
@@ -213,10 +215,19 @@
             }
             conn.idle_since = Instant::now();
             let mut idle = pool.idle.lock().expect("no panic under lock");
-            idle.entry(conn.address).or_default().push(conn);
+            let kept = idle.entry(conn.address).or_default();
+            if kept.len() < pool.bound.load(Ordering::SeqCst) {
+                kept.push(conn);
+            }
         });
     }
 
+    /// Bounds the idle connections to one address, of which endpoints accept a limited number from
+    /// all instances together.
+    pub fn set_bound(&self, bound: usize) {
+        self.bound.store(bound, Ordering::SeqCst);
+    }
+
     /// Drops the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
         self.idle.lock().expect("no panic under lock").remove(&address);
--- a/oxbowbend-http/tests/h1.rs
+++ b/oxbowbend-http/tests/h1.rs
@@ -268,3 +268,19 @@
         assert_eq!(left.expect("dropped in time"), Ok(()));
     });
 }
+
+/// Endpoints accept a limited number of connections from all instances together.
+#[test]
+fn idle_connections_are_bounded() {
+    task::block_on(async {
+        let door = Arc::new(h1::Door::default());
+        let address = serve_echo(&door).await;
+        let pool = pool();
+        pool.set_bound(2);
+        let calls = (0..6).map(|_| pool.call(address, request(b"body"), LIMIT));
+        let answers = futures::future::join_all(calls).await;
+        assert!(answers.iter().all(Result::is_ok));
+        task::sleep(Duration::from_millis(100)).await;
+        assert!(door.open() <= 2, "{} connections", door.open());
+    });
+}
