--- a/oxbowbend-standin/examples/capacity.rs
+++ b/oxbowbend-standin/examples/capacity.rs
@@ -162,7 +162,6 @@
         accounts: (0..limited_accounts).map(account).collect(),
         lowest_tier: 2,
         max_run: Duration::from_secs(600),
-        report_lag: Duration::from_secs(5),
     }
 }
 
