Tell what busy accounts use with every report; keep more of the tolerance free

What the parts may use adds up to 1,321,000; the rest was admitted by instances that had not heard of each other's since the last beat (0.13 s at 0.3 of the limit a second), told with beats only since. Ruled out by the log: shares (six instances are counted throughout), restarts of all. Change: from 0.6 of its limit on an account is told with every report; 0.6 of the tolerance is used, before 0.7.

--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -32,7 +32,10 @@
 const PARTS: u32 = 32;
 /// Part of what is tolerated beyond the limit that is used where an instance hears only some of
 /// the others; the rest covers reports on their way.
-const TOLERANCE_SHARE: f64 = 0.7;
+const TOLERANCE_SHARE: f64 = 0.6;
+/// Part of the limit from which an account is busy: what is admitted then must be told at once, since
+/// the limit may be reached before the next beat.
+const BUSY_SHARE: f64 = 0.6;
 
 /// Units that an account has used in each of the last seconds, the newest first.
 pub type Window = Vec<u64>;
@@ -119,6 +122,11 @@
         }
     }
 
+    /// Whether an account is so near its limit that the others must know at once what is admitted.
+    pub fn is_busy(&self) -> bool {
+        self.usages.values().any(|u| u.sum > u.limit(&self.bounds) * self.share * BUSY_SHARE)
+    }
+
     /// What accounts have used in the window, as far as is known.
     pub fn windows(&mut self, now: Instant) -> Vec<(AccountId, Window)> {
         let window = self.bounds.window;
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -35,8 +35,8 @@
     }
     for t in &times {
         let n = times.iter().filter(|u| *u >= t && **u < *t + BOUNDS.window).count();
-        // 900, a tenth and 100 are tolerated, and seven tenths of that are used.
-        assert!(n <= 1033, "{n} in a window");
+        // 900, a tenth and 100 are tolerated, and six tenths of that are used.
+        assert!(n <= 1014, "{n} in a window");
     }
     // Nearly all of what five windows allow is used.
     assert!(times.len() > 4300, "{}", times.len());
@@ -46,20 +46,20 @@
 fn a_start_goes_on_from_the_note() {
     let now = Instant::now() + 20 * S;
     for (window, room) in [
-        (vec![], 1033),
-        (vec![0, 500], 533),
+        (vec![], 1014),
+        (vec![0, 500], 514),
         // What came since the note is taken to have gone on like the last second: 0.6 of it.
-        (vec![100, 400], 473),
-        (vec![1000, 33], 0),
+        (vec![100, 400], 454),
+        (vec![1000, 14], 0),
     ] {
         let mut fresh = quotas();
         fresh.restore(now, "a", &window);
         assert_eq!(admitted(&mut fresh, now), room, "{window:?}");
     }
     let mut fresh = quotas();
-    fresh.restore(now, "a", &[0, 0, 0, 0, 0, 0, 0, 1033]);
+    fresh.restore(now, "a", &[0, 0, 0, 0, 0, 0, 0, 1014]);
     assert_eq!(admitted(&mut fresh, now), 0);
-    assert_eq!(admitted(&mut fresh, now + 2 * S), 1033);
+    assert_eq!(admitted(&mut fresh, now + 2 * S), 1014);
 }
 
 #[test]
@@ -68,7 +68,7 @@
     let now = start + 9 * S;
     let mut quotas = quotas();
     quotas.draw(now, "a", 800.0);
-    assert_eq!(admitted(&mut quotas, now), 233);
+    assert_eq!(admitted(&mut quotas, now), 214);
 }
 
 #[test]
@@ -94,10 +94,10 @@
     let start = Instant::now();
     let now = start + 9 * S;
     let mut quotas = quotas();
-    assert!(quotas.admit(now, "a", 1033).is_ok());
+    assert!(quotas.admit(now, "a", 1014).is_ok());
     assert!(quotas.admit(now, "a", 1).is_err());
-    quotas.give_back("a", 1033);
-    assert!(quotas.admit(now, "a", 1033).is_ok());
+    quotas.give_back("a", 1014);
+    assert!(quotas.admit(now, "a", 1014).is_ok());
 }
 
 #[test]
@@ -105,7 +105,7 @@
     let start = Instant::now();
     let now = start + 9 * S;
     let mut quotas = quotas();
-    quotas.admit(now, "a", 1033).expect("the window is empty");
+    quotas.admit(now, "a", 1014).expect("the window is empty");
     let wait = quotas.admit(now + S, "a", 1).expect_err("the window is full");
     assert!(wait > 7 * S && wait < 8 * S, "{wait:?}");
     assert!(quotas.admit(now + S + wait, "a", 1).is_ok());
@@ -168,3 +168,21 @@
         assert!(total >= 900, "{rate} a second after {before}: {total} in all");
     }
 }
+
+/// Two instances that tell only now and then passed a limit together while a third was cut off
+/// (kalemdar-tutanak, scale-2 with seed 1043736703208).
+#[test]
+fn a_busy_account_is_known_before_it_is_at_its_limit() {
+    let now = Instant::now();
+    let mut quotas = quotas();
+    quotas.admit(now, "a", 540).expect("room");
+    assert!(!quotas.is_busy());
+    quotas.admit(now, "a", 1).expect("room");
+    assert!(quotas.is_busy());
+    // The smaller the part of the fleet that is heard, the sooner.
+    let mut alone = Quotas::new(BOUNDS);
+    alone.set([(&"a".into(), QUOTA)]);
+    alone.set_share(0.5);
+    alone.admit(now, "a", 271).expect("room");
+    assert!(alone.is_busy());
+}
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -141,8 +141,8 @@
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
             report.has_store = !state.world.is_store_away() && !self.door.is_closing();
-            let spent = state.quotas.spent();
-            let spent = spent.filter(|(_, units)| *units > 0 && reach != Reach::Cell);
+            let is_told = reach != Reach::Cell || state.quotas.is_busy();
+            let spent = state.quotas.spent().filter(|(_, units)| *units > 0 && is_told);
             report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
             (report, addresses)
         };
