--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -173,11 +173,6 @@
         }
     }
 
-    /// The endpoint of that id, if it is in force.
-    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
-        self.sites.get(id).map(|s| &s.endpoint)
-    }
-
     /// Takes in another instance's report. Returns the units that it admitted since its last one,
     /// by account, and whether the report was news at all.
     pub fn hear(
@@ -351,16 +346,6 @@
         mine + loads.filter(|(e, ..)| &**e == endpoint).map(|(_, n, _)| n).sum::<u32>()
     }
 
-    /// Usual time of a request to its first event, by the best endpoint of the service.
-    pub fn best_first(&self, now: Instant, service: &str, prompt: u32) -> Option<Duration> {
-        let paces = self.paces(now);
-        let of = self.sites.values().filter(|s| &*s.endpoint.service == service);
-        let best =
-            of.filter_map(|s| paces.get(&s.endpoint.id)).copied().fold(f64::INFINITY, f64::min);
-        best.is_finite()
-            .then(|| Duration::from_nanos((best * f64::from(prompt + FIXED_UNITS)) as u64))
-    }
-
     fn paces(&self, now: Instant) -> HashMap<EndpointId, f64> {
         let mut all: HashMap<&str, Vec<pace::Pace>> = HashMap::new();
         for (endpoint, pace) in self.live_peers(now).flat_map(|p| &p.paces) {
