--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -96,7 +96,6 @@
             if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
                 site.running += 1;
                 site.unread += a.prompt;
-                site.touched = Some(now);
             }
         }
         assignments
--- a/oxbowbend-core/src/cell/groups.rs
+++ b/oxbowbend-core/src/cell/groups.rs
@@ -16,8 +16,8 @@
 use crate::ids::{InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
-/// Instances of a cell at most. Reports grow with its square: at 12 instances with ten requests a
-/// second each they take 0.5% of a core.
+/// Instances of a cell at most if nothing else is set. Reports grow with its square: at 12 instances
+/// with ten requests a second each they take 0.5% of a core.
 pub const MAX_CELL: usize = 12;
 /// Endpoints of a service for each cell below which all cells share the service.
 const MIN_ENDPOINTS: usize = 2;
@@ -34,13 +34,14 @@
 }
 
 impl Group {
-    /// The cell of instance `me` in a fleet.
+    /// The cell of instance `me` in a fleet that is split into cells of `size` instances at most.
     pub fn of(
         me: &InstanceId,
         members: &BTreeMap<InstanceId, ZoneId>,
         endpoints: &[Endpoint],
+        size: usize,
     ) -> Group {
-        let cells = members.len().div_ceil(MAX_CELL).max(1);
+        let cells = members.len().div_ceil(size.max(1)).max(1);
         let mut cell_of = BTreeMap::new();
         for names in by_zone(members).values() {
             for (at, name) in names.iter().enumerate() {
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -33,9 +33,11 @@
 const FORGET: Duration = Duration::from_secs(30);
 /// Waiting requests told to others. More than the places of a cell's endpoints would tell nothing.
 const MAX_CLAIMS: usize = 32;
-/// Time after a request's end for which its endpoint is still in the reports, so that the last
-/// counters get through in spite of losses.
-const MENTION: Duration = Duration::from_secs(3);
+/// Time after a change of an endpoint's counters for which every report with tallies tells them: three
+/// such reports, so that one gets through in spite of losses.
+const MENTION: Duration = Duration::from_millis(400);
+/// The same for reports that tell all tallies, for those who have missed the others.
+const MENTION_ALL: Duration = Duration::from_secs(3);
 
 /// Measurements for which a noted pace counts, so that new ones soon outweigh it.
 const NOTED_SAMPLES: u32 = 3;
@@ -94,6 +96,17 @@
     pub pause: Duration,
 }
 
+/// How much a report tells beside what runs and what waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extent {
+    /// Nothing more.
+    Loads,
+    /// Counters that have just changed.
+    Changes,
+    /// Counters of all endpoints that were used lately.
+    Full,
+}
+
 #[derive(Debug)]
 struct Site {
     endpoint: Endpoint,
@@ -113,8 +126,10 @@
     heard: Instant,
     /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
     counted: HashMap<EndpointId, (u64, u64)>,
-    /// Whether a full report was heard, which the counters go on from.
+    /// Whether a report with all accounts was heard, which their counters go on from.
     is_counted: bool,
+    /// Whether a report with all tallies was heard, which their counters go on from.
+    is_tallied: bool,
     /// Units told to be admitted so far, by account. Frequent reports leave them out.
     spent: HashMap<crate::ids::AccountId, u64>,
     /// The paces told last.
@@ -190,15 +205,16 @@
             return None;
         }
         let mut peer = before.unwrap_or_else(|| Peer::new(now));
-        let is_first = !peer.is_counted;
+        let (is_first, is_first_tally) = (!peer.is_counted, !peer.is_tallied);
         peer.is_counted |= report.in_full;
+        peer.is_tallied |= report.is_tallied;
         for tally in &report.tallies {
             let told = (tally.good, tally.bad);
             let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
             peer.paces.insert(tally.endpoint.clone(), pace);
             // What a new acquaintance has counted so far is not of now.
             let old = peer.counted.insert(tally.endpoint.clone(), told);
-            let old = old.unwrap_or(if is_first { told } else { (0, 0) });
+            let old = old.unwrap_or(if is_first_tally { told } else { (0, 0) });
             if let Some(site) = self.sites.get_mut(&tally.endpoint) {
                 let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
                 site.health.note(now, good as u32, bad as u32);
@@ -216,13 +232,18 @@
     }
 
     /// What to tell the others, but for what only the caller knows: revision, version, address and
-    /// peers. Tallies go with it only if `in_full`.
-    pub fn report(&mut self, now: Instant, in_full: bool) -> Report {
+    /// peers.
+    pub fn report(&mut self, now: Instant, extent: Extent) -> Report {
         self.number += 1;
+        let mention = match extent {
+            Extent::Loads => Duration::ZERO,
+            Extent::Changes => MENTION,
+            Extent::Full => MENTION_ALL,
+        };
         let running = self.sites.values().filter(|s| s.running > 0);
         let loads = running.map(|s| (s.endpoint.id.clone(), s.running, s.unread)).collect();
-        let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < MENTION);
-        let used = self.sites.values().filter(|_| in_full).filter(lately);
+        let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < mention);
+        let used = self.sites.values().filter(lately);
         let tallies = used.map(|s| {
             let (ns_per_unit, samples) = s.pace.as_parts();
             let endpoint = s.endpoint.id.clone();
@@ -244,7 +265,8 @@
             zone: self.zone.clone(),
             life: self.life,
             number: self.number,
-            in_full,
+            in_full: extent != Extent::Loads,
+            is_tallied: extent == Extent::Full,
             loads,
             tallies,
             claims: claims.collect(),
@@ -262,6 +284,11 @@
         self.live_peers(now).map(|p| &p.report)
     }
 
+    /// Last reports of the instances heard within [`LOAD_TTL`], with their ages.
+    pub fn aged_reports(&self, now: Instant) -> impl Iterator<Item = (&Report, Duration)> {
+        self.live_peers(now).map(move |p| (&p.report, now.saturating_duration_since(p.heard)))
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL))
     }
@@ -290,10 +317,18 @@
 
     /// Notes the time that an endpoint took to the first event of a request, before whose prompt it
     /// had so many tokens to read.
-    pub fn began(&mut self, endpoint: &str, prompt: u32, backlog: u32, first: Duration) {
+    pub fn began(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        prompt: u32,
+        backlog: u32,
+        first: Duration,
+    ) {
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.unread = site.unread.saturating_sub(prompt);
             site.pace.learn(prompt.saturating_add(backlog), first);
+            site.touched = Some(now);
         }
     }
 
@@ -366,6 +401,7 @@
             heard: now,
             counted: HashMap::new(),
             is_counted: false,
+            is_tallied: false,
             spent: HashMap::new(),
             paces: HashMap::new(),
         }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -31,6 +31,12 @@
     /// Where it answers questions.
     #[serde(rename = "a")]
     pub address: Option<SocketAddr>,
+    /// Milliseconds since the store last answered it; none if it does not follow the store itself.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub seen_ms: Option<u32>,
+    /// Digest of the endpoints that it knows.
+    #[serde(rename = "d", default)]
+    pub digest: u64,
     /// Whether it reaches the store.
     #[serde(rename = "s", default)]
     pub has_store: bool,
@@ -38,9 +44,12 @@
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<(EndpointId, u32, u32)>,
-    /// Whether the counters, of endpoints and accounts, are told too.
+    /// Whether the counters of all accounts are told too.
     #[serde(rename = "f", default)]
     pub in_full: bool,
+    /// Whether the tallies of all endpoints used lately are told too.
+    #[serde(rename = "g", default)]
+    pub is_tallied: bool,
     /// What it has seen of endpoints that it used lately. Told now and then only.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tallies: Vec<Tally>,
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use oxbowbend_core::cell::{Cell, Outcome, Stall, Ticket, Want, CLAIM_TTL, LOAD_TTL};
+use oxbowbend_core::cell::{Cell, Extent, Outcome, Stall, Ticket, Want, CLAIM_TTL, LOAD_TTL};
 use oxbowbend_core::routes::Endpoint;
 
 const MS: Duration = Duration::from_millis(1);
@@ -71,7 +71,7 @@
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
     assert_eq!(a.assign(now).len(), 1);
-    b.hear(now, a.report(now, true));
+    b.hear(now, a.report(now, Extent::Full));
     b.arrive(want(0, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + LOAD_TTL).len(), 1);
@@ -85,7 +85,7 @@
         let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
         a.arrive(want(rank_a, 100, now));
         b.arrive(want(rank_b, 100, now));
-        let (from_a, from_b) = (a.report(now, true), b.report(now, true));
+        let (from_a, from_b) = (a.report(now, Extent::Full), b.report(now, Extent::Full));
         a.hear(now, from_b);
         b.hear(now, from_a);
         let got = (a.assign(now).len(), b.assign(now).len());
@@ -99,7 +99,7 @@
     let endpoints = [endpoint(0, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
-    b.hear(now, a.report(now, true));
+    b.hear(now, a.report(now, Extent::Full));
     b.arrive(want(1, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + CLAIM_TTL).len(), 1);
@@ -110,10 +110,10 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    let idle = a.report(now, true);
+    let idle = a.report(now, Extent::Full);
     a.arrive(want(0, 100, now));
     a.assign(now);
-    assert!(b.hear(now, a.report(now, true)).is_some());
+    assert!(b.hear(now, a.report(now, Extent::Full)).is_some());
     assert!(b.hear(now, idle).is_none());
     assert_eq!(b.load(now, "e0"), 1);
 }
@@ -122,8 +122,8 @@
 fn the_faster_endpoint_is_chosen() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    (0..10).for_each(|_| cell.began("e0", 1000, 0, 300 * MS));
-    (0..10).for_each(|_| cell.began("e2", 1000, 0, 60 * MS));
+    (0..10).for_each(|_| cell.began(now, "e0", 1000, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began(now, "e2", 1000, 0, 60 * MS));
     let ticket = cell.arrive(want(0, 1000, now));
     assert_eq!(placed(&mut cell, now), [(ticket, "e2".to_owned())]);
 }
@@ -132,8 +132,8 @@
 fn a_request_waits_for_the_place_that_is_in_time() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 1), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began("e0", 700, 0, 300 * MS));
-    (0..10).for_each(|_| cell.began("e2", 700, 0, 50 * MS));
+    (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 50 * MS));
     cell.arrive(want(0, 700, now));
     assert_eq!(placed(&mut cell, now)[0].1, "e2");
     // 4,700 tokens take 1.5 s at e0 and 0.3 s at e2, of 0.5 s.
@@ -157,9 +157,9 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 8), endpoint(2, 8)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    b.hear(now, a.report(now, true));
+    b.hear(now, a.report(now, Extent::Full));
     (0..4).for_each(|_| a.judge(now, "e0", Outcome::Bad));
-    b.hear(now, a.report(now, true));
+    b.hear(now, a.report(now, Extent::Full));
     let ticket = b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now), [(ticket, "e2".to_owned())]);
     assert_eq!(b.take_news().len(), 1);
@@ -223,16 +223,16 @@
         report
     };
     let drawn = |heard: Option<Vec<(_, u64)>>| heard.expect("news").first().map(|(_, u)| *u);
-    assert_eq!(drawn(b.hear(now, with(a.report(now, true), 1000))), Some(0));
-    assert_eq!(drawn(b.hear(now, with(a.report(now, true), 1200))), Some(200));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1000))), Some(0));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1200))), Some(200));
 }
 
 #[test]
 fn a_long_prompt_does_not_hold_up_streams_at_a_slow_endpoint() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began("e0", 700, 0, 86 * MS));
-    (0..10).for_each(|_| cell.began("e2", 700, 0, 25 * MS));
+    (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 86 * MS));
+    (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 25 * MS));
     let stall = Stall { tokens: 3000, pause_ms: 200 };
     let long = Want { stall, objective: 1000 * MS, ..want(0, 3000, now) };
     cell.arrive(want(0, 100, now));
@@ -240,7 +240,7 @@
     // 3,000 tokens take 258 ms at e0: alone there it holds up nobody.
     cell.arrive(long.clone());
     assert_eq!(placed(&mut cell, now)[0].1, "e0");
-    cell.began("e0", 3000, 0, 258 * MS);
+    cell.began(now, "e0", 3000, 0, 258 * MS);
     // It streams now. The next one waits for e2, but not beyond half of its time.
     cell.arrive(long);
     assert_eq!(placed(&mut cell, now).len(), 0);
@@ -253,8 +253,8 @@
     let endpoints = [endpoint(0, 1), endpoint(2, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
-    b.hear(now, a.report(now, false));
-    let mut full = a.report(now, true);
+    b.hear(now, a.report(now, Extent::Loads));
+    let mut full = a.report(now, Extent::Full);
     full.spent = vec![("acc".into(), 1000)];
     let drawn = b.hear(now, full).expect("news");
     assert_eq!(drawn[0].1, 0);
@@ -269,7 +269,7 @@
     // Of 500 ms: 400 units at 50 us take 20 ms, and 60 at the worst; 5,000 take 250 and 750.
     for (prompt, expected) in [(100, "e2"), (4700, "e0")] {
         let mut cell = cell("a", &endpoints);
-        (0..10).for_each(|_| cell.began("e0", 700, 0, 50 * MS));
+        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 50 * MS));
         cell.arrive(want(0, prompt, now));
         assert_eq!(placed(&mut cell, now)[0].1, expected, "{prompt} tokens");
     }
@@ -279,10 +279,10 @@
 fn a_noted_pace_is_taken_until_there_is_a_measurement() {
     let now = Instant::now();
     let mut old = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    old.began("e0", 700, 0, 90 * MS);
-    old.began("e2", 700, 0, 30 * MS);
+    old.began(now, "e0", 700, 0, 90 * MS);
+    old.began(now, "e2", 700, 0, 30 * MS);
     let mut fresh = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    fresh.began("e2", 700, 0, 20 * MS);
+    fresh.began(now, "e2", 700, 0, 20 * MS);
     old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(e, *ns));
     assert_eq!(fresh.known_paces(now), [("e0".into(), 90_000), ("e2".into(), 20_000)]);
 }
@@ -293,17 +293,50 @@
     let endpoints = [endpoint(0, 4), endpoint(2, 4)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     for cell in [&mut a, &mut b] {
-        (0..10).for_each(|_| cell.began("e0", 700, 0, 20 * MS));
-        (0..10).for_each(|_| cell.began("e2", 700, 0, 25 * MS));
+        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 20 * MS));
+        (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 25 * MS));
     }
     a.arrive(Want { objective: 5000 * MS, ..want(0, 30_000, now) });
     assert_eq!(placed(&mut a, now)[0].1, "e0");
-    b.hear(now, a.report(now, false));
+    b.hear(now, a.report(now, Extent::Loads));
     b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now)[0].1, "e2");
     // Once it is read, and when it ends unread, the endpoint is as good as before.
-    a.began("e0", 30_000, 0, 600 * MS);
-    b.hear(now, a.report(now, false));
+    a.began(now, "e0", 30_000, 0, 600 * MS);
+    b.hear(now, a.report(now, Extent::Loads));
     b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now)[0].1, "e0");
 }
+
+#[test]
+fn a_report_of_changes_tells_only_what_has_just_changed() {
+    let now = Instant::now();
+    let mut a = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
+    a.judge(now, "e0", Outcome::Good);
+    let later = now + 1000 * MS;
+    a.judge(later, "e2", Outcome::Good);
+    let told = |report: oxbowbend_core::cell::Report| report.tallies.len();
+    assert_eq!(told(a.report(later, Extent::Loads)), 0);
+    assert_eq!(told(a.report(later, Extent::Changes)), 1);
+    assert_eq!(told(a.report(later, Extent::Full)), 2);
+}
+
+#[test]
+fn a_tally_left_out_of_a_report_of_changes_is_not_counted_again() {
+    let now = Instant::now();
+    let endpoints = [endpoint(0, 4), endpoint(2, 4), endpoint(4, 4)];
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    // Failures of long ago, heard first in a report with all tallies, do not count.
+    (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
+    let later = now + 1000 * MS;
+    a.judge(later, "e2", Outcome::Good);
+    b.hear(later, a.report(later, Extent::Changes));
+    b.hear(later, a.report(later, Extent::Full));
+    b.assign(later);
+    assert_eq!(b.take_news(), []);
+    // New ones do.
+    (0..9).for_each(|_| a.judge(later, "e0", Outcome::Bad));
+    b.hear(later, a.report(later, Extent::Changes));
+    b.assign(later);
+    assert_eq!(b.take_news().len(), 1);
+}
--- a/oxbowbend-daemon/src/main.rs
+++ b/oxbowbend-daemon/src/main.rs
@@ -30,8 +30,9 @@
     }
     match settings::Wire::read(&flags) {
         Ok(settings::Wire::Own) => serve_own(&flags).await,
-        Ok(settings::Wire::Platform { metrics_port, log }) => {
-            serve_platform(&flags, metrics_port, log).await
+        Ok(settings::Wire::Platform { metrics_port, cell_size, log }) => {
+            let choices = platform_settings::Choices { metrics_port, cell_size };
+            serve_platform(&flags, choices, log).await
         }
         Err(e) => unusable(&e),
     }
@@ -56,14 +57,18 @@
     daemon.stopped().await
 }
 
-async fn serve_platform(flags: &settings::Flags, metrics_port: u16, log: LevelFilter) -> ExitCode {
+async fn serve_platform(
+    flags: &settings::Flags,
+    choices: platform_settings::Choices,
+    log: LevelFilter,
+) -> ExitCode {
     let variable = platform_settings::PATH_VARIABLE;
     let text = match std::env::var(variable).map(std::fs::read_to_string) {
         Ok(Ok(text)) => text,
         Ok(Err(e)) => return unusable(&format!("cannot read the file that {variable} names: {e}")),
         Err(e) => return unusable(&format!("{variable}: {e}")),
     };
-    let settings = match platform_settings::read(&text, metrics_port) {
+    let settings = match platform_settings::read(&text, choices) {
         Ok(settings) => settings,
         Err(e) => return unusable(&e),
     };
--- a/oxbowbend-daemon/src/settings.rs
+++ b/oxbowbend-daemon/src/settings.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use oxbowbend_core::cell::MAX_CELL;
 use simplelog::LevelFilter;
 use thiserror::Error;
 
@@ -41,6 +42,13 @@
     /// Port of the metrics on the platform.
     #[options(help = "port of the metrics, with --wire platform [9464]", meta = "PORT", no_short)]
     pub metrics_port: Option<String>,
+    /// Instances of a cell.
+    #[options(
+        help = "instances of a cell at most, the same everywhere, with --wire platform [12]",
+        meta = "N",
+        no_short
+    )]
+    pub cell_size: Option<String>,
     /// Name of the instance.
     #[options(help = "name of this instance (required)", meta = "NAME", no_short)]
     pub instance: Option<String>,
@@ -165,6 +173,8 @@
     Platform {
         /// Port of the metrics.
         metrics_port: u16,
+        /// Instances of a cell at most.
+        cell_size: usize,
         /// Detail of the log.
         log: LevelFilter,
     },
@@ -184,10 +194,11 @@
             r.wrong.push(format!("--metrics-port: {port} is not a port"));
             0
         });
+        let cell_size = r.number("cell-size", &flags.cell_size, MAX_CELL as u64, 1) as usize;
         let log = r.log(&flags.log);
         let wire = match wire.as_str() {
             "own" => Wire::Own,
-            "platform" => Wire::Platform { metrics_port: port, log },
+            "platform" => Wire::Platform { metrics_port: port, cell_size, log },
             other => {
                 r.wrong.push(format!("--wire: {other:?} is neither own nor platform"));
                 Wire::Own
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -1,4 +1,5 @@
-//! Following the store: everything once, then its changes, and this instance's own entry.
+//! Following the store: everything once, then its changes, and this instance's own entry. An instance
+//! that copies from another one ([`crate::source`]) follows nothing and keeps only its entry.
 //!
 //! The watch is renewed often, so that one which hangs without a word costs seconds at most;
 //! meanwhile other instances' reports tell of a newer configuration and [`crate::peers`] fetches it.
@@ -29,6 +30,14 @@
 /// longest such time. Changes come in groups, and each one that is told alone costs the users a call
 /// of every instance. The operators' bounds are 2 s and more.
 const GATHER: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(700));
+/// Longest time after a change before the next ones are asked for by an instance that others copy
+/// from, who wait for it.
+const GATHER_FOR_OTHERS: Duration = Duration::from_millis(150);
+/// How often an instance that copies looks whether it must follow the store itself.
+const SOURCE_LOOK: Duration = Duration::from_millis(25);
+/// Times the interval of renewals after which an instance that copies reads which instances there
+/// are. It hears of most of them by their reports.
+const COUNT_TIMES: u32 = 3;
 /// How often it is looked whether the entry must change. What accounts use meanwhile is not known
 /// to a restarted fleet; [`oxbowbend_core::quota`] counts on it.
 const ENTRY_LOOK: Duration = Duration::from_millis(400);
@@ -37,10 +46,11 @@
 pub(crate) async fn run<S: Store, W: Wire>(store: S, wire: W, shared: Shared) {
     let follower = Follower { store, wire, shared };
     loop {
-        let after = follower.load().await;
+        follower.wait_until_needed().await;
+        let Some(after) = follower.load().await else { continue };
         let config = Box::pin(follower.follow(Part::Config, after));
         let endpoints = Box::pin(follower.follow(Part::Endpoints, after));
-        // Whichever part has lost track first, everything is read again.
+        // Whichever part has lost track first, or finds another source, everything is read again.
         futures::future::select(config, endpoints).await;
     }
 }
@@ -65,16 +75,27 @@
 }
 
 impl<S: Store, W: Wire> Follower<S, W> {
-    /// Reads everything, however long it takes.
-    async fn load(&self) -> Revision {
+    /// Waits while this instance copies from another one.
+    async fn wait_until_needed(&self) {
+        while !self.is_needed() {
+            task::sleep(SOURCE_LOOK).await;
+        }
+    }
+
+    fn is_needed(&self) -> bool {
+        self.shared.lock().sources.is_store()
+    }
+
+    /// Reads everything, however long it takes; nothing if there is another source meanwhile.
+    async fn load(&self) -> Option<Revision> {
         let mut backoff = Backoff { pause: PAUSE.0 };
-        loop {
+        while self.is_needed() {
             match self.store.load().await {
                 Ok(snapshot) => {
                     observe::store_call("load", "ok");
                     let revision = snapshot.revision;
                     take(&self.shared, &self.wire, None, snapshot);
-                    return revision;
+                    return Some(revision);
                 }
                 Err(e) => {
                     self.failed("load", &e);
@@ -82,13 +103,27 @@
                 }
             }
         }
+        None
+    }
+
+    /// Times for which a watch of a part waits, and after a change.
+    fn times(&self, part: Part) -> (Duration, Duration) {
+        let state = self.shared.lock();
+        let gather = (GATHER.0 * state.instances as u32).min(GATHER.1);
+        match part {
+            _ if state.group.cells <= 1 => (WATCH, gather),
+            Part::Config => (WATCH, gather.min(GATHER_FOR_OTHERS)),
+            Part::Endpoints => (state.sources.watch(), gather.min(GATHER_FOR_OTHERS)),
+        }
     }
 
-    /// Follows a part until its changes since the last one are not kept any more.
+    /// Follows a part until its changes since the last one are not kept any more, or until there is
+    /// another source.
     async fn follow(&self, part: Part, mut after: Revision) {
         let mut backoff = Backoff { pause: PAUSE.0 };
-        loop {
-            match self.store.changes(part, after, WATCH).await {
+        while self.is_needed() {
+            let (watch, gather) = self.times(part);
+            match self.store.changes(part, after, watch).await {
                 Ok(changes) => {
                     observe::store_call("changes", "ok");
                     backoff.pause = PAUSE.0;
@@ -96,8 +131,7 @@
                     let is_news = !changes.records.is_empty();
                     take(&self.shared, &self.wire, Some(part), changes);
                     if is_news {
-                        let instances = self.shared.lock().instances as u32;
-                        task::sleep((GATHER.0 * instances).min(GATHER.1)).await;
+                        task::sleep(gather).await;
                     }
                 }
                 Err(e) => {
@@ -118,7 +152,7 @@
     fn failed(&self, call: &'static str, e: &StoreError) {
         observe::store_call(call, "failed");
         log::warn!("event=store_call_failed call={call} error=\"{e}\"");
-        if *e != StoreError::Compacted && self.shared.lock().world.store_lost() {
+        if *e != StoreError::Compacted && self.shared.lock().world.store_lost(Instant::now()) {
             log::warn!("event=dependency_lost dependency=store error=\"{e}\"");
         }
     }
@@ -128,6 +162,7 @@
     let now = Instant::now();
     let read = |document: &[u8]| wire.table(document).map_err(|e| e.0);
     let mut state = shared.lock();
+    state.sources.answered(now);
     if state.world.store_found(now) {
         log::info!("event=dependency_regained dependency=store revision={}", snapshot.revision);
     }
@@ -193,7 +228,7 @@
     let mut state = shared.lock();
     let is_before = |r: &Report| r.instance < *me && r.has_store;
     let (mut used, mut paces) = (Vec::new(), Vec::new());
-    if !state.cell.live_reports(now).any(is_before) {
+    if state.has_store() && !state.cell.live_reports(now).any(is_before) {
         used = state.quotas.windows(now);
         paces = state.cell.known_paces(now);
     }
@@ -204,7 +239,8 @@
 /// this tells of those that are not.
 pub(crate) async fn count_instances<S: Store>(store: S, shared: Shared) {
     loop {
-        task::sleep(RENEW).await;
+        let is_store = shared.lock().sources.is_store();
+        task::sleep(if is_store { RENEW } else { RENEW * COUNT_TIMES }).await;
         if shared.lock().world.is_store_away() {
             continue;
         }
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::relay;
 use crate::seam::{Store, Wire};
 use crate::shared::Shared;
+use crate::source::Sources;
 use crate::stop;
 
 /// Time that a connection to an endpoint or another instance may take. Across zones it takes about
@@ -62,6 +63,10 @@
     pub repeats: Allowance,
     /// Bounds of quotas over all instances.
     pub quotas: QuotaBounds,
+    /// Instances of a cell at most.
+    pub cell_size: usize,
+    /// Time within which changes of the configuration and of endpoints must be in force.
+    pub in_force: Duration,
     /// Connections from callers at once.
     pub connections: usize,
 }
@@ -108,9 +113,9 @@
         let life = rand::random();
         let cell = Cell::new(cfg.instance.clone(), cfg.zone.clone(), life);
         let (shared, changed) = Shared::new(
-            cfg.instance.clone(),
-            cfg.zone.clone(),
-            cell,
+            (cfg.instance.clone(), cfg.zone.clone()),
+            (cell, cfg.cell_size),
+            Sources::new(cfg.in_force),
             Quotas::new(cfg.quotas),
             Repeats::new(cfg.repeats),
         );
@@ -216,6 +221,7 @@
                 let each = bound.map_or(usize::MAX, |n| n as usize / (state.instances + SPARE));
                 pool.set_bound(each.max(1));
             }
+            state.choose_source(now);
             let heard = state.cell.heard(now);
             let share = (heard + 1) as f64 / state.instances as f64;
             state.quotas.set_share(share);
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod seam;
+pub mod source;
 pub mod world;
 
 mod follow;
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -6,7 +6,7 @@
 //! call, and only when a report shows that the other one knows more.
 
 use std::borrow::Cow;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,8 +19,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jsonrpsee_types::Notification;
-use oxbowbend_core::cell::Report;
-use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::cell::{Extent, Report};
+use oxbowbend_core::ids::{AccountId, InstanceId};
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_http::h1;
 use serde::{Deserialize, Serialize};
@@ -44,8 +44,8 @@
 const FAR: u64 = 4;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
-/// Time limit of such a question.
-const ASK: Duration = Duration::from_millis(1000);
+/// Time limit of such a question. One that copies may need another source soon.
+const ASK: Duration = Duration::from_millis(500);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -62,6 +62,17 @@
     Everybody,
 }
 
+impl Reach {
+    /// How much such a report tells.
+    fn extent(self) -> Extent {
+        match self {
+            Reach::Cell => Extent::Loads,
+            Reach::CellInFull | Reach::Heard => Extent::Changes,
+            Reach::Everybody => Extent::Full,
+        }
+    }
+}
+
 /// Where a report goes.
 struct Addresses {
     /// The cell.
@@ -74,6 +85,7 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Knowledge {
     revision: u64,
+    version: u64,
     document: String,
     endpoints: Vec<Endpoint>,
     instances: Vec<(InstanceId, Entry)>,
@@ -84,6 +96,17 @@
     jsonrpc: String,
     id: u64,
     method: String,
+    #[serde(default)]
+    params: Known,
+}
+
+/// What the one who asks knows and need not be told.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Known {
+    /// Version of the configuration.
+    version: u64,
+    /// Whether it knows the other instances.
+    instances: bool,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -110,6 +133,7 @@
     /// Reports what changes, and a beat when nothing does.
     pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
         let mut beats: u64 = 0;
+        let mut told = HashMap::new();
         let mut beaten = Instant::now();
         loop {
             // A time-out is no fault here: it is time for a beat without a change.
@@ -125,22 +149,25 @@
                 n if n % FAR == 0 => Reach::Heard,
                 _ => Reach::CellInFull,
             };
-            self.report(reach).await;
+            self.report(reach, &mut told).await;
             task::sleep(PACE).await;
         }
     }
 
-    async fn report(&self, reach: Reach) {
+    /// Reports once. `told` are the units of accounts that other cells were told last.
+    async fn report(&self, reach: Reach, told: &mut HashMap<AccountId, u64>) {
         let now = Instant::now();
         let (report, addresses) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
             let addresses = self.addresses(&state, now, reach);
-            let mut report = state.cell.report(now, reach != Reach::Cell);
+            let mut report = state.cell.report(now, reach.extent());
+            report.seen_ms = state.sources.seen_ms(now);
+            report.digest = state.world.digest();
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
-            report.has_store = !state.world.is_store_away() && !self.door.is_closing();
+            report.has_store = state.has_store() && !self.door.is_closing();
             let is_told = reach != Reach::Cell || state.quotas.is_busy();
             let spent = state.quotas.spent().filter(|(_, units)| *units > 0 && is_told);
             report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
@@ -152,7 +179,10 @@
             let (loads, tallies, claims) = Default::default();
             let is_wide = reach == Reach::Everybody;
             let peers = if is_wide { near.iter().copied().collect() } else { Vec::new() };
-            let short = Report { loads, tallies, claims, peers, ..report.clone() };
+            let mut short =
+                Report { loads, tallies, claims, peers, in_full: is_wide, ..report.clone() };
+            short.spent.retain(|(account, units)| is_wide || told.get(account) != Some(units));
+            told.extend(short.spent.iter().cloned());
             self.send(&short, &far).await;
         }
         self.send(&report, &near).await;
@@ -223,30 +253,37 @@
                 }
             };
             let now = Instant::now();
-            let is_behind = self.is_behind(&report);
-            let address = report.address;
+            let (is_behind, is_source) = self.is_behind(&report);
+            let teller = report.address.map(|address| (report.instance.clone(), address));
             self.shared.hear(now, report);
             if !is_behind {
                 continue;
             }
             let since = *behind_since.get_or_insert(now);
-            let patience = if self.is_blind() { Duration::ZERO } else { ASK_PACE };
+            let patience = if is_source || self.is_blind() { Duration::ZERO } else { ASK_PACE };
             if now.duration_since(since) < patience || now.duration_since(asked) < ASK_PACE {
                 continue;
             }
             (asked, behind_since) = (now, None);
-            if let Some(address) = address {
-                task::spawn(self.clone().ask(address));
+            if let Some((instance, address)) = teller {
+                task::spawn(self.clone().ask(instance, address));
             }
         }
     }
 
-    /// Whether a report shows that its sender knows more than this instance will soon be told.
-    fn is_behind(&self, report: &Report) -> bool {
+    /// Whether a report shows that its sender knows more than this instance will soon be told, and
+    /// whether that is the one that this instance copies from.
+    fn is_behind(&self, report: &Report) -> (bool, bool) {
         let state = self.shared.lock();
-        let version = state.world.table().map_or(0, |t| t.version());
-        let is_cut_off = state.world.is_store_away() || !state.world.is_loaded();
-        report.version > version || (is_cut_off && report.revision > state.world.revision())
+        let world = &state.world;
+        let is_source = state.is_source(&report.instance);
+        let version = world.table().map_or(0, |t| t.version());
+        let is_cut_off = world.is_store_away() || !world.is_loaded();
+        let is_other = report.digest != world.digest() && report.revision >= world.revision();
+        let is_behind = report.version > version
+            || (is_cut_off && report.revision > world.revision())
+            || (is_source && is_other);
+        (is_behind, is_source)
     }
 
     /// Whether the store tells this instance nothing.
@@ -255,25 +292,43 @@
         state.world.is_store_away() || !state.world.is_loaded()
     }
 
-    async fn ask(self: Arc<Peers<W>>, address: SocketAddr) {
-        let question = Question { jsonrpc: "2.0".to_owned(), id: 1, method: SNAPSHOT.to_owned() };
+    async fn ask(self: Arc<Peers<W>>, instance: InstanceId, address: SocketAddr) {
+        let params = self.known();
+        let (jsonrpc, method) = ("2.0".to_owned(), SNAPSHOT.to_owned());
+        let question = Question { jsonrpc, id: 1, method, params };
         let Ok(body) = serde_json::to_vec(&question) else { return };
         let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
         let Ok(req) = req else { return };
         let answer = match self.pool.call(address, req, ASK).await {
             Ok(answer) => answer,
-            Err(e) => return log::warn!("event=snapshot_failed peer={address} error=\"{e}\""),
+            Err(e) => {
+                self.shared.lock().sources.failed(Instant::now(), &instance);
+                return log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
+            }
         };
         let knowledge = match serde_json::from_slice::<Answer>(answer.body()) {
             Ok(answer) => answer.result,
-            Err(e) => return log::warn!("event=snapshot_unreadable peer={address} error=\"{e}\""),
+            Err(e) => return log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\""),
         };
         let now = Instant::now();
         let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
-        let news = self.shared.lock().world.learn(now, knowledge.into_snapshot(), read);
+        let snapshot = knowledge.into_snapshot();
+        let news = {
+            let mut state = self.shared.lock();
+            match state.is_source(&instance) {
+                true => state.world.copy(now, snapshot, read),
+                false => state.world.learn(now, snapshot, read),
+            }
+        };
         self.shared.apply(now, &news, "peer");
     }
 
+    fn known(&self) -> Known {
+        let state = self.shared.lock();
+        let version = state.world.table().map_or(0, |t| t.version());
+        Known { version, instances: state.world.is_loaded() && !state.sources.is_store() }
+    }
+
     /// Answers another instance's question.
     pub(crate) async fn answer(self: Arc<Peers<W>>, req: Request<Incoming>) -> Response<h1::Whole> {
         let question = match req.into_body().collect().await {
@@ -285,7 +340,8 @@
         };
         let body = match question {
             Ok(question) if question.method == SNAPSHOT => {
-                let result = Knowledge::of(&self.shared, &self.name, self.address);
+                let result =
+                    Knowledge::of(&self.shared, &self.name, self.address).without(question.params);
                 let id = question.id;
                 serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result })
             }
@@ -311,12 +367,24 @@
         instances.push((me.clone(), Entry { zone, address, paces, used }));
         Knowledge {
             revision: if world.is_loaded() { world.revision() } else { 0 },
+            version: world.table().map_or(0, |t| t.version()),
             document: String::from_utf8_lossy(world.document()).into_owned(),
             endpoints: world.endpoints().cloned().collect(),
             instances,
         }
     }
 
+    /// Leaves out what the one who asks knows.
+    fn without(mut self, known: Known) -> Knowledge {
+        if self.version <= known.version {
+            self.document.clear();
+        }
+        if known.instances {
+            self.instances.clear();
+        }
+        self
+    }
+
     fn into_snapshot(self) -> Snapshot {
         let mut records = Vec::new();
         if !self.document.is_empty() {
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -240,14 +240,14 @@
             };
             run.note_event();
             run.first = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
+            self.shared.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
             observe::began(&job.route.name, job.arrived.elapsed());
             return Ok(Begun::Stream(head, first, body));
         }
         let whole = body.collect().await.map_err(broken)?.to_bytes();
         if head.status.is_success() {
             run.first = run.began.elapsed();
-            self.shared.lock().cell.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
+            self.shared.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
         }
         Ok(Begun::Whole(Response::from_parts(head, whole)))
     }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
 
+use crate::source::{Source, Sources};
 use crate::world::{News, World};
 
 /// What the lock guards.
@@ -23,6 +24,9 @@
     waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
     /// This instance's cell.
     pub(crate) group: Group,
+    /// From whom this instance learns what the store holds.
+    pub(crate) sources: Sources,
+    cell_size: usize,
     me: InstanceId,
     pub(crate) zone: ZoneId,
     /// Whether the quotas have started from what was noted before.
@@ -40,7 +44,7 @@
         let heard = self.cell.live_reports(now);
         members.extend(heard.map(|r| (r.instance.clone(), r.zone.clone())));
         let endpoints: Vec<_> = self.world.endpoints().cloned().collect();
-        let group = Group::of(&self.me, &members, &endpoints);
+        let group = Group::of(&self.me, &members, &endpoints, self.cell_size);
         if group.peers != self.group.peers || group.cells != self.group.cells {
             log::info!(
                 "event=cell cells={} peers={} endpoints={} instances={}",
@@ -56,6 +60,30 @@
         }
         self.group = group;
     }
+
+    /// Chooses the source anew. A fleet of one cell does without: it has too few calls to save.
+    pub(crate) fn choose_source(&mut self, now: Instant) {
+        let State { cell, group, sources, me, .. } = self;
+        let is_peer = |r: &Report| group.cells > 1 && group.peers.contains(&r.instance);
+        let reports = cell.aged_reports(now).filter(|(r, _)| is_peer(r));
+        if !sources.choose(now, me, reports) {
+            return;
+        }
+        log::info!("event=source source={}", sources.get());
+        if !sources.is_store() && self.world.store_found(now) {
+            log::info!("event=dependency_regained dependency=store source={}", self.sources.get());
+        }
+    }
+
+    /// Whether this instance follows the store, and the store answers it.
+    pub(crate) fn has_store(&self) -> bool {
+        self.sources.is_store() && !self.world.is_store_away()
+    }
+
+    /// Whether this instance copies from that one.
+    pub(crate) fn is_source(&self, instance: &InstanceId) -> bool {
+        matches!(self.sources.get(), Source::Instance(name, _) if name == instance)
+    }
 }
 
 impl State {
@@ -82,9 +110,9 @@
 impl Shared {
     /// Wraps the parts. The receiver tells that something should be reported to other instances.
     pub(crate) fn new(
-        me: InstanceId,
-        zone: ZoneId,
-        cell: Cell,
+        (me, zone): (InstanceId, ZoneId),
+        (cell, cell_size): (Cell, usize),
+        sources: Sources,
         quotas: Quotas,
         repeats: Repeats,
     ) -> (Shared, channel::Receiver<()>) {
@@ -96,6 +124,8 @@
             repeats,
             waiters: HashMap::new(),
             group: Group::default(),
+            sources,
+            cell_size,
             me,
             zone,
             is_restored: false,
@@ -205,6 +235,11 @@
         }
     }
 
+    /// Notes the time to the first event of a run.
+    pub(crate) fn began(&self, endpoint: &EndpointId, prompt: u32, backlog: u32, first: Duration) {
+        self.lock().cell.began(Instant::now(), endpoint, prompt, backlog, first);
+    }
+
     /// Ends a run.
     pub(crate) fn finish(&self, endpoint: &EndpointId, unread: u32, outcome: Outcome) {
         self.lock().cell.finish(Instant::now(), endpoint, unread, outcome);
--- /dev/null
+++ b/oxbowbend-gateway/src/source.rs
@@ -0,0 +1,125 @@
+//! From whom an instance learns what the store holds.
+//!
+//! Every call to the store costs the users, and each change of an endpoint costs one call of
+//! every instance that follows the store. So in a fleet of several cells, one instance of each
+//! cell follows it, and the others copy what that one knows: its reports carry a digest of its list
+//! of endpoints, and whoever holds another list asks for the whole one.
+//!
+//! Nobody is elected. Each instance copies from the first one by name that it hears to have been
+//! answered by the store lately, and follows the store itself if there is none before it. What was
+//! traded: two may follow for a moment after a start, and the loss of a source is noticed after half
+//! of the time within which changes must be in force; a fleet of one cell does without.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::cell::Report;
+use oxbowbend_core::ids::InstanceId;
+
+/// Part of the time within which changes must be in force for which a watch of endpoints waits. Its
+/// answer is the sign that the store is still reached.
+const WATCH_SHARE: f64 = 1.0 / 3.0;
+/// Part of it after the store's last answer for which an instance is copied from. The rest is for
+/// those who copied to read the store themselves, some tens of milliseconds.
+const FRESH_SHARE: f64 = 0.5;
+/// Part of it for which an instance that did not answer is not copied from.
+const DISTRUST_SHARE: f64 = 1.0;
+
+/// Whom an instance learns from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// An instance of the same cell.
+    Instance(InstanceId, SocketAddr),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Store => f.write_str("store"),
+            Source::Instance(name, _) => f.write_str(name),
+        }
+    }
+}
+
+/// Chooses the source as time goes by.
+#[derive(Debug)]
+pub struct Sources {
+    in_force: Duration,
+    source: Source,
+    /// Last answer of the store to this instance.
+    answered: Option<Instant>,
+    /// An instance that did not answer, and until when it is left alone.
+    distrusted: Option<(InstanceId, Instant)>,
+}
+
+impl Sources {
+    /// Starts with the store. `in_force` is the time within which changes must be in force.
+    pub fn new(in_force: Duration) -> Sources {
+        Sources { in_force, source: Source::Store, answered: None, distrusted: None }
+    }
+
+    /// The source.
+    pub fn get(&self) -> &Source {
+        &self.source
+    }
+
+    /// Whether this instance follows the store.
+    pub fn is_store(&self) -> bool {
+        self.source == Source::Store
+    }
+
+    /// Time for which a watch that others rely on waits.
+    pub fn watch(&self) -> Duration {
+        self.in_force.mul_f64(WATCH_SHARE)
+    }
+
+    /// Notes an answer of the store.
+    pub fn answered(&mut self, now: Instant) {
+        self.answered = Some(now);
+    }
+
+    /// Milliseconds since the store's last answer, to tell others; none while this instance does
+    /// not follow it.
+    pub fn seen_ms(&self, now: Instant) -> Option<u32> {
+        let answered = self.answered.filter(|_| self.is_store())?;
+        Some(now.saturating_duration_since(answered).as_millis().min(u32::MAX.into()) as u32)
+    }
+
+    /// Notes that an instance did not answer.
+    pub fn failed(&mut self, now: Instant, instance: &InstanceId) {
+        let until = now + self.in_force.mul_f64(DISTRUST_SHARE);
+        self.distrusted = Some((instance.clone(), until));
+    }
+
+    /// Chooses anew among the last reports of the cell's other instances, each with its age. Returns
+    /// whether the source is another one.
+    pub fn choose<'a>(
+        &mut self,
+        now: Instant,
+        me: &InstanceId,
+        reports: impl Iterator<Item = (&'a Report, Duration)>,
+    ) -> bool {
+        let fresh = self.in_force.mul_f64(FRESH_SHARE);
+        let distrusted = self.distrusted.as_ref().filter(|(_, until)| now < *until);
+        let distrusted = distrusted.map(|(instance, _)| instance);
+        let is_source = |(report, age): &(&Report, Duration)| {
+            let seen = report.seen_ms.map(|ms| Duration::from_millis(ms.into()) + *age);
+            report.instance < *me
+                && seen.is_some_and(|seen| seen < fresh)
+                && Some(&report.instance) != distrusted
+        };
+        let first = reports.filter(is_source).min_by(|(a, _), (b, _)| a.instance.cmp(&b.instance));
+        let chosen = match first {
+            Some((report, _)) => report.address.map_or(Source::Store, |address| {
+                Source::Instance(report.instance.clone(), address)
+            }),
+            None => Source::Store,
+        };
+        let is_new = chosen != self.source;
+        self.source = chosen;
+        is_new
+    }
+}
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use oxbowbend_core::ids::{EndpointId, InstanceId};
 use oxbowbend_core::routes::{Endpoint, Table};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::seam::{Entry, Record, Revision, Snapshot};
 
@@ -19,6 +20,12 @@
 /// difference is for requests on their way.
 pub const LAPSE: Duration = Duration::from_millis(1700);
 
+/// When to come back to an instance that has just started: it knows everything after some 15 ms.
+const SOON: Duration = Duration::from_millis(200);
+/// Least and longest time for which an outage of the store is taken to last on. The users' last some
+/// 4 to 6 s, and callers wait a third of the time that they have left, 4 s at most.
+const OUTAGE: (Duration, Duration) = (Duration::from_millis(1500), Duration::from_millis(4000));
+
 /// A change of what is known, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
@@ -44,10 +51,12 @@
     document: Bytes,
     table: Option<Arc<Table>>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    digest: u64,
     lapsed: BTreeMap<EndpointId, Instant>,
     instances: BTreeMap<InstanceId, Entry>,
     returned: Option<Instant>,
-    is_away: bool,
+    /// Since when the store has not answered.
+    away: Option<Instant>,
 }
 
 impl World {
@@ -76,6 +85,11 @@
         self.endpoints.values()
     }
 
+    /// Digest of the endpoints in force, the same at instances that know the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Instances that have entered themselves.
     pub fn instances(&self) -> &BTreeMap<InstanceId, Entry> {
         &self.instances
@@ -83,17 +97,26 @@
 
     /// Whether the store does not answer.
     pub fn is_store_away(&self) -> bool {
-        self.is_away
+        self.away.is_some()
     }
 
     /// Notes that the store does not answer; `true` if that is new.
-    pub fn store_lost(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_away, true)
+    pub fn store_lost(&mut self, now: Instant) -> bool {
+        let is_new = self.away.is_none();
+        self.away.get_or_insert(now);
+        is_new
+    }
+
+    /// When a caller should come back who came before anything could be served. An outage of the
+    /// store is taken to last as long again as it has lasted.
+    pub fn come_back(&self, now: Instant) -> Duration {
+        let Some(since) = self.away else { return SOON };
+        (OUTAGE.0 + now.saturating_duration_since(since)).min(OUTAGE.1)
     }
 
     /// Notes that the store answers; `true` if that is new.
     pub fn store_found(&mut self, now: Instant) -> bool {
-        let was_away = std::mem::replace(&mut self.is_away, false);
+        let was_away = self.away.take().is_some();
         if was_away {
             self.returned = Some(now);
         }
@@ -116,7 +139,10 @@
                 _ => {}
             }
         }
-        self.instances = instances;
+        // One that copies is not told instances that it knows.
+        if !instances.is_empty() {
+            self.instances = instances;
+        }
         let mut news = self.change(now, snapshot, read);
         for id in missing {
             news.extend(self.lapse(now, id));
@@ -154,13 +180,34 @@
         news
     }
 
+    /// Copies what an instance knows that follows the store for this one: its list of endpoints as it
+    /// is, with those that it keeps for a moment, unless this instance has newer word.
+    pub fn copy<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        if snapshot.revision < self.revision {
+            return self.learn(now, snapshot, read);
+        }
+        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
+        for record in &snapshot.records {
+            if let Record::Endpoint(endpoint) = record {
+                missing.remove(&endpoint.id);
+            }
+        }
+        let mut news = self.change(now, snapshot, read);
+        news.extend(missing.into_iter().filter_map(|id| self.remove(id)));
+        self.is_loaded = true;
+        news
+    }
+
     /// Takes in what another instance knows, if that is more. Its list of endpoints is taken only
     /// while the store is away here, since the store's own word is better.
     pub fn learn<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
-        if snapshot.revision > self.revision && (self.is_away || !self.is_loaded) {
+        if snapshot.revision > self.revision && (self.away.is_some() || !self.is_loaded) {
             return self.load(now, snapshot, read);
         }
         let is_config = |r: &Record| matches!(r, Record::Config(_));
@@ -170,7 +217,7 @@
 
     /// Removes endpoints that have not entered themselves again.
     pub fn expire(&mut self, now: Instant) -> Vec<News> {
-        if self.is_away {
+        if self.away.is_some() {
             return Vec::new();
         }
         let due = self.lapsed.iter().filter(|(_, until)| now >= **until);
@@ -201,12 +248,16 @@
     fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
         self.lapsed.remove(&endpoint.id);
         let old = self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
-        (old.as_ref() != Some(&endpoint)).then_some(News::Endpoint(endpoint))
+        if old.as_ref() == Some(&endpoint) {
+            return None;
+        }
+        self.digest ^= old.as_ref().map_or(0, digest) ^ digest(&endpoint);
+        Some(News::Endpoint(endpoint))
     }
 
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
         let until = match self.returned {
-            _ if self.is_away => now + LAPSE,
+            _ if self.away.is_some() => now + LAPSE,
             Some(returned) if now < returned + LAPSE => returned + LAPSE,
             _ => return self.remove(id),
         };
@@ -218,6 +269,13 @@
 
     fn remove(&mut self, id: EndpointId) -> Option<News> {
         self.lapsed.remove(&id);
-        self.endpoints.remove(&id).map(|_| News::EndpointGone(id))
+        self.digest ^= digest(&self.endpoints.remove(&id)?);
+        Some(News::EndpointGone(id))
     }
 }
+
+/// Part of one endpoint in the digest of all, which is the exclusive or of these.
+fn digest(endpoint: &Endpoint) -> u64 {
+    let Endpoint { id, address, leaving, .. } = endpoint;
+    xxh3_64(format!("{id} {address} {leaving}").as_bytes())
+}
--- /dev/null
+++ b/oxbowbend-gateway/tests/sources.rs
@@ -0,0 +1,86 @@
+//! From whom instances learn what the store holds.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::cell::Report;
+use oxbowbend_gateway::source::{Source, Sources};
+
+/// Age of what was told just now.
+const NOW: Duration = Duration::ZERO;
+const MS: Duration = Duration::from_millis(1);
+/// The users' bound at their larger sites.
+const IN_FORCE: Duration = Duration::from_millis(3000);
+
+/// Name, milliseconds since the store's answer by its own word, and the age of that in milliseconds.
+type Heard = (&'static str, Option<u32>, u32);
+
+fn report(name: &str, seen_ms: Option<u32>) -> Report {
+    let address = Some(([10, 0, 0, name.len() as u8], 7600).into());
+    Report { instance: name.into(), address, seen_ms, ..Report::default() }
+}
+
+/// The source of instance `m` with such reports of others, or `-` for the store.
+fn chosen(sources: &mut Sources, now: Instant, reports: &[(Report, Duration)]) -> String {
+    sources.choose(now, &"m".into(), reports.iter().map(|(r, age)| (r, *age)));
+    match sources.get() {
+        Source::Store => "-".to_owned(),
+        Source::Instance(name, _) => name.to_string(),
+    }
+}
+
+#[test]
+fn the_first_by_name_that_the_store_answers_is_copied_from() {
+    let table: [(&[Heard], &str); 8] = [
+        (&[], "-"),
+        (&[("a", Some(0), 0)], "a"),
+        (&[("b", Some(0), 0), ("a", Some(900), 100)], "a"),
+        // What it was told is too old, by its own word or by the age of that.
+        (&[("a", Some(1500), 0)], "-"),
+        (&[("a", Some(900), 600)], "-"),
+        (&[("a", Some(1500), 0), ("b", Some(10), 10)], "b"),
+        // It copies itself.
+        (&[("a", None, 0)], "-"),
+        // Those behind this one in order copy from it.
+        (&[("n", Some(0), 0)], "-"),
+    ];
+    let now = Instant::now();
+    for (others, expected) in table {
+        let reports: Vec<_> =
+            others.iter().map(|(name, seen, age)| (report(name, *seen), *age * MS)).collect();
+        assert_eq!(chosen(&mut Sources::new(IN_FORCE), now, &reports), expected, "{others:?}");
+    }
+}
+
+#[test]
+fn one_that_does_not_answer_is_left_alone_for_a_while() {
+    let now = Instant::now();
+    let reports = [(report("a", Some(0)), NOW), (report("b", Some(0)), NOW)];
+    let mut sources = Sources::new(IN_FORCE);
+    assert_eq!(chosen(&mut sources, now, &reports), "a");
+    sources.failed(now, &"a".into());
+    assert_eq!(chosen(&mut sources, now, &reports), "b");
+    assert_eq!(chosen(&mut sources, now + IN_FORCE, &reports), "a");
+}
+
+#[test]
+fn only_those_who_follow_the_store_say_so() {
+    let now = Instant::now();
+    let mut sources = Sources::new(IN_FORCE);
+    assert_eq!(sources.seen_ms(now), None);
+    sources.answered(now);
+    assert_eq!(sources.seen_ms(now + 40 * MS), Some(40));
+    chosen(&mut sources, now, &[(report("a", Some(0)), NOW)]);
+    assert_eq!(sources.seen_ms(now), None);
+}
+
+/// A source that falls silent in any way leaves its copiers time to read the store themselves before
+/// a change must be in force.
+#[test]
+fn the_loss_of_a_source_is_noticed_in_half_of_the_time() {
+    let now = Instant::now();
+    let mut sources = Sources::new(IN_FORCE);
+    let age = |ms: u32| [(report("a", Some(0)), ms * MS)];
+    let lost = (0..3000).find(|ms| chosen(&mut sources, now, &age(*ms)) == "-");
+    assert_eq!(lost, Some(1500));
+    assert!(sources.watch() + 300 * MS < 1500 * MS, "a watch and its answer fit in");
+}
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -95,7 +95,7 @@
 fn entries_that_lapsed_with_the_store_are_given_time_to_return() {
     let now = Instant::now();
     let mut world = loaded(now);
-    assert!(world.store_lost());
+    assert!(world.store_lost(now));
     let back = now + Duration::from_secs(5);
     assert!(world.store_found(back));
     let gone = vec![Record::EndpointGone("a".into()), Record::EndpointGone("b".into())];
@@ -113,7 +113,7 @@
     let mut world = loaded(now);
     world.learn(now, snapshot(20, vec![endpoint("c")]), read);
     assert_eq!(ids(&world), ["a", "b"]);
-    world.store_lost();
+    world.store_lost(now);
     world.learn(now, snapshot(9, vec![endpoint("c")]), read);
     assert_eq!(ids(&world), ["a", "b"]);
     world.learn(now, snapshot(20, vec![endpoint("c")]), read);
@@ -124,8 +124,64 @@
 fn a_fresh_instance_starts_from_another_one() {
     let now = Instant::now();
     let mut world = World::default();
-    world.store_lost();
+    world.store_lost(now);
     world.learn(now, snapshot(9, vec![config("3"), endpoint("c")]), read);
     assert!(world.is_loaded());
     assert_eq!((version(&world), ids(&world)), (3, vec!["c".to_owned()]));
 }
+
+#[test]
+fn a_copy_is_the_source_s_list_as_it_is() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    let mut source = World::default();
+    source.load(now, snapshot(12, vec![config("6"), endpoint("b"), endpoint("c")]), read);
+    assert_ne!(world.digest(), source.digest());
+    let copied = vec![config("6"), endpoint("b"), endpoint("c")];
+    let news = world.copy(now, snapshot(12, copied), read);
+    assert_eq!((ids(&world), version(&world)), (ids(&source), 6));
+    assert_eq!((world.digest(), world.revision()), (source.digest(), 12));
+    assert!(news.contains(&News::EndpointGone("a".into())));
+}
+
+#[test]
+fn a_copy_of_what_is_older_takes_nothing_away() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    assert_eq!(world.copy(now, snapshot(9, vec![config("4"), endpoint("a")]), read).len(), 1);
+    assert_eq!((ids(&world), version(&world)), (vec!["a".to_owned(), "b".to_owned()], 5));
+}
+
+#[test]
+fn a_copy_without_the_document_keeps_the_configuration() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    world.copy(now, snapshot(11, vec![endpoint("a")]), read);
+    assert_eq!((ids(&world), version(&world)), (vec!["a".to_owned()], 5));
+}
+
+#[test]
+fn the_digest_follows_the_list_and_not_its_history() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    let before = world.digest();
+    world.change(now, snapshot(11, vec![endpoint("c")]), read);
+    assert_ne!(world.digest(), before);
+    world.change(now, snapshot(12, vec![Record::EndpointGone("c".into())]), read);
+    assert_eq!(world.digest(), before);
+}
+
+#[test]
+fn callers_are_told_to_come_back_after_as_long_as_an_outage_has_lasted() {
+    let now = Instant::now();
+    let mut world = World::default();
+    assert_eq!(world.come_back(now), Duration::from_millis(200));
+    world.store_lost(now);
+    for (lasted, expected) in [(0, 1500), (1000, 2500), (9000, 4000)] {
+        let later = now + Duration::from_millis(lasted);
+        assert!(!world.store_lost(later), "not new");
+        assert_eq!(world.come_back(later), Duration::from_millis(expected));
+    }
+    world.store_found(now);
+    assert_eq!(world.come_back(now), Duration::from_millis(200));
+}
