Tell callers to come back after an outage of the store, not in the middle of it

Nothing holds a configuration then; the store is back 2 s later, and the fleet serves within 0.4 s of that.

Change: an instance that knows nothing and that the store does not answer takes the outage to last as long again as it has lasted, at least 1.5 s; where another instance knows the configuration it is 200 ms as before.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use oxbowbend_core::cell::Stall;
 use oxbowbend_core::routes::{Account, Route, Table};
+use rand::Rng;
 
 use super::job::Job;
 use super::refusal::Refusal;
@@ -23,6 +24,11 @@
 /// such a chunk, and borne out by the pauses seen at slow endpoints.
 const READ_CHUNK: u32 = 1024;
 
+/// When to come back to an instance that is being told the configuration.
+const STARTING: Duration = Duration::from_millis(200);
+/// Spread of the time to come back, so that refused callers do not return as one.
+const SPREAD: std::ops::Range<f64> = 0.8..1.2;
+
 type Refused = (String, Refusal);
 
 impl<W: Wire> Relay<W> {
@@ -44,11 +50,22 @@
         if self.door.is_shut() {
             return Err(refused(Refusal::Stopping));
         }
-        let table = table.ok_or_else(|| refused(Refusal::NotReady))?;
+        let table = table.ok_or_else(|| refused(self.not_ready(arrived)))?;
         let job = self.check(&table, head, ask, body, arrived).map_err(refused)?;
         Ok(job)
     }
 
+    /// Nothing can be served yet. Where another instance knows the configuration, this one soon will.
+    fn not_ready(&self, now: Instant) -> Refusal {
+        let state = self.shared.lock();
+        let come_back = match state.cell.live_reports(now).any(|r| r.version > 0) {
+            true => STARTING,
+            false => state.world.come_back(now),
+        };
+        drop(state);
+        Refusal::NotReady { retry_after: come_back.mul_f64(rand::rng().random_range(SPREAD)) }
+    }
+
     fn check(
         &self,
         table: &Table,
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -6,14 +6,14 @@
 use http::{Response, StatusCode};
 use oxbowbend_http::h1;
 
-/// When to come back to an instance that cannot serve yet.
-const NOT_READY: Duration = Duration::from_millis(200);
+/// When to come back to another instance, if this one stops.
+const STOPPING: Duration = Duration::from_millis(200);
 
 /// Why a request is not answered by an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Refusal {
     /// No configuration is known yet.
-    NotReady,
+    NotReady { retry_after: Duration },
     /// This instance is about to end.
     Stopping,
     /// The head contradicts the protocol.
@@ -39,7 +39,7 @@
 impl Refusal {
     fn status(&self) -> StatusCode {
         match self {
-            Refusal::NotReady | Refusal::Stopping | Refusal::Busy { .. } => {
+            Refusal::NotReady { .. } | Refusal::Stopping | Refusal::Busy { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::Unreadable(_) | Refusal::CutBody => StatusCode::BAD_REQUEST,
@@ -59,10 +59,10 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::NotReady | Refusal::Stopping => Some(NOT_READY),
-            Refusal::OverQuota { retry_after } | Refusal::Busy { retry_after } => {
-                Some(*retry_after)
-            }
+            Refusal::Stopping => Some(STOPPING),
+            Refusal::NotReady { retry_after }
+            | Refusal::OverQuota { retry_after }
+            | Refusal::Busy { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
@@ -70,7 +70,7 @@
     /// Name in logs and metrics.
     pub(crate) fn outcome(&self) -> &'static str {
         match self {
-            Refusal::NotReady => "not_ready",
+            Refusal::NotReady { .. } => "not_ready",
             Refusal::Stopping => "stopping",
             Refusal::Unreadable(_) => "unreadable",
             Refusal::NoRoute => "no_route",
