After a restart, take an instance's part of what a note leaves, not of the whole limit

An instance that has heard nobody yet may use 1/89 of the limit, but compared with that what the note said all 89 had used. Ruled out: accounts over their limit: none was refused in the 30 s before. Notes too high: the sums of event=window_restored are under the limits.

Change: what is noted is taken off the limit first; the share is of the rest. The first six reports after a start go to everybody. Test: quotas.rs, a_start_without_others_has_its_part_of_what_is_left, fails without the change (0 admitted instead of 50).

--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -6,7 +6,7 @@
 //!
 //! Two things are not known and are guarded against. An instance that hears only some of the others
 //! takes only the same share of the limit, so that the sides of a partition together stay within
-//! it. And an instance that has just started does not know what was admitted before. So one of the
+//! it; of what a note tells it to be used already, all of the limit's rest is shared like that. And an instance that has just started does not know what was admitted before. So one of the
 //! instances notes the window in the store a few times a second, and a fresh one starts from that,
 //! adding what may have come since the note at the rate of its last second.
 //!
@@ -55,6 +55,15 @@
 struct Usage {
     quota: Quota,
     spent: u64,
+    /// What was admitted in this life, here and as others told.
+    live: Parts,
+    /// What a note told at the start of this life.
+    noted: Parts,
+}
+
+/// Units admitted lately, the oldest first.
+#[derive(Debug, Default)]
+struct Parts {
     parts: VecDeque<(Instant, f64)>,
     sum: f64,
 }
@@ -79,7 +88,7 @@
         for (account, quota) in quotas {
             let usage = match old.remove(account) {
                 Some(usage) => Usage { quota, ..usage },
-                None => Usage { quota, spent: 0, parts: VecDeque::new(), sum: 0.0 },
+                None => Usage { quota, spent: 0, live: Parts::default(), noted: Parts::default() },
             };
             self.usages.insert(account.clone(), usage);
         }
@@ -99,10 +108,10 @@
         let Some(usage) = self.usages.get_mut(account) else { return Ok(()) };
         usage.forget(now, self.bounds.window);
         let limit = usage.usable(&self.bounds, self.share);
-        if usage.sum + units as f64 > limit {
+        if usage.live.sum + units as f64 > limit {
             return Err(usage.room_in(now, limit, units as f64, self.bounds.window));
         }
-        usage.add_coarsely(now, units as f64, self.bounds.window / PARTS);
+        usage.live.add_coarsely(now, units as f64, self.bounds.window / PARTS);
         usage.spent += units;
         Ok(())
     }
@@ -110,7 +119,7 @@
     /// Gives back the units of a request that has not run.
     pub fn give_back(&mut self, account: &str, units: u64) {
         if let Some(usage) = self.usages.get_mut(account) {
-            usage.take_back(units as f64);
+            usage.live.take_back(units as f64);
             usage.spent = usage.spent.saturating_sub(units);
         }
     }
@@ -118,13 +127,16 @@
     /// Adds what another instance has admitted.
     pub fn draw(&mut self, now: Instant, account: &str, units: f64) {
         if let Some(usage) = self.usages.get_mut(account) {
-            usage.add_coarsely(now, units, self.bounds.window / PARTS);
+            usage.live.add_coarsely(now, units, self.bounds.window / PARTS);
         }
     }
 
     /// Whether an account is so near its limit that the others must know at once what is admitted.
     pub fn is_busy(&self) -> bool {
-        self.usages.values().any(|u| u.sum > u.limit(&self.bounds) * self.share * BUSY_SHARE)
+        self.usages.values().any(|u| {
+            let limit = (u.limit(&self.bounds) - u.noted.sum) * self.share;
+            u.live.sum > limit * BUSY_SHARE
+        })
     }
 
     /// What accounts have used in the window, as far as is known.
@@ -132,7 +144,7 @@
         let window = self.bounds.window;
         let windows = self.usages.iter_mut().filter_map(|(account, usage)| {
             usage.forget(now, window);
-            (usage.sum >= 1.0).then(|| (account.clone(), usage.slots(now)))
+            (usage.sum() >= 1.0).then(|| (account.clone(), usage.slots(now)))
         });
         let mut windows: Vec<_> = windows.collect();
         windows.sort();
@@ -144,17 +156,16 @@
         let Some(usage) = self.usages.get_mut(account) else { return };
         let unseen = window.first().map_or(0.0, |last| *last as f64) * NOTE_AGE.as_secs_f64();
         let noted = window.iter().sum::<u64>() as f64 + unseen;
-        if noted <= usage.sum {
+        if noted <= usage.noted.sum {
             return;
         }
-        usage.parts.clear();
-        usage.sum = 0.0;
+        usage.noted = Parts::default();
         for (age, units) in window.iter().enumerate().rev() {
             // The newest end of a slot, so that nothing leaves the window too early.
             let at = now.checked_sub(SLOT * age as u32).unwrap_or(now);
-            usage.add(at, *units as f64);
+            usage.noted.add(at, *units as f64);
         }
-        usage.add(now, unseen);
+        usage.noted.add(now, unseen);
     }
 
     /// What this instance has admitted since its start, for each account.
@@ -172,9 +183,47 @@
     fn usable(&self, bounds: &QuotaBounds, share: f64) -> f64 {
         let limit = self.limit(bounds);
         let tolerated = (limit * bounds.overage + bounds.slack) * TOLERANCE_SHARE;
-        share * (limit + tolerated)
+        share * (limit + tolerated - self.noted.sum)
+    }
+
+    fn sum(&self) -> f64 {
+        self.live.sum + self.noted.sum
     }
 
+    fn slots(&self, now: Instant) -> Window {
+        let mut slots = Window::new();
+        for (at, units) in self.live.parts.iter().chain(&self.noted.parts) {
+            let age = now.saturating_duration_since(*at).as_secs() as usize;
+            if slots.len() <= age {
+                slots.resize(age + 1, 0);
+            }
+            slots[age] += *units as u64;
+        }
+        slots
+    }
+
+    /// A part counts until its last unit is out of the window.
+    fn forget(&mut self, now: Instant, window: Duration) {
+        self.live.forget(now, window + window / PARTS);
+        self.noted.forget(now, window + window / PARTS);
+    }
+
+    /// Time until the window has room for so many units.
+    fn room_in(&self, now: Instant, limit: f64, units: f64, window: Duration) -> Duration {
+        let mut excess = self.live.sum + units - limit;
+        let mut parts: Vec<_> = self.live.parts.iter().chain(&self.noted.parts).collect();
+        parts.sort_by_key(|(at, _)| *at);
+        for (at, sum) in parts {
+            excess -= sum;
+            if excess <= 0.0 {
+                return (*at + window + window / PARTS).saturating_duration_since(now);
+            }
+        }
+        window
+    }
+}
+
+impl Parts {
     fn add(&mut self, now: Instant, units: f64) {
         self.parts.push_back((now, units));
         self.sum += units;
@@ -201,21 +250,7 @@
         }
     }
 
-    fn slots(&self, now: Instant) -> Window {
-        let mut slots = Window::new();
-        for (at, units) in &self.parts {
-            let age = now.saturating_duration_since(*at).as_secs() as usize;
-            if slots.len() <= age {
-                slots.resize(age + 1, 0);
-            }
-            slots[age] += *units as u64;
-        }
-        slots
-    }
-
-    /// A part counts until its last unit is out of the window.
-    fn forget(&mut self, now: Instant, window: Duration) {
-        let keep = window + window / PARTS;
+    fn forget(&mut self, now: Instant, keep: Duration) {
         while let Some((at, sum)) = self.parts.front() {
             if now.saturating_duration_since(*at) < keep {
                 break;
@@ -224,16 +259,4 @@
             self.parts.pop_front();
         }
     }
-
-    /// Time until the window has room for so many units.
-    fn room_in(&self, now: Instant, limit: f64, units: f64, window: Duration) -> Duration {
-        let mut excess = self.sum + units - limit;
-        for (at, sum) in &self.parts {
-            excess -= sum;
-            if excess <= 0.0 {
-                return (*at + window + window / PARTS).saturating_duration_since(now);
-            }
-        }
-        window
-    }
 }
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -186,3 +186,19 @@
     alone.admit(now, "a", 271).expect("room");
     assert!(alone.is_busy());
 }
+
+/// After a restart of the whole fleet no instance hears the others yet. What the note tells was used
+/// by all of them, and must not be held against one instance's own part
+/// (kalemdar-tutanak-grown trouble-1: 147 requests refused in the first second).
+#[test]
+fn a_start_without_others_has_its_part_of_what_is_left() {
+    let now = Instant::now() + 20 * S;
+    for (instances, noted, room) in
+        [(10.0, 0, 101), (10.0, 514, 50), (2.0, 514, 250), (10.0, 1014, 0)]
+    {
+        let mut fresh = quotas();
+        fresh.restore(now, "a", &[0, noted]);
+        fresh.set_share(1.0 / instances);
+        assert_eq!(admitted(&mut fresh, now), room, "{instances} instances, {noted} noted");
+    }
+}
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -40,6 +40,10 @@
 const BEAT: Duration = Duration::from_millis(130);
 /// Beats of which one also goes to addresses from which nothing is heard.
 const KNOCK: u64 = 8;
+/// Beats after a start that go to everybody who should be there. After a restart of the whole fleet
+/// instances start within 0.3 s of each other, and until they hear each other each keeps to its own
+/// part of every limit.
+const FIRST_BEATS: u64 = 6;
 /// Beats of which one also goes to other cells. Quotas bear what accounts use meanwhile.
 const FAR: u64 = 4;
 /// Shortest time between two questions for a snapshot.
@@ -134,7 +138,8 @@
     pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
         let mut beats: u64 = 0;
         let mut told = HashMap::new();
-        let mut beaten = Instant::now();
+        let now = Instant::now();
+        let mut beaten = now.checked_sub(BEAT).unwrap_or(now);
         loop {
             // A time-out is no fault here: it is time for a beat without a change.
             let _ = future::timeout(BEAT.saturating_sub(beaten.elapsed()), changed.recv()).await;
@@ -145,7 +150,7 @@
             }
             let reach = match beats {
                 _ if !is_beat => Reach::Cell,
-                n if n % KNOCK == 1 => Reach::Everybody,
+                n if n <= FIRST_BEATS || n % KNOCK == 1 => Reach::Everybody,
                 n if n % FAR == 0 => Reach::Heard,
                 _ => Reach::CellInFull,
             };
