Tell other cells sums, by one instance of each; let a start settle before it follows the store

Ruled out: fewer reports to other cells by all (an account at four times its limit fills a window by a twentieth in 0.1 s; what all cells use meanwhile must be known); smaller beats in the cell.

Change: the first instance of a cell by name tells the other cells every 0.26 s what its cell has admitted in all, the others only that they are there. An instance waits 0.8 s after its first reading before it asks for changes, and at a start all tell all whom they know. Tests: cell.rs of_another_cell_only_its_speaker_s_sums_count, quotas.rs a_cell_tells_others_what_it_admitted.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -22,7 +22,7 @@
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
 
-use crate::ids::{EndpointId, InstanceId, ServiceId, ZoneId};
+use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Silence after which an instance's waiting requests hold nobody else's back.
@@ -131,7 +131,10 @@
     /// Whether a report with all tallies was heard, which their counters go on from.
     is_tallied: bool,
     /// Units told to be admitted so far, by account. Frequent reports leave them out.
-    spent: HashMap<crate::ids::AccountId, u64>,
+    spent: HashMap<AccountId, u64>,
+    /// The same for its cell, and whether a report with all accounts was heard.
+    cell_spent: HashMap<AccountId, u64>,
+    knows_cell: bool,
     /// The paces told last.
     paces: HashMap<EndpointId, pace::Pace>,
 }
@@ -188,13 +191,15 @@
         }
     }
 
-    /// Takes in another instance's report. Returns the units that it admitted since its last one,
-    /// by account, and whether the report was news at all.
+    /// Takes in another instance's report. Returns the units that were admitted since the last one,
+    /// by account: its own if it is of this cell, and those of its cell if it speaks for another
+    /// one. Returns nothing if the report is no news.
     pub fn hear(
         &mut self,
         now: Instant,
         report: Report,
-    ) -> Option<Vec<(crate::ids::AccountId, u64)>> {
+        is_near: bool,
+    ) -> Option<Vec<(AccountId, u64)>> {
         if report.instance == self.me {
             return None;
         }
@@ -220,15 +225,17 @@
                 site.health.note(now, good as u32, bad as u32);
             }
         }
-        let spent = report.spent.iter().map(|(account, units)| {
-            let old = peer.spent.insert(account.clone(), *units);
-            let old = old.unwrap_or(if is_first { *units } else { 0 });
-            (account.clone(), units.saturating_sub(old))
-        });
-        let spent = spent.collect();
+        let spent = count_on(&mut peer.spent, &report.spent, is_first);
+        let cell_spent = count_on(&mut peer.cell_spent, &report.cell_spent, !peer.knows_cell);
+        peer.knows_cell |= report.is_cell_told;
+        let news = match is_near {
+            true => spent,
+            false if report.speaks => cell_spent,
+            false => Vec::new(),
+        };
         (peer.report, peer.heard) = (report, now);
         self.peers.insert(peer.report.instance.clone(), peer);
-        Some(spent)
+        Some(news)
     }
 
     /// What to tell the others, but for what only the caller knows: revision, version, address and
@@ -403,6 +410,8 @@
             is_counted: false,
             is_tallied: false,
             spent: HashMap::new(),
+            cell_spent: HashMap::new(),
+            knows_cell: false,
             paces: HashMap::new(),
         }
     }
@@ -411,3 +420,18 @@
         now.saturating_duration_since(self.heard) < ttl
     }
 }
+
+/// Takes in counters and returns by how much they have grown. Of one not seen before, all is growth
+/// unless it is the first report.
+fn count_on(
+    counted: &mut HashMap<AccountId, u64>,
+    told: &[(AccountId, u64)],
+    is_first: bool,
+) -> Vec<(AccountId, u64)> {
+    let growth = told.iter().map(|(account, units)| {
+        let old = counted.insert(account.clone(), *units);
+        let old = old.unwrap_or(if is_first { *units } else { 0 });
+        (account.clone(), units.saturating_sub(old))
+    });
+    growth.collect()
+}
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -59,6 +59,16 @@
     /// Units admitted in this life, by client account.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub spent: Vec<(AccountId, u64)>,
+    /// Whether it speaks for its cell to the others.
+    #[serde(rename = "k", default, skip_serializing_if = "is_false")]
+    pub speaks: bool,
+    /// Units admitted by all of its cell, as far as it has heard in this life, by client account. Told
+    /// to other cells.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub cell_spent: Vec<(AccountId, u64)>,
+    /// Whether all accounts that its cell has admitted units of are among them.
+    #[serde(rename = "b", default, skip_serializing_if = "is_false")]
+    pub is_cell_told: bool,
     /// Where it knows other instances to be.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<SocketAddr>,
@@ -106,3 +116,7 @@
     #[serde(rename = "h")]
     pub stall: super::Stall,
 }
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -54,7 +54,10 @@
 #[derive(Debug)]
 struct Usage {
     quota: Quota,
+    /// Units admitted here in this life.
     spent: u64,
+    /// Units admitted by the other instances of the cell, as they told.
+    relayed: u64,
     /// What was admitted in this life, here and as others told.
     live: Parts,
     /// What a note told at the start of this life.
@@ -88,7 +91,13 @@
         for (account, quota) in quotas {
             let usage = match old.remove(account) {
                 Some(usage) => Usage { quota, ..usage },
-                None => Usage { quota, spent: 0, live: Parts::default(), noted: Parts::default() },
+                None => Usage {
+                    quota,
+                    spent: 0,
+                    relayed: 0,
+                    live: Parts::default(),
+                    noted: Parts::default(),
+                },
             };
             self.usages.insert(account.clone(), usage);
         }
@@ -124,9 +133,10 @@
         }
     }
 
-    /// Adds what another instance has admitted.
-    pub fn draw(&mut self, now: Instant, account: &str, units: f64) {
+    /// Adds what another instance has admitted, or another cell.
+    pub fn draw(&mut self, now: Instant, account: &str, units: f64, is_near: bool) {
         if let Some(usage) = self.usages.get_mut(account) {
+            usage.relayed += if is_near { units as u64 } else { 0 };
             usage.live.add_coarsely(now, units, self.bounds.window / PARTS);
         }
     }
@@ -172,6 +182,11 @@
     pub fn spent(&self) -> impl Iterator<Item = (&AccountId, u64)> {
         self.usages.iter().map(|(account, u)| (account, u.spent))
     }
+
+    /// What this cell has admitted since this instance's start, as far as it has heard.
+    pub fn cell_spent(&self) -> impl Iterator<Item = (&AccountId, u64)> {
+        self.usages.iter().map(|(account, u)| (account, u.spent + u.relayed))
+    }
 }
 
 impl Usage {
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -71,7 +71,7 @@
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
     assert_eq!(a.assign(now).len(), 1);
-    b.hear(now, a.report(now, Extent::Full));
+    b.hear(now, a.report(now, Extent::Full), true);
     b.arrive(want(0, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + LOAD_TTL).len(), 1);
@@ -86,8 +86,8 @@
         a.arrive(want(rank_a, 100, now));
         b.arrive(want(rank_b, 100, now));
         let (from_a, from_b) = (a.report(now, Extent::Full), b.report(now, Extent::Full));
-        a.hear(now, from_b);
-        b.hear(now, from_a);
+        a.hear(now, from_b, true);
+        b.hear(now, from_a, true);
         let got = (a.assign(now).len(), b.assign(now).len());
         assert_eq!(got, if first == "a" { (1, 0) } else { (0, 1) });
     }
@@ -99,7 +99,7 @@
     let endpoints = [endpoint(0, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     a.arrive(want(0, 100, now));
-    b.hear(now, a.report(now, Extent::Full));
+    b.hear(now, a.report(now, Extent::Full), true);
     b.arrive(want(1, 100, now));
     assert_eq!(b.assign(now).len(), 0);
     assert_eq!(b.assign(now + CLAIM_TTL).len(), 1);
@@ -113,8 +113,8 @@
     let idle = a.report(now, Extent::Full);
     a.arrive(want(0, 100, now));
     a.assign(now);
-    assert!(b.hear(now, a.report(now, Extent::Full)).is_some());
-    assert!(b.hear(now, idle).is_none());
+    assert!(b.hear(now, a.report(now, Extent::Full), true).is_some());
+    assert!(b.hear(now, idle, true).is_none());
     assert_eq!(b.load(now, "e0"), 1);
 }
 
@@ -157,9 +157,9 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 8), endpoint(2, 8)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    b.hear(now, a.report(now, Extent::Full));
+    b.hear(now, a.report(now, Extent::Full), true);
     (0..4).for_each(|_| a.judge(now, "e0", Outcome::Bad));
-    b.hear(now, a.report(now, Extent::Full));
+    b.hear(now, a.report(now, Extent::Full), true);
     let ticket = b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now), [(ticket, "e2".to_owned())]);
     assert_eq!(b.take_news().len(), 1);
@@ -223,8 +223,8 @@
         report
     };
     let drawn = |heard: Option<Vec<(_, u64)>>| heard.expect("news").first().map(|(_, u)| *u);
-    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1000))), Some(0));
-    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1200))), Some(200));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1000), true)), Some(0));
+    assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1200), true)), Some(200));
 }
 
 #[test]
@@ -253,10 +253,10 @@
     let endpoints = [endpoint(0, 1), endpoint(2, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
-    b.hear(now, a.report(now, Extent::Loads));
+    b.hear(now, a.report(now, Extent::Loads), true);
     let mut full = a.report(now, Extent::Full);
     full.spent = vec![("acc".into(), 1000)];
-    let drawn = b.hear(now, full).expect("news");
+    let drawn = b.hear(now, full, true).expect("news");
     assert_eq!(drawn[0].1, 0);
     b.assign(now);
     assert_eq!(b.take_news(), []);
@@ -298,12 +298,12 @@
     }
     a.arrive(Want { objective: 5000 * MS, ..want(0, 30_000, now) });
     assert_eq!(placed(&mut a, now)[0].1, "e0");
-    b.hear(now, a.report(now, Extent::Loads));
+    b.hear(now, a.report(now, Extent::Loads), true);
     b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now)[0].1, "e2");
     // Once it is read, and when it ends unread, the endpoint is as good as before.
     a.began(now, "e0", 30_000, 0, 600 * MS);
-    b.hear(now, a.report(now, Extent::Loads));
+    b.hear(now, a.report(now, Extent::Loads), true);
     b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now)[0].1, "e0");
 }
@@ -330,13 +330,32 @@
     (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
     let later = now + 1000 * MS;
     a.judge(later, "e2", Outcome::Good);
-    b.hear(later, a.report(later, Extent::Changes));
-    b.hear(later, a.report(later, Extent::Full));
+    b.hear(later, a.report(later, Extent::Changes), true);
+    b.hear(later, a.report(later, Extent::Full), true);
     b.assign(later);
     assert_eq!(b.take_news(), []);
     // New ones do.
     (0..9).for_each(|_| a.judge(later, "e0", Outcome::Bad));
-    b.hear(later, a.report(later, Extent::Changes));
+    b.hear(later, a.report(later, Extent::Changes), true);
     b.assign(later);
     assert_eq!(b.take_news().len(), 1);
 }
+
+#[test]
+fn of_another_cell_only_its_speaker_s_sums_count() {
+    let now = Instant::now();
+    let endpoints = [endpoint(0, 1)];
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    let mut told = |is_cell_told, speaks, cell_spent: u64| {
+        let mut report = a.report(now, Extent::Loads);
+        report.is_cell_told = is_cell_told;
+        report.speaks = speaks;
+        report.cell_spent = vec![("acc".into(), cell_spent)];
+        let news = b.hear(now, report, false).expect("news");
+        news.first().map_or(0, |(_, units)| *units)
+    };
+    assert_eq!(told(true, false, 1000), 0, "known from the start on");
+    assert_eq!(told(true, false, 1100), 0, "another one speaks");
+    assert_eq!(told(false, true, 1250), 150, "it speaks now");
+    assert_eq!(told(false, true, 1300), 50);
+}
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -67,7 +67,7 @@
     let start = Instant::now();
     let now = start + 9 * S;
     let mut quotas = quotas();
-    quotas.draw(now, "a", 800.0);
+    quotas.draw(now, "a", 800.0, true);
     assert_eq!(admitted(&mut quotas, now), 214);
 }
 
@@ -202,3 +202,16 @@
         assert_eq!(admitted(&mut fresh, now), room, "{instances} instances, {noted} noted");
     }
 }
+
+#[test]
+fn a_cell_tells_others_what_it_admitted_but_not_what_they_did() {
+    let now = Instant::now();
+    let mut quotas = quotas();
+    quotas.admit(now, "a", 5).expect("room");
+    quotas.draw(now, "a", 30.0, true);
+    quotas.draw(now, "a", 700.0, false);
+    let told = |spent: Option<(&oxbowbend_core::ids::AccountId, u64)>| spent.map(|(_, n)| n);
+    assert_eq!(told(quotas.spent().next()), Some(5));
+    assert_eq!(told(quotas.cell_spent().next()), Some(35));
+    assert_eq!(admitted(&mut quotas, now), 1014 - 735);
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -33,6 +33,9 @@
 /// Longest time after a change before the next ones are asked for by an instance that others copy
 /// from, who wait for it.
 const GATHER_FOR_OTHERS: Duration = Duration::from_millis(150);
+/// Time after a start before changes are asked for. Until then most instances of a large fleet have
+/// heard from whom to copy, and nothing is missed: changes are asked for from the first reading on.
+const SETTLE: Duration = Duration::from_millis(800);
 /// How often an instance that copies looks whether it must follow the store itself.
 const SOURCE_LOOK: Duration = Duration::from_millis(25);
 /// Times the interval of renewals after which an instance that copies reads which instances there
@@ -45,9 +48,13 @@
 /// Follows the store for ever: reads everything, then follows each part until one has lost track.
 pub(crate) async fn run<S: Store, W: Wire>(store: S, wire: W, shared: Shared) {
     let follower = Follower { store, wire, shared };
+    let mut is_settled = false;
     loop {
         follower.wait_until_needed().await;
         let Some(after) = follower.load().await else { continue };
+        if !std::mem::replace(&mut is_settled, true) {
+            task::sleep(SETTLE).await;
+        }
         let config = Box::pin(follower.follow(Part::Config, after));
         let endpoints = Box::pin(follower.follow(Part::Endpoints, after));
         // Whichever part has lost track first, or finds another source, everything is read again.
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -44,8 +44,9 @@
 /// instances start within 0.3 s of each other, and until they hear each other each keeps to its own
 /// part of every limit.
 const FIRST_BEATS: u64 = 6;
-/// Beats of which one also goes to other cells. Quotas bear what accounts use meanwhile.
-const FAR: u64 = 4;
+/// Beats of which one of the instance that speaks for its cell also goes to other cells. Quotas bear
+/// what accounts use meanwhile.
+const FAR: u64 = 2;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question. One that copies may need another source soon.
@@ -64,15 +65,22 @@
     Heard,
     /// Everybody who should be there.
     Everybody,
+    /// The same at a start.
+    First,
 }
 
 impl Reach {
+    /// Whether such a report goes to everybody who should be there.
+    fn is_wide(self) -> bool {
+        matches!(self, Reach::Everybody | Reach::First)
+    }
+
     /// How much such a report tells.
     fn extent(self) -> Extent {
         match self {
             Reach::Cell => Extent::Loads,
             Reach::CellInFull | Reach::Heard => Extent::Changes,
-            Reach::Everybody => Extent::Full,
+            Reach::Everybody | Reach::First => Extent::Full,
         }
     }
 }
@@ -150,7 +158,8 @@
             }
             let reach = match beats {
                 _ if !is_beat => Reach::Cell,
-                n if n <= FIRST_BEATS || n % KNOCK == 1 => Reach::Everybody,
+                n if n <= FIRST_BEATS => Reach::First,
+                n if n % KNOCK == 1 => Reach::Everybody,
                 n if n % FAR == 0 => Reach::Heard,
                 _ => Reach::CellInFull,
             };
@@ -162,11 +171,15 @@
     /// Reports once. `told` are the units of accounts that other cells were told last.
     async fn report(&self, reach: Reach, told: &mut HashMap<AccountId, u64>) {
         let now = Instant::now();
-        let (report, addresses) = {
+        let (mut report, addresses) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
             let addresses = self.addresses(&state, now, reach);
             let mut report = state.cell.report(now, reach.extent());
+            report.speaks = state.speaks(now);
+            let cell_spent = state.quotas.cell_spent().filter(|(_, units)| *units > 0);
+            report.cell_spent =
+                cell_spent.map(|(account, units)| (account.clone(), units)).collect();
             report.seen_ms = state.sources.seen_ms(now);
             report.digest = state.world.digest();
             report.revision = state.world.revision();
@@ -179,20 +192,47 @@
             (report, addresses)
         };
         let Addresses { near, far } = addresses;
-        if !far.is_empty() {
-            // Other cells need no more than versions and what accounts have spent.
-            let (loads, tallies, claims) = Default::default();
-            let is_wide = reach == Reach::Everybody;
-            let peers = if is_wide { near.iter().copied().collect() } else { Vec::new() };
-            let mut short =
-                Report { loads, tallies, claims, peers, in_full: is_wide, ..report.clone() };
-            short.spent.retain(|(account, units)| is_wide || told.get(account) != Some(units));
-            told.extend(short.spent.iter().cloned());
+        let cell_spent = std::mem::take(&mut report.cell_spent);
+        if !far.is_empty() && (report.speaks || reach != Reach::Heard) {
+            // Other cells need no more than versions and what accounts have spent in all.
+            let (loads, tallies, claims, spent) = Default::default();
+            let is_wide = reach.is_wide();
+            let peers = self.acquaintances(reach, &near, &far);
+            let (in_full, is_tallied) = (false, false);
+            let mut short = Report {
+                loads,
+                tallies,
+                claims,
+                spent,
+                peers,
+                in_full,
+                is_tallied,
+                cell_spent,
+                is_cell_told: is_wide,
+                ..report.clone()
+            };
+            short.cell_spent.retain(|(account, units)| is_wide || told.get(account) != Some(units));
+            told.extend(short.cell_spent.iter().cloned());
             self.send(&short, &far).await;
         }
         self.send(&report, &near).await;
     }
 
+    /// Whom a report tells of: the cell now and then, at a start everybody who is known, so that after
+    /// one exchange with the addresses of the settings all know each other.
+    fn acquaintances(
+        &self,
+        reach: Reach,
+        near: &BTreeSet<SocketAddr>,
+        far: &BTreeSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        match reach {
+            Reach::First => near.union(far).copied().collect(),
+            Reach::Everybody => near.iter().copied().collect(),
+            Reach::Cell | Reach::CellInFull | Reach::Heard => Vec::new(),
+        }
+    }
+
     async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
         let notification = Notification::new(Cow::Borrowed(REPORT), report);
         let datagram = match serde_json::to_vec(&notification) {
@@ -216,11 +256,11 @@
             let Some(address) = report.address else { continue };
             if state.group.peers.contains(&report.instance) {
                 near.insert(address);
-            } else if matches!(reach, Reach::Heard | Reach::Everybody) {
+            } else if reach == Reach::Heard || reach.is_wide() {
                 far.insert(address);
             }
         }
-        if reach == Reach::Everybody || (near.is_empty() && far.is_empty()) {
+        if reach.is_wide() || (near.is_empty() && far.is_empty()) {
             far.extend(&self.seeds);
             far.extend(state.world.instances().values().map(|e| e.address));
             far.extend(state.cell.live_reports(now).flat_map(|r| &r.peers));
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -80,6 +80,13 @@
         self.sources.is_store() && !self.world.is_store_away()
     }
 
+    /// Whether this instance speaks for its cell to the others: it is the first by name of those that
+    /// are heard.
+    pub(crate) fn speaks(&self, now: Instant) -> bool {
+        let is_before = |r: &Report| r.instance < self.me && self.group.peers.contains(&r.instance);
+        self.group.cells > 1 && !self.cell.live_reports(now).any(is_before)
+    }
+
     /// Whether this instance copies from that one.
     pub(crate) fn is_source(&self, instance: &InstanceId) -> bool {
         matches!(self.sources.get(), Source::Instance(name, _) if name == instance)
@@ -188,10 +195,11 @@
     /// Takes in another instance's report.
     pub(crate) fn hear(&self, now: Instant, report: Report) {
         let mut state = self.lock();
-        let Some(spent) = state.cell.hear(now, report) else { return };
+        let is_near = state.group.cells <= 1 || state.group.peers.contains(&report.instance);
+        let Some(spent) = state.cell.hear(now, report, is_near) else { return };
         for (account, units) in spent {
             if units > 0 {
-                state.quotas.draw(now, &account, units as f64);
+                state.quotas.draw(now, &account, units as f64, is_near);
             }
         }
         drop(state);
