--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -14,6 +14,9 @@
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_millis(3000);
 
+/// Time after which a caller leaves that does not wait for its stream's end.
+const LEAVES: Duration = Duration::from_millis(60);
+
 /// Kinds of requests, by the route's prefix.
 pub const KINDS: [&str; 4] = ["once", "again", "stream", "stream-on"];
 
@@ -30,6 +33,8 @@
     pub is_whole: bool,
     /// Whether there was a connection at all.
     pub is_sent: bool,
+    /// When the caller left before the end of its answer.
+    pub left: Option<Instant>,
 }
 
 /// Sends one request on a connection of its own.
@@ -48,6 +53,7 @@
         body: Bytes::new(),
         is_whole: false,
         is_sent: false,
+        left: None,
     };
     let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
     let Ok(mut conn) = h1::Pool::new(cfg).connect(daemon).await else { return seen };
@@ -72,10 +78,22 @@
         Some(())
     };
     // The caller's own deadline; what it has seen until then is judged.
-    let _ = async_std::future::timeout(PATIENCE + Duration::from_millis(200), call).await;
+    let limit = if is_leaving(&id) { LEAVES } else { PATIENCE + Duration::from_millis(200) };
+    let ended = async_std::future::timeout(limit, call).await;
+    drop(conn);
+    seen.left = ended.is_err().then(Instant::now);
     seen
 }
 
+/// Every seventh caller leaves early, and those whose id says so.
+fn is_leaving(id: &str) -> bool {
+    if id.starts_with("leaves-") {
+        return true;
+    }
+    let number = id.strip_prefix("r-").and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
+    number.is_some_and(|n| n % 7 == 0)
+}
+
 impl Seen {
     pub fn is_served(&self) -> bool {
         self.status == Some(200) && self.is_whole
@@ -83,7 +101,7 @@
 
     /// Promises that one answer can break by itself, against what endpoints have run.
     pub fn check(&self, runs: &Runs) -> Vec<String> {
-        let ran = runs.lock().unwrap().get(&self.id).cloned().unwrap_or_default();
+        let ran = runs.lock().unwrap().runs.get(&self.id).cloned().unwrap_or_default();
         let mut broken = Vec::new();
         let mut expect = |holds: bool, promise: &str| {
             if !holds {
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -34,8 +34,17 @@
     Hanging,
 }
 
-/// What endpoints have run, by request id: the account of each run.
-pub type Runs = Arc<Mutex<HashMap<String, Vec<String>>>>;
+/// What endpoints have done.
+#[derive(Default)]
+pub struct Records {
+    /// By request id: the account of each run.
+    pub runs: HashMap<String, Vec<String>>,
+    /// By request id: the last event that was made of its stream.
+    pub made: HashMap<String, u64>,
+}
+
+/// What endpoints have done, told to all who check it.
+pub type Runs = Arc<Mutex<Records>>;
 
 #[derive(Clone)]
 pub struct Endpoint {
@@ -74,7 +83,7 @@
             return reply(503, &[("not-executed", "1")], Either::Left(h1::Whole::default()));
         }
         let n = {
-            let mut runs = self.runs.lock().unwrap();
+            let runs = &mut self.runs.lock().unwrap().runs;
             runs.entry(id.clone()).or_default().push(text("tenant"));
             runs.len()
         };
@@ -90,7 +99,7 @@
             return reply(
                 200,
                 &sealed,
-                Either::Right(StreamBody::new(events(id.clone(), after, mode))),
+                Either::Right(StreamBody::new(events(id.clone(), after, mode, self.runs.clone()))),
             );
         }
         task::sleep(WORK).await;
@@ -102,15 +111,17 @@
     id: String,
     after: u64,
     mode: Mode,
+    runs: Runs,
 ) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
     Box::pin(
         stream::unfold(after + 1, move |n| {
-            let id = id.clone();
+            let (id, runs) = (id.clone(), runs.clone());
             async move {
                 if n > EVENTS {
                     return None;
                 }
                 task::sleep(PAUSE).await;
+                runs.lock().unwrap().made.insert(id.clone(), n);
                 let event = format!("id: {n}\ndata: {id}\n\n");
                 if mode == Mode::Cutting && n == EVENTS / 2 {
                     let half = Bytes::copy_from_slice(&event.as_bytes()[..8]);
--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -22,6 +22,13 @@
 const RECOVERY: Duration = Duration::from_millis(3500);
 /// Requests of the calm at the end.
 const CALM: usize = 60;
+/// Callers of the calm who leave before the end of their stream.
+const LEAVERS: usize = 12;
+/// Time after which an endpoint must have stopped a stream whose caller has left: the rest of the
+/// stream would take longer.
+const STOPPED: Duration = Duration::from_millis(300);
+/// Kinds of faults.
+const FAULTS: usize = 15;
 /// Time within which a configuration must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
 
@@ -74,7 +81,7 @@
     let daemon = rng.random_range(0..DAEMONS);
     let endpoint = rng.random_range(0..ENDPOINTS);
     let time = FAULT.mul_f64(rng.random_range(0.2..1.0));
-    let kind = rng.random_range(0..14);
+    let kind = rng.random_range(0..FAULTS);
     println!("fault {kind} of daemon {daemon} or endpoint {endpoint} for {time:?}");
     let mut broken = Vec::new();
     match kind {
@@ -97,31 +104,32 @@
                 broken.push("a restarted fleet was not ready within 2 s".to_owned());
             }
         }
-        4..=7 => {
+        4..=8 => {
             let mode = [
                 proxy::Mode::Delay(Duration::from_millis(60)),
                 proxy::Mode::Reset,
                 proxy::Mode::OneWay,
                 proxy::Mode::Silent,
+                proxy::Mode::Strike,
             ][kind - 4];
             fleet.proxies[endpoint].set_mode(mode);
             task::sleep(time).await;
             fleet.proxies[endpoint].set_mode(proxy::Mode::Pass);
         }
-        8 => {
+        9 => {
             let modes = [proxy::Mode::Reset, proxy::Mode::Silent, proxy::Mode::OneWay];
             fleet.store_proxy.set_mode(modes[rng.random_range(0..modes.len())]);
             task::sleep(time).await;
             fleet.store_proxy.set_mode(proxy::Mode::Pass);
         }
-        9 => {
+        10 => {
             let slow = store::Mode::Slow(Duration::from_millis(300));
             let modes = [store::Mode::Refusing, store::Mode::Mute, slow];
             fleet.store.set_mode(modes[rng.random_range(0..modes.len())]);
             task::sleep(time).await;
             fleet.store.set_mode(store::Mode::Up);
         }
-        10 => {
+        11 => {
             let modes = [
                 endpoint::Mode::Full,
                 endpoint::Mode::Failing,
@@ -132,12 +140,12 @@
             task::sleep(time).await;
             fleet.endpoints[endpoint].set_mode(endpoint::Mode::Good);
         }
-        11 => {
+        12 => {
             fleet.leave(endpoint);
             task::sleep(time).await;
             fleet.enter(endpoint);
         }
-        12 => {
+        13 => {
             fleet.configure();
             fleet.store.compact();
         }
@@ -204,5 +212,20 @@
         }
         all.lock().unwrap().push(seen);
     }
+    broken.extend(left(fleet, seed).await);
     broken
 }
+
+/// Endpoints work on nothing for callers who have left.
+async fn left(fleet: &Fleet, seed: u64) -> Vec<String> {
+    let mut seen = Vec::new();
+    for n in 0..LEAVERS {
+        let daemon = fleet.daemons[n % DAEMONS].callers;
+        seen.push(caller::send(daemon, "stream", format!("leaves-{seed}-{n}")).await);
+    }
+    task::sleep(STOPPED).await;
+    let records = fleet.runs.lock().unwrap();
+    let made = |seen: &Seen| records.made.get(&seen.id).copied().unwrap_or(0);
+    let worked_on = seen.iter().filter(|s| s.left.is_some() && made(s) >= endpoint::EVENTS);
+    worked_on.map(|s| format!("worked on after the caller had left: {s:?}")).collect()
+}
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -16,7 +16,9 @@
 use crate::store::{self, Store};
 
 /// Daemons.
-pub const DAEMONS: usize = 3;
+pub const DAEMONS: usize = 4;
+/// Cells of even seeds hold so many; odd seeds have one cell.
+const SMALL_CELL: usize = 2;
 /// Endpoints.
 pub const ENDPOINTS: usize = 5;
 /// Key of the client account that callers use.
@@ -39,6 +41,8 @@
     pub callers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
+    /// Environment of the process.
+    env: Vec<(&'static str, String)>,
     child: Child,
 }
 
@@ -144,8 +148,9 @@
         std::fs::write(&settings, text).unwrap();
         let callers = format!("{ip}:27620").parse().unwrap();
         let readiness = format!("{ip}:27621").parse().unwrap();
-        let child = spawn(&settings);
-        Daemon { callers, readiness, settings, child }
+        let env = environment(n, seed);
+        let child = spawn(&settings, &env);
+        Daemon { callers, readiness, settings, env, child }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -162,7 +167,7 @@
             }
             task::sleep(Duration::from_millis(20)).await;
         };
-        self.child = spawn(&self.settings);
+        self.child = spawn(&self.settings, &self.env);
         ended
     }
 
@@ -183,7 +188,24 @@
     }
 }
 
-fn spawn(settings: &PathBuf) -> Child {
+/// The size of cells, and clocks that misbehave on all daemons but the first.
+fn environment(n: usize, seed: u64) -> Vec<(&'static str, String)> {
+    let mut env = Vec::new();
+    if seed.is_multiple_of(2) {
+        env.push(("OXBOWD_CELL_SIZE", SMALL_CELL.to_string()));
+    }
+    if n > 0 {
+        let deps = std::env::current_exe().unwrap();
+        let built = deps.parent().unwrap().parent().unwrap().join("examples");
+        let clock = built.join("libskewed_clock.so");
+        assert!(clock.exists(), "{clock:?} is missing: cargo build --examples");
+        env.push(("LD_PRELOAD", clock.to_str().unwrap().to_owned()));
+        env.push(("OXBOW_SOAK_CLOCK", if n == 1 { "fast" } else { "slow" }.to_owned()));
+    }
+    env
+}
+
+fn spawn(settings: &PathBuf, env: &[(&'static str, String)]) -> Child {
     let log = match std::env::var_os("OXBOW_TEST_LOG") {
         Some(_) => Stdio::inherit(),
         None => Stdio::null(),
@@ -192,6 +214,7 @@
         .args(["--wire", "platform"])
         .env("OXBOWBEND_BOOT", settings)
         .env("ASYNC_STD_THREAD_COUNT", "1")
+        .envs(env.iter().map(|(name, value)| (name, value)))
         .stdout(log)
         .spawn()
         .unwrap()
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -1,8 +1,10 @@
 //! A fault soak: real daemons under seeded faults from outside, promises checked while it runs.
 //!
-//! Three daemons, five endpoints and a store of the users' platform, each behind a proxy that can be
-//! told to misbehave. CI plays one short seed; `OXBOW_SOAK=FROM-TO` plays others, one after the
-//! other. Seeds that have failed are in [`CASES`] and are played every time.
+//! Four daemons, most with clocks that misbehave, five endpoints and a store of the users' platform,
+//! each behind a proxy that can be told to misbehave. Odd seeds have one cell, even ones two, with an
+//! instance in each that copies what the other one knows of the store. CI plays two short seeds;
+//! `OXBOW_SOAK=FROM-TO` plays others, one after the other. Seeds that have failed are in [`CASES`] and
+//! are played every time.
 
 mod caller;
 mod endpoint;
@@ -15,13 +17,13 @@
 
 /// Seeds that have failed once, with what they found.
 const CASES: [u64; 0] = [];
-/// The seed that is always played.
-const FIRST: u64 = 1;
+/// The seeds that are always played.
+const FIRST: &str = "1-2";
 /// Time for which one seed plays.
 const LENGTH: Duration = Duration::from_secs(9);
 
 fn seeds() -> Vec<u64> {
-    let range = std::env::var("OXBOW_SOAK").unwrap_or_else(|_| format!("{FIRST}-{FIRST}"));
+    let range = std::env::var("OXBOW_SOAK").unwrap_or_else(|_| FIRST.to_owned());
     let (from, to) = range.split_once('-').expect("OXBOW_SOAK is FROM-TO");
     let number = |text: &str| text.parse::<u64>().expect("OXBOW_SOAK is FROM-TO");
     CASES.into_iter().chain(number(from)..=number(to)).collect()
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -17,8 +17,10 @@
 pub enum Mode {
     Pass,
     Delay(Duration),
-    /// Connections end at once, new ones too.
+    /// Connections are reset at once, new ones too.
     Reset,
+    /// Connections are reset when an answer comes back on them.
+    Strike,
     /// Nothing comes back.
     OneWay,
     /// Nothing passes.
@@ -53,12 +55,16 @@
 
     async fn connection(self, near: TcpStream, to: SocketAddr) {
         if self.mode() == Mode::Reset {
+            reset(&near);
             return;
         }
         let Ok(far) = TcpStream::connect(to).await else { return };
         let there = Box::pin(self.clone().pump(near.clone(), far.clone(), false));
-        let back = Box::pin(self.pump(far.clone(), near.clone(), true));
+        let back = Box::pin(self.clone().pump(far.clone(), near.clone(), true));
         futures::future::select(there, back).await;
+        if matches!(self.mode(), Mode::Reset | Mode::Strike) {
+            reset(&near);
+        }
         let _ = near.shutdown(std::net::Shutdown::Both);
         let _ = far.shutdown(std::net::Shutdown::Both);
     }
@@ -78,6 +84,7 @@
             loop {
                 match self.mode() {
                     Mode::Reset => return,
+                    Mode::Strike if is_back => return,
                     Mode::Silent => task::sleep(LOOK).await,
                     Mode::OneWay if is_back => task::sleep(LOOK).await,
                     Mode::Delay(by) => {
@@ -93,3 +100,9 @@
         }
     }
 }
+
+/// Makes the end of a connection a reset.
+fn reset(stream: &TcpStream) {
+    // A stream that has failed already needs none.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
