Do not tell endpoints apart whose first event comes early enough

Change: below 0.15 of the objective it does not matter how soon the first event comes; the load and the taste decide. Endpoints that have not been measured are chosen the same way.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -18,6 +18,9 @@
 /// the same place take it twice in a third of the cases (measured: kalemdar-tutanak-grown scale-1). It is
 /// far less than the factor of 4.4 between slow and fast engines.
 const TASTE: f64 = 0.3;
+/// Part of the objective below which it does not matter how soon the first event comes. Without such a
+/// bound the differences of what was measured outweigh all taste.
+const EARLY_SHARE: f64 = 0.15;
 /// Part of a stream's longest pause that the reading of another prompt may take. What is learned of
 /// an endpoint's pace is a little slower than its reading alone.
 const STALL_SHARE: f64 = 0.9;
@@ -249,20 +252,34 @@
 /// Expected time to the first event.
 fn first(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
     let units = f64::from(candidate.prompt + FIXED_UNITS) + f64::from(place.unread);
-    let slots = f64::from(place.endpoint.slots.max(1));
-    let crowd = 1.0 + CROWDING * f64::from(place.load) / slots;
-    Duration::from_nanos((place.ns * units * crowd) as u64)
+    Duration::from_nanos((place.ns * units * crowd(place)) as u64)
+}
+
+/// How much slower an endpoint is for what runs there.
+fn crowd(place: &Place<'_>) -> f64 {
+    1.0 + CROWDING * f64::from(place.load) / f64::from(place.endpoint.slots.max(1))
 }
 
 fn cost(place: &Place<'_>, candidate: &Candidate<'_>, left: Duration) -> Duration {
     let zone = if place.endpoint.zone == *candidate.zone { Duration::ZERO } else { OTHER_ZONE };
-    let first = first(place, candidate).mul_f64(1.0 + TASTE * taste(place, candidate));
+    let early = candidate.objective.mul_f64(EARLY_SHARE * crowd(place));
+    let time = assumed(place, candidate, left).max(early);
+    time.mul_f64(1.0 + TASTE * taste(place, candidate)) + zone
+}
+
+/// The time to the first event that is taken for the choice.
+fn assumed(place: &Place<'_>, candidate: &Candidate<'_>, left: Duration) -> Duration {
+    let first = first(place, candidate);
     if !place.is_guess {
-        return first + zone;
+        return first;
     }
     let at_worst = first.mul_f64(UNKNOWN_TIMES);
     let is_harmless = at_worst <= left.mul_f64(TRY_SHARE);
-    zone + if is_harmless { first.mul_f64(TRY_TIMES) } else { at_worst }
+    if is_harmless {
+        first.mul_f64(TRY_TIMES)
+    } else {
+        at_worst
+    }
 }
 
 /// From 0 to 1, how little the candidate's instance likes a place: the same at all instances, and other
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -218,8 +218,8 @@
         self.send(&report, &near).await;
     }
 
-    /// Whom a report tells of: the cell now and then, at a start everybody who is known, so that after
-    /// one exchange with the addresses of the settings all know each other.
+    /// Whom a report tells of: the cell now and then, and at the first start of a fleet everybody who
+    /// is known, so that after one exchange with the addresses of the settings all know each other.
     fn acquaintances(
         &self,
         reach: Reach,
@@ -227,12 +227,17 @@
         far: &BTreeSet<SocketAddr>,
     ) -> Vec<SocketAddr> {
         match reach {
-            Reach::First => near.union(far).copied().collect(),
+            Reach::First if self.is_new_fleet() => near.union(far).copied().collect(),
             Reach::Everybody => near.iter().copied().collect(),
-            Reach::Cell | Reach::CellInFull | Reach::Heard => Vec::new(),
+            _ => Vec::new(),
         }
     }
 
+    /// Whether the store knew no other instance at this one's start.
+    fn is_new_fleet(&self) -> bool {
+        self.shared.lock().world.instances().keys().all(|name| *name == self.name)
+    }
+
     async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
         let notification = Notification::new(Cow::Borrowed(REPORT), report);
         let datagram = match serde_json::to_vec(&notification) {
