Work out paces every 50 ms only, and nothing while no place is free

Cause: each report that comes while requests wait starts an assignment, which began with the paces of all endpoints from all instances and went through all candidates though nothing was free.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -38,6 +38,19 @@
 /// Nanoseconds for a unit of work where nothing has been measured: 50 tokens in a millisecond.
 const UNKNOWN_NS: f64 = 20_000.0;
 
+/// Age up to which paces are used again. They change little from one request to the next, and working
+/// them out takes longer than all else in an assignment.
+const PACES_AGE: Duration = Duration::from_millis(50);
+
+/// Paces of endpoints, worked out from what all instances have measured.
+#[derive(Debug, Default)]
+pub(super) struct KnownPaces {
+    paces: HashMap<EndpointId, f64>,
+    /// The middle one.
+    usual: f64,
+    at: Option<Instant>,
+}
+
 /// Place of a request in the order: rank, then the time at which it should be answered.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Order {
@@ -104,6 +117,7 @@
         if self.waiting.is_empty() {
             return Vec::new();
         }
+        self.know_paces(now);
         let assignments = self.work_out(now);
         for a in &assignments {
             self.waiting.remove(&a.ticket);
@@ -118,7 +132,14 @@
     fn work_out(&self, now: Instant) -> Vec<Assignment> {
         let mut places = self.places(now);
         let mut assignments = Vec::new();
+        // Most reports change no place, and there are many of both when there is most to do.
+        if places.iter().all(|p| p.room == 0) {
+            return assignments;
+        }
         for candidate in self.candidates(now) {
+            if !places.iter().any(|p| p.room > 0 && p.endpoint.service == *candidate.service) {
+                continue;
+            }
             let Some((place, expected)) = choose(&mut places, &candidate, now) else { continue };
             place.room -= 1;
             place.load += 1;
@@ -176,8 +197,7 @@
             let load = loads.entry(endpoint).or_default();
             *load = (load.0 + running, load.1.saturating_add(*unread));
         }
-        let paces = self.paces(now);
-        let usual = usual(paces.values().copied());
+        let KnownPaces { paces, usual, .. } = &self.known;
         let open = self.sites.values().filter(|s| !s.endpoint.leaving && !s.health.is_aside(now));
         let place = |s: &'_ super::Site| {
             let (running, unread) = loads.get(&*s.endpoint.id).copied().unwrap_or_default();
@@ -188,13 +208,23 @@
         open.map(|s| {
             let (load, room, unread) = place(s);
             let known = paces.get(&s.endpoint.id).copied();
-            let (ns, is_guess) = (known.unwrap_or(usual), known.is_none());
+            let (ns, is_guess) = (known.unwrap_or(*usual), known.is_none());
             let hash = xxh3_64(s.endpoint.id.as_bytes());
             Place { endpoint: &s.endpoint, hash, load, room, unread, ns, is_guess }
         })
         .collect()
     }
 
+    /// Works out the paces anew if they are old, or if there are none.
+    fn know_paces(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= PACES_AGE;
+        if self.known.paces.is_empty() || self.known.at.is_none_or(is_old) {
+            let paces = self.paces(now);
+            let usual = usual(paces.values().copied());
+            self.known = KnownPaces { paces, usual, at: Some(now) };
+        }
+    }
+
     /// Sets failing endpoints aside, at most half of a service.
     fn set_failing_aside(&mut self, now: Instant) {
         let mut services: HashMap<ServiceId, (usize, usize)> = HashMap::new();
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -150,6 +150,7 @@
     waiting: BTreeMap<Ticket, Want>,
     next: Ticket,
     peers: HashMap<InstanceId, Peer>,
+    known: assign::KnownPaces,
     news: Vec<SetAside>,
 }
 
@@ -166,6 +167,7 @@
             waiting: BTreeMap::new(),
             next: 0,
             peers: HashMap::new(),
+            known: assign::KnownPaces::default(),
             news: Vec::new(),
         }
     }
