Leave the last free places to requests that the others know of

Change: with three free places of a service or fewer, a request waits until its claim can be known, 10 ms.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -38,6 +38,13 @@
 /// Nanoseconds for a unit of work where nothing has been measured: 50 tokens in a millisecond.
 const UNKNOWN_NS: f64 = 20_000.0;
 
+/// Time after its arrival for which the others cannot know of a request: 5 ms until the next report,
+/// and the way of that.
+pub const UNHEARD: Duration = Duration::from_millis(10);
+/// Free places of a service up to which a request that the others cannot know of leaves them to
+/// those that wait. With so few left, arrivals within the same 10 ms would all take the same ones
+/// (kalemdar-tutanak-grown scale-1: up to six requests above an endpoint's slots).
+const CONTENDED: u32 = 3;
 /// Age up to which paces are used again. They change little from one request to the next, and working
 /// them out takes longer than all else in an assignment.
 const PACES_AGE: Duration = Duration::from_millis(50);
@@ -86,6 +93,7 @@
 struct Candidate<'a> {
     order: Order,
     ticket: Option<Ticket>,
+    arrived: Instant,
     service: &'a ServiceId,
     zone: &'a ZoneId,
     /// Hash of the instance at which it waits.
@@ -96,6 +104,13 @@
     avoid: &'a [EndpointId],
 }
 
+impl Candidate<'_> {
+    /// Whether it waits here and the others cannot know of it yet.
+    fn is_unheard(&self, now: Instant) -> bool {
+        self.ticket.is_some() && now.saturating_duration_since(self.arrived) < UNHEARD
+    }
+}
+
 /// An endpoint with what it could still take.
 struct Place<'a> {
     endpoint: &'a Endpoint,
@@ -136,8 +151,11 @@
         if places.iter().all(|p| p.room == 0) {
             return assignments;
         }
+        let free = free(&places);
+        let is_alone = self.heard(now) == 0;
         for candidate in self.candidates(now) {
-            if !places.iter().any(|p| p.room > 0 && p.endpoint.service == *candidate.service) {
+            let free = free.get(candidate.service).copied().unwrap_or(0);
+            if free == 0 || !is_alone && free <= CONTENDED && candidate.is_unheard(now) {
                 continue;
             }
             let Some((place, expected)) = choose(&mut places, &candidate, now) else { continue };
@@ -158,6 +176,7 @@
         let mine = self.waiting.iter().map(move |(ticket, want)| Candidate {
             order: Order::of(want),
             ticket: Some(*ticket),
+            arrived: want.arrived,
             service: &want.service,
             zone: &self.zone,
             taste,
@@ -176,6 +195,7 @@
                 Some(Candidate {
                     order: Order { rank: claim.rank, due },
                     ticket: None,
+                    arrived,
                     service: &claim.service,
                     zone: &p.report.zone,
                     taste,
@@ -285,6 +305,15 @@
     Duration::from_nanos((place.ns * units * crowd(place)) as u64)
 }
 
+/// Free places by service.
+fn free<'a>(places: &[Place<'a>]) -> HashMap<&'a ServiceId, u32> {
+    let mut free = HashMap::new();
+    for place in places {
+        *free.entry(&place.endpoint.service).or_default() += place.room;
+    }
+    free
+}
+
 /// How much slower an endpoint is for what runs there.
 fn crowd(place: &Place<'_>) -> f64 {
     1.0 + CROWDING * f64::from(place.load) / f64::from(place.endpoint.slots.max(1))
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-pub use assign::{Assignment, Order};
+pub use assign::{Assignment, Order, UNHEARD};
 pub use groups::{Group, MAX_CELL};
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -4,9 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use async_std::channel;
+use async_std::{channel, task};
 use futures::channel::oneshot;
-use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want};
+use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want, UNHEARD};
 use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::quota::Quotas;
 use oxbowbend_core::repeats::Repeats;
@@ -217,6 +217,11 @@
         self.place();
         if self.lock().waiters.contains_key(&ticket) {
             self.tell_others();
+            let shared = self.clone();
+            task::spawn(async move {
+                task::sleep(UNHEARD).await;
+                shared.place();
+            });
         }
         waiting
     }
