Tell counters that have changed, and sums of a cell by its speaker only

Ruled out: bodies (5 MB), lists asked for (29 MB).

Change: units are told when they have changed, all of them once a second; sums of the cell by its speaker; acquaintances in two reports of a fleet's first start, and while the store is away.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -127,10 +127,8 @@
     heard: Instant,
     /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
     counted: HashMap<EndpointId, (u64, u64)>,
-    /// Whether a report with all accounts was heard, which their counters go on from.
+    /// Whether a full report was heard, which the counters go on from.
     is_counted: bool,
-    /// Whether a report with all tallies was heard, which their counters go on from.
-    is_tallied: bool,
     /// Units told to be admitted so far, by account. Frequent reports leave them out.
     spent: HashMap<AccountId, u64>,
     /// The same for its cell, and whether a report with all accounts was heard.
@@ -218,16 +216,15 @@
             return None;
         }
         let mut peer = before.unwrap_or_else(|| Peer::new(now));
-        let (is_first, is_first_tally) = (!peer.is_counted, !peer.is_tallied);
+        let is_first = !peer.is_counted;
         peer.is_counted |= report.in_full;
-        peer.is_tallied |= report.is_tallied;
         for tally in &report.tallies {
             let told = (tally.good, tally.bad);
             let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
             peer.paces.insert(tally.endpoint.clone(), pace);
             // What a new acquaintance has counted so far is not of now.
             let old = peer.counted.insert(tally.endpoint.clone(), told);
-            let old = old.unwrap_or(if is_first_tally { told } else { (0, 0) });
+            let old = old.unwrap_or(if is_first { told } else { (0, 0) });
             if let Some(site) = self.sites.get_mut(&tally.endpoint) {
                 let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
                 site.health.note(now, good as u32, bad as u32);
@@ -280,8 +277,7 @@
             zone: self.zone.clone(),
             life: self.life,
             number: self.number,
-            in_full: extent != Extent::Loads,
-            is_tallied: extent == Extent::Full,
+            in_full: extent == Extent::Full,
             loads,
             tallies,
             claims: claims.collect(),
@@ -416,7 +412,6 @@
             heard: now,
             counted: HashMap::new(),
             is_counted: false,
-            is_tallied: false,
             spent: HashMap::new(),
             cell_spent: HashMap::new(),
             knows_cell: false,
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -44,12 +44,9 @@
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<(EndpointId, u32, u32)>,
-    /// Whether the counters of all accounts are told too.
-    #[serde(rename = "f", default)]
+    /// Whether all counters are told, of accounts and of endpoints used lately.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
     pub in_full: bool,
-    /// Whether the tallies of all endpoints used lately are told too.
-    #[serde(rename = "g", default)]
-    pub is_tallied: bool,
     /// What it has seen of endpoints that it used lately. Told now and then only.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tallies: Vec<Tally>,
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -44,6 +44,9 @@
 /// instances start within 0.3 s of each other, and until they hear each other each keeps to its own
 /// part of every limit.
 const FIRST_BEATS: u64 = 6;
+/// Beats after a start that also tell whom this instance knows. The first one reaches only the addresses of
+/// the settings.
+const INTRODUCTIONS: [u64; 2] = [3, 5];
 /// Beats of which one of the instance that speaks for its cell also goes to other cells. Quotas bear
 /// what accounts use meanwhile.
 const FAR: u64 = 2;
@@ -65,14 +68,14 @@
     Heard,
     /// Everybody who should be there.
     Everybody,
-    /// The same at a start.
-    First,
+    /// The same at a start; some of these reports tell whom this instance knows.
+    First { introduces: bool },
 }
 
 impl Reach {
     /// Whether such a report goes to everybody who should be there.
     fn is_wide(self) -> bool {
-        matches!(self, Reach::Everybody | Reach::First)
+        matches!(self, Reach::Everybody | Reach::First { .. })
     }
 
     /// How much such a report tells.
@@ -80,11 +83,32 @@
         match self {
             Reach::Cell => Extent::Loads,
             Reach::CellInFull | Reach::Heard => Extent::Changes,
-            Reach::Everybody | Reach::First => Extent::Full,
+            Reach::Everybody | Reach::First { .. } => Extent::Full,
         }
     }
 }
 
+/// Units of accounts that were told last, so that only what has changed is told again.
+#[derive(Default)]
+struct Told {
+    /// To the cell, of this instance.
+    near: HashMap<AccountId, u64>,
+    /// To other cells, of this cell.
+    far: HashMap<AccountId, u64>,
+}
+
+/// The counters to tell: all in reports that go to everybody, else those that have changed.
+fn changed<'a>(
+    counters: impl Iterator<Item = (&'a AccountId, u64)>,
+    told: &HashMap<AccountId, u64>,
+    reach: Reach,
+) -> Vec<(AccountId, u64)> {
+    let is_news = |(account, units): &(&AccountId, u64)| {
+        *units > 0 && (reach.is_wide() || told.get(*account) != Some(units))
+    };
+    counters.filter(is_news).map(|(account, units)| (account.clone(), units)).collect()
+}
+
 /// Where a report goes.
 struct Addresses {
     /// The cell.
@@ -145,7 +169,7 @@
     /// Reports what changes, and a beat when nothing does.
     pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
         let mut beats: u64 = 0;
-        let mut told = HashMap::new();
+        let mut told = Told::default();
         let now = Instant::now();
         let mut beaten = now.checked_sub(BEAT).unwrap_or(now);
         loop {
@@ -158,7 +182,7 @@
             }
             let reach = match beats {
                 _ if !is_beat => Reach::Cell,
-                n if n <= FIRST_BEATS => Reach::First,
+                n if n <= FIRST_BEATS => Reach::First { introduces: INTRODUCTIONS.contains(&n) },
                 n if n % KNOCK == 1 => Reach::Everybody,
                 n if n % FAR == 0 => Reach::Heard,
                 _ => Reach::CellInFull,
@@ -168,8 +192,8 @@
         }
     }
 
-    /// Reports once. `told` are the units of accounts that other cells were told last.
-    async fn report(&self, reach: Reach, told: &mut HashMap<AccountId, u64>) {
+    /// Reports once.
+    async fn report(&self, reach: Reach, told: &mut Told) {
         let now = Instant::now();
         let (mut report, foreign, addresses) = {
             let mut state = self.shared.lock();
@@ -177,18 +201,18 @@
             let addresses = self.addresses(&state, now, reach);
             let mut report = state.cell.report(now, reach.extent());
             report.speaks = state.speaks(now);
-            let cell_spent = state.quotas.cell_spent().filter(|(_, units)| *units > 0);
-            report.cell_spent =
-                cell_spent.map(|(account, units)| (account.clone(), units)).collect();
+            if report.speaks {
+                report.cell_spent = changed(state.quotas.cell_spent(), &told.far, reach);
+            }
             report.seen_ms = state.sources.seen_ms(now);
             report.digest = state.world.digest();
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
             report.has_store = state.has_store() && !self.door.is_closing();
-            let is_told = reach != Reach::Cell || state.quotas.is_busy();
-            let spent = state.quotas.spent().filter(|(_, units)| *units > 0 && is_told);
-            report.spent = spent.map(|(account, units)| (account.clone(), units)).collect();
+            if reach != Reach::Cell || state.quotas.is_busy() {
+                report.spent = changed(state.quotas.spent(), &told.near, reach);
+            }
             // What still runs at endpoints that another cell has now.
             let is_own = |id: &EndpointId| state.group.endpoints.iter().any(|e| e.id == *id);
             let foreign: Vec<_> =
@@ -202,30 +226,29 @@
             // Other cells need no more than versions and what accounts have spent in all.
             let (tallies, claims, spent) = Default::default();
             let loads = foreign;
-            let is_wide = reach.is_wide();
             let peers = self.acquaintances(reach, &near, &far);
-            let (in_full, is_tallied) = (false, false);
-            let mut short = Report {
+            let (in_full, is_cell_told) = (false, reach.is_wide() && report.speaks);
+            told.far.extend(cell_spent.iter().cloned());
+            let short = Report {
                 loads,
                 tallies,
                 claims,
                 spent,
                 peers,
                 in_full,
-                is_tallied,
                 cell_spent,
-                is_cell_told: is_wide,
+                is_cell_told,
                 ..report.clone()
             };
-            short.cell_spent.retain(|(account, units)| is_wide || told.get(account) != Some(units));
-            told.extend(short.cell_spent.iter().cloned());
             self.send(&short, &far).await;
         }
+        told.near.extend(report.spent.iter().cloned());
         self.send(&report, &near).await;
     }
 
-    /// Whom a report tells of: the cell now and then, and at the first start of a fleet everybody who
-    /// is known, so that after one exchange with the addresses of the settings all know each other.
+    /// Whom a report tells of: at the first start of a fleet everybody who is known, so that after one
+    /// exchange with the addresses of the settings all know each other; while the store is away, the
+    /// cell.
     fn acquaintances(
         &self,
         reach: Reach,
@@ -233,8 +256,10 @@
         far: &BTreeSet<SocketAddr>,
     ) -> Vec<SocketAddr> {
         match reach {
-            Reach::First if self.is_new_fleet() => near.union(far).copied().collect(),
-            Reach::Everybody => near.iter().copied().collect(),
+            Reach::First { introduces: true } if self.is_new_fleet() => {
+                near.union(far).copied().collect()
+            }
+            Reach::Everybody if self.is_blind() => near.iter().copied().collect(),
             _ => Vec::new(),
         }
     }
