--- a/oxbowbend-core/tests/fault_matrix.rs
+++ b/oxbowbend-core/tests/fault_matrix.rs
@@ -234,7 +234,7 @@
 
 /// After everything has healed, nothing may be left open and no capacity lost.
 fn final_checks(world: &mut World, struck: &Struck) {
-    world.run_for(harness::MAX_RUN + Duration::from_secs(10));
+    world.run_for(harness::setup::MAX_RUN + Duration::from_secs(10));
     let open: Vec<_> = world.fates.iter().filter(|(_, f)| **f == Fate::Open).collect();
     if !open.is_empty() {
         let found = format!("never answered: {open:?}");
--- a/oxbowbend-core/tests/harness/mod.rs
+++ b/oxbowbend-core/tests/harness/mod.rs
@@ -13,12 +13,12 @@
 use oxbowbend_core::membership::{InstanceList, Member};
 use oxbowbend_core::message::{Grant, Message, Record, Refusal, RunEnd, RunReport};
 use oxbowbend_core::node::{Action, Event, Node, TICK};
-use oxbowbend_core::topology::{Account, Endpoint, Pool, Topology};
+use oxbowbend_core::topology::Topology;
+
+pub mod setup;
+
+pub use setup::{record, topology, POOL};
 
-/// The one pool of most tests.
-pub const POOL: &str = "p/m";
-/// Longest run in tests.
-pub const MAX_RUN: Duration = Duration::from_secs(60);
 /// Time within which a daemon sends a granted request, or asks for another grant.
 pub const DISPATCH_WITHIN: Duration = Duration::from_secs(2);
 
@@ -98,48 +98,6 @@
     pub sent: usize,
 }
 
-pub fn endpoint(slots: u32) -> Endpoint {
-    Endpoint {
-        slots,
-        generation: "g1".into(),
-        prefill_rate: 10_000.0,
-        decode_rate: 100.0,
-        cache_tokens: 10_000,
-        leaving: false,
-        report_lag: Duration::from_secs(1),
-    }
-}
-
-pub fn topology(endpoints: &[(&str, u32)], account_limit: Option<u32>) -> Topology {
-    let mut pool =
-        Pool { zones: ["z".into()].into(), queue_bound: 100, max_run: MAX_RUN, ..Pool::default() };
-    for (name, slots) in endpoints {
-        pool.endpoints.insert((*name).into(), endpoint(*slots));
-    }
-    let account = Account { max_running: account_limit };
-    Topology {
-        pools: [(POOL.into(), pool)].into(),
-        accounts: [("acc".into(), account)].into(),
-        lowest_tier: 2,
-        max_run: MAX_RUN,
-    }
-}
-
-pub fn record(id: &str, tier: u8) -> Record {
-    Record {
-        id: id.into(),
-        attempt: 1,
-        pool: POOL.into(),
-        account: "acc".into(),
-        tier,
-        weight: 1,
-        prompt_tokens: 100,
-        output_tokens: 10,
-        prefix: Vec::new(),
-        due_in_ms: 300_000,
-    }
-}
-
 impl World {
     /// Creates nodes that are all listed and have settled who owns what.
     pub fn new(names: &[&str], topology: Topology) -> World {
