Soak: leavers have a long stream of their own and do not count as cut off

Now a leaver's stream lasts 6 s, and no event may be made between 1.0 and 1.3 s after it left, so that the check does not depend on 120 ms.

--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -8,14 +8,14 @@
 use http_body_util::BodyExt;
 use oxbowbend_http::h1;
 
-use crate::endpoint::{Runs, EVENTS};
+use crate::endpoint::{Runs, EVENTS, LEAVES};
 use crate::fleet::{ACCOUNT, KEY};
 
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_millis(3000);
 
 /// Time after which a caller leaves that does not wait for its stream's end.
-const LEAVES: Duration = Duration::from_millis(60);
+const LEAVES_AFTER: Duration = Duration::from_millis(60);
 
 /// Kinds of requests, by the route's prefix.
 pub const KINDS: [&str; 4] = ["once", "again", "stream", "stream-on"];
@@ -33,8 +33,6 @@
     pub is_whole: bool,
     /// Whether there was a connection at all.
     pub is_sent: bool,
-    /// When the caller left before the end of its answer.
-    pub left: Option<Instant>,
 }
 
 /// Sends one request on a connection of its own.
@@ -53,7 +51,6 @@
         body: Bytes::new(),
         is_whole: false,
         is_sent: false,
-        left: None,
     };
     let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
     let Ok(mut conn) = h1::Pool::new(cfg).connect(daemon).await else { return seen };
@@ -78,16 +75,14 @@
         Some(())
     };
     // The caller's own deadline; what it has seen until then is judged.
-    let limit = if is_leaving(&id) { LEAVES } else { PATIENCE + Duration::from_millis(200) };
-    let ended = async_std::future::timeout(limit, call).await;
-    drop(conn);
-    seen.left = ended.is_err().then(Instant::now);
+    let limit = if is_leaving(&id) { LEAVES_AFTER } else { PATIENCE + Duration::from_millis(200) };
+    let _ = async_std::future::timeout(limit, call).await;
     seen
 }
 
 /// Every seventh caller leaves early, and those whose id says so.
-fn is_leaving(id: &str) -> bool {
-    if id.starts_with("leaves-") {
+pub fn is_leaving(id: &str) -> bool {
+    if id.starts_with(LEAVES) {
         return true;
     }
     let number = id.strip_prefix("r-").and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -15,11 +15,16 @@
 
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
+/// Events of a stream whose caller is to leave before its end.
+const LONG: u64 = 400;
 /// Time between two events.
 const PAUSE: Duration = Duration::from_millis(15);
 /// Time that a plain request takes.
 const WORK: Duration = Duration::from_millis(5);
 
+/// Beginning of the ids of requests whose callers leave.
+pub const LEAVES: &str = "leaves-";
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -113,11 +118,12 @@
     mode: Mode,
     runs: Runs,
 ) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
+    let all = if id.starts_with(LEAVES) { LONG } else { EVENTS };
     Box::pin(
         stream::unfold(after + 1, move |n| {
             let (id, runs) = (id.clone(), runs.clone());
             async move {
-                if n > EVENTS {
+                if n > all {
                     return None;
                 }
                 task::sleep(PAUSE).await;
@@ -125,7 +131,7 @@
                 let event = format!("id: {n}\ndata: {id}\n\n");
                 if mode == Mode::Cutting && n == EVENTS / 2 {
                     let half = Bytes::copy_from_slice(&event.as_bytes()[..8]);
-                    return Some((Ok(Frame::data(half)), EVENTS + 2));
+                    return Some((Ok(Frame::data(half)), all + 1));
                 }
                 Some((Ok(Frame::data(Bytes::from(event))), n + 1))
             }
--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -24,9 +24,9 @@
 const CALM: usize = 60;
 /// Callers of the calm who leave before the end of their stream.
 const LEAVERS: usize = 12;
-/// Time after which an endpoint must have stopped a stream whose caller has left: the rest of the
-/// stream would take longer.
-const STOPPED: Duration = Duration::from_millis(300);
+/// Time after which an endpoint must have stopped a stream whose caller has left, and time in which it
+/// would have made more events. The whole stream would take 6 s.
+const STOPPED: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(300));
 /// Kinds of faults.
 const FAULTS: usize = 15;
 /// Time within which a configuration must be in force.
@@ -170,6 +170,7 @@
     for seen in all.lock().unwrap().iter() {
         // A connection that was not accepted any more is no request that was taken.
         let is_cut = seen.is_sent && seen.status == Some(200) && !seen.is_whole;
+        let is_cut = is_cut && !caller::is_leaving(&seen.id);
         if seen.daemon == address && seen.at >= calm_from && is_cut {
             broken.push(format!("cut off at a stop: {seen:?}"));
         }
@@ -221,11 +222,12 @@
     let mut seen = Vec::new();
     for n in 0..LEAVERS {
         let daemon = fleet.daemons[n % DAEMONS].callers;
-        seen.push(caller::send(daemon, "stream", format!("leaves-{seed}-{n}")).await);
+        seen.push(caller::send(daemon, "stream", format!("{}{seed}-{n}", endpoint::LEAVES)).await);
     }
-    task::sleep(STOPPED).await;
-    let records = fleet.runs.lock().unwrap();
-    let made = |seen: &Seen| records.made.get(&seen.id).copied().unwrap_or(0);
-    let worked_on = seen.iter().filter(|s| s.left.is_some() && made(s) >= endpoint::EVENTS);
-    worked_on.map(|s| format!("worked on after the caller had left: {s:?}")).collect()
+    let made = |seen: &Seen| fleet.runs.lock().unwrap().made.get(&seen.id).copied().unwrap_or(0);
+    task::sleep(STOPPED.0).await;
+    let before: Vec<_> = seen.iter().map(made).collect();
+    task::sleep(STOPPED.1).await;
+    let worked_on = seen.iter().zip(before).filter(|(s, before)| made(s) > *before);
+    worked_on.map(|(s, _)| format!("worked on after the caller had left: {s:?}")).collect()
 }
