Leave a source whose list does not come

Change: an instance that knows for a quarter of the bound that its source has another list, and copies nothing meanwhile, leaves the source for another one, or follows the store itself. That also relieves the source's link. Test: sources.rs a_source_that_is_too_slow_is_left.

--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -355,12 +355,16 @@
     /// Whether a report shows that its sender knows more than this instance will soon be told, and
     /// whether that is the one that this instance copies from.
     fn is_behind(&self, report: &Report) -> (bool, bool) {
-        let state = self.shared.lock();
-        let world = &state.world;
+        let mut state = self.shared.lock();
         let is_source = state.sources.is(&report.instance);
+        let is_other =
+            report.digest != state.world.digest() && report.revision >= state.world.revision();
+        if is_source {
+            state.sources.compared(Instant::now(), &report.instance, is_other);
+        }
+        let world = &state.world;
         let version = world.table().map_or(0, |t| t.version());
         let is_cut_off = world.is_store_away() || !world.is_loaded();
-        let is_other = report.digest != world.digest() && report.revision >= world.revision();
         let is_behind = report.version > version
             || (is_cut_off && report.revision > world.revision())
             || (is_source && is_other);
@@ -397,7 +401,10 @@
         let news = {
             let mut state = self.shared.lock();
             match state.sources.is(&instance) {
-                true => state.world.copy(now, snapshot, read),
+                true => {
+                    state.sources.copied();
+                    state.world.copy(now, snapshot, read)
+                }
                 false => state.world.learn(now, snapshot, read),
             }
         };
--- a/oxbowbend-gateway/src/source.rs
+++ b/oxbowbend-gateway/src/source.rs
@@ -27,6 +27,9 @@
 /// Part of it after the store's last answer for which an instance is copied from. The rest is for
 /// those who copied to read the store themselves, some tens of milliseconds.
 const FRESH_SHARE: f64 = 0.5;
+/// Part of it for which an instance may know that its source has another list without getting it. A
+/// source whose link is full answers late, and is relieved by each one that leaves it.
+const BEHIND_SHARE: f64 = 0.25;
 /// Part of it for which an instance that did not answer is not copied from.
 const DISTRUST_SHARE: f64 = 1.0;
 
@@ -57,12 +60,14 @@
     answered: Option<Instant>,
     /// An instance that did not answer, and until when it is left alone.
     distrusted: Option<(InstanceId, Instant)>,
+    /// Since when the source has had another list, and nothing was copied.
+    behind: Option<Instant>,
 }
 
 impl Sources {
     /// Starts with the store. `in_force` is the time within which changes must be in force.
     pub fn new(in_force: Duration) -> Sources {
-        Sources { in_force, source: Source::Store, answered: None, distrusted: None }
+        Sources { in_force, source: Source::Store, answered: None, distrusted: None, behind: None }
     }
 
     /// The source.
@@ -97,8 +102,29 @@
         Some(now.saturating_duration_since(answered).as_millis().min(u32::MAX.into()) as u32)
     }
 
+    /// Notes whether the source, by its last report, has another list than this instance. One that has
+    /// had it for too long is left.
+    pub fn compared(&mut self, now: Instant, source: &InstanceId, is_other: bool) {
+        if !is_other {
+            self.behind = None;
+            return;
+        }
+        let since = *self.behind.get_or_insert(now);
+        let limit = self.in_force.mul_f64(BEHIND_SHARE);
+        if now.saturating_duration_since(since) >= limit {
+            log::warn!("event=source_too_slow source={source} behind_ms={}", limit.as_millis());
+            self.failed(now, source);
+        }
+    }
+
+    /// Notes that the source's list was copied. It may have changed again meanwhile.
+    pub fn copied(&mut self) {
+        self.behind = None;
+    }
+
     /// Notes that an instance did not answer.
     pub fn failed(&mut self, now: Instant, instance: &InstanceId) {
+        self.behind = None;
         let until = now + self.in_force.mul_f64(DISTRUST_SHARE);
         self.distrusted = Some((instance.clone(), until));
     }
@@ -131,6 +157,9 @@
             None => Source::Store,
         };
         let is_new = chosen != self.source;
+        if is_new {
+            self.behind = None;
+        }
         self.source = chosen;
         is_new
     }
--- a/oxbowbend-gateway/tests/sources.rs
+++ b/oxbowbend-gateway/tests/sources.rs
@@ -19,6 +19,9 @@
     Report { instance: name.into(), address, seen_ms, ..Report::default() }
 }
 
+/// Something that happens to sources.
+type Happens = fn(&mut Sources, Instant);
+
 /// The source of instance `m` with such reports of others, or `-` for the store.
 fn chosen(sources: &mut Sources, now: Instant, reports: &[(Report, Duration)]) -> String {
     sources.choose(now, &"m".into(), false, reports.iter().map(|(r, age)| (r, *age)));
@@ -101,3 +104,25 @@
     assert!(!choose(&mut sources, true));
     assert!(!choose(&mut sources, false), "it stays with its source");
 }
+
+/// A source whose link is full has another list for seconds (bilang-ibon-grown scale-2: up to 2.8 s of the
+/// 3 s within which an endpoint that leaves must be left alone).
+#[test]
+fn a_source_that_is_too_slow_is_left() {
+    let now = Instant::now();
+    let reports = [(report("a", Some(0)), NOW), (report("b", Some(0)), NOW)];
+    // What happens 740 ms after the first report of another list; whether it is left 10 ms later.
+    let table: [(Happens, &str); 3] = [
+        (|_, _| {}, "b"),
+        (|sources, _| sources.copied(), "a"),
+        (|sources, now| sources.compared(now, &"a".into(), false), "a"),
+    ];
+    for (event, expected) in table {
+        let mut sources = Sources::new(IN_FORCE);
+        assert_eq!(chosen(&mut sources, now, &reports), "a");
+        sources.compared(now, &"a".into(), true);
+        event(&mut sources, now + 740 * MS);
+        sources.compared(now + 750 * MS, &"a".into(), true);
+        assert_eq!(chosen(&mut sources, now + 750 * MS, &reports), expected);
+    }
+}
