--- /dev/null
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -0,0 +1,96 @@
+//! What an instance asks another one for, and is told: configuration, endpoints and instances.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::routes::Endpoint;
+use serde::{Deserialize, Serialize};
+
+use crate::seam::{Entry, Record, Snapshot};
+use crate::shared::Shared;
+
+/// Method of the question.
+pub(crate) const SNAPSHOT: &str = "snapshot";
+/// Answer to a question that nobody asks here.
+pub(crate) const METHOD_NOT_FOUND: &[u8] =
+    br#"{"jsonrpc":"2.0","id":null,"error":{"code":-32601,"message":"Method not found"}}"#;
+
+/// What one instance tells another that knows less.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Knowledge {
+    pub(crate) revision: u64,
+    pub(crate) version: u64,
+    pub(crate) document: String,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) instances: Vec<(InstanceId, Entry)>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Question {
+    pub(crate) jsonrpc: String,
+    pub(crate) id: u64,
+    pub(crate) method: String,
+    #[serde(default)]
+    pub(crate) params: Known,
+}
+
+/// What the one who asks knows and need not be told.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub(crate) struct Known {
+    /// Version of the configuration.
+    pub(crate) version: u64,
+    /// Whether it knows the other instances.
+    pub(crate) instances: bool,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Answer {
+    pub(crate) jsonrpc: String,
+    pub(crate) id: u64,
+    pub(crate) result: Knowledge,
+}
+
+impl Knowledge {
+    /// What this instance knows.
+    pub(crate) fn of(shared: &Shared, me: &InstanceId, address: SocketAddr) -> Knowledge {
+        let mut state = shared.lock();
+        let used = state.quotas.windows(Instant::now());
+        let paces = state.cell.known_paces(Instant::now());
+        let zone = state.zone.clone();
+        let world = &state.world;
+        let others = world.instances().iter().filter(|(name, _)| *name != me);
+        let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
+        instances.push((me.clone(), Entry { zone, address, paces, used }));
+        Knowledge {
+            revision: if world.is_loaded() { world.revision() } else { 0 },
+            version: world.table().map_or(0, |t| t.version()),
+            document: String::from_utf8_lossy(world.document()).into_owned(),
+            endpoints: world.endpoints().cloned().collect(),
+            instances,
+        }
+    }
+
+    /// Leaves out what the one who asks knows.
+    pub(crate) fn without(mut self, known: Known) -> Knowledge {
+        if self.version <= known.version {
+            self.document.clear();
+        }
+        if known.instances {
+            self.instances.clear();
+        }
+        self
+    }
+
+    /// The same as if it came from the store.
+    pub(crate) fn into_snapshot(self) -> Snapshot {
+        let mut records = Vec::new();
+        if !self.document.is_empty() {
+            records.push(Record::Config(Bytes::from(self.document)));
+        }
+        records.extend(self.endpoints.into_iter().map(Record::Endpoint));
+        records.extend(self.instances.into_iter().map(|(n, e)| Record::Instance(n, e)));
+        Snapshot { revision: self.revision, records }
+    }
+}
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod world;
 
 mod follow;
+mod knowledge;
 mod observe;
 mod peers;
 mod relay;
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -21,18 +21,15 @@
 use jsonrpsee_types::Notification;
 use oxbowbend_core::cell::{Extent, Report};
 use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId};
-use oxbowbend_core::routes::Endpoint;
 use oxbowbend_http::h1;
-use serde::{Deserialize, Serialize};
 
+use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
 use crate::observe;
-use crate::seam::{Entry, Record, Snapshot, Wire};
+use crate::seam::Wire;
 use crate::shared::Shared;
 
 /// Method of a report.
 const REPORT: &str = "report";
-/// Method that asks for configuration and endpoints.
-const SNAPSHOT: &str = "snapshot";
 /// Shortest time between two reports. What changes meanwhile goes into the next one.
 const PACE: Duration = Duration::from_millis(5);
 /// Longest time between two reports. Three of them fit into the time after which an instance's
@@ -60,11 +57,11 @@
 /// Whom a report reaches.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Reach {
-    /// The cell, with what changes often.
+    /// The cell, with what runs and waits.
     Cell,
-    /// The cell, with everything.
-    CellInFull,
-    /// Everybody who is heard.
+    /// The cell, with counters that have changed.
+    CellWithCounters,
+    /// Everybody who is heard, with the same for the cell and sums for others.
     Heard,
     /// Everybody who should be there.
     Everybody,
@@ -82,7 +79,7 @@
     fn extent(self) -> Extent {
         match self {
             Reach::Cell => Extent::Loads,
-            Reach::CellInFull | Reach::Heard => Extent::Changes,
+            Reach::CellWithCounters | Reach::Heard => Extent::Changes,
             Reach::Everybody | Reach::First { .. } => Extent::Full,
         }
     }
@@ -117,41 +114,6 @@
     far: BTreeSet<SocketAddr>,
 }
 
-/// What one instance tells another that knows less.
-#[derive(Debug, Deserialize, Serialize)]
-struct Knowledge {
-    revision: u64,
-    version: u64,
-    document: String,
-    endpoints: Vec<Endpoint>,
-    instances: Vec<(InstanceId, Entry)>,
-}
-
-#[derive(Debug, Deserialize, Serialize)]
-struct Question {
-    jsonrpc: String,
-    id: u64,
-    method: String,
-    #[serde(default)]
-    params: Known,
-}
-
-/// What the one who asks knows and need not be told.
-#[derive(Debug, Default, Deserialize, Serialize)]
-struct Known {
-    /// Version of the configuration.
-    version: u64,
-    /// Whether it knows the other instances.
-    instances: bool,
-}
-
-#[derive(Debug, Deserialize, Serialize)]
-struct Answer {
-    jsonrpc: String,
-    id: u64,
-    result: Knowledge,
-}
-
 /// This instance's side of the talk.
 pub(crate) struct Peers<W> {
     pub(crate) shared: Shared,
@@ -185,7 +147,7 @@
                 n if n <= FIRST_BEATS => Reach::First { introduces: INTRODUCTIONS.contains(&n) },
                 n if n % KNOCK == 1 => Reach::Everybody,
                 n if n % FAR == 0 => Reach::Heard,
-                _ => Reach::CellInFull,
+                _ => Reach::CellWithCounters,
             };
             self.report(reach, &mut told).await;
             task::sleep(PACE).await;
@@ -438,48 +400,3 @@
         Response::new(h1::Whole::from(body.unwrap_or_else(|_| METHOD_NOT_FOUND.to_vec())))
     }
 }
-
-/// Answer to a question that nobody asks here.
-const METHOD_NOT_FOUND: &[u8] =
-    br#"{"jsonrpc":"2.0","id":null,"error":{"code":-32601,"message":"Method not found"}}"#;
-
-impl Knowledge {
-    fn of(shared: &Shared, me: &InstanceId, address: SocketAddr) -> Knowledge {
-        let mut state = shared.lock();
-        let used = state.quotas.windows(Instant::now());
-        let paces = state.cell.known_paces(Instant::now());
-        let zone = state.zone.clone();
-        let world = &state.world;
-        let others = world.instances().iter().filter(|(name, _)| *name != me);
-        let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
-        instances.push((me.clone(), Entry { zone, address, paces, used }));
-        Knowledge {
-            revision: if world.is_loaded() { world.revision() } else { 0 },
-            version: world.table().map_or(0, |t| t.version()),
-            document: String::from_utf8_lossy(world.document()).into_owned(),
-            endpoints: world.endpoints().cloned().collect(),
-            instances,
-        }
-    }
-
-    /// Leaves out what the one who asks knows.
-    fn without(mut self, known: Known) -> Knowledge {
-        if self.version <= known.version {
-            self.document.clear();
-        }
-        if known.instances {
-            self.instances.clear();
-        }
-        self
-    }
-
-    fn into_snapshot(self) -> Snapshot {
-        let mut records = Vec::new();
-        if !self.document.is_empty() {
-            records.push(Record::Config(Bytes::from(self.document)));
-        }
-        records.extend(self.endpoints.into_iter().map(Record::Endpoint));
-        records.extend(self.instances.into_iter().map(|(n, e)| Record::Instance(n, e)));
-        Snapshot { revision: self.revision, records }
-    }
-}
