Of one rank, the shorter answer goes first

Cause: in bursts places bind, not reading: batches slow nothing, and 0.6 of the requests of a kind that wait need a third of the places. By age a place goes to whoever is oldest, and every long answer costs several callers theirs. Ruled out: ordering by prompt (no bearing on how long a place is held). Change: the order is rank, then the time at which the answer would be done if it began when due.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -65,17 +65,19 @@
     at: Option<Instant>,
 }
 
-/// Place of a request in the order: rank, then the time at which it should be answered.
+/// Place of a request in the order: rank, then the time at which it should be answered and would be
+/// done, so that of equal age the shorter one goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Order {
     rank: u16,
+    done: Instant,
     due: Instant,
 }
 
 impl Order {
-    /// Place of a request of this instance.
-    pub fn of(want: &Want) -> Order {
-        Order { rank: want.rank, due: want.arrived + want.objective }
+    fn new(rank: u16, due: Instant, output: u32, usual_ns: f64) -> Order {
+        let run = Duration::from_nanos((f64::from(output) * OUTPUT_UNITS * usual_ns) as u64);
+        Order { rank, due, done: due + run }
     }
 }
 
@@ -181,10 +183,15 @@
         assignments
     }
 
+    /// Place of a request of this instance.
+    pub(super) fn order(&self, want: &Want) -> Order {
+        Order::new(want.rank, want.arrived + want.objective, want.output, self.known.usual)
+    }
+
     fn candidates(&self, now: Instant) -> Vec<Candidate<'_>> {
         let taste = xxh3_64(self.me.as_bytes());
         let mine = self.waiting.iter().map(move |(ticket, want)| Candidate {
-            order: Order::of(want),
+            order: self.order(want),
             ticket: Some(*ticket),
             arrived: want.arrived,
             service: &want.service,
@@ -204,7 +211,7 @@
                 let objective = Duration::from_millis(claim.objective_ms.into());
                 let due = arrived + objective;
                 Some(Candidate {
-                    order: Order { rank: claim.rank, due },
+                    order: Order::new(claim.rank, due, claim.output, self.known.usual),
                     ticket: None,
                     arrived,
                     service: &claim.service,
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-pub use assign::{Assignment, Order, UNHEARD};
+pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
@@ -265,7 +265,7 @@
         });
         let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
-        waiting.sort_by_key(|w| Order::of(w));
+        waiting.sort_by_key(|w| self.order(w));
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
