Let callers wait a moment for an instance that has just started

Cause: after the death of all, the instances came back within 7 ms of each other and needed 8 to 20 ms to read the store. Ruled out: that starting takes long (20 ms from the first line of the log to the configuration). Change: a request that comes before the configuration waits for it, 120 ms at most, unless the store is known to be away.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -1,7 +1,9 @@
 //! Admission: the route, the client account, the body, the quota, in that order.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_std::future;
 use bytes::Bytes;
 use http::{request, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -24,6 +26,10 @@
 /// such a chunk, and borne out by the pauses seen at slow endpoints.
 const READ_CHUNK: u32 = 1024;
 
+/// Time for which a request waits for an instance that has just started to know what the store holds.
+/// That takes 8 to 20 ms, in which a restarted fleet of six meets 260 callers that have been trying to
+/// connect, most of them for the last time.
+const LOADING: Duration = Duration::from_millis(120);
 /// When to come back to an instance that is being told the configuration.
 const STARTING: Duration = Duration::from_millis(200);
 /// Spread of the time to come back, so that refused callers do not return as one.
@@ -50,11 +56,25 @@
         if self.door.is_shut() {
             return Err(refused(Refusal::Stopping));
         }
-        let table = table.ok_or_else(|| refused(self.not_ready(arrived)))?;
+        let table = match table {
+            Some(table) => table,
+            None => self.await_table(arrived).await.map_err(refused)?,
+        };
         let job = self.check(&table, head, ask, body, arrived).map_err(refused)?;
         Ok(job)
     }
 
+    /// Waits a moment for what the store holds, after a start.
+    async fn await_table(&self, arrived: Instant) -> Result<Arc<Table>, Refusal> {
+        let is_store_away = self.shared.lock().world.is_store_away();
+        if !is_store_away && future::timeout(LOADING, self.shared.loaded()).await.is_ok() {
+            if let Some(table) = self.shared.table() {
+                return Ok(table);
+            }
+        }
+        Err(self.not_ready(arrived))
+    }
+
     /// Nothing can be served yet. Where another instance knows the configuration, this one soon will.
     fn not_ready(&self, now: Instant) -> Refusal {
         let state = self.shared.lock();
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -119,6 +119,8 @@
         repeats: Repeats,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
+    /// Closed once requests can be served.
+    loaded: (channel::Sender<()>, channel::Receiver<()>),
         let state = State {
             world: World::default(),
             cell,
@@ -133,7 +135,8 @@
             is_restored: false,
             instances: 1,
         };
-        (Shared { state: Arc::new(Mutex::new(state)), changed }, rx)
+        let state = Arc::new(Mutex::new(state));
+        (Shared { state, changed, loaded: channel::bounded(1) }, rx)
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
@@ -164,6 +167,12 @@
             if let Some(table) = world.table() {
                 let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
                 quotas.set(limited);
+    /// Waits until requests can be served.
+    pub(crate) async fn loaded(&self) {
+        // Nothing is ever sent; the channel is closed instead.
+        let _ = self.loaded.1.recv().await;
+    }
+
             }
         }
         let is_start = !*is_restored && world.is_loaded();
@@ -181,6 +190,7 @@
             }
         }
         drop(state);
+            self.loaded.1.close();
         if !news.is_empty() {
             self.tell_others();
             self.place();
