Spread an account's quota evenly, urgent requests first

Change: a token bucket for each account beside the window: rate and burst as the operator gives them with six tenths of what is tolerated. A less urgent request leaves room for ten like itself for each rank. Window and bucket stand together in `admission`. Tests replay the flood. The account's requests of lower ranks get next to nothing while its urgent ones alone ask for more than its rate.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -109,9 +109,9 @@
     taste: u64,
     objective: Duration,
     prompt: u32,
+    output: u32,
     stall: Stall,
     avoid: &'a [EndpointId],
-    output: u32,
 }
 
 impl Candidate<'_> {
@@ -130,10 +130,10 @@
     room: u32,
     unread: u32,
     ns: f64,
-    /// Whether the pace is only a guess.
-    is_guess: bool,
     /// Nanoseconds for a unit of work at the usual endpoint.
     usual_ns: f64,
+    /// Whether the pace is only a guess.
+    is_guess: bool,
 }
 
 impl Cell {
@@ -199,6 +199,7 @@
             taste,
             objective: want.objective,
             prompt: want.prompt,
+            output: want.output,
             stall: want.stall,
             avoid: &want.avoid,
         });
@@ -206,7 +207,6 @@
             let taste = xxh3_64(p.report.instance.as_bytes());
             p.report.claims.iter().filter_map(move |claim| {
                 let waited = Duration::from_millis(claim.waited_ms.into());
-            output: want.output,
                 let arrived = p.heard.checked_sub(waited)?;
                 let objective = Duration::from_millis(claim.objective_ms.into());
                 let due = arrived + objective;
@@ -219,6 +219,7 @@
                     taste,
                     objective,
                     prompt: claim.prompt,
+                    output: claim.output,
                     stall: claim.stall,
                     avoid: &[],
                 })
@@ -226,7 +227,6 @@
         });
         let mut all: Vec<_> = mine.chain(others).collect();
         all.sort_by_key(|c| c.order);
-                    output: claim.output,
         all
     }
 
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -21,6 +21,7 @@
 and to include the time for which the instance was suspended.
 */
 
+pub mod admission;
 pub mod budget;
 pub mod cache;
 pub mod cell;
@@ -34,6 +35,7 @@
 pub mod permits;
 pub mod queue;
 pub mod quota;
+pub mod rate;
 pub mod repeats;
 pub mod routes;
 pub mod scheduler;
--- /dev/null
+++ b/oxbowbend-core/src/rate.rs
@@ -0,0 +1,135 @@
+//! Token buckets beside the quotas' windows: an account that sends far more than its rate gets its quota
+//! evenly.
+//!
+//! The load that this answers: one account sends several times its usual for seconds. A sliding window
+//! alone lets it spend the quota of the whole window at once, as a burst that all other accounts bear, and
+//! then refuses whatever it asks, urgent or not, until that burst leaves the window; then the same again.
+//! A bucket fills at the account's rate and holds its burst, so what passes in any second is what the
+//! operator allowed for a second.
+//!
+//! A less urgent request leaves room for several like itself, so that what is left goes to the urgent
+//! ones. The room goes by the request's own size: a share of the bucket would keep out small requests
+//! that hardly matter.
+//!
+//! What was traded: an account that was silent may not spend all of its window at once.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::ids::AccountId;
+use crate::quota::QuotaBounds;
+use crate::routes::Quota;
+
+/// Requests like itself for which one leaves room, for each rank below the highest. An account at six
+/// times its usual sends some 40 requests a second, so this is the room for a quarter second of them.
+const ROOM_BY_RANK: f64 = 10.0;
+/// Part of what the operator tolerates beyond the limit that is used; the rest covers what others admit
+/// and have not reported yet.
+const TOLERANCE_SHARE: f64 = 0.6;
+
+/// How fast a bucket fills, in units a second, and how many units it holds.
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    per_s: f64,
+    capacity: f64,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    quota: Quota,
+    /// Units in it, and when that was so. Full if nothing was ever taken.
+    level: Option<(f64, Instant)>,
+}
+
+/// The buckets of all accounts as one instance sees them.
+#[derive(Debug)]
+pub struct Rates {
+    bounds: QuotaBounds,
+    buckets: HashMap<AccountId, Bucket>,
+    share: f64,
+}
+
+impl Rates {
+    /// No buckets yet.
+    pub fn new(bounds: QuotaBounds) -> Rates {
+        Rates { bounds, buckets: HashMap::new(), share: 1.0 }
+    }
+
+    /// Puts the quotas of a configuration in force. Levels stay.
+    pub fn set<'a>(&mut self, quotas: impl IntoIterator<Item = (&'a AccountId, Quota)>) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for (account, quota) in quotas {
+            let level = old.remove(account).and_then(|bucket| bucket.level);
+            self.buckets.insert(account.clone(), Bucket { quota, level });
+        }
+    }
+
+    /// Sets the share of the fleet that is heard, this instance included.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
+    }
+
+    /// Lets a request of so many units pass, or tells when to come back. `rank` is that among the
+    /// account's requests; 0 is the most urgent.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until the bucket will have room.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        account: &str,
+        units: u64,
+        rank: u8,
+    ) -> Result<(), Duration> {
+        let (bounds, share) = (self.bounds, self.share);
+        let Some(bucket) = self.buckets.get_mut(account) else { return Ok(()) };
+        let flow = bucket.flow(&bounds, share);
+        let level = bucket.fill(now, flow);
+        let room = units as f64 * (1.0 + ROOM_BY_RANK * f64::from(rank));
+        let missing = room.min(flow.capacity) - *level;
+        if missing > 0.0 {
+            return Err(Duration::from_secs_f64(missing / flow.per_s.max(1.0)));
+        }
+        *level -= units as f64;
+        Ok(())
+    }
+
+    /// Takes out what others have admitted.
+    pub fn draw(&mut self, now: Instant, account: &str, units: f64) {
+        let (bounds, share) = (self.bounds, self.share);
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            let flow = bucket.flow(&bounds, share);
+            *bucket.fill(now, flow) -= units;
+        }
+    }
+
+    /// Gives back the units of a request that has not run.
+    pub fn give_back(&mut self, account: &str, units: u64) {
+        let bucket = self.buckets.get_mut(account);
+        if let Some((level, _)) = bucket.and_then(|bucket| bucket.level.as_mut()) {
+            *level += units as f64;
+        }
+    }
+}
+
+impl Bucket {
+    /// How the bucket fills where this share of the fleet is heard.
+    fn flow(&self, bounds: &QuotaBounds, share: f64) -> Flow {
+        let tolerated = 1.0 + bounds.overage * TOLERANCE_SHARE;
+        let slack = bounds.slack * TOLERANCE_SHARE;
+        Flow {
+            per_s: share * self.quota.per_s * tolerated,
+            capacity: share * (self.quota.burst * tolerated + slack),
+        }
+    }
+
+    /// The level after what has come in until `now`.
+    fn fill(&mut self, now: Instant, flow: Flow) -> &mut f64 {
+        let (level, at) = self.level.get_or_insert((flow.capacity, now));
+        let passed = now.saturating_duration_since(*at).as_secs_f64();
+        *level = (*level + passed * flow.per_s).min(flow.capacity);
+        *at = now.max(*at);
+        level
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/tests/admission.rs
@@ -0,0 +1,100 @@
+//! Client accounts that send far more than their rate.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::admission::Admission;
+use oxbowbend_core::quota::QuotaBounds;
+use oxbowbend_core::routes::Quota;
+
+const MS: Duration = Duration::from_millis(1);
+const BOUNDS: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 140_000.0 };
+const QUOTA: Quota = Quota { per_s: 250_000.0, burst: 250_000.0 };
+
+/// Requests of an account: rank, units, time between two.
+const USUAL: [(u8, u64, u64); 4] =
+    [(0, 10_400, 170), (1, 3_500, 100), (2, 2_000, 105), (2, 200, 125)];
+
+fn admission() -> Admission {
+    let mut admission = Admission::new(BOUNDS);
+    admission.set([(&"a".into(), QUOTA)]);
+    admission
+}
+
+/// Replays 12 s in which the account sends `times` its usual. Returns the units admitted in each second,
+/// and for each kind of request the part that was admitted after the first second.
+fn replay(times: u64) -> (Vec<u64>, Vec<f64>) {
+    let (start, mut admission) = (Instant::now(), admission());
+    let mut seconds = vec![0; 12];
+    let mut counts = vec![(0, 0); USUAL.len()];
+    for ms in 0..12_000_u64 {
+        for (kind, (rank, units, every)) in USUAL.iter().enumerate() {
+            let every = every / times;
+            if ms % every != 0 {
+                continue;
+            }
+            let is_in = admission.admit(start + ms as u32 * MS, "a", *units, *rank).is_ok();
+            seconds[(ms / 1000) as usize] += if is_in { *units } else { 0 };
+            if ms >= 1000 {
+                counts[kind].0 += u32::from(is_in);
+                counts[kind].1 += 1;
+            }
+        }
+    }
+    let parts = counts.iter().map(|(is_in, all)| f64::from(*is_in) / f64::from(*all));
+    (seconds, parts.collect())
+}
+
+#[test]
+fn an_account_within_its_rate_is_never_refused() {
+    assert_eq!(replay(1).1, [1.0; 4]);
+}
+
+#[test]
+fn a_flood_gets_the_quota_evenly_instead_of_all_at_once() {
+    let (seconds, _) = replay(6);
+    // The rate with what is used of the tolerance, and the bucket in the first second.
+    let per_s = 265_000;
+    assert!(seconds[0] <= 2 * per_s + 84_000, "{seconds:?}");
+    for units in &seconds[1..] {
+        assert!((per_s * 8 / 10..=per_s * 11 / 10).contains(units), "{seconds:?}");
+    }
+}
+
+#[test]
+fn what_is_left_of_a_flood_goes_to_urgent_requests_and_small_ones() {
+    let (_, parts) = replay(6);
+    let [urgent, middle, least, small] = parts[..] else { panic!("{parts:?}") };
+    assert!(urgent > 0.6, "{parts:?}");
+    assert!(middle < urgent && least < urgent, "{parts:?}");
+    assert!(small > 0.8, "{parts:?}");
+}
+
+#[test]
+fn a_refused_caller_that_comes_back_when_told_finds_room() {
+    let now = Instant::now();
+    let mut admission = admission();
+    let wait = loop {
+        if let Err(wait) = admission.admit(now, "a", 10_000, 0) {
+            break wait;
+        }
+    };
+    assert!(wait < 100 * MS, "{wait:?}");
+    assert!(admission.admit(now + wait, "a", 10_000, 0).is_ok());
+}
+
+#[test]
+fn what_others_admit_and_what_did_not_run_counts() {
+    let now = Instant::now();
+    let mut admission = admission();
+    admission.draw(now, "a", 345_000.0, true);
+    assert!(admission.admit(now, "a", 10_000, 0).is_err());
+    admission.give_back("a", 10_000);
+    assert!(admission.admit(now, "a", 10_000, 0).is_ok());
+}
+
+#[test]
+fn a_request_larger_than_the_bucket_passes_when_it_is_full() {
+    let mut admission = admission();
+    assert!(admission.admit(Instant::now(), "a", 900_000, 2).is_ok());
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -234,7 +234,7 @@
     let is_before = |r: &Report| r.instance < *me && r.has_store;
     let (mut used, mut paces) = (Vec::new(), Vec::new());
     if state.has_store() && !state.cell.live_reports(now).any(is_before) {
-        used = state.quotas.windows(now);
+        used = state.admission.quotas.windows(now);
         paces = state.cell.known_paces(now);
     }
     Entry { zone: zone.clone(), address, paces, used }
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -8,9 +8,10 @@
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use http::{Response, StatusCode};
+use oxbowbend_core::admission::Admission;
 use oxbowbend_core::cell::Cell;
 use oxbowbend_core::ids::{InstanceId, ZoneId};
-use oxbowbend_core::quota::{QuotaBounds, Quotas};
+use oxbowbend_core::quota::QuotaBounds;
 use oxbowbend_core::repeats::{Allowance, Repeats};
 use oxbowbend_http::h1;
 use thiserror::Error;
@@ -116,7 +117,7 @@
             (cfg.instance.clone(), cfg.zone.clone()),
             (cell, cfg.cell_size),
             Sources::new(cfg.in_force),
-            Quotas::new(cfg.quotas),
+            Admission::new(cfg.quotas),
             Repeats::new(cfg.repeats),
         );
         let door = Arc::new(h1::Door::default());
@@ -222,10 +223,8 @@
                 pool.set_bound(each.max(1));
             }
             state.choose_source(now);
-            let heard = state.cell.heard(now);
-            let share = (heard + 1) as f64 / state.instances as f64;
-            state.quotas.set_share(share);
-            (news, state.cell.waiting(), heard)
+            state.set_shares(now);
+            (news, state.cell.waiting(), state.cell.heard(now))
         };
         shared.apply(now, &news, "time");
         if waiting > 0 {
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -56,7 +56,7 @@
     /// What this instance knows.
     pub(crate) fn of(shared: &Shared, me: &InstanceId, address: SocketAddr) -> Knowledge {
         let mut state = shared.lock();
-        let used = state.quotas.windows(Instant::now());
+        let used = state.admission.quotas.windows(Instant::now());
         let paces = state.cell.known_paces(Instant::now());
         let zone = state.zone.clone();
         let world = &state.world;
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -164,7 +164,7 @@
             let mut report = state.cell.report(now, reach.extent());
             report.speaks = state.speaks(now);
             if report.speaks {
-                report.cell_spent = changed(state.quotas.cell_spent(), &told.far, reach);
+                report.cell_spent = changed(state.admission.quotas.cell_spent(), &told.far, reach);
             }
             report.seen_ms = state.sources.seen_ms(now);
             report.digest = state.world.digest();
@@ -172,8 +172,8 @@
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
             report.has_store = state.has_store() && !self.door.is_closing();
-            if reach != Reach::Cell || state.quotas.is_busy() {
-                report.spent = changed(state.quotas.spent(), &told.near, reach);
+            if reach != Reach::Cell || state.admission.quotas.is_busy() {
+                report.spent = changed(state.admission.quotas.spent(), &told.near, reach);
             }
             // What still runs at endpoints that another cell has now.
             let is_own = |id: &EndpointId| state.group.endpoints.iter().any(|e| e.id == *id);
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -100,7 +100,7 @@
         let units = account.map_or(0, |a| units(a, &ask));
         let mut state = self.shared.lock();
         let admitted = match account {
-            Some(account) => state.quotas.admit(arrived, &account.name, units),
+            Some(account) => state.admission.admit(arrived, &account.name, units, route.tier),
             None => Ok(()),
         };
         admitted.map_err(|retry_after| Refusal::OverQuota { retry_after })?;
@@ -117,6 +117,7 @@
             account.map_or("-", |a| &a.name),
             table.version(),
             ask.prompt,
+            ask.output.map_or(-1, i64::from),
             patience.as_millis()
         );
         let tokens_per_event = table.service(&service).map_or(0, |s| s.tokens_per_event);
@@ -137,7 +138,6 @@
             arrived,
             limit: arrived + patience,
             route,
-            ask.output.map_or(-1, i64::from),
             ask,
         })
     }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -6,9 +6,9 @@
 
 use async_std::{channel, task};
 use futures::channel::oneshot;
+use oxbowbend_core::admission::Admission;
 use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want, UNHEARD};
 use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
-use oxbowbend_core::quota::Quotas;
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
 
@@ -19,7 +19,7 @@
 pub(crate) struct State {
     pub(crate) world: World,
     pub(crate) cell: Cell,
-    pub(crate) quotas: Quotas,
+    pub(crate) admission: Admission,
     pub(crate) repeats: Repeats,
     waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
     /// This instance's cell.
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Works out which parts of the fleet and of the cell are heard: quotas belong to the fleet, endpoints to
+    /// the cell.
+    pub(crate) fn set_shares(&mut self, now: Instant) {
+        let heard = self.cell.heard(now);
+        self.admission.set_share(part(heard, self.instances.saturating_sub(1)));
+    }
+
     /// Whether this instance follows the store, and the store answers it.
     pub(crate) fn has_store(&self) -> bool {
         self.sources.is_store() && !self.world.is_store_away()
@@ -102,11 +109,18 @@
     }
 }
 
+/// Part that is heard of so many others, this instance included on both sides.
+fn part(heard: usize, others: usize) -> f64 {
+    (heard + 1) as f64 / (others + 1) as f64
+}
+
 /// The shared state with its signals; clones share it.
 #[derive(Clone)]
 pub(crate) struct Shared {
     state: Arc<Mutex<State>>,
     changed: channel::Sender<()>,
+    /// Closed once requests can be served.
+    loaded: (channel::Sender<()>, channel::Receiver<()>),
 }
 
 impl Shared {
@@ -115,16 +129,14 @@
         (me, zone): (InstanceId, ZoneId),
         (cell, cell_size): (Cell, usize),
         sources: Sources,
-        quotas: Quotas,
+        admission: Admission,
         repeats: Repeats,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
-    /// Closed once requests can be served.
-    loaded: (channel::Sender<()>, channel::Receiver<()>),
         let state = State {
             world: World::default(),
             cell,
-            quotas,
+            admission,
             repeats,
             waiters: HashMap::new(),
             group: Group::default(),
@@ -155,10 +167,16 @@
         state.world.table().filter(|_| state.world.is_loaded()).cloned()
     }
 
+    /// Waits until requests can be served.
+    pub(crate) async fn loaded(&self) {
+        // Nothing is ever sent; the channel is closed instead.
+        let _ = self.loaded.1.recv().await;
+    }
+
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
-        let State { world, quotas, is_restored, .. } = &mut *state;
+        let State { world, admission, is_restored, .. } = &mut *state;
         let revision = world.revision();
         for item in news {
             log_news(item, revision, source);
@@ -166,31 +184,26 @@
         if news.iter().any(|n| matches!(n, News::Config(_))) {
             if let Some(table) = world.table() {
                 let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
-                quotas.set(limited);
-    /// Waits until requests can be served.
-    pub(crate) async fn loaded(&self) {
-        // Nothing is ever sent; the channel is closed instead.
-        let _ = self.loaded.1.recv().await;
-    }
-
+                admission.set(limited);
             }
         }
         let is_start = !*is_restored && world.is_loaded();
         if is_start {
             *is_restored = true;
+            self.loaded.1.close();
             for (account, window) in world.instances().values().flat_map(|e| &e.used) {
                 log::info!("event=window_restored account={account} units={window:?}");
-                quotas.restore(now, account, window);
+                admission.quotas.restore(now, account, window);
             }
         }
         if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
             state.regroup(now);
             if is_start {
+                state.set_shares(now);
                 state.restore_paces();
             }
         }
         drop(state);
-            self.loaded.1.close();
         if !news.is_empty() {
             self.tell_others();
             self.place();
@@ -204,7 +217,7 @@
         let Some(spent) = state.cell.hear(now, report, is_near) else { return };
         for (account, units) in spent {
             if units > 0 {
-                state.quotas.draw(now, &account, units as f64, is_near);
+                state.admission.draw(now, &account, units as f64, is_near);
             }
         }
         drop(state);
