Use no larger part of an endpoint than the part of the cell that is heard

Cause: an instance that hears nobody, just started or cut off, takes all places for free. After the death of all, six such instances put 263 requests on 180 places within 20 ms, unevenly; the rest queued behind streams. Ruled out: waiting for the first reports (they come after some 10 ms, but a cut lasts for seconds). Change: of an endpoint's slots an instance uses the part of its cell that it hears, rounded up.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -241,7 +241,8 @@
         let place = |s: &'_ super::Site| {
             let (running, unread) = loads.get(&*s.endpoint.id).copied().unwrap_or_default();
             let load = s.running + running;
-            let slots = if s.health.is_on_trial() { 1 } else { s.endpoint.slots };
+            let usable = (f64::from(s.endpoint.slots) * self.share).ceil() as u32;
+            let slots = if s.health.is_on_trial() { 1 } else { usable };
             (load, slots.saturating_sub(load), s.unread.saturating_add(unread))
         };
         open.map(|s| {
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -153,6 +153,8 @@
     peers: HashMap<InstanceId, Peer>,
     known: assign::KnownPaces,
     news: Vec<SetAside>,
+    /// Part of the fleet that is heard, this instance included.
+    share: f64,
 }
 
 impl Cell {
@@ -170,6 +172,7 @@
             peers: HashMap::new(),
             known: assign::KnownPaces::default(),
             news: Vec::new(),
+            share: 1.0,
         }
     }
 
@@ -307,6 +310,12 @@
         self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL))
     }
 
+    /// Sets the part of the fleet that is heard, this instance included. Of each endpoint no larger part is
+    /// used, since those that are not heard use the rest.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
+    }
+
     /// Forgets instances that have been silent for long.
     pub fn forget(&mut self, now: Instant) {
         self.peers.retain(|_, p| p.is_live(now, FORGET));
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -500,3 +500,16 @@
     let (by_age, by_length) = (served(false), served(true));
     assert!(by_length >= by_age * 3 / 2, "{by_length} of 60 served, by age {by_age}");
 }
+
+#[test]
+fn who_hears_a_part_of_the_cell_takes_that_part_of_each_endpoint() {
+    let now = Instant::now();
+    for (share, expected) in [(1.0, 20), (0.5, 10), (1.0 / 6.0, 4)] {
+        let mut cell = cell("a", &[endpoint(0, 10), endpoint(2, 10)]);
+        cell.set_share(share);
+        for _ in 0..30 {
+            cell.arrive(want(0, 100, now));
+        }
+        assert_eq!(placed(&mut cell, now).len(), expected, "a share of {share}");
+    }
+}
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -80,6 +80,9 @@
     pub(crate) fn set_shares(&mut self, now: Instant) {
         let heard = self.cell.heard(now);
         self.admission.set_share(part(heard, self.instances.saturating_sub(1)));
+        let peers = &self.group.peers;
+        let near = self.cell.live_reports(now).filter(|r| peers.contains(&r.instance)).count();
+        self.cell.set_share(part(near, peers.len()));
     }
 
     /// Whether this instance follows the store, and the store answers it.
