Decide on waiting and coming back by what became of the last second's requests

Change: `outlook` counts what was placed and refused by service and rank in the last second. Where next to nothing is placed, two requests of a rank wait at an instance and further ones hear at once. Where half or more is placed, a refused caller comes back within its objective; otherwise at 0.6 to 1.0 of the time for which callers wait.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -70,14 +70,16 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Order {
     rank: u16,
+    /// What is late already goes after what is not.
+    is_late: bool,
     done: Instant,
     due: Instant,
 }
 
 impl Order {
-    fn new(rank: u16, due: Instant, output: u32, usual_ns: f64) -> Order {
+    fn new(now: Instant, rank: u16, due: Instant, output: u32, usual_ns: f64) -> Order {
         let run = Duration::from_nanos((f64::from(output) * OUTPUT_UNITS * usual_ns) as u64);
-        Order { rank, due, done: due + run }
+        Order { rank, is_late: due < now, due, done: due + run }
     }
 }
 
@@ -147,7 +149,9 @@
         self.know_paces(now);
         let assignments = self.work_out(now);
         for a in &assignments {
-            self.waiting.remove(&a.ticket);
+            if let Some(want) = self.waiting.remove(&a.ticket) {
+                self.outlook.placed(now, &want.service, want.rank);
+            }
             if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
                 site.running += 1;
                 site.unread += a.prompt;
@@ -184,14 +188,15 @@
     }
 
     /// Place of a request of this instance.
-    pub(super) fn order(&self, want: &Want) -> Order {
-        Order::new(want.rank, want.arrived + want.objective, want.output, self.known.usual)
+    pub(super) fn order(&self, now: Instant, want: &Want) -> Order {
+        let due = want.arrived + want.objective;
+        Order::new(now, want.rank, due, want.output, self.known.usual)
     }
 
     fn candidates(&self, now: Instant) -> Vec<Candidate<'_>> {
         let taste = xxh3_64(self.me.as_bytes());
         let mine = self.waiting.iter().map(move |(ticket, want)| Candidate {
-            order: self.order(want),
+            order: self.order(now, want),
             ticket: Some(*ticket),
             arrived: want.arrived,
             service: &want.service,
@@ -211,7 +216,7 @@
                 let objective = Duration::from_millis(claim.objective_ms.into());
                 let due = arrived + objective;
                 Some(Candidate {
-                    order: Order::new(claim.rank, due, claim.output, self.known.usual),
+                    order: Order::new(now, claim.rank, due, claim.output, self.known.usual),
                     ticket: None,
                     arrived,
                     service: &claim.service,
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod assign;
 mod groups;
 mod health;
+mod outlook;
 mod pace;
 mod report;
 
@@ -19,6 +20,7 @@
 
 pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
+pub use outlook::Patience;
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
 
@@ -155,6 +157,7 @@
     news: Vec<SetAside>,
     /// Part of the fleet that is heard, this instance included.
     share: f64,
+    outlook: outlook::Outlook,
 }
 
 impl Cell {
@@ -173,6 +176,7 @@
             known: assign::KnownPaces::default(),
             news: Vec::new(),
             share: 1.0,
+            outlook: outlook::Outlook::default(),
         }
     }
 
@@ -268,7 +272,7 @@
         });
         let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
-        waiting.sort_by_key(|w| self.order(w));
+        waiting.sort_by_key(|w| self.order(now, w));
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
@@ -333,6 +337,26 @@
         self.waiting.remove(&ticket).is_some()
     }
 
+    /// Whether a request that waits here is not to get a place in time.
+    pub fn is_hopeless(&mut self, now: Instant, ticket: Ticket) -> bool {
+        let Some(want) = self.waiting.get(&ticket) else { return false };
+        let (service, rank) = (want.service.clone(), want.rank);
+        let alike = self.waiting.values().filter(|w| w.rank == rank && w.service == service);
+        let others = alike.count() - 1;
+        self.outlook.is_hopeless(now, &service, rank, others)
+    }
+
+    /// Notes that a request found no place; tells when its caller should come back.
+    pub fn refuse(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        rank: u16,
+        patience: Patience,
+    ) -> Duration {
+        self.outlook.refused(now, service, rank, patience)
+    }
+
     /// Requests that wait here.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- /dev/null
+++ b/oxbowbend-core/src/cell/outlook.rs
@@ -0,0 +1,107 @@
+//! What a request may expect that does not get a place at once: whether to wait, and when its caller
+//! should come back instead.
+//!
+//! The load that this answers: more requests than places for seconds, as in a burst or after the loss of
+//! engines. Then a rank gets what more urgent ones leave, often nothing. Both answers rest on one
+//! measurement, which part of the requests of a service and rank that came to this instance within the
+//! last second got a place.
+//!
+//! - While that is next to nothing, a few requests wait for what may come free, and the others hear at once
+//!   that they will not be served, instead of after most of their objective.
+//! - While a rank gets half of its places or more, a refused caller that comes back soon will probably still
+//!   be in time. Otherwise nothing drains before fewer requests come, and a caller that came back soon
+//!   would be refused for a second and mostly last time; so it is told to come back as late as it would.
+//!
+//! What was traded: the last second is behind at the beginning and the end of a burst. At its end places
+//! are free, and a request that finds one is asked nothing.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::ids::ServiceId;
+
+/// Time over which requests are counted. A rank has 5 to 20 of them a second at one instance of the
+/// users' sites, so less would count too few.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Refusals within that time below which nothing follows: a few come with any small burst.
+const MIN_REFUSED: usize = 4;
+/// Requests of a rank that wait at an instance all the same, so that a place that comes free is taken.
+const STAY: usize = 2;
+/// Part that must get places for refused callers to come back soon.
+const SOON_SHARE: f64 = 0.5;
+/// Parts of the objective between which these come back.
+const SOON: (f64, f64) = (0.15, 0.4);
+/// Parts of the longest time between which the others do. The spread keeps them from returning as one.
+const LATE: (f64, f64) = (0.6, 1.0);
+
+/// Requests of one service and rank.
+#[derive(Debug, Default)]
+struct Lane {
+    placed: VecDeque<Instant>,
+    refused: VecDeque<Instant>,
+}
+
+/// What has lately become of requests, by service and rank.
+#[derive(Debug, Default)]
+pub(super) struct Outlook {
+    lanes: HashMap<(ServiceId, u16), Lane>,
+}
+
+/// How long a caller waits when told to come back, and how much of that is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Time from the first event's being asked for to its being due.
+    pub objective: Duration,
+    /// Longest time for which the caller would wait.
+    pub longest: Duration,
+    /// From 0 to 1, chosen at random, so that refused callers do not return as one.
+    pub spread: f64,
+}
+
+impl Outlook {
+    /// Notes that a request got a place.
+    pub(super) fn placed(&mut self, now: Instant, service: &ServiceId, rank: u16) {
+        self.lane(now, service, rank).placed.push_back(now);
+    }
+
+    /// Whether a further request is not to get a place, with so many of its rank waiting already.
+    pub(super) fn is_hopeless(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        rank: u16,
+        waiting: usize,
+    ) -> bool {
+        let lane = self.lane(now, service, rank);
+        let (placed, refused) = (lane.placed.len(), lane.refused.len());
+        waiting >= STAY && refused >= MIN_REFUSED && placed * 10 < refused
+    }
+
+    /// Notes that a request was refused, and tells when its caller should come back.
+    pub(super) fn refused(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        rank: u16,
+        patience: Patience,
+    ) -> Duration {
+        let lane = self.lane(now, service, rank);
+        lane.refused.push_back(now);
+        let (placed, refused) = (lane.placed.len() as f64, lane.refused.len() as f64);
+        let ((from, to), of) = match placed >= SOON_SHARE * (placed + refused) {
+            true => (SOON, patience.objective),
+            false => (LATE, patience.longest),
+        };
+        of.mul_f64(from + (to - from) * patience.spread).min(patience.longest)
+    }
+
+    fn lane(&mut self, now: Instant, service: &ServiceId, rank: u16) -> &mut Lane {
+        let lane = self.lanes.entry((service.clone(), rank)).or_default();
+        for times in [&mut lane.placed, &mut lane.refused] {
+            while times.front().is_some_and(|t| now.saturating_duration_since(*t) > WINDOW) {
+                times.pop_front();
+            }
+        }
+        lane
+    }
+}
--- a/oxbowbend-gateway/src/relay/job.rs
+++ b/oxbowbend-gateway/src/relay/job.rs
@@ -8,14 +8,9 @@
 use oxbowbend_core::cell::Stall;
 use oxbowbend_core::ids::{AccountId, ServiceId};
 use oxbowbend_core::routes::{Repeat, Route};
-use rand::Rng;
 
 use crate::seam::Ask;
 
-/// Part of the objective after which a refused caller should come back, at least and at most; the
-/// spread keeps refused callers from returning as one.
-const COME_BACK: (f64, f64) = (0.15, 0.4);
-
 /// One request.
 pub(crate) struct Job {
     pub(crate) ask: Ask,
@@ -42,9 +37,4 @@
             false => self.route.repeat == Repeat::Idempotent,
         }
     }
-
-    /// When the caller should come back after a refusal.
-    pub(crate) fn come_back(&self) -> Duration {
-        self.route.objective.mul_f64(rand::rng().random_range(COME_BACK.0..COME_BACK.1))
-    }
 }
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -19,7 +19,7 @@
 use http::{Request, Response};
 use http_body_util::{Either, StreamBody};
 use hyper::body::{Frame, Incoming};
-use oxbowbend_core::cell::{Assignment, Want};
+use oxbowbend_core::cell::{Assignment, Patience, Want};
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_http::h1;
 
@@ -38,6 +38,9 @@
 /// Least time for which a request that was sent before waits for another place.
 const HOLD_AGAIN: Duration = Duration::from_millis(200);
 
+/// Part of the time that a caller has left up to which it waits when told to come back.
+const HONOURED_SHARE: f64 = 0.33;
+
 /// Body of an answer: whole, or a stream as it comes.
 pub(crate) type Body<S> = Either<h1::Whole, StreamBody<S>>;
 
@@ -115,7 +118,7 @@
                     let may = tries.unrun < MAX_UNRUN
                         && (!failure.has_arrived() || self.may_repeat(job, "not_run"));
                     if !may {
-                        return tries.settle(Refusal::Busy { retry_after: job.come_back() });
+                        return tries.settle(self.busy(job));
                     }
                 }
                 Err(failure) => {
@@ -176,8 +179,11 @@
             objective: job.route.objective,
             avoid: tries.avoid.clone(),
         });
-        let place = waiting.place(hold).await;
-        let place = place.ok_or_else(|| Refusal::Busy { retry_after: job.come_back() })?;
+        let place = match waiting.is_hopeless() {
+            true => None,
+            false => waiting.place(hold).await,
+        };
+        let place = place.ok_or_else(|| self.busy(job))?;
         let waited = now.elapsed();
         observe::placed(&job.route.name, waited);
         log::info!(
@@ -196,6 +202,18 @@
 
     fn give_back(&self, job: &Job) {
         if let Some(account) = &job.account {
+    fn busy(&self, job: &Job) -> Refusal {
+        let now = Instant::now();
+        let patience = Patience {
+            objective: job.route.objective,
+            longest: job.limit.saturating_duration_since(now).mul_f64(HONOURED_SHARE),
+            spread: rand::random(),
+        };
+        let mut state = self.shared.lock();
+        let retry_after = state.cell.refuse(now, &job.service, job.rank, patience);
+        Refusal::Busy { retry_after }
+    }
+
             self.shared.lock().admission.give_back(account, job.units);
         }
     }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -307,6 +307,11 @@
         let mut state = self.shared.lock();
         state.waiters.remove(&self.ticket);
         state.cell.withdraw(self.ticket)
+    /// Whether the place is not to be expected.
+    pub(crate) fn is_hopeless(&self) -> bool {
+        self.shared.lock().cell.is_hopeless(Instant::now(), self.ticket)
+    }
+
     }
 }
 
