Let the objective run since the caller's first try

Cause: a caller that came back was a new request here with all of its objective, and waited among new ones for a place that was already too late for it, or behind them though it was more urgent. Ruled out: telling callers by their connection or id (each try has new ones). Change: callers of a route give the same time at first; one that gives less has waited for the difference (`ages`, bounded by half of it).

--- /dev/null
+++ b/oxbowbend-core/src/ages.rs
@@ -0,0 +1,47 @@
+//! How long ago a caller first tried, read from the time that it has left.
+//!
+//! A caller that comes back after a refusal, or after a connection that brought nothing, is a new request
+//! here, but its objective runs since its first try, and so does its own deadline. Callers of a route give
+//! the same time at first, so one that gives less has waited already. What was traded: a caller with a
+//! shorter deadline than others of its route is taken for one that has come back, if the difference is
+//! one that callers wait.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Part of its time that a caller may have waited to be taken for one that has come back: it waits a third
+/// of it at most when told to, and the refusal took some time too.
+const MOST: f64 = 0.5;
+/// Differences that are the way to this instance.
+const LEAST: Duration = Duration::from_millis(20);
+
+/// The times that callers give at first, by route.
+#[derive(Debug, Default)]
+pub struct Ages {
+    usual: HashMap<String, Duration>,
+}
+
+impl Ages {
+    /// Forgets everything, as with a new configuration.
+    pub fn clear(&mut self) {
+        self.usual.clear();
+    }
+
+    /// Time since the first try of a caller of that route who has so much time left.
+    pub fn age(&mut self, route: &str, left: Option<Duration>, timeout: Duration) -> Duration {
+        let Some(left) = left else { return Duration::ZERO };
+        let longest = timeout * 4;
+        let usual = match self.usual.get_mut(route) {
+            Some(usual) => usual,
+            None => self.usual.entry(route.to_owned()).or_default(),
+        };
+        if left <= longest {
+            *usual = left.max(*usual);
+        }
+        let age = usual.saturating_sub(left);
+        match age < LEAST || age > usual.mul_f64(MOST) {
+            true => Duration::ZERO,
+            false => age,
+        }
+    }
+}
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -22,6 +22,7 @@
 */
 
 pub mod admission;
+pub mod ages;
 pub mod budget;
 pub mod cache;
 pub mod cell;
--- /dev/null
+++ b/oxbowbend-core/tests/ages.rs
@@ -0,0 +1,35 @@
+//! How long callers have waited already, read from the time that they have left.
+
+use std::time::Duration;
+
+use oxbowbend_core::ages::Ages;
+
+const MS: Duration = Duration::from_millis(1);
+
+#[test]
+fn the_age_of_a_request_is_what_its_caller_has_used_of_the_usual_time() {
+    let s = Duration::from_secs;
+    for (left, age) in [
+        (Some(s(12)), s(0)),
+        (Some(s(12) - 5 * MS), s(0)),
+        (Some(s(12) - 400 * MS), 400 * MS),
+        (Some(s(8)), s(4)),
+        // Nobody waits so long; this caller has less time from the beginning.
+        (Some(s(2)), s(0)),
+        (None, s(0)),
+    ] {
+        let mut ages = Ages::default();
+        ages.age("r", Some(s(12)), s(12));
+        assert_eq!(ages.age("r", left, s(12)), age, "{left:?} left");
+    }
+}
+
+#[test]
+fn a_single_caller_with_all_the_time_of_the_world_makes_nobody_old() {
+    let mut ages = Ages::default();
+    ages.age("r", Some(Duration::from_secs(3600)), Duration::from_secs(12));
+    assert_eq!(
+        ages.age("r", Some(Duration::from_secs(12)), Duration::from_secs(12)),
+        Duration::ZERO
+    );
+}
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -105,20 +105,22 @@
         };
         admitted.map_err(|retry_after| Refusal::OverQuota { retry_after })?;
         state.repeats.requested(arrived, &service);
+        let age = state.ages.age(&route.name, ask.patience, route.timeout);
         drop(state);
         let patience = ask.patience.unwrap_or(Duration::MAX).min(route.timeout);
         let tier = account.and_then(|a| a.tier).map_or(0, u16::from);
         let rank = tier * TIERS + u16::from(route.tier);
         log::info!(
             "event=admitted id={} route={} service={service} account={} version={} units={units} \
-             prompt={} output={} patience_ms={} rank={rank}",
+             prompt={} output={} patience_ms={} age_ms={} rank={rank}",
             ask.id,
             route.name,
             account.map_or("-", |a| &a.name),
             table.version(),
             ask.prompt,
             ask.output.map_or(-1, i64::from),
-            patience.as_millis()
+            patience.as_millis(),
+            age.as_millis()
         );
         let tokens_per_event = table.service(&service).map_or(0, |s| s.tokens_per_event);
         let stall = Stall {
@@ -135,6 +137,7 @@
             units,
             rank,
             stall,
+            age,
             arrived,
             limit: arrived + patience,
             route,
--- a/oxbowbend-gateway/src/relay/job.rs
+++ b/oxbowbend-gateway/src/relay/job.rs
@@ -24,6 +24,8 @@
     pub(crate) units: u64,
     pub(crate) rank: u16,
     pub(crate) stall: Stall,
+    /// Time since the caller's first try.
+    pub(crate) age: Duration,
     pub(crate) arrived: Instant,
     /// When the caller or the route gives the request up.
     pub(crate) limit: Instant,
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -167,7 +167,9 @@
         let now = Instant::now();
         let left = job.limit.saturating_duration_since(now);
         let earliest = if tries.avoid.is_empty() { now } else { now + HOLD_AGAIN };
-        let hold = (job.arrived + job.route.objective.mul_f64(HOLD_SHARE)).max(earliest);
+        let objective = job.route.objective;
+        let in_time = objective.saturating_sub(job.age).mul_f64(HOLD_SHARE);
+        let hold = (job.arrived + in_time.max(objective / 8)).max(earliest);
         let hold = hold.saturating_duration_since(now).min(left);
         let waiting = self.shared.arrive(Want {
             service: job.service.clone(),
@@ -176,7 +178,7 @@
             output: job.ask.output.unwrap_or(0),
             stall: job.stall,
             arrived: job.arrived,
-            objective: job.route.objective,
+            objective: job.route.objective.saturating_sub(job.age),
             avoid: tries.avoid.clone(),
         });
         let place = match waiting.is_hopeless() {
@@ -200,8 +202,6 @@
         Ok(place)
     }
 
-    fn give_back(&self, job: &Job) {
-        if let Some(account) = &job.account {
     fn busy(&self, job: &Job) -> Refusal {
         let now = Instant::now();
         let patience = Patience {
@@ -214,6 +214,8 @@
         Refusal::Busy { retry_after }
     }
 
+    fn give_back(&self, job: &Job) {
+        if let Some(account) = &job.account {
             self.shared.lock().admission.give_back(account, job.units);
         }
     }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -7,6 +7,7 @@
 use async_std::{channel, task};
 use futures::channel::oneshot;
 use oxbowbend_core::admission::Admission;
+use oxbowbend_core::ages::Ages;
 use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want, UNHEARD};
 use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::repeats::Repeats;
@@ -21,6 +22,7 @@
     pub(crate) cell: Cell,
     pub(crate) admission: Admission,
     pub(crate) repeats: Repeats,
+    pub(crate) ages: Ages,
     waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
     /// This instance's cell.
     pub(crate) group: Group,
@@ -141,6 +143,7 @@
             cell,
             admission,
             repeats,
+            ages: Ages::default(),
             waiters: HashMap::new(),
             group: Group::default(),
             sources,
@@ -179,7 +182,7 @@
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
-        let State { world, admission, is_restored, .. } = &mut *state;
+        let State { world, admission, ages, is_restored, .. } = &mut *state;
         let revision = world.revision();
         for item in news {
             log_news(item, revision, source);
@@ -188,6 +191,7 @@
             if let Some(table) = world.table() {
                 let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
                 admission.set(limited);
+                ages.clear();
             }
         }
         let is_start = !*is_restored && world.is_loaded();
@@ -303,15 +307,15 @@
         }
     }
 
-    fn withdraw(&self) -> bool {
-        let mut state = self.shared.lock();
-        state.waiters.remove(&self.ticket);
-        state.cell.withdraw(self.ticket)
     /// Whether the place is not to be expected.
     pub(crate) fn is_hopeless(&self) -> bool {
         self.shared.lock().cell.is_hopeless(Instant::now(), self.ticket)
     }
 
+    fn withdraw(&self) -> bool {
+        let mut state = self.shared.lock();
+        state.waiters.remove(&self.ticket);
+        state.cell.withdraw(self.ticket)
     }
 }
 
