Serve while stopping what will end in time, and end early while others are ready

Cause: 2.5 s after the signal an instance refused whatever came, and since callers went on coming it was never quiet and stayed to the end of its grace time. Ruled out: that the balancer finds somebody else (none is ready; it then uses all). Change: `shutdown` decides. While half of the others or more say that they are ready (reports tell it now), a stopping instance takes nothing more after 2.5 s and ends with its last answer instead of waiting for quiet. Otherwise it takes what will certainly end in time: eight times the expected length must be left; a stream without an estimate is refused. `shutdown.rs` in the tests replays it.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -98,6 +98,8 @@
     pub backlog: u32,
     /// Expected time to the first event.
     pub expected: Duration,
+    /// Expected time to the end of the answer; none if the caller gave no estimate.
+    pub whole: Option<Duration>,
 }
 
 /// A waiting request of this instance or another one.
@@ -181,7 +183,16 @@
             place.unread = place.unread.saturating_add(prompt);
             if let Some(ticket) = candidate.ticket {
                 let (endpoint, load) = (place.endpoint.clone(), place.load);
-                assignments.push(Assignment { ticket, endpoint, load, prompt, backlog, expected });
+                let whole = (candidate.output > 0).then(|| expected + run(place, &candidate));
+                assignments.push(Assignment {
+                    ticket,
+                    endpoint,
+                    load,
+                    prompt,
+                    backlog,
+                    expected,
+                    whole,
+                });
             }
         }
         assignments
@@ -360,6 +371,11 @@
     time.mul_f64(1.0 + TASTE * taste(place, candidate)) + zone + excess(place, candidate)
 }
 
+/// Expected time from the first event to the end of the answer.
+fn run(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
+    Duration::from_nanos((f64::from(candidate.output) * OUTPUT_UNITS * place.ns) as u64)
+}
+
 /// How much longer the whole answer takes at a slow endpoint than at the usual one.
 fn excess(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
     let slower = (place.ns - place.usual_ns * ALIKE_TIMES).max(0.0);
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -40,6 +40,9 @@
     /// Whether it reaches the store.
     #[serde(rename = "s", default)]
     pub has_store: bool,
+    /// Whether it takes on any request: it knows what it must, and is not stopping.
+    #[serde(rename = "y", default, skip_serializing_if = "is_false")]
+    pub is_ready: bool,
     /// Requests that endpoints execute for it, and the tokens of prompts that these have not answered
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -40,5 +40,6 @@
 pub mod repeats;
 pub mod routes;
 pub mod scheduler;
+pub mod shutdown;
 pub mod speed;
 pub mod topology;
--- /dev/null
+++ b/oxbowbend-core/tests/shutdown.rs
@@ -0,0 +1,88 @@
+//! What an instance that stops still takes on, and when it ends.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::shutdown::Shutdown;
+
+const MS: Duration = Duration::from_millis(1);
+const GRACE: Duration = Duration::from_secs(8);
+
+#[test]
+fn what_is_taken_on_ends_in_time() {
+    let began = Instant::now();
+    let shutdown = Shutdown::new(began, GRACE);
+    // Milliseconds since the signal; expected length; whether others are ready.
+    for (at, expected, others, admits) in [
+        (0, Some(60_000), true, true),
+        (2400, None, true, true),
+        (2600, Some(20), true, false),
+        (2600, Some(20), false, true),
+        (2600, Some(500), false, true),
+        (2600, Some(1000), false, false),
+        (2600, None, false, false),
+        (7000, Some(30), false, true),
+        (7000, Some(100), false, false),
+        (7500, Some(1), false, false),
+    ] {
+        let expected = expected.map(|ms: u32| ms * MS);
+        let now = began + at * MS;
+        assert_eq!(
+            shutdown.admits(now, expected, others),
+            admits,
+            "{at} ms, {expected:?}, {others}"
+        );
+    }
+}
+
+#[test]
+fn it_ends_with_its_last_answer_unless_callers_have_nobody_else() {
+    let began = Instant::now();
+    let shutdown = Shutdown::new(began, GRACE);
+    for (at, busy, quiet, others, done) in [
+        (2400, 0, 1000, true, false),
+        (2600, 0, 50, true, true),
+        (2600, 0, 10, true, false),
+        (2600, 1, 1000, true, false),
+        (2600, 0, 50, false, false),
+        (2600, 0, 300, false, true),
+    ] {
+        let now = began + at * MS;
+        assert_eq!(shutdown.is_done(now, busy, quiet * MS, others), done, "{at} ms, {busy} busy");
+    }
+}
+
+/// Six instances stop in turn, a second between, each needing 0.7 s to come back, with streams of 1.2 s.
+/// Callers come to each alike. At no time are all callers refused.
+#[test]
+fn a_fleet_that_stops_in_turn_goes_on_serving() {
+    let start = Instant::now();
+    let signal = |n: u32| start + n * 1000 * MS;
+    let mut ended: [Option<Instant>; 6] = [None; 6];
+    let mut refused_by_all = 0;
+    for ms in (0..20_000).step_by(10) {
+        let now = start + ms * MS;
+        let is_ready = |n: u32, ended: &[Option<Instant>; 6]| match ended[n as usize] {
+            Some(end) => now >= end + 700 * MS,
+            None => now < signal(n),
+        };
+        let ready = (0..6).filter(|n| is_ready(*n, &ended)).count();
+        let mut takers = ready;
+        for n in 0..6 {
+            if now < signal(n) || ended[n as usize].is_some() {
+                continue;
+            }
+            let shutdown = Shutdown::new(signal(n), GRACE);
+            let others_ready = ready * 2 + 1 >= 6;
+            takers += usize::from(shutdown.admits(now, Some(100 * MS), others_ready));
+            // Without others it is never quiet; with them its last stream ends 1.2 s after it took it.
+            let is_idle = others_ready && now >= shutdown.linger() + 1200 * MS;
+            let is_done = shutdown.is_done(now, usize::from(!is_idle), 50 * MS, others_ready);
+            if is_done || now >= shutdown.limit() {
+                ended[n as usize] = Some(now);
+            }
+        }
+        refused_by_all += usize::from(takers == 0);
+    }
+    assert!(ended.iter().all(Option::is_some));
+    assert_eq!(refused_by_all, 0);
+}
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -94,6 +94,7 @@
 /// A running gateway.
 pub struct Gateway {
     door: Arc<h1::Door>,
+    shared: Shared,
     signals: Receiver<i32>,
     grace: Duration,
 }
@@ -133,7 +134,7 @@
             door: door.clone(),
         });
         let serving = h1::ServeConfig { connections: cfg.connections, head: HEAD };
-        let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone(), door.clone());
+        let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone());
         let callers = bind(cfg.callers).await?;
         task::spawn(h1::serve(callers, serving, door.clone(), move |req| relay.clone().serve(req)));
         serve_aside(&cfg, serving, &shared, &door, &peers).await?;
@@ -144,14 +145,14 @@
         task::spawn(follow::stay_entered(store, entry, shared.clone(), door.clone()));
         task::spawn(peers.clone().speak(changed));
         task::spawn(peers.listen());
-        task::spawn(keep_up(shared, pool, door.clone(), cfg.seeds.len()));
+        task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len()));
         log::info!(
             "event=started instance={} zone={} life={life:016x} callers={}",
             cfg.instance,
             cfg.zone,
             cfg.callers
         );
-        Ok(Gateway { door, signals, grace: cfg.grace })
+        Ok(Gateway { door, shared, signals, grace: cfg.grace })
     }
 
     /// Waits for the signal to stop and for the last answer.
@@ -160,7 +161,7 @@
     ///
     /// Fails if requests were cut off.
     pub async fn stopped(self) -> Result<(), GatewayError> {
-        match stop::run(self.signals, self.door, self.grace).await {
+        match stop::run(self.signals, self.door, self.shared, self.grace).await {
             0 => Ok(()),
             n => Err(GatewayError::CutOff(n)),
         }
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -171,6 +171,7 @@
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
             report.address = Some(self.address);
+            report.is_ready = state.world.is_loaded() && state.shutdown.is_none();
             report.has_store = state.has_store() && !self.door.is_closing();
             if reach != Reach::Cell || state.admission.quotas.is_busy() {
                 report.spent = changed(state.admission.quotas.spent(), &told.near, reach);
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -53,9 +53,6 @@
         let refused = |refusal| (id.clone(), refusal);
         let body = read_body(body, limit).await.map_err(refused)?;
         let ask = ask.map_err(|e| refused(Refusal::Unreadable(e.0)))?;
-        if self.door.is_shut() {
-            return Err(refused(Refusal::Stopping));
-        }
         let table = match table {
             Some(table) => table,
             None => self.await_table(arrived).await.map_err(refused)?,
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -19,8 +19,9 @@
 use http::{Request, Response};
 use http_body_util::{Either, StreamBody};
 use hyper::body::{Frame, Incoming};
-use oxbowbend_core::cell::{Assignment, Patience, Want};
+use oxbowbend_core::cell::{Assignment, Outcome, Patience, Want};
 use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_http::h1;
 
 use crate::observe;
@@ -50,7 +51,6 @@
     wire: W,
     shared: Shared,
     pool: h1::Pool,
-    door: Arc<h1::Door>,
 }
 
 /// What has been tried for a request.
@@ -64,8 +64,8 @@
 }
 
 impl<W: Wire> Relay<W> {
-    pub(crate) fn new(wire: W, shared: Shared, pool: h1::Pool, door: Arc<h1::Door>) -> Relay<W> {
-        Relay { wire, shared, pool, door }
+    pub(crate) fn new(wire: W, shared: Shared, pool: h1::Pool) -> Relay<W> {
+        Relay { wire, shared, pool }
     }
 
     /// Answers one request.
@@ -188,6 +188,7 @@
         let place = place.ok_or_else(|| self.busy(job))?;
         let waited = now.elapsed();
         observe::placed(&job.route.name, waited);
+        self.take_on(job, &place)?;
         log::info!(
             "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
              waited_ms={}",
@@ -202,6 +203,20 @@
         Ok(place)
     }
 
+    /// Makes sure that a request is not begun that a stop would cut off.
+    fn take_on(&self, job: &Job, place: &Assignment) -> Result<(), Refusal> {
+        let now = Instant::now();
+        let state = self.shared.lock();
+        let expected = if job.route.stream { place.whole } else { Some(job.route.objective) };
+        let admits = |s: Shutdown| s.admits(now, expected, state.are_others_ready(now));
+        if state.shutdown.is_none_or(admits) {
+            return Ok(());
+        }
+        drop(state);
+        self.shared.finish(&place.endpoint.id, place.prompt, Outcome::Neutral);
+        Err(Refusal::Stopping)
+    }
+
     fn busy(&self, job: &Job) -> Refusal {
         let now = Instant::now();
         let patience = Patience {
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
+use oxbowbend_core::shutdown::Shutdown;
 
 use crate::source::Sources;
 use crate::world::{News, World};
@@ -23,6 +24,8 @@
     pub(crate) admission: Admission,
     pub(crate) repeats: Repeats,
     pub(crate) ages: Ages,
+    /// The stop that is in progress.
+    pub(crate) shutdown: Option<Shutdown>,
     waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
     /// This instance's cell.
     pub(crate) group: Group,
@@ -92,6 +95,12 @@
         self.sources.is_store() && !self.world.is_store_away()
     }
 
+    /// Whether at least half of the other instances take on requests.
+    pub(crate) fn are_others_ready(&self, now: Instant) -> bool {
+        let ready = self.cell.live_reports(now).filter(|r| r.is_ready).count();
+        ready > 0 && ready * 2 + 1 >= self.instances
+    }
+
     /// Whether this instance speaks for its cell to the others: it is the first by name of those that
     /// are heard.
     pub(crate) fn speaks(&self, now: Instant) -> bool {
@@ -144,6 +153,7 @@
             admission,
             repeats,
             ages: Ages::default(),
+            shutdown: None,
             waiters: HashMap::new(),
             group: Group::default(),
             sources,
