Tests: wait for all permits together, and say what became of a daemon that is not ready

Cause: mistakes_of_operators_are_named failed in one of three runs beside load (17 to 22 on 8 cores): the fleet was never ready, since ready() asked each of three instances to own a permit. 17 permits are spread by a hash of random ids; one instance owned 10, one 7, one none. With 17 permits that happens in 3 x (2/3)^17, three of a thousand starts; contracts and processes start 23 fleets. Ruled out: load (the statuses were whole and steady for 60 s; they are in the run's message). Change: all instances must be ready, with no permit in doubt, and together own a permit for each slot, which is stricter than one each. Daemons now write to a file, and the message of a test that finds one not listening shows how it ended and its last lines. Conclusion: one cause of failures that come once is gone; the next failure of the other kind will tell.

--- a/oxbowbend-daemon/tests/fleet/mod.rs
+++ b/oxbowbend-daemon/tests/fleet/mod.rs
@@ -3,8 +3,11 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{Read, Seek};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -26,7 +29,9 @@
 
 /// One daemon process.
 pub struct Instance {
-    child: Child,
+    child: Mutex<Child>,
+    /// What it wrote, for the message of a test that fails.
+    output: Mutex<File>,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
@@ -38,36 +43,51 @@
         let callers = free_address().await.expect("a port is free");
         let operators = free_address().await.expect("a port is free");
         let peers = free_address().await.expect("a port is free");
-        let logged = std::env::var_os("OXBOW_TEST_LOG").is_some();
-        let log = if logged { Stdio::inherit() } else { Stdio::null() };
+        let is_shown = std::env::var_os("OXBOW_TEST_LOG").is_some();
+        let level = if is_shown { "debug" } else { "info" };
+        let output = output_file(zone, callers);
+        let both = || match is_shown {
+            true => Stdio::inherit(),
+            false => output.try_clone().expect("a file can be shared").into(),
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_oxbowd"))
             .args(["--instance", &format!("entry-{zone}"), "--zone", zone])
             .args(["--caller-listen", &callers.to_string()])
             .args(["--operator-listen", &operators.to_string()])
             .args(["--peer-listen", &peers.to_string()])
             .args(["--kv", &platform.to_string(), "--list", &platform.to_string()])
-            .args([
-                "--log",
-                if std::env::var_os("OXBOW_TEST_LOG").is_some() { "debug" } else { "error" },
-            ])
+            .args(["--log", level])
             .env("OXBOWD_PEER_SECRET", PEER_SECRET)
             .env("OXBOWD_OPERATOR_KEY", OPERATOR_KEY)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(both())
+            .stderr(both())
             .spawn()
             .expect("oxbowd starts");
-        Instance { child, callers, operators, peers, zone: zone.to_owned() }
+        let (child, output) = (Mutex::new(child), Mutex::new(output));
+        Instance { child, output, callers, operators, peers, zone: zone.to_owned() }
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.child.lock().unwrap());
         kill_process(pid, signal).expect("the process is there");
     }
 
     pub fn kill(&mut self) {
-        self.child.kill().expect("the process is there");
-        self.child.wait().expect("the process is there");
+        let child = self.child.get_mut().unwrap();
+        child.kill().expect("the process is there");
+        child.wait().expect("the process is there");
+    }
+
+    /// Whether the process has ended, and the last that it wrote.
+    pub fn fate(&self) -> String {
+        let ended = self.child.lock().unwrap().try_wait();
+        let mut text = String::new();
+        let mut output = self.output.lock().unwrap();
+        output.rewind().and_then(|()| output.read_to_string(&mut text)).ok();
+        let from = text.len().saturating_sub(2000);
+        let last = text.get(from..).unwrap_or(&text);
+        format!("{}: ended: {ended:?}; it wrote last:\n{last}", self.zone)
     }
 
     pub fn freeze(&self) {
@@ -86,7 +106,8 @@
     pub async fn ended_well(&mut self) -> bool {
         let began = Instant::now();
         while began.elapsed() < LONGEST {
-            if let Some(status) = self.child.try_wait().expect("the process is there") {
+            let status = self.child.get_mut().unwrap().try_wait();
+            if let Some(status) = status.expect("the process is there") {
                 return status.success();
             }
             task::sleep(Duration::from_millis(20)).await;
@@ -96,7 +117,8 @@
 
     /// What the instance says of itself, as soon as it listens.
     pub async fn status(&self) -> Value {
-        assert!(wait_ok(self.operators, "/healthz", LONGEST).await, "it does not listen");
+        let is_heard = wait_ok(self.operators, "/healthz", LONGEST).await;
+        assert!(is_heard, "it does not listen; {}", self.fate());
         let status = operator_call(self.operators, Method::Get, "/v1/status", None).await;
         status.expect("the instance answers").1
     }
@@ -104,11 +126,19 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
+        let child = self.child.get_mut().unwrap();
+        child.kill().ok();
+        child.wait().ok();
     }
 }
 
+fn output_file(zone: &str, callers: SocketAddr) -> File {
+    let name = format!("{zone}-{}-{}.log", std::process::id(), callers.port());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut options = File::options();
+    options.create(true).read(true).append(true).open(path).expect("a file")
+}
+
 pub struct Fleet {
     pub around: Surroundings,
     pub instances: Vec<Instance>,
@@ -147,13 +177,17 @@
     /// Waits until all daemons are ready and no permit is in doubt.
     pub async fn ready(&self) {
         for instance in &self.instances {
-            assert!(wait_ok(instance.callers, "/readyz", LONGEST).await, "not ready");
+            let is_ready = wait_ok(instance.callers, "/readyz", LONGEST).await;
+            assert!(is_ready, "not ready; {}", instance.fate());
         }
         self.until(|statuses| {
+            // Permits are spread by a hash, so one instance may own none of few; together they own all.
+            let owned: u64 = statuses.iter().filter_map(|s| s["owned_permits"].as_u64()).sum();
             statuses.iter().all(|s| {
                 s["unproven_permits"] == 0
                     && s["revision"].as_u64() > Some(0)
-                    && s["owned_permits"].as_u64() > Some(0)
+                    && slots(s) > 0
+                    && owned >= slots(s)
             })
         })
         .await;
@@ -224,6 +258,12 @@
     }
 }
 
+/// Slots of all endpoints that an instance knows; each has a permit.
+fn slots(status: &Value) -> u64 {
+    let pools = status["pools"].as_object().into_iter().flat_map(|pools| pools.values());
+    pools.filter_map(|pool| pool["slots"].as_u64()).sum()
+}
+
 pub fn marker(ask: &Ask) -> String {
     ask.prompt.chars().take(64).collect()
 }
