--- a/oxbowbend-daemon/tests/fleet/mod.rs
+++ b/oxbowbend-daemon/tests/fleet/mod.rs
@@ -159,8 +159,10 @@
     pub async fn start(engines: &[engine::Options]) -> Fleet {
         let fleet = Fleet::start_undeclared(engines).await;
         let resources = fleet.around.resources(&ZONES);
-        let declared = declare(fleet.instances[0].operators, resources).await;
-        declared.expect("the resources are accepted");
+        let first = &fleet.instances[0];
+        let declared = declare(first.operators, resources).await;
+        declared
+            .unwrap_or_else(|e| panic!("the resources are not accepted: {e}; {}", first.fate()));
         fleet.ready().await;
         fleet
     }
