--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -123,6 +123,8 @@
     pace: pace::Pace,
     health: health::Health,
     touched: Option<Instant>,
+    /// When it last began or ended an answer.
+    answered: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -196,6 +198,7 @@
                     pace: pace::Pace::default(),
                     health: health::Health::default(),
                     touched: None,
+                    answered: None,
                 },
             };
             self.sites.insert(site.endpoint.id.clone(), site);
@@ -375,7 +378,16 @@
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.unread = site.unread.saturating_sub(prompt);
             site.pace.learn(prompt.saturating_add(backlog), first);
-            site.touched = Some(now);
+            (site.touched, site.answered) = (Some(now), Some(now));
+        }
+    }
+
+    /// Notes that a request sent at `since` has had no answer for longer than expected. That speaks against the
+    /// endpoint if it has answered nobody here meanwhile; else it may be the request.
+    pub fn suspect(&mut self, now: Instant, endpoint: &str, since: Instant) {
+        let answered = self.sites.get(endpoint).and_then(|site| site.answered);
+        if answered.is_none_or(|at| at <= since) {
+            self.judge(now, endpoint, Outcome::Bad);
         }
     }
 
@@ -396,6 +408,9 @@
             Outcome::Neutral => (0, 0),
         };
         site.touched = Some(now);
+        if outcome == Outcome::Good {
+            site.answered = Some(now);
+        }
         site.good += u64::from(good);
         site.bad += u64::from(bad);
         site.health.note(now, good, bad);
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -513,3 +513,26 @@
         assert_eq!(placed(&mut cell, now).len(), expected, "a share of {share}");
     }
 }
+
+#[test]
+fn an_endpoint_that_answers_nobody_is_set_aside_before_its_requests_run_out_of_time() {
+    let start = Instant::now();
+    for (is_dark, aside) in [(true, 1), (false, 0)] {
+        let mut cell = cell("a", &[endpoint(0, 10), endpoint(2, 10)]);
+        for id in ["e0", "e2"] {
+            cell.began(start, id, 700, 0, 20 * MS);
+            (0..3).for_each(|_| cell.finish(start, id, 0, Outcome::Good));
+        }
+        let later = start + 4000 * MS;
+        for _ in 0..10 {
+            cell.arrive(want(0, 100, later));
+        }
+        cell.assign(later);
+        if !is_dark {
+            cell.began(later + 100 * MS, "e0", 100, 0, 100 * MS);
+        }
+        (0..4).for_each(|_| cell.suspect(later + 500 * MS, "e0", later));
+        cell.assign(later + 500 * MS);
+        assert_eq!(cell.take_news().len(), aside, "dark: {is_dark}");
+    }
+}
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -4,6 +4,7 @@
 
 use async_std::future;
 use bytes::Bytes;
+use futures::pin_mut;
 use http::{response, Request, Response, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -209,12 +210,19 @@
     ) -> Result<Begun, Failure> {
         let suspect = (expected * SUSPECT_TIMES).max(job.route.objective).max(SUSPECT_AFTER);
         let limit = until(job.limit);
+        let (endpoint, began) = (run.endpoint.id.clone(), run.began);
         let beginning = self.begin(job, run, after);
-        // A request that may not be repeated gains nothing from a suspicion.
-        let patience = if job.is_repeatable() { suspect.min(limit) } else { limit };
-        match future::timeout(patience, beginning).await {
+        pin_mut!(beginning);
+        if let Ok(begun) = future::timeout(suspect.min(limit), &mut beginning).await {
+            return begun;
+        }
+        if suspect < limit && job.is_repeatable() {
+            return Err(Failure::Hanging);
+        }
+        // A request that may not be repeated gains nothing from a suspicion, but those that follow do.
+        self.shared.lock().cell.suspect(Instant::now(), &endpoint, began);
+        match future::timeout(until(job.limit), beginning).await {
             Ok(begun) => begun,
-            Err(_) if patience < limit => Err(Failure::Hanging),
             Err(_) => Err(Failure::Timeout),
         }
     }
