--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod outlook;
 mod pace;
+mod peer;
 mod report;
 
 use std::collections::{BTreeMap, HashMap};
@@ -127,23 +128,6 @@
     answered: Option<Instant>,
 }
 
-#[derive(Debug)]
-struct Peer {
-    report: Report,
-    heard: Instant,
-    /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
-    counted: HashMap<EndpointId, (u64, u64)>,
-    /// Whether a full report was heard, which the counters go on from.
-    is_counted: bool,
-    /// Units told to be admitted so far, by account. Frequent reports leave them out.
-    spent: HashMap<AccountId, u64>,
-    /// The same for its cell, and whether a report with all accounts was heard.
-    cell_spent: HashMap<AccountId, u64>,
-    knows_cell: bool,
-    /// The paces told last.
-    paces: HashMap<EndpointId, pace::Pace>,
-}
-
 /// One instance's part in its cell.
 #[derive(Debug)]
 pub struct Cell {
@@ -154,7 +138,7 @@
     sites: BTreeMap<EndpointId, Site>,
     waiting: BTreeMap<Ticket, Want>,
     next: Ticket,
-    peers: HashMap<InstanceId, Peer>,
+    peers: HashMap<InstanceId, peer::Peer>,
     known: assign::KnownPaces,
     news: Vec<SetAside>,
     /// Part of the fleet that is heard, this instance included.
@@ -227,7 +211,7 @@
             self.peers.extend(before.take().map(|b| (report.instance.clone(), b)));
             return None;
         }
-        let mut peer = before.unwrap_or_else(|| Peer::new(now));
+        let mut peer = before.unwrap_or_else(|| peer::Peer::new(now));
         let is_first = !peer.is_counted;
         peer.is_counted |= report.in_full;
         for tally in &report.tallies {
@@ -242,8 +226,8 @@
                 site.health.note(now, good as u32, bad as u32);
             }
         }
-        let spent = count_on(&mut peer.spent, &report.spent, is_first);
-        let cell_spent = count_on(&mut peer.cell_spent, &report.cell_spent, !peer.knows_cell);
+        let spent = peer::count_on(&mut peer.spent, &report.spent, is_first);
+        let cell_spent = peer::count_on(&mut peer.cell_spent, &report.cell_spent, !peer.knows_cell);
         peer.knows_cell |= report.is_cell_told;
         let news = match is_near {
             true => spent,
@@ -313,7 +297,7 @@
         self.live_peers(now).map(move |p| (&p.report, now.saturating_duration_since(p.heard)))
     }
 
-    fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = &peer::Peer> {
         self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL))
     }
 
@@ -455,37 +439,3 @@
         self.sites.values().filter_map(of).collect()
     }
 }
-
-impl Peer {
-    fn new(now: Instant) -> Peer {
-        Peer {
-            report: Report::default(),
-            heard: now,
-            counted: HashMap::new(),
-            is_counted: false,
-            spent: HashMap::new(),
-            cell_spent: HashMap::new(),
-            knows_cell: false,
-            paces: HashMap::new(),
-        }
-    }
-
-    fn is_live(&self, now: Instant, ttl: Duration) -> bool {
-        now.saturating_duration_since(self.heard) < ttl
-    }
-}
-
-/// Takes in counters and returns by how much they have grown. Of one not seen before, all is growth
-/// unless it is the first report.
-fn count_on(
-    counted: &mut HashMap<AccountId, u64>,
-    told: &[(AccountId, u64)],
-    is_first: bool,
-) -> Vec<(AccountId, u64)> {
-    let growth = told.iter().map(|(account, units)| {
-        let old = counted.insert(account.clone(), *units);
-        let old = old.unwrap_or(if is_first { *units } else { 0 });
-        (account.clone(), units.saturating_sub(old))
-    });
-    growth.collect()
-}
--- /dev/null
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -0,0 +1,60 @@
+//! What an instance of the fleet has told, as far as later reports go on from it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::pace;
+use super::report::Report;
+use crate::ids::{AccountId, EndpointId};
+
+/// Another instance.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) report: Report,
+    pub(super) heard: Instant,
+    /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
+    pub(super) counted: HashMap<EndpointId, (u64, u64)>,
+    /// Whether a full report was heard, which the counters go on from.
+    pub(super) is_counted: bool,
+    /// Units told to be admitted so far, by account. Frequent reports leave them out.
+    pub(super) spent: HashMap<AccountId, u64>,
+    /// The same for its cell, and whether a report with all accounts was heard.
+    pub(super) cell_spent: HashMap<AccountId, u64>,
+    pub(super) knows_cell: bool,
+    /// The paces told last.
+    pub(super) paces: HashMap<EndpointId, pace::Pace>,
+}
+
+impl Peer {
+    pub(super) fn new(now: Instant) -> Peer {
+        Peer {
+            report: Report::default(),
+            heard: now,
+            counted: HashMap::new(),
+            is_counted: false,
+            spent: HashMap::new(),
+            cell_spent: HashMap::new(),
+            knows_cell: false,
+            paces: HashMap::new(),
+        }
+    }
+
+    pub(super) fn is_live(&self, now: Instant, ttl: Duration) -> bool {
+        now.saturating_duration_since(self.heard) < ttl
+    }
+}
+
+/// Takes in counters and returns by how much they have grown. Of one not seen before, all is growth
+/// unless it is the first report.
+pub(super) fn count_on(
+    counted: &mut HashMap<AccountId, u64>,
+    told: &[(AccountId, u64)],
+    is_first: bool,
+) -> Vec<(AccountId, u64)> {
+    let growth = told.iter().map(|(account, units)| {
+        let old = counted.insert(account.clone(), *units);
+        let old = old.unwrap_or(if is_first { *units } else { 0 });
+        (account.clone(), units.saturating_sub(old))
+    });
+    growth.collect()
+}
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -1,49 +1,13 @@
 //! The decisions of a cell: order, choice, agreement between instances, endpoints that fail.
 
+mod cells;
+
 use std::time::{Duration, Instant};
 
-use oxbowbend_core::cell::{
-    Cell, Extent, Outcome, Stall, Ticket, Want, CLAIM_TTL, LOAD_TTL, UNHEARD,
-};
+use cells::{cell, endpoint, placed, want, MS};
+use oxbowbend_core::cell::{Extent, Outcome, Want, CLAIM_TTL, LOAD_TTL, UNHEARD};
 use oxbowbend_core::routes::Endpoint;
 
-const MS: Duration = Duration::from_millis(1);
-
-fn endpoint(n: u8, slots: u32) -> Endpoint {
-    Endpoint {
-        id: format!("e{n}").as_str().into(),
-        service: "s".into(),
-        address: ([10, 0, 0, n], 80).into(),
-        zone: if n.is_multiple_of(2) { "z0".into() } else { "z1".into() },
-        slots,
-        leaving: false,
-    }
-}
-
-fn cell(name: &str, endpoints: &[Endpoint]) -> Cell {
-    let mut cell = Cell::new(name.into(), "z0".into(), 1);
-    cell.set_endpoints(endpoints.iter().cloned());
-    cell
-}
-
-fn want(rank: u16, prompt: u32, arrived: Instant) -> Want {
-    Want {
-        service: "s".into(),
-        rank,
-        prompt,
-        output: 0,
-        stall: Stall::default(),
-        arrived,
-        objective: 500 * MS,
-        avoid: Vec::new(),
-    }
-}
-
-fn placed(cell: &mut Cell, now: Instant) -> Vec<(Ticket, String)> {
-    let placed = cell.assign(now);
-    placed.into_iter().map(|a| (a.ticket, a.endpoint.id.to_string())).collect()
-}
-
 #[test]
 fn rank_goes_before_age() {
     let now = Instant::now();
@@ -230,26 +194,6 @@
     assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1200), true)), Some(200));
 }
 
-#[test]
-fn a_long_prompt_does_not_hold_up_streams_at_a_slow_endpoint() {
-    let now = Instant::now();
-    let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 86 * MS));
-    (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 25 * MS));
-    let stall = Stall { tokens: 3000, pause_ms: 200 };
-    let long = Want { stall, objective: 1000 * MS, ..want(0, 3000, now) };
-    cell.arrive(want(0, 100, now));
-    assert_eq!(placed(&mut cell, now)[0].1, "e2");
-    // 3,000 tokens take 258 ms at e0: alone there it holds up nobody.
-    cell.arrive(long.clone());
-    assert_eq!(placed(&mut cell, now)[0].1, "e0");
-    cell.began(now, "e0", 3000, 0, 258 * MS);
-    // It streams now. The next one waits for e2, but not beyond half of its time.
-    cell.arrive(long);
-    assert_eq!(placed(&mut cell, now).len(), 0);
-    assert_eq!(placed(&mut cell, now + 510 * MS)[0].1, "e0");
-}
-
 #[test]
 fn counters_go_on_from_the_first_full_report() {
     let now = Instant::now();
@@ -265,54 +209,6 @@
     assert_eq!(b.take_news(), []);
 }
 
-#[test]
-fn an_unknown_endpoint_is_tried_by_those_whom_it_costs_nothing() {
-    let now = Instant::now();
-    let endpoints = [endpoint(0, 4), endpoint(2, 4)];
-    // Of 500 ms: 400 units at 50 us take 20 ms, and 60 at the worst; 5,000 take 250 and 750.
-    for (prompt, expected) in [(100, "e2"), (4700, "e0")] {
-        let mut cell = cell("a", &endpoints);
-        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 50 * MS));
-        cell.arrive(want(0, prompt, now));
-        assert_eq!(placed(&mut cell, now)[0].1, expected, "{prompt} tokens");
-    }
-}
-
-#[test]
-fn a_noted_pace_is_taken_until_there_is_a_measurement() {
-    let now = Instant::now();
-    let mut old = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    old.began(now, "e0", 700, 0, 90 * MS);
-    old.began(now, "e2", 700, 0, 30 * MS);
-    let mut fresh = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    fresh.began(now, "e2", 700, 0, 20 * MS);
-    old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(e, *ns));
-    assert_eq!(fresh.known_paces(now), [("e0".into(), 90_000), ("e2".into(), 20_000)]);
-}
-
-#[test]
-fn a_request_does_not_queue_behind_a_long_prompt() {
-    let now = Instant::now();
-    let endpoints = [endpoint(0, 4), endpoint(2, 4)];
-    // So small an objective that differences of milliseconds matter.
-    let short = Want { objective: 50 * MS, ..want(0, 100, now) };
-    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    for cell in [&mut a, &mut b] {
-        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 20 * MS));
-        (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 40 * MS));
-    }
-    a.arrive(Want { objective: 5000 * MS, ..want(0, 30_000, now) });
-    assert_eq!(placed(&mut a, now)[0].1, "e0");
-    b.hear(now, a.report(now, Extent::Loads), true);
-    b.arrive(short.clone());
-    assert_eq!(placed(&mut b, now)[0].1, "e2");
-    // Once it is read, and when it ends unread, the endpoint is as good as before.
-    a.began(now, "e0", 30_000, 0, 600 * MS);
-    b.hear(now, a.report(now, Extent::Loads), true);
-    b.arrive(short.clone());
-    assert_eq!(placed(&mut b, now)[0].1, "e0");
-}
-
 #[test]
 fn a_report_of_changes_tells_only_what_has_just_changed() {
     let now = Instant::now();
@@ -434,105 +330,3 @@
     a.set_endpoints([endpoint(2, 4)]);
     assert_eq!(a.report(now, Extent::Loads).loads.len(), 1);
 }
-
-#[test]
-fn a_long_answer_avoids_a_slow_endpoint_and_a_short_one_does_not() {
-    let now = Instant::now();
-    // 400 tokens take 1.25 s at the fast endpoints and 4.5 s at the slow one.
-    for (output, slow) in [(1, true), (400, false)] {
-        let mut cell = cell("a", &[endpoint(0, 20), endpoint(2, 20), endpoint(4, 20)]);
-        for (id, ms) in [("e0", 12), ("e2", 12), ("e4", 45)] {
-            (0..10).for_each(|_| cell.began(now, id, 700, 0, ms * MS));
-        }
-        for n in 0..40 {
-            let prompt = 10 + n;
-            cell.arrive(Want { output, objective: 400 * MS, ..want(0, prompt, now) });
-        }
-        let used = placed(&mut cell, now).iter().filter(|(_, e)| e == "e4").count();
-        assert_eq!(used > 0, slow, "{output} tokens: {used} at the slow endpoint");
-    }
-}
-
-#[test]
-fn of_one_rank_the_shorter_answer_goes_first_and_rank_before_it() {
-    let now = Instant::now();
-    let mut cell = cell("a", &[endpoint(0, 1)]);
-    cell.began(now, "e0", 700, 0, 12 * MS);
-    let long = cell.arrive(Want { output: 2000, ..want(0, 100, now - 10 * MS) });
-    let lower = cell.arrive(Want { output: 10, ..want(1, 100, now - 100 * MS) });
-    let short = cell.arrive(Want { output: 200, ..want(0, 100, now) });
-    for expected in [short, long, lower] {
-        assert_eq!(placed(&mut cell, now)[0].0, expected);
-        cell.finish(now, "e0", 100, Outcome::Good);
-    }
-}
-
-#[test]
-fn under_a_burst_more_callers_are_served_when_shorter_answers_go_first() {
-    // 60 requests for one place within 600 ms, every sixth of them thirty times as long: by age a
-    // place that is taken by a long one is lost for all others.
-    let start = Instant::now();
-    let served = |tell: bool| {
-        let mut cell = cell("a", &[endpoint(0, 1)]);
-        cell.began(start, "e0", 700, 0, 10 * MS);
-        let (mut free_at, mut served, mut runs) = (start, 0, std::collections::HashMap::new());
-        for ms in 0..600_u32 {
-            let now = start + ms * MS;
-            if ms % 10 == 0 {
-                let output = if (ms / 10) % 6 == 0 { 120 } else { 4 };
-                let told = if tell { output } else { 0 };
-                let ticket = cell.arrive(Want { output: told, ..want(0, 10, now) });
-                runs.insert(ticket, output * 2);
-            }
-            if now < free_at {
-                continue;
-            }
-            if free_at > start {
-                cell.finish(now, "e0", 0, Outcome::Good);
-            }
-            for assignment in cell.assign(now) {
-                free_at = now + runs[&assignment.ticket] * MS;
-                served += 1;
-            }
-        }
-        served
-    };
-    let (by_age, by_length) = (served(false), served(true));
-    assert!(by_length >= by_age * 3 / 2, "{by_length} of 60 served, by age {by_age}");
-}
-
-#[test]
-fn who_hears_a_part_of_the_cell_takes_that_part_of_each_endpoint() {
-    let now = Instant::now();
-    for (share, expected) in [(1.0, 20), (0.5, 10), (1.0 / 6.0, 4)] {
-        let mut cell = cell("a", &[endpoint(0, 10), endpoint(2, 10)]);
-        cell.set_share(share);
-        for _ in 0..30 {
-            cell.arrive(want(0, 100, now));
-        }
-        assert_eq!(placed(&mut cell, now).len(), expected, "a share of {share}");
-    }
-}
-
-#[test]
-fn an_endpoint_that_answers_nobody_is_set_aside_before_its_requests_run_out_of_time() {
-    let start = Instant::now();
-    for (is_dark, aside) in [(true, 1), (false, 0)] {
-        let mut cell = cell("a", &[endpoint(0, 10), endpoint(2, 10)]);
-        for id in ["e0", "e2"] {
-            cell.began(start, id, 700, 0, 20 * MS);
-            (0..3).for_each(|_| cell.finish(start, id, 0, Outcome::Good));
-        }
-        let later = start + 4000 * MS;
-        for _ in 0..10 {
-            cell.arrive(want(0, 100, later));
-        }
-        cell.assign(later);
-        if !is_dark {
-            cell.began(later + 100 * MS, "e0", 100, 0, 100 * MS);
-        }
-        (0..4).for_each(|_| cell.suspect(later + 500 * MS, "e0", later));
-        cell.assign(later + 500 * MS);
-        assert_eq!(cell.take_news().len(), aside, "dark: {is_dark}");
-    }
-}
--- /dev/null
+++ b/oxbowbend-core/tests/cells/mod.rs
@@ -0,0 +1,45 @@
+//! Cells of a few endpoints, for the tests of their decisions.
+
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::cell::{Cell, Stall, Ticket, Want};
+use oxbowbend_core::routes::Endpoint;
+
+pub const MS: Duration = Duration::from_millis(1);
+
+pub fn endpoint(n: u8, slots: u32) -> Endpoint {
+    Endpoint {
+        id: format!("e{n}").as_str().into(),
+        service: "s".into(),
+        address: ([10, 0, 0, n], 80).into(),
+        zone: if n.is_multiple_of(2) { "z0".into() } else { "z1".into() },
+        slots,
+        leaving: false,
+    }
+}
+
+pub fn cell(name: &str, endpoints: &[Endpoint]) -> Cell {
+    let mut cell = Cell::new(name.into(), "z0".into(), 1);
+    cell.set_endpoints(endpoints.iter().cloned());
+    cell
+}
+
+pub fn want(rank: u16, prompt: u32, arrived: Instant) -> Want {
+    Want {
+        service: "s".into(),
+        rank,
+        prompt,
+        output: 0,
+        stall: Stall::default(),
+        arrived,
+        objective: 500 * MS,
+        avoid: Vec::new(),
+    }
+}
+
+pub fn placed(cell: &mut Cell, now: Instant) -> Vec<(Ticket, String)> {
+    let placed = cell.assign(now);
+    placed.into_iter().map(|a| (a.ticket, a.endpoint.id.to_string())).collect()
+}
