--- /dev/null
+++ b/oxbowbend-core/src/permits/claims.rs
@@ -0,0 +1,173 @@
+//! How permits change their owner.
+//!
+//! A claim is asked of every listed instance. A live owner keeps what it has, an entry instance says what it
+//! uses, and what nobody vouches for is unproven. Claims for the same permit are told apart by their nonce.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Instant;
+
+use super::{Hold, PendingClaim, Permits, Use};
+use crate::ids;
+use crate::message;
+
+impl Permits {
+    /// Starts a claim for what of `desired` this instance does not own, asking `others`.
+    ///
+    /// Returns the nonce and permits to send, or `None` if there is nothing to ask for.
+    pub fn start_claim(
+        &mut self,
+        desired: &BTreeSet<message::Permit>,
+        others: BTreeSet<ids::InstanceId>,
+    ) -> Option<(u64, Vec<message::Permit>)> {
+        let missing: BTreeSet<message::Permit> =
+            desired.iter().filter(|p| !self.owns(p)).cloned().collect();
+        if missing.is_empty() {
+            self.claim = None;
+            return None;
+        }
+        self.next_nonce += 1;
+        let permits = missing.iter().cloned().collect();
+        self.claim = Some(PendingClaim {
+            nonce: self.next_nonce,
+            permits: missing,
+            unanswered: others,
+            ceded: HashSet::new(),
+            used: HashMap::new(),
+        });
+        Some((self.next_nonce, permits))
+    }
+
+    /// Answers a claim by another instance: cedes what is free and not `mine` by the newest list,
+    /// and returns the permits that the claimant must not take, and those ceded.
+    pub fn answer_claim(
+        &mut self,
+        permits: &[message::Permit],
+        mine: impl Fn(&message::Permit) -> bool,
+    ) -> (Vec<message::Permit>, Vec<message::Permit>) {
+        let mut held = Vec::new();
+        let mut ceded = Vec::new();
+        for permit in permits {
+            let hold = self.shares.get(&permit.key).and_then(|s| s.holds.get(&permit.index));
+            match hold.cloned() {
+                Some(Hold::Free) if !mine(permit) => {
+                    self.cede(permit);
+                    ceded.push(permit.clone());
+                }
+                Some(_) => held.push(permit.clone()),
+                None if self.contest(permit, &mine) => held.push(permit.clone()),
+                None => {
+                    self.cleared.insert(permit.clone());
+                }
+            }
+        }
+        (held, ceded)
+    }
+
+    /// Two claims for one permit: whoever the newest list names goes on, the other withdraws.
+    fn contest(
+        &mut self,
+        permit: &message::Permit,
+        mine: &impl Fn(&message::Permit) -> bool,
+    ) -> bool {
+        let Some(claim) = &mut self.claim else { return false };
+        if !claim.permits.contains(permit) {
+            return false;
+        }
+        if mine(permit) {
+            return true;
+        }
+        claim.permits.remove(permit);
+        false
+    }
+
+    fn cede(&mut self, permit: &message::Permit) {
+        self.cleared.insert(permit.clone());
+        if let Some(share) = self.shares.get_mut(&permit.key) {
+            share.holds.remove(&permit.index);
+            share.free.remove(&permit.index);
+            if share.holds.is_empty() {
+                self.shares.remove(&permit.key);
+            }
+        }
+        self.note_change(&permit.key);
+    }
+
+    /// Takes in an answer to this instance's claim.
+    pub fn answered(
+        &mut self,
+        from: &ids::InstanceId,
+        nonce: u64,
+        held: &[message::Permit],
+        ceded: &[message::Permit],
+        used: &[message::PermitUse],
+    ) {
+        let Some(claim) = self.claim.as_mut().filter(|c| c.nonce == nonce) else { return };
+        claim.unanswered.remove(from);
+        held.iter().for_each(|p| {
+            claim.permits.remove(p);
+        });
+        claim.ceded.extend(ceded.iter().cloned());
+        for u in used {
+            claim.used.insert(u.permit.clone(), (from.clone(), u.clone()));
+        }
+    }
+
+    /// Permits that are being claimed.
+    pub fn claimed(&self) -> impl Iterator<Item = &message::Permit> {
+        self.claim.iter().flat_map(|c| &c.permits)
+    }
+
+    /// Takes in which of the claimed permits this instance's own requests use.
+    pub fn note_own_uses(&mut self, me: &ids::InstanceId, used: &[message::PermitUse]) {
+        let Some(claim) = &mut self.claim else { return };
+        for u in used {
+            claim.used.insert(u.permit.clone(), (me.clone(), u.clone()));
+        }
+    }
+
+    /// Stops waiting for instances that are no longer listed.
+    pub fn excuse(&mut self, listed: impl Fn(&str) -> bool) {
+        if let Some(claim) = &mut self.claim {
+            claim.unanswered.retain(|id| listed(id));
+        }
+    }
+
+    /// Takes over the claimed permits once everybody has answered. `fresh` tells of a permit that
+    /// has come into being since this instance joined, so that nobody can have used it before.
+    pub fn settle(&mut self, now: Instant, fresh: impl Fn(&message::Permit) -> bool) -> bool {
+        if self.claim.as_ref().is_none_or(|c| !c.unanswered.is_empty()) {
+            return false;
+        }
+        let Some(claim) = self.claim.take() else { return false };
+        for permit in &claim.permits {
+            let vouched = claim.ceded.contains(permit);
+            let new = fresh(permit) && !self.cleared.contains(permit);
+            match claim.used.get(permit) {
+                Some((entry, u)) => self.take_used(now, entry, u),
+                None if vouched || new => self.take_free(permit),
+                None => self.insert(permit, Hold::Unproven { since: now }),
+            }
+            self.cleared.remove(permit);
+        }
+        true
+    }
+
+    fn take_free(&mut self, permit: &message::Permit) {
+        self.insert(permit, Hold::Free);
+        self.set_free(permit);
+    }
+
+    fn take_used(&mut self, now: Instant, entry: &ids::InstanceId, u: &message::PermitUse) {
+        let (request, attempt) = u.grant.clone();
+        let (entry, endpoint) = (entry.clone(), u.endpoint.clone());
+        let used = Use { request, attempt, entry, endpoint, ask_at: now, orphaned: None };
+        self.insert(&u.permit, Hold::Used(used));
+        self.by_request.entry(u.grant.clone()).or_default().push(u.permit.clone());
+    }
+
+    fn insert(&mut self, permit: &message::Permit, hold: Hold) {
+        let share = self.shares.entry(permit.key.clone()).or_default();
+        share.holds.insert(permit.index, hold);
+        self.note_change(&permit.key);
+    }
+}
