Log what a refusal was decided from

Cause: a `refused` line told the outcome and the time to come back, but not from what: whether the account's rate or its window was full, and what had become of the last second's requests. Change: the decisions return these (`Beyond`, `ComeBack`), and the line has them in `detail`.

--- a/oxbowbend-core/src/admission.rs
+++ b/oxbowbend-core/src/admission.rs
@@ -11,6 +11,24 @@
 use crate::rate::Rates;
 use crate::routes::Quota;
 
+/// Which bound a request is beyond.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Bound {
+    /// The account's rate, or the room that is left to its more urgent requests.
+    Rate,
+    /// The window.
+    Window,
+}
+
+/// A request is not admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Beyond {
+    /// Which bound it is beyond.
+    pub bound: Bound,
+    /// Time until there will be room.
+    pub room_in: Duration,
+}
+
 /// The bounds of all client accounts.
 #[derive(Debug)]
 pub struct Admission {
@@ -38,7 +56,7 @@
         self.rates.set_share(share);
     }
 
-    /// Admits a request of so many units, or tells when to come back. `rank` is that among the account's
+    /// Admits a request of so many units, or tells why not. `rank` is that among the account's
     /// requests; 0 is the most urgent.
     ///
     /// # Errors
@@ -50,9 +68,10 @@
         account: &str,
         units: u64,
         rank: u8,
-    ) -> Result<(), Duration> {
-        self.rates.admit(now, account, units, rank)?;
-        let admitted = self.quotas.admit(now, account, units);
+    ) -> Result<(), Beyond> {
+        let beyond = |bound| move |room_in| Beyond { bound, room_in };
+        self.rates.admit(now, account, units, rank).map_err(beyond(Bound::Rate))?;
+        let admitted = self.quotas.admit(now, account, units).map_err(beyond(Bound::Window));
         admitted.inspect_err(|_| self.rates.give_back(account, units))
     }
 
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -21,7 +21,7 @@
 
 pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
-pub use outlook::Patience;
+pub use outlook::{ComeBack, Patience};
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
 
@@ -340,7 +340,7 @@
         service: &ServiceId,
         rank: u16,
         patience: Patience,
-    ) -> Duration {
+    ) -> ComeBack {
         self.outlook.refused(now, service, rank, patience)
     }
 
--- a/oxbowbend-core/src/cell/outlook.rs
+++ b/oxbowbend-core/src/cell/outlook.rs
@@ -58,6 +58,17 @@
     pub spread: f64,
 }
 
+/// What the caller of a refused request is told, and from what.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ComeBack {
+    /// Time to wait.
+    pub after: Duration,
+    /// Requests of its service and rank that got places here within the last second.
+    pub placed: usize,
+    /// Those that were refused, this one included.
+    pub refused: usize,
+}
+
 impl Outlook {
     /// Notes that a request got a place.
     pub(super) fn placed(&mut self, now: Instant, service: &ServiceId, rank: u16) {
@@ -84,15 +95,16 @@
         service: &ServiceId,
         rank: u16,
         patience: Patience,
-    ) -> Duration {
+    ) -> ComeBack {
         let lane = self.lane(now, service, rank);
         lane.refused.push_back(now);
-        let (placed, refused) = (lane.placed.len() as f64, lane.refused.len() as f64);
-        let ((from, to), of) = match placed >= SOON_SHARE * (placed + refused) {
+        let (placed, refused) = (lane.placed.len(), lane.refused.len());
+        let ((from, to), of) = match placed as f64 >= SOON_SHARE * (placed + refused) as f64 {
             true => (SOON, patience.objective),
             false => (LATE, patience.longest),
         };
-        of.mul_f64(from + (to - from) * patience.spread).min(patience.longest)
+        let after = of.mul_f64(from + (to - from) * patience.spread).min(patience.longest);
+        ComeBack { after, placed, refused }
     }
 
     fn lane(&mut self, now: Instant, service: &ServiceId, rank: u16) -> &mut Lane {
--- a/oxbowbend-core/tests/admission.rs
+++ b/oxbowbend-core/tests/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use oxbowbend_core::admission::Admission;
+use oxbowbend_core::admission::{Admission, Bound};
 use oxbowbend_core::quota::QuotaBounds;
 use oxbowbend_core::routes::Quota;
 
@@ -75,8 +75,9 @@
     let now = Instant::now();
     let mut admission = admission();
     let wait = loop {
-        if let Err(wait) = admission.admit(now, "a", 10_000, 0) {
-            break wait;
+        if let Err(beyond) = admission.admit(now, "a", 10_000, 0) {
+            assert_eq!(beyond.bound, Bound::Rate);
+            break beyond.room_in;
         }
     };
     assert!(wait < 100 * MS, "{wait:?}");
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -118,7 +118,7 @@
                     let may = tries.unrun < MAX_UNRUN
                         && (!failure.has_arrived() || self.may_repeat(job, "not_run"));
                     if !may {
-                        return tries.settle(self.busy(job));
+                        return tries.settle(self.busy(job, false));
                     }
                 }
                 Err(failure) => {
@@ -181,11 +181,10 @@
             objective: job.route.objective.saturating_sub(job.age),
             avoid: tries.avoid.clone(),
         });
-        let place = match waiting.is_hopeless() {
-            true => None,
-            false => waiting.place(hold).await,
-        };
-        let place = place.ok_or_else(|| self.busy(job))?;
+        if waiting.is_hopeless() {
+            return Err(self.busy(job, true));
+        }
+        let place = waiting.place(hold).await.ok_or_else(|| self.busy(job, false))?;
         let waited = now.elapsed();
         observe::placed(&job.route.name, waited);
         self.take_on(job, &place)?;
@@ -217,7 +216,7 @@
         Err(Refusal::Stopping)
     }
 
-    fn busy(&self, job: &Job) -> Refusal {
+    fn busy(&self, job: &Job, is_hopeless: bool) -> Refusal {
         let now = Instant::now();
         let patience = Patience {
             objective: job.route.objective,
@@ -225,8 +224,8 @@
             spread: rand::random(),
         };
         let mut state = self.shared.lock();
-        let retry_after = state.cell.refuse(now, &job.service, job.rank, patience);
-        Refusal::Busy { retry_after }
+        let come_back = state.cell.refuse(now, &job.service, job.rank, patience);
+        Refusal::Busy { come_back, is_hopeless }
     }
 
     fn give_back(&self, job: &Job) {
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -4,6 +4,8 @@
 
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
+use oxbowbend_core::admission::Beyond;
+use oxbowbend_core::cell::ComeBack;
 use oxbowbend_http::h1;
 
 /// When to come back to another instance, if this one stops.
@@ -27,9 +29,9 @@
     /// The caller did not send the whole body.
     CutBody,
     /// The client account has used its quota up.
-    OverQuota { retry_after: Duration },
+    OverQuota { beyond: Beyond, units: u64 },
     /// No endpoint had a place in time.
-    Busy { retry_after: Duration },
+    Busy { come_back: ComeBack, is_hopeless: bool },
     /// An endpoint was asked and gave no usable answer.
     Failed,
     /// An endpoint was asked and gave no answer in time.
@@ -60,9 +62,9 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::Stopping => Some(STOPPING),
-            Refusal::NotReady { retry_after }
-            | Refusal::OverQuota { retry_after }
-            | Refusal::Busy { retry_after } => Some(*retry_after),
+            Refusal::NotReady { retry_after } => Some(*retry_after),
+            Refusal::OverQuota { beyond, .. } => Some(beyond.room_in),
+            Refusal::Busy { come_back, .. } => Some(come_back.after),
             _ => None,
         }
     }
@@ -84,20 +86,31 @@
         }
     }
 
+    /// What it was decided from.
+    fn detail(&self) -> String {
+        match self {
+            Refusal::Unreadable(e) => e.clone(),
+            Refusal::OverQuota { beyond, units } => {
+                format!("bound={:?} units={units}", beyond.bound)
+            }
+            Refusal::Busy { come_back: ComeBack { placed, refused, .. }, is_hopeless } => {
+                format!("hopeless={is_hopeless} placed_last_s={placed} refused_last_s={refused}")
+            }
+            _ => String::new(),
+        }
+    }
+
     /// Logs it.
     pub(crate) fn log(&self, id: &str, route: &str, arrived: Instant) {
         let retry_after = self.retry_after().map_or(-1, |d| d.as_millis() as i64);
-        let detail = match self {
-            Refusal::Unreadable(e) => e.as_str(),
-            _ => "",
-        };
         log::info!(
             "event=refused id={id} route={route} outcome={} status={} not_run={} after_ms={} \
-             retry_after_ms={retry_after} detail=\"{detail}\"",
+             retry_after_ms={retry_after} detail=\"{}\"",
             self.outcome(),
             self.status().as_u16(),
             self.is_not_run(),
-            arrived.elapsed().as_millis()
+            arrived.elapsed().as_millis(),
+            self.detail()
         );
     }
 
