Continue broken streams while stopping, too

Cause (found in reading): the check that a stop will not cut a request off also stood before the continuation of a stream that had begun, so a stopping instance would have broken a stream that it could bring to its end. Change: the check stands before the first send only. The part of the tolerance that is used is one constant for the window and the rate. Tests of admission and quotas pass; a test of this with processes is missing (the soak stops instances in calm moments).

--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -32,7 +32,7 @@
 const PARTS: u32 = 32;
 /// Part of what is tolerated beyond the limit that is used where an instance hears only some of
 /// the others; the rest covers reports on their way.
-const TOLERANCE_SHARE: f64 = 0.6;
+pub(crate) const TOLERANCE_SHARE: f64 = 0.6;
 /// Part of the limit from which an account is busy: what is admitted then must be told at once, since
 /// the limit may be reached before the next beat.
 const BUSY_SHARE: f64 = 0.6;
--- a/oxbowbend-core/src/rate.rs
+++ b/oxbowbend-core/src/rate.rs
@@ -17,16 +17,12 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::AccountId;
-use crate::quota::QuotaBounds;
+use crate::quota::{QuotaBounds, TOLERANCE_SHARE};
 use crate::routes::Quota;
 
 /// Requests like itself for which one leaves room, for each rank below the highest. An account at six
 /// times its usual sends some 40 requests a second, so this is the room for a quarter second of them.
 const ROOM_BY_RANK: f64 = 10.0;
-/// Part of what the operator tolerates beyond the limit that is used; the rest covers what others admit
-/// and have not reported yet.
-const TOLERANCE_SHARE: f64 = 0.6;
-
 /// How fast a bucket fills, in units a second, and how many units it holds.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -103,7 +103,7 @@
     async fn fulfil(self, job: &Arc<Job>) -> Result<Sent, Refusal> {
         let mut tries = Tries::default();
         loop {
-            let place = match self.place(job, &tries).await {
+            let place = match self.place(job, &tries).await.and_then(|p| self.take_on(job, p)) {
                 Ok(place) => place,
                 Err(refusal) => return tries.settle(refusal),
             };
@@ -187,7 +187,6 @@
         let place = waiting.place(hold).await.ok_or_else(|| self.busy(job, false))?;
         let waited = now.elapsed();
         observe::placed(&job.route.name, waited);
-        self.take_on(job, &place)?;
         log::info!(
             "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
              waited_ms={}",
@@ -202,14 +201,15 @@
         Ok(place)
     }
 
-    /// Makes sure that a request is not begun that a stop would cut off.
-    fn take_on(&self, job: &Job, place: &Assignment) -> Result<(), Refusal> {
+    /// Makes sure that a request is not begun that a stop would cut off. Streams that have begun are
+    /// continued in any case.
+    fn take_on(&self, job: &Job, place: Assignment) -> Result<Assignment, Refusal> {
         let now = Instant::now();
         let state = self.shared.lock();
         let expected = if job.route.stream { place.whole } else { Some(job.route.objective) };
         let admits = |s: Shutdown| s.admits(now, expected, state.are_others_ready(now));
         if state.shutdown.is_none_or(admits) {
-            return Ok(());
+            return Ok(place);
         }
         drop(state);
         self.shared.finish(&place.endpoint.id, place.prompt, Outcome::Neutral);
