Name the new decisions by the field's terms

Renames only: outlook is shedding, should_shed, RetryAfter; rate is token_bucket; what is exceeded is QuotaExceeded; a factor of ten has a name.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -152,7 +152,7 @@
         let assignments = self.work_out(now);
         for a in &assignments {
             if let Some(want) = self.waiting.remove(&a.ticket) {
-                self.outlook.placed(now, &want.service, want.rank);
+                self.shedding.placed(now, &want.service, want.rank);
             }
             if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
                 site.running += 1;
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -11,19 +11,19 @@
 mod assign;
 mod groups;
 mod health;
-mod outlook;
 mod pace;
 mod peer;
 mod report;
+mod shedding;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
-pub use outlook::{ComeBack, Patience};
 pub use pace::FIXED_UNITS;
 pub use report::{Claim, Report, Tally};
+pub use shedding::{Patience, RetryAfter};
 
 use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
@@ -143,7 +143,7 @@
     news: Vec<SetAside>,
     /// Part of the fleet that is heard, this instance included.
     share: f64,
-    outlook: outlook::Outlook,
+    shedding: shedding::Shedding,
 }
 
 impl Cell {
@@ -162,7 +162,7 @@
             known: assign::KnownPaces::default(),
             news: Vec::new(),
             share: 1.0,
-            outlook: outlook::Outlook::default(),
+            shedding: shedding::Shedding::default(),
         }
     }
 
@@ -325,12 +325,12 @@
     }
 
     /// Whether a request that waits here is not to get a place in time.
-    pub fn is_hopeless(&mut self, now: Instant, ticket: Ticket) -> bool {
+    pub fn should_shed(&mut self, now: Instant, ticket: Ticket) -> bool {
         let Some(want) = self.waiting.get(&ticket) else { return false };
         let (service, rank) = (want.service.clone(), want.rank);
         let alike = self.waiting.values().filter(|w| w.rank == rank && w.service == service);
         let others = alike.count() - 1;
-        self.outlook.is_hopeless(now, &service, rank, others)
+        self.shedding.should_shed(now, &service, rank, others)
     }
 
     /// Notes that a request found no place; tells when its caller should come back.
@@ -340,8 +340,8 @@
         service: &ServiceId,
         rank: u16,
         patience: Patience,
-    ) -> ComeBack {
-        self.outlook.refused(now, service, rank, patience)
+    ) -> RetryAfter {
+        self.shedding.refused(now, service, rank, patience)
     }
 
     /// Requests that wait here.
--- a/oxbowbend-core/src/cell/outlook.rs
+++ b/oxbowbend-core/src/cell/shedding.rs
@@ -26,7 +26,9 @@
 /// Refusals within that time below which nothing follows: a few come with any small burst.
 const MIN_REFUSED: usize = 4;
 /// Requests of a rank that wait at an instance all the same, so that a place that comes free is taken.
-const STAY: usize = 2;
+const MIN_WAITING: usize = 2;
+/// Placements for each refusal below which a rank gets next to nothing.
+const STARVED: f64 = 0.1;
 /// Part that must get places for refused callers to come back soon.
 const SOON_SHARE: f64 = 0.5;
 /// Parts of the objective between which these come back.
@@ -36,15 +38,15 @@
 
 /// Requests of one service and rank.
 #[derive(Debug, Default)]
-struct Lane {
+struct Counts {
     placed: VecDeque<Instant>,
     refused: VecDeque<Instant>,
 }
 
 /// What has lately become of requests, by service and rank.
 #[derive(Debug, Default)]
-pub(super) struct Outlook {
-    lanes: HashMap<(ServiceId, u16), Lane>,
+pub(super) struct Shedding {
+    counts: HashMap<(ServiceId, u16), Counts>,
 }
 
 /// How long a caller waits when told to come back, and how much of that is chosen.
@@ -60,7 +62,7 @@
 
 /// What the caller of a refused request is told, and from what.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ComeBack {
+pub struct RetryAfter {
     /// Time to wait.
     pub after: Duration,
     /// Requests of its service and rank that got places here within the last second.
@@ -69,23 +71,24 @@
     pub refused: usize,
 }
 
-impl Outlook {
+impl Shedding {
     /// Notes that a request got a place.
     pub(super) fn placed(&mut self, now: Instant, service: &ServiceId, rank: u16) {
-        self.lane(now, service, rank).placed.push_back(now);
+        self.counts(now, service, rank).placed.push_back(now);
     }
 
     /// Whether a further request is not to get a place, with so many of its rank waiting already.
-    pub(super) fn is_hopeless(
+    pub(super) fn should_shed(
         &mut self,
         now: Instant,
         service: &ServiceId,
         rank: u16,
         waiting: usize,
     ) -> bool {
-        let lane = self.lane(now, service, rank);
-        let (placed, refused) = (lane.placed.len(), lane.refused.len());
-        waiting >= STAY && refused >= MIN_REFUSED && placed * 10 < refused
+        let counts = self.counts(now, service, rank);
+        let (placed, refused) = (counts.placed.len(), counts.refused.len());
+        let is_starved = refused >= MIN_REFUSED && (placed as f64) < STARVED * refused as f64;
+        waiting >= MIN_WAITING && is_starved
     }
 
     /// Notes that a request was refused, and tells when its caller should come back.
@@ -95,25 +98,25 @@
         service: &ServiceId,
         rank: u16,
         patience: Patience,
-    ) -> ComeBack {
-        let lane = self.lane(now, service, rank);
-        lane.refused.push_back(now);
-        let (placed, refused) = (lane.placed.len(), lane.refused.len());
+    ) -> RetryAfter {
+        let counts = self.counts(now, service, rank);
+        counts.refused.push_back(now);
+        let (placed, refused) = (counts.placed.len(), counts.refused.len());
         let ((from, to), of) = match placed as f64 >= SOON_SHARE * (placed + refused) as f64 {
             true => (SOON, patience.objective),
             false => (LATE, patience.longest),
         };
         let after = of.mul_f64(from + (to - from) * patience.spread).min(patience.longest);
-        ComeBack { after, placed, refused }
+        RetryAfter { after, placed, refused }
     }
 
-    fn lane(&mut self, now: Instant, service: &ServiceId, rank: u16) -> &mut Lane {
-        let lane = self.lanes.entry((service.clone(), rank)).or_default();
-        for times in [&mut lane.placed, &mut lane.refused] {
+    fn counts(&mut self, now: Instant, service: &ServiceId, rank: u16) -> &mut Counts {
+        let counts = self.counts.entry((service.clone(), rank)).or_default();
+        for times in [&mut counts.placed, &mut counts.refused] {
             while times.front().is_some_and(|t| now.saturating_duration_since(*t) > WINDOW) {
                 times.pop_front();
             }
         }
-        lane
+        counts
     }
 }
--- a/oxbowbend-core/src/speed.rs
+++ b/oxbowbend-core/src/speed.rs
@@ -1,7 +1,7 @@
 //! Learned speed of an endpoint, and whether it straggles.
 //!
 //! Equal work does not finish in equal time, and reports arrive stale; what an endpoint did with
-//! our own runs is the freshest evidence. Rates are kept as exponentially weighted means of
+//! our own runs is the freshest evidence. TokenBuckets are kept as exponentially weighted means of
 //! seconds per token, which, unlike means of tokens per second, weigh slow runs as much as they
 //! cost. A straggler is judged against its own long history, not against other endpoints.
 
--- a/oxbowbend-core/src/rate.rs
+++ b/oxbowbend-core/src/token_bucket.rs
@@ -39,16 +39,16 @@
 
 /// The buckets of all accounts as one instance sees them.
 #[derive(Debug)]
-pub struct Rates {
+pub struct TokenBuckets {
     bounds: QuotaBounds,
     buckets: HashMap<AccountId, Bucket>,
     share: f64,
 }
 
-impl Rates {
+impl TokenBuckets {
     /// No buckets yet.
-    pub fn new(bounds: QuotaBounds) -> Rates {
-        Rates { bounds, buckets: HashMap::new(), share: 1.0 }
+    pub fn new(bounds: QuotaBounds) -> TokenBuckets {
+        TokenBuckets { bounds, buckets: HashMap::new(), share: 1.0 }
     }
 
     /// Puts the quotas of a configuration in force. Levels stay.
--- a/oxbowbend-core/tests/admission.rs
+++ b/oxbowbend-core/tests/admission.rs
@@ -75,9 +75,9 @@
     let now = Instant::now();
     let mut admission = admission();
     let wait = loop {
-        if let Err(beyond) = admission.admit(now, "a", 10_000, 0) {
-            assert_eq!(beyond.bound, Bound::Rate);
-            break beyond.room_in;
+        if let Err(exceeded) = admission.admit(now, "a", 10_000, 0) {
+            assert_eq!(exceeded.bound, Bound::Rate);
+            break exceeded.retry_after;
         }
     };
     assert!(wait < 100 * MS, "{wait:?}");
--- a/oxbowbend-core/tests/outlook.rs
+++ b/oxbowbend-core/tests/shedding.rs
@@ -59,21 +59,21 @@
     assert_eq!(cell.assign(now).len(), 1);
     let waiting: Vec<Ticket> = (0..3).map(|_| cell.arrive(want(1, now))).collect();
     // Nothing is known yet, so all wait.
-    assert!(waiting.iter().all(|ticket| !cell.is_hopeless(now, *ticket)));
+    assert!(waiting.iter().all(|ticket| !cell.should_shed(now, *ticket)));
     for _ in 0..4 {
         refuse(&mut cell, now, 1);
     }
     let one_more = cell.arrive(want(1, now));
-    assert!(cell.is_hopeless(now, one_more));
+    assert!(cell.should_shed(now, one_more));
     cell.withdraw(one_more);
     // A more urgent one is not concerned, nor one of few.
     let urgent = cell.arrive(want(0, now));
-    assert!(!cell.is_hopeless(now, urgent));
+    assert!(!cell.should_shed(now, urgent));
     cell.withdraw(urgent);
     for ticket in &waiting[1..] {
         cell.withdraw(*ticket);
     }
-    assert!(!cell.is_hopeless(now, waiting[0]));
+    assert!(!cell.should_shed(now, waiting[0]));
     // A place that comes free goes to the one that stayed.
     cell.finish(now, "e", 100, Outcome::Good);
     assert_eq!(cell.assign(now)[0].ticket, waiting[0]);
@@ -90,7 +90,7 @@
     }
     let later = now + 1100 * MS;
     let waiting: Vec<Ticket> = (0..4).map(|_| cell.arrive(want(1, later))).collect();
-    assert!(!cell.is_hopeless(later, waiting[3]));
+    assert!(!cell.should_shed(later, waiting[3]));
 }
 
 #[test]
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -100,7 +100,7 @@
             Some(account) => state.admission.admit(arrived, &account.name, units, route.tier),
             None => Ok(()),
         };
-        admitted.map_err(|beyond| Refusal::OverQuota { beyond, units })?;
+        admitted.map_err(|exceeded| Refusal::OverQuota { exceeded, units })?;
         state.repeats.requested(arrived, &service);
         let age = state.ages.age(&route.name, ask.patience, route.timeout);
         drop(state);
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -103,10 +103,11 @@
     async fn fulfil(self, job: &Arc<Job>) -> Result<Sent, Refusal> {
         let mut tries = Tries::default();
         loop {
-            let place = match self.place(job, &tries).await.and_then(|p| self.take_on(job, p)) {
-                Ok(place) => place,
-                Err(refusal) => return tries.settle(refusal),
-            };
+            let place =
+                match self.place(job, &tries).await.and_then(|p| self.check_shutdown(job, p)) {
+                    Ok(place) => place,
+                    Err(refusal) => return tries.settle(refusal),
+                };
             let endpoint = place.endpoint.id.clone();
             match self.send(job, place, job.ask.after).await {
                 Ok(Sent::Whole(answer)) if self.is_worth_another(job, &answer, &mut tries) => {
@@ -181,7 +182,7 @@
             objective: job.route.objective.saturating_sub(job.age),
             avoid: tries.avoid.clone(),
         });
-        if waiting.is_hopeless() {
+        if waiting.should_shed() {
             return Err(self.busy(job, true));
         }
         let place = waiting.place(hold).await.ok_or_else(|| self.busy(job, false))?;
@@ -203,7 +204,7 @@
 
     /// Makes sure that a request is not begun that a stop would cut off. Streams that have begun are
     /// continued in any case.
-    fn take_on(&self, job: &Job, place: Assignment) -> Result<Assignment, Refusal> {
+    fn check_shutdown(&self, job: &Job, place: Assignment) -> Result<Assignment, Refusal> {
         let now = Instant::now();
         let state = self.shared.lock();
         let expected = if job.route.stream { place.whole } else { Some(job.route.objective) };
@@ -216,7 +217,7 @@
         Err(Refusal::Stopping)
     }
 
-    fn busy(&self, job: &Job, is_hopeless: bool) -> Refusal {
+    fn busy(&self, job: &Job, on_arrival: bool) -> Refusal {
         let now = Instant::now();
         let patience = Patience {
             objective: job.route.objective,
@@ -224,8 +225,8 @@
             spread: rand::random(),
         };
         let mut state = self.shared.lock();
-        let come_back = state.cell.refuse(now, &job.service, job.rank, patience);
-        Refusal::Busy { come_back, is_hopeless }
+        let retry_after = state.cell.refuse(now, &job.service, job.rank, patience);
+        Refusal::Busy { retry_after, on_arrival }
     }
 
     fn give_back(&self, job: &Job) {
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -4,8 +4,8 @@
 
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
-use oxbowbend_core::admission::Beyond;
-use oxbowbend_core::cell::ComeBack;
+use oxbowbend_core::admission::QuotaExceeded;
+use oxbowbend_core::cell::RetryAfter;
 use oxbowbend_http::h1;
 
 /// When to come back to another instance, if this one stops.
@@ -29,9 +29,9 @@
     /// The caller did not send the whole body.
     CutBody,
     /// The client account has used its quota up.
-    OverQuota { beyond: Beyond, units: u64 },
+    OverQuota { exceeded: QuotaExceeded, units: u64 },
     /// No endpoint had a place in time.
-    Busy { come_back: ComeBack, is_hopeless: bool },
+    Busy { retry_after: RetryAfter, on_arrival: bool },
     /// An endpoint was asked and gave no usable answer.
     Failed,
     /// An endpoint was asked and gave no answer in time.
@@ -63,8 +63,8 @@
         match self {
             Refusal::Stopping => Some(STOPPING),
             Refusal::NotReady { retry_after } => Some(*retry_after),
-            Refusal::OverQuota { beyond, .. } => Some(beyond.room_in),
-            Refusal::Busy { come_back, .. } => Some(come_back.after),
+            Refusal::OverQuota { exceeded, .. } => Some(exceeded.retry_after),
+            Refusal::Busy { retry_after, .. } => Some(retry_after.after),
             _ => None,
         }
     }
@@ -90,11 +90,11 @@
     fn detail(&self) -> String {
         match self {
             Refusal::Unreadable(e) => e.clone(),
-            Refusal::OverQuota { beyond, units } => {
-                format!("bound={:?} units={units}", beyond.bound)
+            Refusal::OverQuota { exceeded, units } => {
+                format!("bound={:?} units={units}", exceeded.bound)
             }
-            Refusal::Busy { come_back: ComeBack { placed, refused, .. }, is_hopeless } => {
-                format!("hopeless={is_hopeless} placed_last_s={placed} refused_last_s={refused}")
+            Refusal::Busy { retry_after: RetryAfter { placed, refused, .. }, on_arrival } => {
+                format!("on_arrival={on_arrival} placed_last_s={placed} refused_last_s={refused}")
             }
             _ => String::new(),
         }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -318,8 +318,8 @@
     }
 
     /// Whether the place is not to be expected.
-    pub(crate) fn is_hopeless(&self) -> bool {
-        self.shared.lock().cell.is_hopeless(Instant::now(), self.ticket)
+    pub(crate) fn should_shed(&self) -> bool {
+        self.shared.lock().cell.should_shed(Instant::now(), self.ticket)
     }
 
     fn withdraw(&self) -> bool {
