Soak: a starting instance refuses nobody before it could have learned the configuration

The load that the wait for loading answers, with processes: all die, one starts beside a store that takes 20 ms an answer, and a caller connects as soon as it listens.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod proxy;
+mod starts;
 mod store;
 
 use std::time::Duration;
