Log every call to the store: what it gave, after which revision, and how long it took

Cause: in the incident's logs nothing tells the hypotheses apart. Answers of watches were logged only by what they changed, failed renewals and lists of instances at debug level or not at all, and one metric counted all watches. Change: watch_answered, store_listed, store_call_failed for every call with its duration; the metric names the part.

--- a/oxbowbend-gateway/src/entry.rs
+++ b/oxbowbend-gateway/src/entry.rs
@@ -22,6 +22,17 @@
     Update(LeaseId),
 }
 
+impl Step {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Step::Enroll => "enroll",
+            Step::Renew(_) => "renew",
+            Step::Update(_) => "update",
+        }
+    }
+}
+
 /// What has been done about the entry.
 #[derive(Debug, Default)]
 pub struct Upkeep {
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -95,15 +95,20 @@
     async fn load(&self) -> Option<Revision> {
         let mut backoff = Backoff { pause: PAUSE.0 };
         while self.is_needed() {
+            let began = Instant::now();
             match self.store.load().await {
                 Ok(snapshot) => {
                     observe::store_call("load", "ok");
                     let revision = snapshot.revision;
+                    let (records, took_ms) = (snapshot.records.len(), began.elapsed().as_millis());
+                    log::info!(
+                        "event=store_listed revision={revision} records={records} took_ms={took_ms}"
+                    );
                     take(&self.shared, &self.wire, None, snapshot);
                     return Some(revision);
                 }
                 Err(e) => {
-                    self.failed("load", &e);
+                    self.failed("load", began, &e);
                     backoff.wait().await;
                 }
             }
@@ -128,9 +133,17 @@
         let mut backoff = Backoff { pause: PAUSE.0 };
         while self.is_needed() {
             let (watch, gather) = self.times(part);
+            let began = Instant::now();
             match self.store.changes(part, after, watch).await {
                 Ok(changes) => {
-                    observe::store_call("changes", "ok");
+                    observe::store_call(part.name(), "ok");
+                    log::info!(
+                        "event=watch_answered part={} after={after} revision={} records={} took_ms={}",
+                        part.name(),
+                        changes.revision,
+                        changes.records.len(),
+                        began.elapsed().as_millis()
+                    );
                     backoff.pause = PAUSE.0;
                     after = changes.revision;
                     let is_news = !changes.records.is_empty();
@@ -140,7 +153,7 @@
                     }
                 }
                 Err(e) => {
-                    self.failed("changes", &e);
+                    self.failed(part.name(), began, &e);
                     if e == StoreError::Compacted {
                         return;
                     }
@@ -154,15 +167,21 @@
         }
     }
 
-    fn failed(&self, call: &'static str, e: &StoreError) {
-        observe::store_call(call, "failed");
-        log::warn!("event=store_call_failed call={call} error=\"{e}\"");
+    fn failed(&self, call: &'static str, began: Instant, e: &StoreError) {
+        note_failed(call, began, e);
         if *e != StoreError::Compacted && self.shared.lock().world.store_lost(Instant::now()) {
             log::warn!("event=dependency_lost dependency=store error=\"{e}\"");
         }
     }
 }
 
+/// Counts and logs a call that the store did not answer well.
+fn note_failed(call: &'static str, began: Instant, e: &StoreError) {
+    observe::store_call(call, "failed");
+    let took_ms = began.elapsed().as_millis();
+    log::warn!("event=store_call_failed call={call} took_ms={took_ms} error=\"{e}\"");
+}
+
 fn take<W: Wire>(shared: &Shared, wire: &W, part: Option<Part>, snapshot: Snapshot) {
     let now = Instant::now();
     let read = |document: &[u8]| wire.table(document).map_err(|e| e.0);
@@ -204,17 +223,19 @@
         };
         match result {
             Ok(id) => {
+                observe::store_call(step.name(), "ok");
                 if step == Step::Enroll {
                     log::info!("event=entered instance={name} lease={id}");
                 }
                 upkeep.done(began, step, id, entry);
             }
             Err(StoreError::Condition) => {
+                observe::store_call(step.name(), "failed");
                 log::warn!("event=entry_lost instance={name}");
                 upkeep.lost();
             }
             Err(e) => {
-                log::debug!("event=entry_not_kept instance={name} step={step:?} error=\"{e}\"");
+                note_failed(step.name(), began, &e);
                 task::sleep(PAUSE.1).await;
             }
         }
@@ -249,9 +270,13 @@
         if shared.lock().world.is_store_away() {
             continue;
         }
+        let began = Instant::now();
         match store.instances().await {
-            Ok(records) => shared.lock().world.set_instances(records),
-            Err(e) => log::debug!("event=instances_not_read error=\"{e}\""),
+            Ok(records) => {
+                observe::store_call("instances", "ok");
+                shared.lock().world.set_instances(records);
+            }
+            Err(e) => note_failed("instances", began, &e),
         }
     }
 }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -137,6 +137,16 @@
     Endpoints,
 }
 
+impl Part {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Part::Config => "config",
+            Part::Endpoints => "endpoints",
+        }
+    }
+}
+
 /// All that the store holds.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
