Soak: what changes during an outage of the store is in force after it (fails)

The stand-in of the store now also never answers what it is asked during such an outage (it did answer if that fell due after it), and can cut waiting watches; both are stricter than before.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod faults;
 mod fleet;
+mod outages;
 mod proxy;
 mod starts;
 mod store;
--- a/oxbowbend-daemon/tests/soak/store.rs
+++ b/oxbowbend-daemon/tests/soak/store.rs
@@ -20,7 +20,7 @@
 pub enum Mode {
     Up,
     Refusing,
-    /// Does what it is asked and answers nothing.
+    /// Does what it is asked meanwhile and never answers that, nor what falls due meanwhile.
     Mute,
     Slow(Duration),
 }
@@ -32,6 +32,8 @@
     kept_from: u64,
     leases: HashMap<u64, (Duration, Instant)>,
     mode: Mode,
+    /// Times that waiting watches were cut.
+    cuts: u64,
 }
 
 #[derive(Clone)]
@@ -48,6 +50,7 @@
             kept_from: 0,
             leases: HashMap::new(),
             mode: Mode::Up,
+            cuts: 0,
         };
         let store = Store { state: Arc::new(Mutex::new(state)) };
         let cfg = h1::ServeConfig { connections: 1000, head: 16384 };
@@ -60,6 +63,11 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Ends the watches that wait, without an answer of use.
+    pub fn cut_watches(&self) {
+        self.state.lock().unwrap().cuts += 1;
+    }
+
     /// Forgets all changes so far.
     pub fn compact(&self) {
         let mut state = self.state.lock().unwrap();
@@ -93,23 +101,30 @@
             Mode::Slow(by) => task::sleep(by).await,
             Mode::Up | Mode::Mute => {}
         }
+        let cuts = self.state.lock().unwrap().cuts;
         let (status, answer) = match path.as_str() {
-            "/kv-watch" => self.watch(&query).await,
+            "/kv-watch" => self.watch(&query, cuts).await,
             _ => self.state.lock().unwrap().call(&path, &query, &body),
         };
-        if self.state.lock().unwrap().mode == Mode::Mute {
+        if path == "/kv-watch" && self.state.lock().unwrap().cuts != cuts {
+            return reply(503, json!({}));
+        }
+        if mode == Mode::Mute || self.state.lock().unwrap().mode == Mode::Mute {
             task::sleep(Duration::from_secs(3600)).await;
         }
         reply(status, answer)
     }
 
-    async fn watch(&self, query: &HashMap<String, String>) -> (u16, Value) {
+    async fn watch(&self, query: &HashMap<String, String>, cuts: u64) -> (u16, Value) {
         let after: u64 = query["after"].parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(query["wait_ms"].parse().unwrap_or(0));
         loop {
             {
                 let mut state = self.state.lock().unwrap();
                 state.expire();
+                if state.cuts != cuts {
+                    return (503, json!({}));
+                }
                 if after < state.kept_from {
                     return (410, json!({}));
                 }
