Bound how old an instance's knowledge of the store can be

Cause: the watch was the only way to learn of changes, and waiting for its answer had a limit of 21.5 s. An outage in which the store swallowed the watches that were begun again after a change left all instances at an old version; none could tell another, and renewals and the other part's watch were answered meanwhile, so nothing looked wrong. Change: core::subscription. Knowledge of each part has an age. The first instance by name that the store answers verifies it every 0.6 of the bound and tells the age with its reports; the others take that over if they know the same, step in one after the other if nobody verifies, and give a watch up that another instance has overtaken. An unanswered watch is followed by one that does not wait, and only that one's silence means that the store is away. A call without an answer takes its pool's idle connections along. The configuration's watch is bounded in fleets of several cells too, where only that of endpoints was.

--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -34,6 +34,9 @@
     /// Milliseconds since the store last answered it; none if it does not follow the store itself.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub seen_ms: Option<u32>,
+    /// The same of the configuration alone; the other one is of the endpoints. Told with beats only.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub config_ms: Option<u32>,
     /// Digest of the endpoints that it knows.
     #[serde(rename = "d", default)]
     pub digest: u64,
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -41,5 +41,6 @@
 pub mod scheduler;
 pub mod shutdown;
 pub mod speed;
+pub mod subscription;
 pub mod token_bucket;
 pub mod topology;
--- /dev/null
+++ b/oxbowbend-core/src/subscription.rs
@@ -0,0 +1,216 @@
+//! How an instance stays sure that it knows every change of a part of the store.
+//!
+//! A watch that waits says nothing, and so does one that nobody will ever answer: the store fell silent when
+//! it was sent, its answer was lost, or its connection went silent while others work. An instance that
+//! trusts a watch for as long as it may wait can apply an old configuration for all that time, and after an
+//! outage all instances can be in that state together, so that none can tell the others.
+//!
+//! So knowledge has an age: the time since the store last said, to this instance or to one that knows the same,
+//! that there is nothing newer. One instance, the first by name that the store answers, asks often enough to
+//! keep that age below a bound, and its reports tell the others, whose own watches wait long and are
+//! given up for three reasons: nobody has verified what this instance knows for too long (the next one by name
+//! is the first to notice), another instance knows something newer that the watch should have told, or the
+//! store takes too long. What follows is a watch that does not wait, so its answer or its absence is known at once.
+//!
+//! What was traded: two calls within six tenths of the time in which changes must be in force, for the whole
+//! fleet. Having every instance ask as often would cost as many times more as there are instances; trusting the
+//! renewals of leases would cost a tenth, but they are answered on connections of their own.
+
+use std::time::{Duration, Instant};
+
+/// Part of the time within which changes must be in force after which the verifier asks again. With the time
+/// that an answer may take (two attempts, 1.5 s) what was lost in an outage is known 2.7 s after its end at the
+/// latest, where that time is 2 s.
+const VERIFY_SHARE: f64 = 0.6;
+/// Time for which a watch waits that others need not rely on: the longest that the platform allows.
+const LONG: Duration = Duration::from_secs(30);
+/// Time that an answer may take beside the wait, for each attempt in a row. The store answers in 4 ms, and up to
+/// a hundred times slower when it is slow; the last one is what it is given for good.
+const ANSWER: [Duration; 3] =
+    [Duration::from_millis(500), Duration::from_millis(1000), Duration::from_millis(1500)];
+/// Time after which the next instance by name verifies what the first one should have, and that of each further
+/// one after it. Reports come every 130 ms.
+const STEP_IN: Duration = Duration::from_millis(500);
+const STEP: Duration = Duration::from_millis(100);
+/// Time for which another instance must have known something newer before a watch is taken for dead. Changes
+/// reach all instances within some 10 ms.
+const OVERTAKEN: Duration = Duration::from_millis(300);
+/// First and longest time between two watches given up because another instance knows something else. What two
+/// instances believe may differ for 1.7 s after an outage although both are up to date.
+const DIFFERS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
+
+/// What an instance's watches are for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Role {
+    /// Instances by name before this one that the store answers; without one this instance verifies.
+    pub rank: u32,
+    /// How often knowledge is verified.
+    pub every: Duration,
+}
+
+impl Role {
+    /// The role behind so many instances, where changes must be in force within that time.
+    pub fn new(rank: usize, in_force: Duration) -> Role {
+        Role { rank: rank.min(u32::MAX as usize) as u32, every: in_force.mul_f64(VERIFY_SHARE) }
+    }
+
+    /// Age from which knowledge is verified by this instance, whoever should have done so.
+    fn limit(&self) -> Duration {
+        match self.rank {
+            0 => self.every,
+            rank => (self.every + STEP_IN + STEP * (rank - 1)).min(self.every * 2),
+        }
+    }
+}
+
+/// A watch to begin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// How long the store may wait for a change.
+    pub wait: Duration,
+    /// How long the answer may take, the wait included.
+    pub limit: Duration,
+}
+
+/// Why a watch was given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GivenUp {
+    /// Nobody has verified for too long that there is nothing newer.
+    Unverified,
+    /// Another instance knows something newer.
+    Overtaken,
+}
+
+/// Why a watch has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// There was none in time. The watch may have been lost on its way while the store was well.
+    Unanswered,
+    /// The store refused, or the connection failed.
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    began: Instant,
+    wait: Duration,
+}
+
+/// State of the watch of one part of the store.
+#[derive(Clone, Debug, Default)]
+pub struct Subscription {
+    pending: Option<Pending>,
+    /// When the store last told this instance all there was.
+    verified: Option<Instant>,
+    /// When it last told another one that knows the same.
+    vouched: Option<Instant>,
+    /// Attempts in a row without an answer.
+    failures: usize,
+    /// Whether the next watch must not wait.
+    is_probe_due: bool,
+    /// Since when another instance has known something newer.
+    differs_since: Option<Instant>,
+    /// Until when that is borne, and for how long the next time.
+    bears: Option<(Instant, Duration)>,
+}
+
+impl Subscription {
+    /// Notes that everything was read anew.
+    pub fn listed(&mut self, now: Instant) {
+        *self = Subscription { verified: Some(now), ..Subscription::default() };
+    }
+
+    /// Begins a watch.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use oxbowbend_core::subscription::{Failure, Role, Subscription};
+    ///
+    /// let now = Instant::now();
+    /// let role = Role::new(0, Duration::from_secs(2));
+    /// let mut subscription = Subscription::default();
+    /// subscription.listed(now);
+    /// assert_eq!(subscription.begin(now, role).wait, Duration::from_millis(1200));
+    /// // An unanswered watch says nothing of the store yet; one that did not wait does.
+    /// assert!(!subscription.failed(Failure::Unanswered));
+    /// assert_eq!(subscription.begin(now, role).wait, Duration::ZERO);
+    /// assert!(subscription.failed(Failure::Unanswered));
+    /// ```
+    pub fn begin(&mut self, now: Instant, role: Role) -> Call {
+        let wait = match role.rank {
+            _ if self.is_probe_due => Duration::ZERO,
+            0 => role.every.saturating_sub(self.told_age(now).unwrap_or(Duration::ZERO)),
+            _ => LONG,
+        };
+        self.pending = Some(Pending { began: now, wait });
+        self.differs_since = None;
+        Call { wait, limit: wait + ANSWER[self.failures.min(ANSWER.len() - 1)] }
+    }
+
+    /// Notes an answer of the store.
+    pub fn answered(&mut self, now: Instant) {
+        self.pending = None;
+        self.verified = Some(now);
+        self.failures = 0;
+        self.is_probe_due = false;
+        self.differs_since = None;
+    }
+
+    /// Notes that a watch has failed; returns whether that means that the store is away.
+    pub fn failed(&mut self, failure: Failure) -> bool {
+        let was_probe = self.pending.take().is_some_and(|p| p.wait == Duration::ZERO);
+        self.is_probe_due = true;
+        self.failures += 1;
+        was_probe || failure == Failure::Refused
+    }
+
+    /// Notes what another instance knows: whether it is the same, and when the store told it that there was
+    /// nothing newer.
+    pub fn heard(&mut self, now: Instant, as_of: Instant, is_same: bool) {
+        if is_same {
+            self.vouched = self.vouched.max(Some(as_of));
+            self.differs_since = None;
+            self.bears = None;
+        } else if Some(as_of) > self.verified.max(self.vouched) {
+            self.differs_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether the watch that waits is to be given up, and why. The next one does not wait.
+    pub fn give_up(&mut self, now: Instant, role: Role) -> Option<GivenUp> {
+        let pending = self.pending?;
+        // Such a one is answered, or fails, by its own limit.
+        if pending.wait <= role.every {
+            return None;
+        }
+        let given_up = if self.is_overtaken(now, pending) {
+            let (_, borne) = self.bears.unwrap_or((now, DIFFERS.0));
+            self.bears = Some((now + borne, (borne * 2).min(DIFFERS.1)));
+            GivenUp::Overtaken
+        } else if self.age(now).is_none_or(|age| age >= role.limit()) {
+            GivenUp::Unverified
+        } else {
+            return None;
+        };
+        self.pending = None;
+        self.is_probe_due = true;
+        Some(given_up)
+    }
+
+    fn is_overtaken(&self, now: Instant, pending: Pending) -> bool {
+        let is_late =
+            |since: Instant| since >= pending.began && now.duration_since(since) >= OVERTAKEN;
+        self.differs_since.is_some_and(is_late) && self.bears.is_none_or(|(until, _)| now >= until)
+    }
+
+    /// Time since the store told this instance that there was nothing newer, to tell others.
+    pub fn told_age(&self, now: Instant) -> Option<Duration> {
+        self.verified.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Time since the store told this instance, or one that knows the same, that there was nothing newer.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.verified.max(self.vouched).map(|at| now.saturating_duration_since(at))
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/tests/followers/mod.rs
@@ -0,0 +1,241 @@
+//! Instances that follow a store, in virtual time: the store, its outage, and the reports between them.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::subscription::{Failure, Role, Subscription};
+
+/// Steps of virtual time.
+const STEP: Duration = Duration::from_millis(10);
+const INSTANCES: usize = 3;
+/// Time between two reports, as a number of steps.
+const BEAT: u32 = 13;
+/// Time that the store takes for an answer.
+const TAKES: Duration = Duration::from_millis(4);
+/// Pause after a change, and after a failure of the store.
+const PAUSE: Duration = Duration::from_millis(120);
+/// Longest time that is played after the outage, in milliseconds.
+const AFTER: i64 = 6000;
+/// Milliseconds before the first outage in which the fleet settles.
+const SETTLES: i64 = 3000;
+
+/// What is lost in an outage.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Silence {
+    /// Calls that come meanwhile; watches that wait go on afterwards.
+    Calls,
+    /// Answers that fall due meanwhile.
+    Answers,
+    Both,
+    /// Nothing: calls are refused, watches cut.
+    Refuses,
+}
+
+/// An outage of the store; times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    pub begins: i64,
+    pub lasts: i64,
+    pub silence: Silence,
+}
+
+/// A watch at the store.
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    began: i64,
+    wait: i64,
+    limit: i64,
+    after: u64,
+    is_lost: bool,
+}
+
+#[derive(Debug, Default)]
+struct Follower {
+    subscription: Subscription,
+    version: u64,
+    watch: Option<Watch>,
+    paused_until: i64,
+    has_store: bool,
+    is_dead: bool,
+}
+
+/// What an instance tells the others.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    version: u64,
+    as_of: i64,
+    has_store: bool,
+}
+
+pub struct Fleet {
+    zero: Instant,
+    outage: Outage,
+    /// When the first instance dies, and when the configuration changes.
+    dies: Option<i64>,
+    changes: i64,
+    followers: Vec<Follower>,
+    heard: Vec<Option<Told>>,
+}
+
+impl Fleet {
+    pub fn new(outage: Outage, dies: Option<i64>, changes: i64) -> Fleet {
+        let outage = Outage { begins: outage.begins + SETTLES, ..outage };
+        let zero = Instant::now();
+        let mut followers: Vec<_> = (0..INSTANCES).map(|_| Follower::default()).collect();
+        followers.iter_mut().for_each(|f| {
+            f.subscription.listed(zero);
+            f.has_store = true;
+        });
+        let dies = dies.map(|after| outage.begins + after);
+        let heard = vec![None; INSTANCES];
+        Fleet { zero, outage, dies, changes: changes + SETTLES, followers, heard }
+    }
+
+    /// Plays until some time after the outage; fails with what was not in force in time.
+    pub fn play(&mut self, in_force: Duration, contact: Duration) -> Result<(), String> {
+        let ends = self.outage.begins + self.outage.lasts;
+        let acked = if self.is_out(self.changes) { ends } else { self.changes };
+        let due = (acked + millis(in_force)).max(ends + millis(contact));
+        let mut now = 0;
+        let mut step = 0;
+        while now < due.max(ends) + AFTER {
+            if self.dies.is_some_and(|at| now >= at) {
+                self.followers[0].is_dead = true;
+                self.heard[0] = None;
+            }
+            (0..INSTANCES).for_each(|n| self.step(n, now, in_force));
+            if step % BEAT == 0 {
+                self.tell(now);
+            }
+            self.check(now, due)?;
+            now += millis(STEP);
+            step += 1;
+        }
+        Ok(())
+    }
+
+    fn check(&self, now: i64, due: i64) -> Result<(), String> {
+        let alive = self.followers.iter().enumerate().filter(|(_, f)| !f.is_dead);
+        for (n, follower) in alive {
+            if now >= due && follower.version < self.stored(now) {
+                return Err(format!(
+                    "instance {n} does not know it {} ms after its time",
+                    now - due
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn is_out(&self, at: i64) -> bool {
+        (self.outage.begins..self.outage.begins + self.outage.lasts).contains(&at)
+    }
+
+    /// Version that the store holds. Changes are made in an outage too.
+    fn stored(&self, at: i64) -> u64 {
+        u64::from(at >= self.changes)
+    }
+
+    fn at(&self, ms: i64) -> Instant {
+        self.zero + Duration::from_millis(ms as u64)
+    }
+
+    fn role(&self, n: usize, in_force: Duration) -> Role {
+        let before = self.heard[..n].iter().flatten().filter(|t| t.has_store).count();
+        Role::new(before, in_force)
+    }
+
+    fn step(&mut self, n: usize, now: i64, in_force: Duration) {
+        let (at, role) = (self.at(now), self.role(n, in_force));
+        if self.followers[n].is_dead {
+            return;
+        }
+        if let Some(watch) = self.followers[n].watch {
+            self.wait(n, now, watch);
+        }
+        let is_out = self.is_out(now);
+        let outage = self.outage;
+        let follower = &mut self.followers[n];
+        if follower.subscription.give_up(at, role).is_some() {
+            follower.watch = None;
+        }
+        if follower.watch.is_some() || now < follower.paused_until {
+            return;
+        }
+        let call = follower.subscription.begin(at, role);
+        if is_out && outage.silence == Silence::Refuses {
+            follower.fail(now, Failure::Refused);
+            return;
+        }
+        let is_lost = is_out && matches!(outage.silence, Silence::Calls | Silence::Both);
+        let (wait, limit) = (millis(call.wait), millis(call.limit));
+        let after = follower.version;
+        follower.watch = Some(Watch { began: now, wait, limit, after, is_lost });
+    }
+
+    /// What becomes of a watch that waits.
+    fn wait(&mut self, n: usize, now: i64, mut watch: Watch) {
+        let (at, stored, is_out) = (self.at(now), self.stored(now), self.is_out(now));
+        let silence = self.outage.silence;
+        let follower = &mut self.followers[n];
+        if is_out && silence == Silence::Refuses {
+            follower.fail(now, Failure::Refused);
+            return;
+        }
+        if now - watch.began >= watch.limit {
+            follower.fail(now, Failure::Unanswered);
+            return;
+        }
+        let is_due = stored > watch.after || now - watch.began >= watch.wait;
+        if !is_due || watch.is_lost || now - watch.began < millis(TAKES) {
+            return;
+        }
+        if is_out {
+            watch.is_lost = silence != Silence::Calls;
+            follower.watch = Some(watch);
+            return;
+        }
+        if stored > follower.version {
+            follower.paused_until = now + millis(PAUSE);
+        }
+        follower.version = follower.version.max(stored);
+        follower.has_store = true;
+        follower.subscription.answered(at);
+        follower.watch = None;
+    }
+
+    /// Everybody tells everybody, and fetches what is newer.
+    fn tell(&mut self, now: i64) {
+        let at = self.at(now);
+        for n in 0..INSTANCES {
+            let follower = &self.followers[n];
+            let age = follower.subscription.told_age(at).filter(|_| !follower.is_dead);
+            let (version, has_store) = (follower.version, follower.has_store);
+            self.heard[n] = age.map(|age| Told { version, as_of: now - millis(age), has_store });
+        }
+        for n in 0..INSTANCES {
+            let others = (0..INSTANCES).filter(|m| *m != n).filter_map(|m| self.heard[m]);
+            let others: Vec<_> = others.map(|told| (told, self.at(told.as_of.max(0)))).collect();
+            let follower = &mut self.followers[n];
+            for (told, as_of) in others {
+                if told.version >= follower.version {
+                    let is_same = told.version == follower.version;
+                    follower.subscription.heard(at, as_of, is_same);
+                }
+            }
+        }
+    }
+}
+
+impl Follower {
+    fn fail(&mut self, now: i64, failure: Failure) {
+        self.watch = None;
+        if self.subscription.failed(failure) {
+            self.has_store = false;
+            self.paused_until = now + millis(PAUSE);
+        }
+    }
+}
+
+fn millis(time: Duration) -> i64 {
+    time.as_millis() as i64
+}
--- /dev/null
+++ b/oxbowbend-core/tests/subscription.rs
@@ -0,0 +1,125 @@
+//! How sure instances stay of what they know of the store: cases, then every combination of outage, change and
+//! death of an instance, played in virtual time.
+
+mod followers;
+
+use std::time::{Duration, Instant};
+
+use followers::{Fleet, Outage, Silence};
+use oxbowbend_core::subscription::{Failure, GivenUp, Role, Subscription};
+
+const MS: Duration = Duration::from_millis(1);
+/// The users' bound on changes.
+const IN_FORCE: Duration = Duration::from_millis(2000);
+/// Time after an outage from which the bound holds.
+const CONTACT: Duration = Duration::from_millis(3000);
+
+fn listed(now: Instant, rank: usize) -> (Subscription, Role) {
+    let mut subscription = Subscription::default();
+    subscription.listed(now);
+    (subscription, Role::new(rank, IN_FORCE))
+}
+
+#[test]
+fn the_first_asks_often_and_the_others_step_in_one_after_the_other() {
+    let now = Instant::now();
+    for (rank, wait, gives_up) in [
+        (0, 1200, None),
+        (1, 30_000, Some(1700)),
+        (2, 30_000, Some(1800)),
+        (40, 30_000, Some(2400)),
+    ] {
+        let (mut subscription, role) = listed(now, rank);
+        assert_eq!(subscription.begin(now, role).wait, wait * MS, "rank {rank}");
+        let given_up = (0..3000).find(|ms| subscription.give_up(now + *ms * MS, role).is_some());
+        assert_eq!(given_up, gives_up, "rank {rank}");
+        if given_up.is_some() {
+            assert_eq!(subscription.begin(now + IN_FORCE, role).wait, Duration::ZERO);
+        }
+    }
+}
+
+#[test]
+fn what_another_instance_was_told_counts_if_it_knows_the_same() {
+    let now = Instant::now();
+    for (is_same, given_up) in [(true, None), (false, Some(GivenUp::Unverified))] {
+        let (mut subscription, role) = listed(now, 1);
+        subscription.begin(now, role);
+        subscription.heard(now + 1650 * MS, now + 1600 * MS, is_same);
+        assert_eq!(subscription.give_up(now + 1750 * MS, role), given_up);
+    }
+}
+
+#[test]
+fn a_watch_that_should_have_told_what_another_instance_knows_is_given_up() {
+    let now = Instant::now();
+    let (mut subscription, role) = listed(now, 1);
+    subscription.begin(now, role);
+    let mut gaps = Vec::new();
+    let mut last = now + 400 * MS;
+    // The difference lasts, though the store says each time that there is nothing newer.
+    for ms in (400..12_000).step_by(20) {
+        let at = now + ms * MS;
+        subscription.heard(at, at - 10 * MS, false);
+        let Some(given_up) = subscription.give_up(at, role) else { continue };
+        if given_up == GivenUp::Overtaken {
+            gaps.push(at - last);
+            last = at;
+        }
+        subscription.begin(at, role);
+        subscription.answered(at);
+        subscription.begin(at, role);
+    }
+    assert!(gaps.len() >= 4, "{gaps:?}");
+    assert!(gaps[0] >= 300 * MS && gaps[0] < 330 * MS, "{gaps:?}");
+    assert!(gaps[1] < gaps[2] && gaps[2] < gaps[3], "{gaps:?}");
+}
+
+#[test]
+fn an_older_state_of_another_instance_says_nothing() {
+    let now = Instant::now();
+    let (mut subscription, role) = listed(now, 1);
+    subscription.begin(now, role);
+    for ms in 0..1500 {
+        subscription.heard(now + ms * MS, now - 5 * MS, false);
+        assert_eq!(subscription.give_up(now + ms * MS, role), None);
+    }
+}
+
+#[test]
+fn the_store_is_away_if_it_refuses_or_leaves_a_watch_unanswered_that_does_not_wait() {
+    let now = Instant::now();
+    let (mut subscription, role) = listed(now, 0);
+    let mut limits = Vec::new();
+    for is_away in [false, true, true, true] {
+        let call = subscription.begin(now, role);
+        limits.push((call.limit - call.wait).as_millis());
+        assert_eq!(subscription.failed(Failure::Unanswered), is_away);
+    }
+    assert_eq!(limits, [500, 1000, 1500, 1500]);
+    let (mut subscription, role) = listed(now, 0);
+    subscription.begin(now, role);
+    assert!(subscription.failed(Failure::Refused));
+}
+
+#[test]
+fn every_change_is_in_force_in_time_whatever_the_store_loses() {
+    let mut played = 0;
+    for begins in (0..2600).step_by(200) {
+        for lasts in [60, 400, 1500, 5300] {
+            for silence in [Silence::Calls, Silence::Answers, Silence::Both, Silence::Refuses] {
+                for dies in [None, Some(0), Some(lasts), Some(lasts + 400)] {
+                    for changes in [-60, 30, lasts / 2, lasts + 20, lasts + 1000, lasts + 2900] {
+                        let outage = Outage { begins, lasts, silence };
+                        let mut fleet = Fleet::new(outage, dies, begins + changes);
+                        if let Err(late) = fleet.play(IN_FORCE, CONTACT) {
+                            panic!("{outage:?}, first dies {dies:?}, change {changes}: {late}");
+                        }
+                        played += 1;
+                    }
+                }
+            }
+        }
+    }
+    println!("{played} combinations played");
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -1,16 +1,19 @@
 //! Following the store: everything once, then its changes, and this instance's own entry. An instance
 //! that copies from another one ([`crate::source`]) follows nothing and keeps only its entry.
 //!
-//! The watch is renewed often, so that one which hangs without a word costs seconds at most;
-//! meanwhile other instances' reports tell of a newer configuration and [`crate::peers`] fetches it.
+//! How long a watch is relied on is decided by [`oxbowbend_core::subscription`]; meanwhile other instances'
+//! reports tell of a newer configuration and [`crate::peers`] fetches it.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use futures::future::{self, Either};
 use oxbowbend_core::cell::Report;
 use oxbowbend_core::ids::{InstanceId, ZoneId};
+use oxbowbend_core::subscription::Failure;
 use oxbowbend_http::h1;
 use rand::Rng;
 
@@ -20,9 +23,6 @@
 use crate::shared::Shared;
 use crate::source;
 
-/// Time for which one watch waits. A call costs the users as much as any other one, so this trades
-/// three calls a minute against noticing a watch that hangs.
-const WATCH: Duration = Duration::from_secs(20);
 /// How often a follower that waits for the store's return looks for it.
 const AWAY_LOOK: Duration = Duration::from_millis(100);
 /// First pause after a failed call, and the longest one.
@@ -56,7 +56,7 @@
         let config = Box::pin(follower.follow(Part::Config, after));
         let endpoints = Box::pin(follower.follow(Part::Endpoints, after));
         // Whichever part has lost track first, or finds another source, everything is read again.
-        futures::future::select(config, endpoints).await;
+        future::select(config, endpoints).await;
     }
 }
 
@@ -108,7 +108,8 @@
                     return Some(revision);
                 }
                 Err(e) => {
-                    self.failed("load", began, &e);
+                    note_failed("load", began, &e);
+                    self.lost(&e);
                     backoff.wait().await;
                 }
             }
@@ -116,14 +117,14 @@
         None
     }
 
-    /// Times for which a watch of a part waits, and after a change.
-    fn times(&self, part: Part) -> (Duration, Duration) {
+    /// Time after a change before the next ones are asked for.
+    fn gather(&self) -> Duration {
         let state = self.shared.lock();
         let gather = (GATHER.0 * state.instances as u32).min(GATHER.1);
-        match part {
-            _ if state.group.cells <= 1 => (WATCH, gather),
-            Part::Config => (WATCH, gather.min(source::GATHER)),
-            Part::Endpoints => (state.sources.watch(), gather.min(source::GATHER)),
+        if state.group.cells <= 1 {
+            gather
+        } else {
+            gather.min(source::GATHER)
         }
     }
 
@@ -132,49 +133,83 @@
     async fn follow(&self, part: Part, mut after: Revision) {
         let mut backoff = Backoff { pause: PAUSE.0 };
         while self.is_needed() {
-            let (watch, gather) = self.times(part);
             let began = Instant::now();
-            match self.store.changes(part, after, watch).await {
-                Ok(changes) => {
-                    observe::store_call(part.name(), "ok");
-                    log::info!(
-                        "event=watch_answered part={} after={after} revision={} records={} took_ms={}",
-                        part.name(),
-                        changes.revision,
-                        changes.records.len(),
-                        began.elapsed().as_millis()
-                    );
+            let call = self.shared.begin_watch(began, part);
+            let changes = pin!(self.store.changes(part, after, call));
+            // Nothing tells a watch whose answer was lost from one without a change: waiting for it alone left
+            // every instance with an old configuration for 21.5 s.
+            let given_up = pin!(self.shared.given_up(part));
+            match future::select(changes, given_up).await {
+                Either::Left((Ok(changes), _)) => {
+                    log_answer(part, after, &changes, began);
                     backoff.pause = PAUSE.0;
                     after = changes.revision;
                     let is_news = !changes.records.is_empty();
                     take(&self.shared, &self.wire, Some(part), changes);
                     if is_news {
-                        task::sleep(gather).await;
+                        task::sleep(self.gather()).await;
                     }
                 }
-                Err(e) => {
-                    self.failed(part.name(), began, &e);
+                Either::Left((Err(e), _)) => {
+                    note_failed(part.name(), began, &e);
                     if e == StoreError::Compacted {
                         return;
                     }
-                    backoff.wait().await;
-                    // One follower tries a store that is away; the other waits for its success.
-                    while part != Part::Config && self.shared.lock().world.is_store_away() {
-                        task::sleep(AWAY_LOOK).await;
+                    if self.failed(part, &e) {
+                        self.wait_for_store(part, &mut backoff).await;
                     }
                 }
+                Either::Right((why, _)) => {
+                    let waited_ms = began.elapsed().as_millis();
+                    let part = part.name();
+                    log::info!(
+                        "event=watch_given_up part={part} why={why:?} waited_ms={waited_ms}"
+                    );
+                    observe::store_call(part, "given_up");
+                }
             }
         }
     }
 
-    fn failed(&self, call: &'static str, began: Instant, e: &StoreError) {
-        note_failed(call, began, e);
-        if *e != StoreError::Compacted && self.shared.lock().world.store_lost(Instant::now()) {
+    /// Notes a watch without an answer; returns whether the store is away.
+    fn failed(&self, part: Part, e: &StoreError) -> bool {
+        let failure = match e {
+            StoreError::Timeout(_) => Failure::Unanswered,
+            _ => Failure::Refused,
+        };
+        let is_away = self.shared.lock().subscriptions.get(part).failed(failure);
+        if is_away {
+            self.lost(e);
+        }
+        is_away
+    }
+
+    /// Pauses before the next attempt. One follower tries a store that is away; the other waits for its success.
+    async fn wait_for_store(&self, part: Part, backoff: &mut Backoff) {
+        backoff.wait().await;
+        while part != Part::Config && self.shared.lock().world.is_store_away() {
+            task::sleep(AWAY_LOOK).await;
+        }
+    }
+
+    fn lost(&self, e: &StoreError) {
+        if self.shared.lock().world.store_lost(Instant::now()) {
             log::warn!("event=dependency_lost dependency=store error=\"{e}\"");
         }
     }
 }
 
+fn log_answer(part: Part, after: Revision, changes: &Snapshot, began: Instant) {
+    observe::store_call(part.name(), "ok");
+    log::info!(
+        "event=watch_answered part={} after={after} revision={} records={} took_ms={}",
+        part.name(),
+        changes.revision,
+        changes.records.len(),
+        began.elapsed().as_millis()
+    );
+}
+
 /// Counts and logs a call that the store did not answer well.
 fn note_failed(call: &'static str, began: Instant, e: &StoreError) {
     observe::store_call(call, "failed");
@@ -186,7 +221,13 @@
     let now = Instant::now();
     let read = |document: &[u8]| wire.table(document).map_err(|e| e.0);
     let mut state = shared.lock();
-    state.sources.answered(now);
+    match part {
+        None => state.subscriptions.listed(now),
+        Some(part) => state.subscriptions.get(part).answered(now),
+    }
+    if part != Some(Part::Config) {
+        state.sources.answered(now);
+    }
     if state.world.store_found(now) {
         log::info!("event=dependency_regained dependency=store revision={}", snapshot.revision);
     }
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -227,6 +227,7 @@
             state.set_shares(now);
             (news, state.cell.waiting(), state.cell.heard(now))
         };
+        shared.give_up(now);
         shared.apply(now, &news, "time");
         if waiting > 0 {
             shared.place();
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -167,6 +167,9 @@
                 report.cell_spent = changed(state.admission.quotas.cell_spent(), &told.far, reach);
             }
             report.seen_ms = state.sources.seen_ms(now);
+            if reach != Reach::Cell {
+                report.config_ms = state.config_ms(now);
+            }
             report.digest = state.world.digest();
             report.revision = state.world.revision();
             report.version = state.world.table().map_or(0, |t| t.version());
@@ -319,6 +322,7 @@
     /// whether that is the one that this instance copies from.
     fn is_behind(&self, report: &Report) -> (bool, bool) {
         let mut state = self.shared.lock();
+        state.compare(Instant::now(), report);
         let is_source = state.sources.is(&report.instance);
         let is_other =
             report.digest != state.world.digest() && report.revision >= state.world.revision();
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -9,6 +9,7 @@
 use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::quota::Window;
 use oxbowbend_core::routes::{Endpoint, Table};
+use oxbowbend_core::subscription::Call;
 use thiserror::Error;
 
 /// Revision of the store.
@@ -168,6 +169,9 @@
     /// No usable answer; a write may have been done.
     #[error("{0}")]
     Unavailable(String),
+    /// No answer in time; a write may have been done.
+    #[error("no answer in {0:?}")]
+    Timeout(Duration),
 }
 
 /// The platform's store.
@@ -175,12 +179,13 @@
     /// Reads everything, as of now.
     fn load(&self) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
-    /// Waits for changes of a part after a revision. No records mean that there were none.
+    /// Waits for changes of a part after a revision, for an answer no longer than the call allows. No
+    /// records mean that there were none.
     fn changes(
         &self,
         part: Part,
         after: Revision,
-        wait: Duration,
+        call: Call,
     ) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
     /// Reads the instances that have entered themselves; the answer may be some seconds old.
--- a/oxbowbend-gateway/src/source.rs
+++ b/oxbowbend-gateway/src/source.rs
@@ -85,6 +85,11 @@
         matches!(&self.source, Source::Instance(name, _) if name == instance)
     }
 
+    /// Time within which changes must be in force.
+    pub fn in_force(&self) -> Duration {
+        self.in_force
+    }
+
     /// Time for which a watch that others rely on waits.
     pub fn watch(&self) -> Duration {
         self.in_force.mul_f64(WATCH_SHARE)
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -252,6 +252,7 @@
         req: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, CallError> {
+        let unanswered = Unanswered { pool: self, address };
         let call = async {
             let mut conn = self.get(address).await?;
             let answer = match conn.send(req.clone()).await {
@@ -267,7 +268,22 @@
             self.put(conn);
             Ok(Response::from_parts(head, body))
         };
-        future::timeout(limit, call).await.unwrap_or(Err(CallError::Timeout(limit)))
+        let answer = future::timeout(limit, call).await.map_err(|_| CallError::Timeout(limit))?;
+        std::mem::forget(unanswered);
+        answer
+    }
+}
+
+/// A call that has had no answer yet. If it ends so, the idle connections to its address go with its own: what
+/// silenced one may have silenced all.
+struct Unanswered<'a> {
+    pool: &'a Pool,
+    address: SocketAddr,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        self.pool.forget(self.address);
     }
 }
 
