--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -78,8 +78,7 @@
 
 impl Order {
     fn new(now: Instant, rank: u16, due: Instant, output: u32, usual_ns: f64) -> Order {
-        let run = Duration::from_nanos((f64::from(output) * OUTPUT_UNITS * usual_ns) as u64);
-        Order { rank, is_late: due < now, due, done: due + run }
+        Order { rank, is_late: due < now, due, done: due + answer_time(output, usual_ns) }
     }
 }
 
@@ -373,14 +372,18 @@
 
 /// Expected time from the first event to the end of the answer.
 fn run(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
-    Duration::from_nanos((f64::from(candidate.output) * OUTPUT_UNITS * place.ns) as u64)
+    answer_time(candidate.output, place.ns)
+}
+
+/// Time that the tokens of an answer take at a pace in nanoseconds for a unit of work.
+fn answer_time(output: u32, ns_per_unit: f64) -> Duration {
+    Duration::from_nanos((f64::from(output) * OUTPUT_UNITS * ns_per_unit) as u64)
 }
 
 /// How much longer the whole answer takes at a slow endpoint than at the usual one.
 fn excess(place: &Place<'_>, candidate: &Candidate<'_>) -> Duration {
     let slower = (place.ns - place.usual_ns * ALIKE_TIMES).max(0.0);
-    let units = f64::from(candidate.output) * OUTPUT_UNITS;
-    Duration::from_nanos((units * slower) as u64)
+    answer_time(candidate.output, slower)
 }
 
 /// The time to the first event that is taken for the choice.
