Do not suspect an endpoint of a request that ran out of its own time

Change: core::silence judges it; a request whose time runs out first ends as timed out and says nothing of its endpoint. The constants went there from the relay.

--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod routes;
 pub mod scheduler;
 pub mod shutdown;
+pub mod silence;
 pub mod speed;
 pub mod subscription;
 pub mod token_bucket;
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use oxbowbend_core::cell::{Assignment, Outcome};
 use oxbowbend_core::routes::Endpoint;
+use oxbowbend_core::silence::{self, Silence};
 use oxbowbend_http::h1;
 use thiserror::Error;
 
@@ -21,11 +22,6 @@
 use crate::seam::{Onward, Verdict, Wire};
 use crate::shared::Shared;
 
-/// Times the expected time after which an endpoint that has not begun is suspected.
-const SUSPECT_TIMES: u32 = 4;
-/// Least time before that, so that a short stall of either side is no suspicion.
-const SUSPECT_AFTER: Duration = Duration::from_millis(250);
-
 /// An endpoint's answer.
 pub(crate) enum Sent {
     /// All of it.
@@ -208,19 +204,21 @@
         expected: Duration,
         after: Option<u64>,
     ) -> Result<Begun, Failure> {
-        let suspect = (expected * SUSPECT_TIMES).max(job.route.objective).max(SUSPECT_AFTER);
+        let due = silence::due(expected, job.route.objective);
         let limit = until(job.limit);
         let (endpoint, began) = (run.endpoint.id.clone(), run.began);
         let beginning = self.begin(job, run, after);
         pin_mut!(beginning);
-        if let Ok(begun) = future::timeout(suspect.min(limit), &mut beginning).await {
+        if let Ok(begun) = future::timeout(due.min(limit), &mut beginning).await {
             return begun;
         }
-        if suspect < limit && job.is_repeatable() {
-            return Err(Failure::Hanging);
+        match silence::judge(due, limit, job.is_repeatable()) {
+            Silence::TimedOut => return Err(Failure::Timeout),
+            Silence::GivenUp => return Err(Failure::Hanging),
+            Silence::Suspected => {
+                self.shared.lock().cell.suspect(Instant::now(), &endpoint, began);
+            }
         }
-        // A request that may not be repeated gains nothing from a suspicion, but those that follow do.
-        self.shared.lock().cell.suspect(Instant::now(), &endpoint, began);
         match future::timeout(until(job.limit), beginning).await {
             Ok(begun) => begun,
             Err(_) => Err(Failure::Timeout),
