--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -29,3 +29,5 @@
 mod relay;
 mod shared;
 mod stop;
+mod waiting;
+mod watches;
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -13,34 +13,13 @@
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
 use oxbowbend_core::shutdown::Shutdown;
-use oxbowbend_core::subscription::{Call, GivenUp, Role, Subscription};
+use oxbowbend_core::subscription::GivenUp;
 
-use crate::seam::Part;
 use crate::source::Sources;
+use crate::waiting::Waiting;
+use crate::watches::Subscriptions;
 use crate::world::{News, World};
 
-/// The watches of both parts of the store.
-#[derive(Default)]
-pub(crate) struct Subscriptions {
-    config: Subscription,
-    endpoints: Subscription,
-}
-
-impl Subscriptions {
-    /// Notes that everything was read anew.
-    pub(crate) fn listed(&mut self, now: Instant) {
-        self.config.listed(now);
-        self.endpoints.listed(now);
-    }
-
-    pub(crate) fn get(&mut self, part: Part) -> &mut Subscription {
-        match part {
-            Part::Config => &mut self.config,
-            Part::Endpoints => &mut self.endpoints,
-        }
-    }
-}
-
 /// What the lock guards.
 pub(crate) struct State {
     pub(crate) world: World,
@@ -50,7 +29,7 @@
     pub(crate) ages: Ages,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
-    waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
+    pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
     /// This instance's cell.
     pub(crate) group: Group,
     /// From whom this instance learns what the store holds.
@@ -58,7 +37,7 @@
     /// How sure this instance is of what it knows of the store, while it follows it.
     pub(crate) subscriptions: Subscriptions,
     cell_size: usize,
-    me: InstanceId,
+    pub(crate) me: InstanceId,
     pub(crate) zone: ZoneId,
     /// Whether the quotas have started from what was noted before.
     is_restored: bool,
@@ -121,44 +100,6 @@
         self.sources.is_store() && !self.world.is_store_away()
     }
 
-    /// What this instance's watch of a part is for. In a fleet of several cells others copy this one's
-    /// endpoints, and rely on it alone for them.
-    pub(crate) fn role(&self, now: Instant, part: Part) -> Role {
-        if part == Part::Endpoints && self.group.cells > 1 {
-            return Role { rank: 0, every: self.sources.watch() };
-        }
-        let is_before = |r: &&Report| r.has_store && r.instance < self.me;
-        let rank = self.cell.live_reports(now).filter(is_before).count();
-        Role::new(rank, self.sources.in_force())
-    }
-
-    /// Gives a watch up that is not to be relied on.
-    fn give_up(&mut self, now: Instant, part: Part) -> Option<GivenUp> {
-        let role = self.role(now, part);
-        self.subscriptions.get(part).give_up(now, role)
-    }
-
-    /// Milliseconds since the store last told this instance that there is no newer configuration; none while
-    /// it does not follow it.
-    pub(crate) fn config_ms(&mut self, now: Instant) -> Option<u32> {
-        let age = self.subscriptions.config.told_age(now).filter(|_| self.sources.is_store())?;
-        Some(age.as_millis().min(u32::MAX.into()) as u32)
-    }
-
-    /// Compares what this instance knows with what another one does.
-    pub(crate) fn compare(&mut self, now: Instant, report: &Report) {
-        let as_of = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
-        if let Some(as_of) = report.seen_ms.and_then(as_of) {
-            let is_same = report.digest == self.world.digest();
-            self.subscriptions.endpoints.heard(now, as_of, is_same);
-        }
-        let version = self.world.table().map_or(0, |t| t.version());
-        let as_of = report.config_ms.and_then(as_of).filter(|_| report.version >= version);
-        if let Some(as_of) = as_of {
-            self.subscriptions.config.heard(now, as_of, report.version == version);
-        }
-    }
-
     /// Whether at least half of the other instances take on requests.
     pub(crate) fn are_others_ready(&self, now: Instant) -> bool {
         let ready = self.cell.live_reports(now).filter(|r| r.is_ready).count();
@@ -200,7 +141,7 @@
     /// Closed once requests can be served.
     loaded: (channel::Sender<()>, channel::Receiver<()>),
     /// Tells that the watch of a part is given up, by part.
-    given_up: [(channel::Sender<GivenUp>, channel::Receiver<GivenUp>); 2],
+    pub(crate) given_up: [(channel::Sender<GivenUp>, channel::Receiver<GivenUp>); 2],
 }
 
 impl Shared {
@@ -245,34 +186,6 @@
         let _ = self.changed.try_send(());
     }
 
-    /// Gives watches up that are not to be relied on.
-    pub(crate) fn give_up(&self, now: Instant) {
-        for part in [Part::Config, Part::Endpoints] {
-            if let Some(why) = self.lock().give_up(now, part) {
-                // A full channel means that it was given up already.
-                let _ = self.given_up[part as usize].0.try_send(why);
-            }
-        }
-    }
-
-    /// Begins a watch of a part.
-    pub(crate) fn begin_watch(&self, now: Instant, part: Part) -> Call {
-        // A watch can be answered in the moment in which it is given up.
-        let _ = self.given_up[part as usize].1.try_recv();
-        let mut state = self.lock();
-        let role = state.role(now, part);
-        state.subscriptions.get(part).begin(now, role)
-    }
-
-    /// Waits until the watch of a part is given up.
-    pub(crate) async fn given_up(&self, part: Part) -> GivenUp {
-        match self.given_up[part as usize].1.recv().await {
-            Ok(why) => why,
-            // This instance holds the sender as well.
-            Err(_) => std::future::pending().await,
-        }
-    }
-
     /// The configuration in force, if requests can be served.
     pub(crate) fn table(&self) -> Option<Arc<Table>> {
         let state = self.lock();
@@ -291,7 +204,7 @@
         let State { world, admission, ages, is_restored, .. } = &mut *state;
         let revision = world.revision();
         for item in news {
-            log_news(item, revision, source);
+            item.log(revision, source);
         }
         if news.iter().any(|n| matches!(n, News::Config(_))) {
             if let Some(table) = world.table() {
@@ -344,7 +257,7 @@
         let ticket = state.cell.arrive(want);
         state.waiters.insert(ticket, tx);
         drop(state);
-        let waiting = Waiting { shared: self.clone(), ticket, rx };
+        let waiting = Waiting::new(self.clone(), ticket, rx);
         self.place();
         if self.lock().waiters.contains_key(&ticket) {
             self.tell_others();
@@ -391,83 +304,3 @@
         self.place();
     }
 }
-
-/// A request that waits for its place. Dropping it takes it out of the queue, or ends the run that
-/// it was given and did not take.
-pub(crate) struct Waiting {
-    shared: Shared,
-    ticket: Ticket,
-    rx: oneshot::Receiver<Assignment>,
-}
-
-impl Waiting {
-    /// The place, if it comes in time.
-    pub(crate) async fn place(mut self, limit: Duration) -> Option<Assignment> {
-        match async_std::future::timeout(limit, &mut self.rx).await {
-            Ok(Ok(assignment)) => Some(assignment),
-            // Withdrawn below; what was placed in the same instant is taken all the same.
-            _ => {
-                self.withdraw();
-                self.rx.try_recv().ok().flatten()
-            }
-        }
-    }
-
-    /// Whether the place is not to be expected.
-    pub(crate) fn should_shed(&self) -> bool {
-        self.shared.lock().cell.should_shed(Instant::now(), self.ticket)
-    }
-
-    fn withdraw(&self) -> bool {
-        let mut state = self.shared.lock();
-        state.waiters.remove(&self.ticket);
-        state.cell.withdraw(self.ticket)
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if self.withdraw() {
-            self.shared.tell_others();
-        } else if let Ok(Some(assignment)) = self.rx.try_recv() {
-            let Assignment { endpoint, prompt, .. } = assignment;
-            self.shared.finish(&endpoint.id, prompt, Outcome::Neutral);
-        }
-    }
-}
-
-fn log_news(news: &News, revision: u64, source: &str) {
-    match news {
-        News::Config(version) => {
-            log::info!(
-                "event=config_in_force version={version} revision={revision} source={source}"
-            );
-        }
-        News::OldConfig(version) => {
-            log::warn!("event=config_older version={version} revision={revision} source={source}");
-        }
-        News::BadConfig(e) => {
-            log::error!(
-                "event=config_unreadable revision={revision} source={source} error=\"{e}\""
-            );
-        }
-        News::Endpoint(e) => log::info!(
-            "event=endpoint endpoint={} service={} address={} zone={} slots={} leaving={} \
-             revision={revision} source={source}",
-            e.id,
-            e.service,
-            e.address,
-            e.zone,
-            e.slots,
-            e.leaving
-        ),
-        News::EndpointGone(id) => {
-            log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
-        }
-        News::Unreadable(what) => {
-            log::warn!(
-                "event=entry_unreadable revision={revision} source={source} what=\"{what}\""
-            );
-        }
-    }
-}
--- /dev/null
+++ b/oxbowbend-gateway/src/watches.rs
@@ -0,0 +1,102 @@
+//! The watches of the store: what each is for at the moment, and when it is given up. The decisions are
+//! [`oxbowbend_core::subscription`]'s; here they meet what other instances report.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::cell::Report;
+use oxbowbend_core::subscription::{Call, GivenUp, Role, Subscription};
+
+use crate::seam::Part;
+use crate::shared::{Shared, State};
+
+/// The watches of both parts of the store.
+#[derive(Default)]
+pub(crate) struct Subscriptions {
+    config: Subscription,
+    endpoints: Subscription,
+}
+
+impl Subscriptions {
+    /// Notes that everything was read anew.
+    pub(crate) fn listed(&mut self, now: Instant) {
+        self.config.listed(now);
+        self.endpoints.listed(now);
+    }
+
+    pub(crate) fn get(&mut self, part: Part) -> &mut Subscription {
+        match part {
+            Part::Config => &mut self.config,
+            Part::Endpoints => &mut self.endpoints,
+        }
+    }
+}
+
+impl State {
+    /// What this instance's watch of a part is for. In a fleet of several cells others copy this one's
+    /// endpoints, and rely on it alone for them.
+    pub(crate) fn role(&self, now: Instant, part: Part) -> Role {
+        if part == Part::Endpoints && self.group.cells > 1 {
+            return Role { rank: 0, every: self.sources.watch() };
+        }
+        let is_before = |r: &&Report| r.has_store && r.instance < self.me;
+        let rank = self.cell.live_reports(now).filter(is_before).count();
+        Role::new(rank, self.sources.in_force())
+    }
+
+    /// Gives a watch up that is not to be relied on.
+    fn give_up(&mut self, now: Instant, part: Part) -> Option<GivenUp> {
+        let role = self.role(now, part);
+        self.subscriptions.get(part).give_up(now, role)
+    }
+
+    /// Milliseconds since the store last told this instance that there is no newer configuration; none while
+    /// it does not follow it.
+    pub(crate) fn config_ms(&mut self, now: Instant) -> Option<u32> {
+        let age = self.subscriptions.config.told_age(now).filter(|_| self.sources.is_store())?;
+        Some(age.as_millis().min(u32::MAX.into()) as u32)
+    }
+
+    /// Compares what this instance knows with what another one does.
+    pub(crate) fn compare(&mut self, now: Instant, report: &Report) {
+        let as_of = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
+        if let Some(as_of) = report.seen_ms.and_then(as_of) {
+            let is_same = report.digest == self.world.digest();
+            self.subscriptions.endpoints.heard(now, as_of, is_same);
+        }
+        let version = self.world.table().map_or(0, |t| t.version());
+        let as_of = report.config_ms.and_then(as_of).filter(|_| report.version >= version);
+        if let Some(as_of) = as_of {
+            self.subscriptions.config.heard(now, as_of, report.version == version);
+        }
+    }
+}
+
+impl Shared {
+    /// Gives watches up that are not to be relied on.
+    pub(crate) fn give_up(&self, now: Instant) {
+        for part in [Part::Config, Part::Endpoints] {
+            if let Some(why) = self.lock().give_up(now, part) {
+                // A full channel means that it was given up already.
+                let _ = self.given_up[part as usize].0.try_send(why);
+            }
+        }
+    }
+
+    /// Begins a watch of a part.
+    pub(crate) fn begin_watch(&self, now: Instant, part: Part) -> Call {
+        // A watch can be answered in the moment in which it is given up.
+        let _ = self.given_up[part as usize].1.try_recv();
+        let mut state = self.lock();
+        let role = state.role(now, part);
+        state.subscriptions.get(part).begin(now, role)
+    }
+
+    /// Waits until the watch of a part is given up.
+    pub(crate) async fn given_up(&self, part: Part) -> GivenUp {
+        match self.given_up[part as usize].1.recv().await {
+            Ok(why) => why,
+            // This instance holds the sender as well.
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -43,6 +43,47 @@
     Unreadable(String),
 }
 
+impl News {
+    /// Writes the line of the log, with the store's revision and from whom it was learned.
+    pub(crate) fn log(&self, revision: Revision, source: &str) {
+        match self {
+            News::Config(version) => {
+                log::info!(
+                    "event=config_in_force version={version} revision={revision} source={source}"
+                );
+            }
+            News::OldConfig(version) => {
+                log::warn!(
+                    "event=config_older version={version} revision={revision} source={source}"
+                );
+            }
+            News::BadConfig(e) => {
+                log::error!(
+                    "event=config_unreadable revision={revision} source={source} error=\"{e}\""
+                );
+            }
+            News::Endpoint(e) => log::info!(
+                "event=endpoint endpoint={} service={} address={} zone={} slots={} leaving={} \
+                 revision={revision} source={source}",
+                e.id,
+                e.service,
+                e.address,
+                e.zone,
+                e.slots,
+                e.leaving
+            ),
+            News::EndpointGone(id) => {
+                log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
+            }
+            News::Unreadable(what) => {
+                log::warn!(
+                    "event=entry_unreadable revision={revision} source={source} what=\"{what}\""
+                );
+            }
+        }
+    }
+}
+
 /// Who tells what it knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Teller {
