--- a/oxbowbend-core/src/subscription.rs
+++ b/oxbowbend-core/src/subscription.rs
@@ -37,7 +37,7 @@
 const OVERTAKEN: Duration = Duration::from_millis(300);
 /// First and longest time between two watches given up because another instance knows something else. What two
 /// instances believe may differ for 1.7 s after an outage although both are up to date.
-const DIFFERS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
+const TOLERATED: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(8));
 
 /// What an instance's watches are for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -110,8 +110,22 @@
     is_probe_due: bool,
     /// Since when another instance has known something newer.
     differs_since: Option<Instant>,
-    /// Until when that is borne, and for how long the next time.
-    bears: Option<(Instant, Duration)>,
+    /// For how long no watch is given up for that again.
+    tolerance: Option<Tolerance>,
+}
+
+/// A difference to another instance that outlasts an answer of the store is tolerated longer each time.
+#[derive(Clone, Copy, Debug)]
+struct Tolerance {
+    until: Instant,
+    next: Duration,
+}
+
+impl Tolerance {
+    fn after(now: Instant, last: Option<Tolerance>) -> Tolerance {
+        let time = last.map_or(TOLERATED.0, |t| t.next);
+        Tolerance { until: now + time, next: (time * 2).min(TOLERATED.1) }
+    }
 }
 
 impl Subscription {
@@ -171,7 +185,7 @@
         if is_same {
             self.vouched = self.vouched.max(Some(as_of));
             self.differs_since = None;
-            self.bears = None;
+            self.tolerance = None;
         } else if Some(as_of) > self.verified.max(self.vouched) {
             self.differs_since.get_or_insert(now);
         }
@@ -185,8 +199,7 @@
             return None;
         }
         let given_up = if self.is_overtaken(now, pending) {
-            let (_, borne) = self.bears.unwrap_or((now, DIFFERS.0));
-            self.bears = Some((now + borne, (borne * 2).min(DIFFERS.1)));
+            self.tolerance = Some(Tolerance::after(now, self.tolerance));
             GivenUp::Overtaken
         } else if self.age(now).is_none_or(|age| age >= role.limit()) {
             GivenUp::Unverified
@@ -201,7 +214,7 @@
     fn is_overtaken(&self, now: Instant, pending: Pending) -> bool {
         let is_late =
             |since: Instant| since >= pending.began && now.duration_since(since) >= OVERTAKEN;
-        self.differs_since.is_some_and(is_late) && self.bears.is_none_or(|(until, _)| now >= until)
+        self.differs_since.is_some_and(is_late) && self.tolerance.is_none_or(|t| now >= t.until)
     }
 
     /// Time since the store told this instance that there was nothing newer, to tell others.
