Answer what waits for a place before a stop ends

Cause: a stopping instance takes requests on as long as nobody else is ready, and lets them wait for a place as long as ever; at the end of its time the process ends and closes their connections without a word. So that the request waited is inferred: with 0.22 s left it could not have been begun (0.3 s must be left), and its route may wait 0.32 s. Test: seen failing with the wait unbounded (320 ms instead of 200 at 7.1 s of 8).

--- a/oxbowbend-core/src/shutdown.rs
+++ b/oxbowbend-core/src/shutdown.rs
@@ -59,6 +59,12 @@
         now >= self.linger() && busy == 0 && quiet >= enough
     }
 
+    /// How long a request may wait for a place that would otherwise wait for `wait`: no longer than it can
+    /// still be told that it has not run.
+    pub fn hold(&self, now: Instant, wait: Duration) -> Duration {
+        wait.min((self.limit() - MARGIN).saturating_duration_since(now))
+    }
+
     /// Whether to take on an answer of that expected length; none if the length is not known.
     ///
     /// ```
--- a/oxbowbend-core/tests/shutdown.rs
+++ b/oxbowbend-core/tests/shutdown.rs
@@ -86,3 +86,26 @@
     assert!(ended.iter().all(Option::is_some));
     assert_eq!(refused_by_all, 0);
 }
+
+/// A request that came 0.22 s before the end of a stop waited for a place, for which it was allowed 0.32 s, and its
+/// connection was closed without an answer when the process ended: taken at 26.98 s, closed at 27.21 s, the
+/// signal at 19.60 s and `stopped cut_off=2 after_ms=7610`.
+#[test]
+fn what_waits_for_a_place_is_told_before_the_end_that_it_has_not_run() {
+    let began = Instant::now();
+    let shutdown = Shutdown::new(began, GRACE);
+    // Milliseconds since the signal, time that the request would wait, and that it does.
+    for (at, wait, waits) in [
+        (0, 320, 320),
+        (6900, 320, 320),
+        (7100, 320, 200),
+        (7382, 320, 0),
+        (7600, 320, 0),
+        (9000, 1, 0),
+    ] {
+        let now = began + at * MS;
+        let hold = shutdown.hold(now, wait * MS);
+        assert_eq!(hold.as_millis(), waits, "{at} ms");
+        assert!(hold.is_zero() || now + hold < shutdown.limit(), "{at} ms");
+    }
+}
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -172,6 +172,9 @@
         let in_time = objective.saturating_sub(job.age).mul_f64(HOLD_SHARE);
         let hold = (job.arrived + in_time.max(objective / 8)).max(earliest);
         let hold = hold.saturating_duration_since(now).min(left);
+        // A stop ends whatever waits; without an answer the caller could not tell that it has not run.
+        let shutdown = self.shared.lock().shutdown;
+        let hold = shutdown.map_or(hold, |s| s.hold(now, hold));
         let waiting = self.shared.arrive(Want {
             service: job.service.clone(),
             rank: job.rank,
