Leave the part of an instance that hears both sides of a cut to those that hear as much

The note that restarted instances began with was agrinio-1's, which had not heard aitoliko-3. Change: instances tell which of their cell they hear (a Bloom filter of names, with beats); the part of one that has heard somebody unheard here for 0.4 s is not used here. The one that hears most writes the note.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod health;
 mod pace;
 mod peer;
+mod reach;
 mod report;
 mod shedding;
 
@@ -22,6 +23,7 @@
 pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
 pub use pace::FIXED_UNITS;
+pub use reach::{Names, Reach};
 pub use report::{Claim, Report, Tally};
 pub use shedding::{Patience, RetryAfter};
 
@@ -143,6 +145,10 @@
     news: Vec<SetAside>,
     /// Part of the fleet that is heard, this instance included.
     share: f64,
+    /// Instances of the cell that are heard, this one included.
+    reach: u32,
+    /// Their names.
+    heard_names: reach::Names,
     shedding: shedding::Shedding,
 }
 
@@ -162,6 +168,8 @@
             known: assign::KnownPaces::default(),
             news: Vec::new(),
             share: 1.0,
+            reach: 1,
+            heard_names: reach::Names::default(),
             shedding: shedding::Shedding::default(),
         }
     }
@@ -234,7 +242,9 @@
             false if report.speaks => cell_spent,
             false => Vec::new(),
         };
-        (peer.report, peer.heard) = (report, now);
+        let reach = report.reach.or(peer.report.reach);
+        let heard_names = report.heard_names.or(peer.report.heard_names);
+        (peer.report, peer.heard) = (Report { reach, heard_names, ..report }, now);
         self.peers.insert(peer.report.instance.clone(), peer);
         Some(news)
     }
@@ -260,6 +270,7 @@
         let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
         waiting.sort_by_key(|w| self.order(now, w));
+        let is_beat = extent != Extent::Loads;
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
@@ -275,6 +286,8 @@
             life: self.life,
             number: self.number,
             in_full: extent == Extent::Full,
+            reach: is_beat.then_some(self.reach),
+            heard_names: is_beat.then_some(self.heard_names),
             loads,
             tallies,
             claims: claims.collect(),
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -21,6 +21,8 @@
     /// The same for its cell, and whether a report with all accounts was heard.
     pub(super) cell_spent: HashMap<AccountId, u64>,
     pub(super) knows_cell: bool,
+    /// Since when it has heard more of the cell than this instance.
+    pub(super) wider_since: Option<Instant>,
     /// The paces told last.
     pub(super) paces: HashMap<EndpointId, pace::Pace>,
 }
@@ -35,6 +37,7 @@
             spent: HashMap::new(),
             cell_spent: HashMap::new(),
             knows_cell: false,
+            wider_since: None,
             paces: HashMap::new(),
         }
     }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -46,6 +46,12 @@
     /// Whether it takes on any request: it knows what it must, and is not stopping.
     #[serde(rename = "y", default, skip_serializing_if = "is_false")]
     pub is_ready: bool,
+    /// Instances of its cell that it hears, itself included. Told with beats only.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<u32>,
+    /// Their names, likewise.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub heard_names: Option<super::Names>,
     /// Requests that endpoints execute for it, and the tokens of prompts that these have not answered
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
--- a/oxbowbend-core/src/repeats.rs
+++ b/oxbowbend-core/src/repeats.rs
@@ -120,9 +120,7 @@
 
     /// How many there were in a window that began so long before now.
     fn between(&self, now: Instant, age: Duration, window: Duration) -> usize {
-        let is_before = |age: Duration| {
-            move |t: &Instant| now.saturating_duration_since(*t) > age
-        };
+        let is_before = |age: Duration| move |t: &Instant| now.saturating_duration_since(*t) > age;
         let begin = self.0.partition_point(is_before(age));
         match age.checked_sub(window) {
             Some(end) => self.0.partition_point(is_before(end)).saturating_sub(begin),
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -149,13 +149,21 @@
     const MS: Duration = Duration::from_millis(1);
     let allowance = Allowance { ratio: 0.2, fixed: 50.0, window: 10 * S };
     // Requests a second until 20 s, for the next 10 s, and after that.
-    for (before, crest, after) in [(160, 200, 140), (100, 200, 100), (100, 100, 50), (200, 200, 200)] {
+    for (before, crest, after) in
+        [(160, 200, 140), (100, 200, 100), (100, 100, 50), (200, 200, 200)]
+    {
         let start = Instant::now();
         let mut repeats = Repeats::new(allowance);
         let (mut first, mut again) = (Vec::new(), Vec::new());
         for ms in 0..60_000_u32 {
             let now = start + MS * ms;
-            let rate = if ms < 20_000 { before } else if ms < 30_000 { crest } else { after };
+            let rate = if ms < 20_000 {
+                before
+            } else if ms < 30_000 {
+                crest
+            } else {
+                after
+            };
             if ms * rate / 1000 != (ms + 1) * rate / 1000 {
                 repeats.requested(now, "s");
                 first.push(ms);
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! How long a watch is relied on is decided by [`oxbowbend_core::subscription`]; meanwhile other instances'
 //! reports tell of a newer configuration and [`crate::peers`] fetches it.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -292,12 +293,14 @@
     }
 }
 
-/// This instance's entry. The first one that reaches the store, of those that hear each other, notes
-/// what later lives start from.
+/// This instance's entry. Of those that hear each other and that the store answers, the one that hears most
+/// notes what later lives start from; of equals, the first by name. One cut off from a part of the fleet would
+/// leave out what that part has used.
 fn entry(shared: &Shared, me: &InstanceId, zone: &ZoneId, address: SocketAddr) -> Entry {
     let now = Instant::now();
     let mut state = shared.lock();
-    let is_before = |r: &Report| r.instance < *me && r.has_store;
+    let mine = (Reverse(state.cell.reach()), me);
+    let is_before = |r: &Report| r.has_store && (Reverse(r.reach.unwrap_or(0)), &r.instance) < mine;
     let (mut used, mut paces) = (Vec::new(), Vec::new());
     if state.has_store() && !state.cell.live_reports(now).any(is_before) {
         used = state.admission.quotas.windows(now);
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -8,7 +8,9 @@
 use futures::channel::oneshot;
 use oxbowbend_core::admission::Admission;
 use oxbowbend_core::ages::Ages;
-use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want, UNHEARD};
+use oxbowbend_core::cell::{
+    Assignment, Cell, Group, Outcome, Reach, Report, Ticket, Want, UNHEARD,
+};
 use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
@@ -89,9 +91,10 @@
     /// the cell.
     pub(crate) fn set_shares(&mut self, now: Instant) {
         let heard = self.cell.heard(now);
-        self.admission.set_share(part(heard, self.instances.saturating_sub(1)));
         let peers = &self.group.peers;
-        let near = self.cell.live_reports(now).filter(|r| peers.contains(&r.instance)).count();
+        let Reach { heard: near, covered } = self.cell.measure_reach(now, |i| peers.contains(i));
+        let share = part(heard, self.instances.saturating_sub(1));
+        self.admission.set_share(share * part(covered, near));
         self.cell.set_share(part(near, peers.len()));
     }
 
