--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Cell, Stall, Ticket, Want, CLAIM_TTL, FIXED_UNITS};
-use crate::ids::{EndpointId, ServiceId, ZoneId};
+use crate::ids::{EndpointId, EndpointKey, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Added to the first event's time for each place in use, as a share: a batch slows with its size.
@@ -59,7 +59,7 @@
 /// Paces of endpoints, worked out from what all instances have measured.
 #[derive(Debug, Default)]
 pub(super) struct KnownPaces {
-    paces: HashMap<EndpointId, f64>,
+    paces: HashMap<EndpointKey, f64>,
     /// The middle one.
     usual: f64,
     at: Option<Instant>,
@@ -153,7 +153,7 @@
             if let Some(want) = self.waiting.remove(&a.ticket) {
                 self.shedding.placed(now, &want.service, want.rank);
             }
-            if let Some(site) = self.sites.get_mut(&a.endpoint.id) {
+            if let Some(site) = self.sites.get_mut(&a.endpoint.key()) {
                 site.running += 1;
                 site.unread += a.prompt;
             }
@@ -246,28 +246,28 @@
     }
 
     fn places(&self, now: Instant) -> Vec<Place<'_>> {
-        let mut loads: HashMap<&str, (u32, u32)> = HashMap::new();
-        for (endpoint, running, unread) in self.live_reports(now).flat_map(|r| &r.loads) {
-            let load = loads.entry(endpoint).or_default();
-            *load = (load.0 + running, load.1.saturating_add(*unread));
+        let mut loads: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
+        for told in self.live_reports(now).flat_map(|r| &r.loads) {
+            let load = loads.entry(told.endpoint).or_default();
+            *load = (load.0 + told.running, load.1.saturating_add(told.unread));
         }
         let KnownPaces { paces, usual, .. } = &self.known;
-        let open = self.sites.values().filter(|s| !s.endpoint.leaving && !s.health.is_aside(now));
-        let place = |s: &'_ super::Site| {
-            let (running, unread) = loads.get(&*s.endpoint.id).copied().unwrap_or_default();
+        let is_open = |s: &super::Site| !s.endpoint.leaving && !s.health.is_aside(now);
+        let open = self.sites.iter().filter(|(_, s)| is_open(s));
+        let place = |key: &EndpointKey, s: &'_ super::Site| {
+            let (running, unread) = loads.get(key).copied().unwrap_or_default();
             let load = s.running + running;
             let usable = (f64::from(s.endpoint.slots) * self.share).ceil() as u32;
             let slots = if s.health.is_on_trial() { 1 } else { usable };
             (load, slots.saturating_sub(load), s.unread.saturating_add(unread))
         };
-        open.map(|s| {
-            let (load, room, unread) = place(s);
-            let known = paces.get(&s.endpoint.id).copied();
+        open.map(|(key, s)| {
+            let (load, room, unread) = place(key, s);
+            let known = paces.get(key).copied();
             let (ns, is_guess) = (known.unwrap_or(*usual), known.is_none());
-            let hash = xxh3_64(s.endpoint.id.as_bytes());
             Place {
                 endpoint: &s.endpoint,
-                hash,
+                hash: s.hash,
                 load,
                 room,
                 unread,
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -17,17 +17,19 @@
 mod report;
 mod shedding;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 pub use assign::{Assignment, UNHEARD};
 pub use groups::{Group, MAX_CELL};
 pub use pace::FIXED_UNITS;
 pub use reach::{Names, Reach};
-pub use report::{Claim, Report, Tally};
+pub use report::{Claim, Load, Report, Tally};
 pub use shedding::{Patience, RetryAfter};
 
-use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{AccountId, EndpointId, EndpointKey, InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Silence after which an instance's waiting requests hold nobody else's back.
@@ -93,6 +95,8 @@
     Bad,
     /// Nothing that speaks for or against the endpoint, such as a caller that left.
     Neutral,
+    /// Whoever answers at the endpoint's address is not this endpoint.
+    Absent,
 }
 
 /// A change in what this instance believes of an endpoint, for the log.
@@ -118,6 +122,8 @@
 #[derive(Debug)]
 struct Site {
     endpoint: Endpoint,
+    /// Hash of its id, from which tastes are worked out.
+    hash: u64,
     running: u32,
     /// Tokens of prompts without a first event. Engines read prompts one after the other.
     unread: u32,
@@ -137,7 +143,7 @@
     zone: ZoneId,
     life: u64,
     number: u64,
-    sites: BTreeMap<EndpointId, Site>,
+    sites: BTreeMap<EndpointKey, Site>,
     waiting: BTreeMap<Ticket, Want>,
     next: Ticket,
     peers: HashMap<InstanceId, peer::Peer>,
@@ -175,13 +181,17 @@
     }
 
     /// Puts the list of endpoints in force; what is known of those that stay is kept. Others get no
-    /// further requests, but are told to have those that still run there: they may be in another cell.
+    /// further requests, but are told to have those that still run there: they may be in another cell. Of one
+    /// that has started again nothing is known, and nothing runs there.
     pub fn set_endpoints(&mut self, endpoints: impl IntoIterator<Item = Endpoint>) {
         let mut old = std::mem::take(&mut self.sites);
+        let mut ids = HashSet::new();
         for endpoint in endpoints {
-            let site = match old.remove(&endpoint.id) {
+            ids.insert(endpoint.id.clone());
+            let site = match old.remove(&endpoint.key()) {
                 Some(site) => Site { endpoint, ..site },
                 None => Site {
+                    hash: xxh3_64(endpoint.id.as_bytes()),
                     endpoint,
                     running: 0,
                     unread: 0,
@@ -193,11 +203,12 @@
                     answered: None,
                 },
             };
-            self.sites.insert(site.endpoint.id.clone(), site);
+            self.sites.insert(site.endpoint.key(), site);
         }
-        for (id, mut site) in old.into_iter().filter(|(_, site)| site.running > 0) {
+        let is_elsewhere = |site: &Site| site.running > 0 && !ids.contains(&site.endpoint.id);
+        for (key, mut site) in old.into_iter().filter(|(_, site)| is_elsewhere(site)) {
             site.endpoint.leaving = true;
-            self.sites.insert(id, site);
+            self.sites.insert(key, site);
         }
     }
 
@@ -225,9 +236,9 @@
         for tally in &report.tallies {
             let told = (tally.good, tally.bad);
             let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
-            peer.paces.insert(tally.endpoint.clone(), pace);
+            peer.paces.insert(tally.endpoint, pace);
             // What a new acquaintance has counted so far is not of now.
-            let old = peer.counted.insert(tally.endpoint.clone(), told);
+            let old = peer.counted.insert(tally.endpoint, told);
             let old = old.unwrap_or(if is_first { told } else { (0, 0) });
             if let Some(site) = self.sites.get_mut(&tally.endpoint) {
                 let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
@@ -258,14 +269,18 @@
             Extent::Changes => MENTION,
             Extent::Full => MENTION_ALL,
         };
-        let running = self.sites.values().filter(|s| s.running > 0);
-        let loads = running.map(|s| (s.endpoint.id.clone(), s.running, s.unread)).collect();
-        let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < mention);
-        let used = self.sites.values().filter(lately);
-        let tallies = used.map(|s| {
+        let running = self.sites.iter().filter(|(_, s)| s.running > 0);
+        let load = |(key, s): (&EndpointKey, &Site)| Load {
+            endpoint: *key,
+            running: s.running,
+            unread: s.unread,
+        };
+        let loads = running.map(load).collect();
+        let lately = |s: &Site| s.touched.is_some_and(|t| now.duration_since(t) < mention);
+        let used = self.sites.iter().filter(|(_, s)| lately(s));
+        let tallies = used.map(|(key, s)| {
             let (ns_per_unit, samples) = s.pace.as_parts();
-            let endpoint = s.endpoint.id.clone();
-            Tally { endpoint, good: s.good, bad: s.bad, ns_per_unit, samples }
+            Tally { endpoint: *key, good: s.good, bad: s.bad, ns_per_unit, samples }
         });
         let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
@@ -367,12 +382,12 @@
     pub fn began(
         &mut self,
         now: Instant,
-        endpoint: &str,
+        endpoint: EndpointKey,
         prompt: u32,
         backlog: u32,
         first: Duration,
     ) {
-        if let Some(site) = self.sites.get_mut(endpoint) {
+        if let Some(site) = self.sites.get_mut(&endpoint) {
             site.unread = site.unread.saturating_sub(prompt);
             site.pace.learn(prompt.saturating_add(backlog), first);
             (site.touched, site.answered) = (Some(now), Some(now));
@@ -381,29 +396,34 @@
 
     /// Notes that a request sent at `since` has had no answer for longer than expected. That speaks against the
     /// endpoint if it has answered nobody here meanwhile; else it may be the request.
-    pub fn suspect(&mut self, now: Instant, endpoint: &str, since: Instant) {
-        let answered = self.sites.get(endpoint).and_then(|site| site.answered);
+    pub fn suspect(&mut self, now: Instant, endpoint: EndpointKey, since: Instant) {
+        let answered = self.sites.get(&endpoint).and_then(|site| site.answered);
         if answered.is_none_or(|at| at <= since) {
             self.judge(now, endpoint, Outcome::Bad);
         }
     }
 
     /// Ends a run; `unread` are the tokens of its prompt if there was no first event.
-    pub fn finish(&mut self, now: Instant, endpoint: &str, unread: u32, outcome: Outcome) {
-        let Some(site) = self.sites.get_mut(endpoint) else { return };
+    pub fn finish(&mut self, now: Instant, endpoint: EndpointKey, unread: u32, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
         site.running = site.running.saturating_sub(1);
         site.unread = site.unread.saturating_sub(unread);
         self.judge(now, endpoint, outcome);
     }
 
     /// Notes what a run that goes on says of its endpoint.
-    pub fn judge(&mut self, now: Instant, endpoint: &str, outcome: Outcome) {
-        let Some(site) = self.sites.get_mut(endpoint) else { return };
+    pub fn judge(&mut self, now: Instant, endpoint: EndpointKey, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
         let (good, bad) = match outcome {
             Outcome::Good => (1, 0),
             Outcome::Bad => (0, 1),
-            Outcome::Neutral => (0, 0),
+            Outcome::Neutral | Outcome::Absent => (0, 0),
         };
+        if outcome == Outcome::Absent && !site.health.is_aside(now) {
+            let pause = site.health.set_aside(now);
+            self.news.push(SetAside { endpoint: site.endpoint.id.clone(), pause });
+            return;
+        }
         site.touched = Some(now);
         if outcome == Outcome::Good {
             site.answered = Some(now);
@@ -414,15 +434,15 @@
     }
 
     /// The paces of all endpoints that are known, to note for later lives.
-    pub fn known_paces(&self, now: Instant) -> Vec<(EndpointId, u64)> {
+    pub fn known_paces(&self, now: Instant) -> Vec<(EndpointKey, u64)> {
         let mut paces: Vec<_> = self.paces(now).into_iter().map(|(e, ns)| (e, ns as u64)).collect();
         paces.sort();
         paces
     }
 
     /// Starts from a pace that an earlier life noted, unless there is a measurement.
-    pub fn restore_pace(&mut self, endpoint: &str, ns_per_unit: u64) {
-        let site = self.sites.get_mut(endpoint).filter(|s| s.pace.as_parts().1 == 0);
+    pub fn restore_pace(&mut self, endpoint: EndpointKey, ns_per_unit: u64) {
+        let site = self.sites.get_mut(&endpoint).filter(|s| s.pace.as_parts().1 == 0);
         if let Some(site) = site {
             site.pace = pace::Pace::reported(ns_per_unit, NOTED_SAMPLES);
         }
@@ -434,21 +454,21 @@
     }
 
     /// Requests at an endpoint, of all instances that are heard.
-    pub fn load(&self, now: Instant, endpoint: &str) -> u32 {
-        let mine = self.sites.get(endpoint).map_or(0, |s| s.running);
+    pub fn load(&self, now: Instant, endpoint: EndpointKey) -> u32 {
+        let mine = self.sites.get(&endpoint).map_or(0, |s| s.running);
         let loads = self.live_reports(now).flat_map(|r| &r.loads);
-        mine + loads.filter(|(e, ..)| &**e == endpoint).map(|(_, n, _)| n).sum::<u32>()
+        mine + loads.filter(|l| l.endpoint == endpoint).map(|l| l.running).sum::<u32>()
     }
 
-    fn paces(&self, now: Instant) -> HashMap<EndpointId, f64> {
-        let mut all: HashMap<&str, Vec<pace::Pace>> = HashMap::new();
+    fn paces(&self, now: Instant) -> HashMap<EndpointKey, f64> {
+        let mut all: HashMap<EndpointKey, Vec<pace::Pace>> = HashMap::new();
         for (endpoint, pace) in self.live_peers(now).flat_map(|p| &p.paces) {
-            all.entry(endpoint).or_default().push(*pace);
+            all.entry(*endpoint).or_default().push(*pace);
         }
-        let of = |s: &Site| {
-            let others = all.get(&*s.endpoint.id).into_iter().flatten().copied();
-            Some((s.endpoint.id.clone(), pace::Pace::combine(others.chain([s.pace]))?))
+        let of = |(key, s): (&EndpointKey, &Site)| {
+            let others = all.get(key).into_iter().flatten().copied();
+            Some((*key, pace::Pace::combine(others.chain([s.pace]))?))
         };
-        self.sites.values().filter_map(of).collect()
+        self.sites.iter().filter_map(of).collect()
     }
 }
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -5,7 +5,7 @@
 
 use super::pace;
 use super::report::Report;
-use crate::ids::{AccountId, EndpointId};
+use crate::ids::{AccountId, EndpointKey};
 
 /// Another instance.
 #[derive(Debug)]
@@ -13,7 +13,7 @@
     pub(super) report: Report,
     pub(super) heard: Instant,
     /// Good and bad answers told so far. Reports leave endpoints out that were not used lately.
-    pub(super) counted: HashMap<EndpointId, (u64, u64)>,
+    pub(super) counted: HashMap<EndpointKey, (u64, u64)>,
     /// Whether a full report was heard, which the counters go on from.
     pub(super) is_counted: bool,
     /// Units told to be admitted so far, by account. Frequent reports leave them out.
@@ -24,7 +24,7 @@
     /// Since when it has heard more of the cell than this instance.
     pub(super) wider_since: Option<Instant>,
     /// The paces told last.
-    pub(super) paces: HashMap<EndpointId, pace::Pace>,
+    pub(super) paces: HashMap<EndpointKey, pace::Pace>,
 }
 
 impl Peer {
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
+use crate::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
 
 /// State of one instance.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -55,7 +55,7 @@
     /// Requests that endpoints execute for it, and the tokens of prompts that these have not answered
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    pub loads: Vec<(EndpointId, u32, u32)>,
+    pub loads: Vec<Load>,
     /// Whether all counters are told, of accounts and of endpoints used lately.
     #[serde(rename = "f", default, skip_serializing_if = "is_false")]
     pub in_full: bool,
@@ -83,26 +83,61 @@
     pub peers: Vec<SocketAddr>,
 }
 
-/// What an instance has seen of one endpoint. The counters run from the start of its life.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+/// What an instance has running at one endpoint. It travels as a list of its parts in this order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(from = "(EndpointKey, u32, u32)", into = "(EndpointKey, u32, u32)")]
+pub struct Load {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Requests that it executes for the sender.
+    pub running: u32,
+    /// Tokens of their prompts that it has not answered with a first event.
+    pub unread: u32,
+}
+
+impl From<(EndpointKey, u32, u32)> for Load {
+    fn from((endpoint, running, unread): (EndpointKey, u32, u32)) -> Load {
+        Load { endpoint, running, unread }
+    }
+}
+
+impl From<Load> for (EndpointKey, u32, u32) {
+    fn from(load: Load) -> (EndpointKey, u32, u32) {
+        (load.endpoint, load.running, load.unread)
+    }
+}
+
+/// What an instance has seen of one endpoint. The counters run from the start of its life. It travels as a
+/// list of its parts in this order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(from = "TallyParts", into = "TallyParts")]
 pub struct Tally {
     /// The endpoint.
-    #[serde(rename = "e")]
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointKey,
     /// Requests that it answered well.
-    #[serde(rename = "k")]
     pub good: u64,
     /// Requests that it failed.
-    #[serde(rename = "b")]
     pub bad: u64,
     /// Nanoseconds to the first event for each unit of work; 0 if not measured.
-    #[serde(rename = "t")]
     pub ns_per_unit: u64,
     /// Measurements behind that.
-    #[serde(rename = "m")]
     pub samples: u32,
 }
 
+type TallyParts = (EndpointKey, u64, u64, u64, u32);
+
+impl From<TallyParts> for Tally {
+    fn from((endpoint, good, bad, ns_per_unit, samples): TallyParts) -> Tally {
+        Tally { endpoint, good, bad, ns_per_unit, samples }
+    }
+}
+
+impl From<Tally> for TallyParts {
+    fn from(t: Tally) -> TallyParts {
+        (t.endpoint, t.good, t.bad, t.ns_per_unit, t.samples)
+    }
+}
+
 /// A waiting request. Ages are sent instead of times, since no two clocks agree.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Claim {
--- a/oxbowbend-core/src/ids.rs
+++ b/oxbowbend-core/src/ids.rs
@@ -8,6 +8,9 @@
 pub type RequestId = Arc<str>;
 /// A declared endpoint.
 pub type EndpointId = Arc<str>;
+/// One start of an endpoint, as instances name it to each other: a hash of its id and of when it began. Two of
+/// a thousand endpoints share one in 8,000 fleets, and then count as one for their load.
+pub type EndpointKey = u32;
 /// A declared client account.
 pub type AccountId = Arc<str>;
 /// A declared service.
--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ids::{AccountId, EndpointId, ServiceId, ZoneId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{AccountId, EndpointId, EndpointKey, ServiceId, ZoneId};
 
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -109,6 +111,34 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// When it began, in milliseconds since the Unix epoch; 0 if it does not say so. An endpoint may start
+    /// again under its id, and then knows nothing of before.
+    #[serde(default)]
+    pub born: u64,
+}
+
+impl Endpoint {
+    /// This start of the endpoint, in short.
+    ///
+    /// ```
+    /// # use oxbowbend_core::routes::Endpoint;
+    /// # let endpoint = Endpoint {
+    /// #     id: "e-1".into(),
+    /// #     service: "s".into(),
+    /// #     address: ([10, 0, 0, 1], 80).into(),
+    /// #     zone: "z".into(),
+    /// #     slots: 4,
+    /// #     leaving: false,
+    /// #     born: 1_700_000_000_000,
+    /// # };
+    /// let restarted = Endpoint { born: endpoint.born + 1, ..endpoint.clone() };
+    /// assert_ne!(endpoint.key(), restarted.key());
+    /// let leaving = Endpoint { leaving: true, ..endpoint.clone() };
+    /// assert_eq!(endpoint.key(), leaving.key());
+    /// ```
+    pub fn key(&self) -> EndpointKey {
+        xxh3_64_with_seed(self.id.as_bytes(), self.born) as EndpointKey
+    }
 }
 
 /// One version of the operator's configuration.
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use cells::{cell, endpoint, placed, want, MS};
-use oxbowbend_core::cell::{Extent, Outcome, Want, CLAIM_TTL, LOAD_TTL, UNHEARD};
+use cells::{cell, endpoint, key, placed, want, MS};
+use oxbowbend_core::cell::{Extent, Load, Outcome, Want, CLAIM_TTL, LOAD_TTL, UNHEARD};
 use oxbowbend_core::routes::Endpoint;
 
 #[test]
@@ -27,7 +27,7 @@
     }
     assert_eq!(placed(&mut cell, now).len(), 2);
     assert_eq!(placed(&mut cell, now).len(), 0);
-    cell.finish(now, "e0", 0, Outcome::Good);
+    cell.finish(now, key("e0"), 0, Outcome::Good);
     assert_eq!(placed(&mut cell, now).len(), 1);
 }
 
@@ -82,15 +82,15 @@
     a.assign(now);
     assert!(b.hear(now, a.report(now, Extent::Full), true).is_some());
     assert!(b.hear(now, idle, true).is_none());
-    assert_eq!(b.load(now, "e0"), 1);
+    assert_eq!(b.load(now, key("e0")), 1);
 }
 
 #[test]
 fn the_faster_endpoint_is_chosen() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    (0..10).for_each(|_| cell.began(now, "e0", 1000, 0, 300 * MS));
-    (0..10).for_each(|_| cell.began(now, "e2", 1000, 0, 60 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e0"), 1000, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e2"), 1000, 0, 60 * MS));
     let ticket = cell.arrive(want(0, 1000, now));
     assert_eq!(placed(&mut cell, now), [(ticket, "e2".to_owned())]);
 }
@@ -99,8 +99,8 @@
 fn a_request_waits_for_the_place_that_is_in_time() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 1), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 300 * MS));
-    (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 50 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e0"), 700, 0, 300 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e2"), 700, 0, 50 * MS));
     cell.arrive(want(0, 700, now));
     assert_eq!(placed(&mut cell, now)[0].1, "e2");
     // 4,700 tokens take 1.5 s at e0 and 0.3 s at e2, of 0.5 s.
@@ -125,7 +125,7 @@
     let endpoints = [endpoint(0, 8), endpoint(2, 8)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     b.hear(now, a.report(now, Extent::Full), true);
-    (0..4).for_each(|_| a.judge(now, "e0", Outcome::Bad));
+    (0..4).for_each(|_| a.judge(now, key("e0"), Outcome::Bad));
     b.hear(now, a.report(now, Extent::Full), true);
     let ticket = b.arrive(want(0, 100, now));
     assert_eq!(placed(&mut b, now), [(ticket, "e2".to_owned())]);
@@ -138,7 +138,7 @@
     let endpoints: Vec<_> = (0..5).map(|n| endpoint(n, 1)).collect();
     let mut cell = cell("a", &endpoints);
     for e in &endpoints {
-        (0..9).for_each(|_| cell.judge(now, &e.id, Outcome::Bad));
+        (0..9).for_each(|_| cell.judge(now, e.key(), Outcome::Bad));
     }
     for _ in 0..5 {
         cell.arrive(want(0, 100, now));
@@ -152,7 +152,7 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 4), endpoint(2, 0)];
     let mut cell = cell("a", &endpoints);
-    (0..4).for_each(|_| cell.judge(now, "e0", Outcome::Bad));
+    (0..4).for_each(|_| cell.judge(now, key("e0"), Outcome::Bad));
     for _ in 0..4 {
         cell.arrive(want(0, 100, now));
     }
@@ -160,7 +160,7 @@
     let later = now + Duration::from_secs(2);
     for _ in 0..3 {
         assert_eq!(cell.assign(later).len(), 1);
-        cell.finish(later, "e0", 0, Outcome::Good);
+        cell.finish(later, key("e0"), 0, Outcome::Good);
     }
     for _ in 0..4 {
         cell.arrive(want(0, 100, now));
@@ -174,7 +174,7 @@
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
     for n in 0..50 {
         let outcome = if n % 7 == 0 { Outcome::Bad } else { Outcome::Good };
-        cell.judge(now, "e0", outcome);
+        cell.judge(now, key("e0"), outcome);
     }
     cell.assign(now);
     assert_eq!(cell.take_news(), []);
@@ -199,7 +199,7 @@
     let now = Instant::now();
     let endpoints = [endpoint(0, 1), endpoint(2, 1)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
-    (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
+    (0..9).for_each(|_| a.judge(now, key("e0"), Outcome::Bad));
     b.hear(now, a.report(now, Extent::Loads), true);
     let mut full = a.report(now, Extent::Full);
     full.spent = vec![("acc".into(), 1000)];
@@ -213,9 +213,9 @@
 fn a_report_of_changes_tells_only_what_has_just_changed() {
     let now = Instant::now();
     let mut a = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    a.judge(now, "e0", Outcome::Good);
+    a.judge(now, key("e0"), Outcome::Good);
     let later = now + 1000 * MS;
-    a.judge(later, "e2", Outcome::Good);
+    a.judge(later, key("e2"), Outcome::Good);
     let told = |report: oxbowbend_core::cell::Report| report.tallies.len();
     assert_eq!(told(a.report(later, Extent::Loads)), 0);
     assert_eq!(told(a.report(later, Extent::Changes)), 1);
@@ -228,15 +228,15 @@
     let endpoints = [endpoint(0, 4), endpoint(2, 4), endpoint(4, 4)];
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     // Failures of long ago, heard first in a report with all tallies, do not count.
-    (0..9).for_each(|_| a.judge(now, "e0", Outcome::Bad));
+    (0..9).for_each(|_| a.judge(now, key("e0"), Outcome::Bad));
     let later = now + 1000 * MS;
-    a.judge(later, "e2", Outcome::Good);
+    a.judge(later, key("e2"), Outcome::Good);
     b.hear(later, a.report(later, Extent::Changes), true);
     b.hear(later, a.report(later, Extent::Full), true);
     b.assign(later);
     assert_eq!(b.take_news(), []);
     // New ones do.
-    (0..9).for_each(|_| a.judge(later, "e0", Outcome::Bad));
+    (0..9).for_each(|_| a.judge(later, key("e0"), Outcome::Bad));
     b.hear(later, a.report(later, Extent::Changes), true);
     b.assign(later);
     assert_eq!(b.take_news().len(), 1);
@@ -323,10 +323,10 @@
     assert_eq!(placed(&mut a, now).len(), 1);
     a.set_endpoints([endpoint(2, 4)]);
     let loads = a.report(now, Extent::Loads).loads;
-    assert_eq!(loads, [("e0".into(), 1, 100)]);
+    assert_eq!(loads, [Load { endpoint: key("e0"), running: 1, unread: 100 }]);
     a.arrive(want(0, 100, now));
     assert_eq!(placed(&mut a, now)[0].1, "e2", "no further requests");
-    a.finish(now, "e0", 100, Outcome::Good);
+    a.finish(now, key("e0"), 100, Outcome::Good);
     a.set_endpoints([endpoint(2, 4)]);
     assert_eq!(a.report(now, Extent::Loads).loads.len(), 1);
 }
--- a/oxbowbend-core/tests/cells/mod.rs
+++ b/oxbowbend-core/tests/cells/mod.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use oxbowbend_core::cell::{Cell, Stall, Ticket, Want};
+use oxbowbend_core::ids::EndpointKey;
 use oxbowbend_core::routes::Endpoint;
 
 pub const MS: Duration = Duration::from_millis(1);
@@ -17,9 +18,16 @@
         zone: if n.is_multiple_of(2) { "z0".into() } else { "z1".into() },
         slots,
         leaving: false,
+        born: 0,
     }
 }
 
+/// The start of an endpoint that does not say when it began.
+pub fn key(id: &str) -> EndpointKey {
+    let id = id.into();
+    Endpoint { id, ..endpoint(0, 1) }.key()
+}
+
 pub fn cell(name: &str, endpoints: &[Endpoint]) -> Cell {
     let mut cell = Cell::new(name.into(), "z0".into(), 1);
     cell.set_endpoints(endpoints.iter().cloned());
--- a/oxbowbend-core/tests/placement.rs
+++ b/oxbowbend-core/tests/placement.rs
@@ -4,15 +4,15 @@
 
 use std::time::Instant;
 
-use cells::{cell, endpoint, placed, want, MS};
+use cells::{cell, endpoint, key, placed, want, MS};
 use oxbowbend_core::cell::{Extent, Outcome, Stall, Want};
 
 #[test]
 fn a_long_prompt_does_not_hold_up_streams_at_a_slow_endpoint() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 1)]);
-    (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 86 * MS));
-    (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 25 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e0"), 700, 0, 86 * MS));
+    (0..10).for_each(|_| cell.began(now, key("e2"), 700, 0, 25 * MS));
     let stall = Stall { tokens: 3000, pause_ms: 200 };
     let long = Want { stall, objective: 1000 * MS, ..want(0, 3000, now) };
     cell.arrive(want(0, 100, now));
@@ -20,7 +20,7 @@
     // 3,000 tokens take 258 ms at e0: alone there it holds up nobody.
     cell.arrive(long.clone());
     assert_eq!(placed(&mut cell, now)[0].1, "e0");
-    cell.began(now, "e0", 3000, 0, 258 * MS);
+    cell.began(now, key("e0"), 3000, 0, 258 * MS);
     // It streams now. The next one waits for e2, but not beyond half of its time.
     cell.arrive(long);
     assert_eq!(placed(&mut cell, now).len(), 0);
@@ -34,7 +34,7 @@
     // Of 500 ms: 400 units at 50 us take 20 ms, and 60 at the worst; 5,000 take 250 and 750.
     for (prompt, expected) in [(100, "e2"), (4700, "e0")] {
         let mut cell = cell("a", &endpoints);
-        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 50 * MS));
+        (0..10).for_each(|_| cell.began(now, key("e0"), 700, 0, 50 * MS));
         cell.arrive(want(0, prompt, now));
         assert_eq!(placed(&mut cell, now)[0].1, expected, "{prompt} tokens");
     }
@@ -44,12 +44,14 @@
 fn a_noted_pace_is_taken_until_there_is_a_measurement() {
     let now = Instant::now();
     let mut old = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    old.began(now, "e0", 700, 0, 90 * MS);
-    old.began(now, "e2", 700, 0, 30 * MS);
+    old.began(now, key("e0"), 700, 0, 90 * MS);
+    old.began(now, key("e2"), 700, 0, 30 * MS);
     let mut fresh = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
-    fresh.began(now, "e2", 700, 0, 20 * MS);
-    old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(e, *ns));
-    assert_eq!(fresh.known_paces(now), [("e0".into(), 90_000), ("e2".into(), 20_000)]);
+    fresh.began(now, key("e2"), 700, 0, 20 * MS);
+    old.known_paces(now).iter().for_each(|(e, ns)| fresh.restore_pace(*e, *ns));
+    let mut known = [(key("e0"), 90_000), (key("e2"), 20_000)];
+    known.sort();
+    assert_eq!(fresh.known_paces(now), known);
 }
 
 #[test]
@@ -60,8 +62,8 @@
     let short = Want { objective: 50 * MS, ..want(0, 100, now) };
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     for cell in [&mut a, &mut b] {
-        (0..10).for_each(|_| cell.began(now, "e0", 700, 0, 20 * MS));
-        (0..10).for_each(|_| cell.began(now, "e2", 700, 0, 40 * MS));
+        (0..10).for_each(|_| cell.began(now, key("e0"), 700, 0, 20 * MS));
+        (0..10).for_each(|_| cell.began(now, key("e2"), 700, 0, 40 * MS));
     }
     a.arrive(Want { objective: 5000 * MS, ..want(0, 30_000, now) });
     assert_eq!(placed(&mut a, now)[0].1, "e0");
@@ -69,7 +71,7 @@
     b.arrive(short.clone());
     assert_eq!(placed(&mut b, now)[0].1, "e2");
     // Once it is read, and when it ends unread, the endpoint is as good as before.
-    a.began(now, "e0", 30_000, 0, 600 * MS);
+    a.began(now, key("e0"), 30_000, 0, 600 * MS);
     b.hear(now, a.report(now, Extent::Loads), true);
     b.arrive(short.clone());
     assert_eq!(placed(&mut b, now)[0].1, "e0");
@@ -82,7 +84,7 @@
     for (output, slow) in [(1, true), (400, false)] {
         let mut cell = cell("a", &[endpoint(0, 20), endpoint(2, 20), endpoint(4, 20)]);
         for (id, ms) in [("e0", 12), ("e2", 12), ("e4", 45)] {
-            (0..10).for_each(|_| cell.began(now, id, 700, 0, ms * MS));
+            (0..10).for_each(|_| cell.began(now, key(id), 700, 0, ms * MS));
         }
         for n in 0..40 {
             let prompt = 10 + n;
@@ -97,13 +99,13 @@
 fn of_one_rank_the_shorter_answer_goes_first_and_rank_before_it() {
     let now = Instant::now();
     let mut cell = cell("a", &[endpoint(0, 1)]);
-    cell.began(now, "e0", 700, 0, 12 * MS);
+    cell.began(now, key("e0"), 700, 0, 12 * MS);
     let long = cell.arrive(Want { output: 2000, ..want(0, 100, now - 10 * MS) });
     let lower = cell.arrive(Want { output: 10, ..want(1, 100, now - 100 * MS) });
     let short = cell.arrive(Want { output: 200, ..want(0, 100, now) });
     for expected in [short, long, lower] {
         assert_eq!(placed(&mut cell, now)[0].0, expected);
-        cell.finish(now, "e0", 100, Outcome::Good);
+        cell.finish(now, key("e0"), 100, Outcome::Good);
     }
 }
 
@@ -114,7 +116,7 @@
     let start = Instant::now();
     let served = |tell: bool| {
         let mut cell = cell("a", &[endpoint(0, 1)]);
-        cell.began(start, "e0", 700, 0, 10 * MS);
+        cell.began(start, key("e0"), 700, 0, 10 * MS);
         let (mut free_at, mut served, mut runs) = (start, 0, std::collections::HashMap::new());
         for ms in 0..600_u32 {
             let now = start + ms * MS;
@@ -128,7 +130,7 @@
                 continue;
             }
             if free_at > start {
-                cell.finish(now, "e0", 0, Outcome::Good);
+                cell.finish(now, key("e0"), 0, Outcome::Good);
             }
             for assignment in cell.assign(now) {
                 free_at = now + runs[&assignment.ticket] * MS;
@@ -160,8 +162,8 @@
     for (is_dark, aside) in [(true, 1), (false, 0)] {
         let mut cell = cell("a", &[endpoint(0, 10), endpoint(2, 10)]);
         for id in ["e0", "e2"] {
-            cell.began(start, id, 700, 0, 20 * MS);
-            (0..3).for_each(|_| cell.finish(start, id, 0, Outcome::Good));
+            cell.began(start, key(id), 700, 0, 20 * MS);
+            (0..3).for_each(|_| cell.finish(start, key(id), 0, Outcome::Good));
         }
         let later = start + 4000 * MS;
         for _ in 0..10 {
@@ -169,9 +171,9 @@
         }
         cell.assign(later);
         if !is_dark {
-            cell.began(later + 100 * MS, "e0", 100, 0, 100 * MS);
+            cell.began(later + 100 * MS, key("e0"), 100, 0, 100 * MS);
         }
-        (0..4).for_each(|_| cell.suspect(later + 500 * MS, "e0", later));
+        (0..4).for_each(|_| cell.suspect(later + 500 * MS, key("e0"), later));
         cell.assign(later + 500 * MS);
         assert_eq!(cell.take_news().len(), aside, "dark: {is_dark}");
     }
--- /dev/null
+++ b/oxbowbend-core/tests/restarts.rs
@@ -0,0 +1,106 @@
+//! Endpoints that start again under their id, and addresses at which another one answers.
+
+mod cells;
+
+use std::time::{Duration, Instant};
+
+use cells::{cell, endpoint, placed, want, MS};
+use oxbowbend_core::cell::{Cell, Extent, Outcome};
+use oxbowbend_core::routes::Endpoint;
+
+/// An endpoint that says when it began.
+fn started(n: u8, slots: u32, born: u64) -> Endpoint {
+    Endpoint { born, ..endpoint(n, slots) }
+}
+
+fn arrive(cell: &mut Cell, now: Instant, requests: u32) {
+    for _ in 0..requests {
+        cell.arrive(want(0, 100, now));
+    }
+}
+
+#[test]
+fn a_start_has_all_its_places_whatever_ran_before() {
+    let now = Instant::now();
+    let (old, new) = (started(0, 2, 1000), started(0, 2, 2000));
+    let mut cell = cell("a", std::slice::from_ref(&old));
+    arrive(&mut cell, now, 2);
+    assert_eq!(placed(&mut cell, now).len(), 2);
+    cell.set_endpoints([new.clone()]);
+    arrive(&mut cell, now, 3);
+    assert_eq!(placed(&mut cell, now).len(), 2);
+    // The end of what ran at the earlier start frees no place of this one.
+    (0..2).for_each(|_| cell.finish(now, old.key(), 100, Outcome::Bad));
+    assert_eq!(placed(&mut cell, now).len(), 0);
+    assert_eq!(cell.load(now, new.key()), 2);
+    cell.finish(now, new.key(), 100, Outcome::Good);
+    assert_eq!(placed(&mut cell, now).len(), 1);
+}
+
+#[test]
+fn a_start_is_judged_by_what_it_does_itself() {
+    let now = Instant::now();
+    let (old, new) = (started(0, 4, 1000), started(0, 4, 2000));
+    let other = started(2, 4, 1000);
+    let mut cell = cell("a", &[old.clone(), other.clone()]);
+    (0..10).for_each(|_| cell.began(now, old.key(), 700, 0, 400 * MS));
+    (0..10).for_each(|_| cell.began(now, other.key(), 700, 0, 20 * MS));
+    (0..4).for_each(|_| cell.judge(now, old.key(), Outcome::Bad));
+    cell.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut cell, now)[0].1, "e2");
+    assert_eq!(cell.take_news().len(), 1);
+    cell.set_endpoints([new.clone(), other.clone()]);
+    // Neither the pace of the earlier start counts, nor its failures, nor what comes to be known of them now.
+    assert_eq!(cell.known_paces(now), [(other.key(), 20_000)]);
+    (0..4).for_each(|_| cell.judge(now, old.key(), Outcome::Bad));
+    cell.suspect(now, old.key(), now);
+    arrive(&mut cell, now, 4);
+    let used = placed(&mut cell, now);
+    assert!(used.iter().any(|(_, endpoint)| endpoint == "e0"), "{used:?}");
+    assert_eq!(cell.take_news(), []);
+}
+
+#[test]
+fn what_others_tell_of_an_earlier_start_is_dropped() {
+    let now = Instant::now();
+    let (old, new) = (started(0, 1, 1000), started(0, 1, 2000));
+    let (mut a, mut b) =
+        (cell("a", std::slice::from_ref(&old)), cell("b", std::slice::from_ref(&new)));
+    a.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut a, now).len(), 1);
+    (0..10).for_each(|_| a.began(now, old.key(), 700, 0, 400 * MS));
+    (0..9).for_each(|_| a.judge(now, old.key(), Outcome::Bad));
+    b.hear(now, a.report(now, Extent::Full), true);
+    assert_eq!(b.load(now, new.key()), 0);
+    assert_eq!(b.known_paces(now), []);
+    b.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut b, now).len(), 1);
+    // Of the same start, all of it counts.
+    let mut c = cell("c", std::slice::from_ref(&old));
+    c.hear(now, a.report(now, Extent::Full), true);
+    assert_eq!(c.load(now, old.key()), 1);
+    assert_eq!(c.known_paces(now).len(), 1);
+}
+
+#[test]
+fn an_endpoint_is_left_alone_at_whose_address_another_one_answers() {
+    let now = Instant::now();
+    let (absent, other) = (started(0, 4, 1000), started(2, 1, 1000));
+    let mut cell = cell("a", &[absent.clone(), other]);
+    cell.arrive(want(0, 100, now));
+    cell.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut cell, now).len(), 2);
+    // One such answer is enough, even for half of a service.
+    cell.finish(now, absent.key(), 100, Outcome::Absent);
+    assert_eq!(cell.take_news().len(), 1);
+    cell.arrive(want(0, 100, now));
+    assert_eq!(placed(&mut cell, now), []);
+    // After a while it is tried again, by one request at a time.
+    let later = now + Duration::from_secs(1);
+    cell.arrive(want(0, 100, later));
+    let tried = placed(&mut cell, later);
+    assert_eq!(tried.len(), 1);
+    assert_eq!(tried[0].1, "e0");
+    cell.finish(later, absent.key(), 100, Outcome::Absent);
+    assert_eq!(cell.take_news()[0].pause, Duration::from_secs(2));
+}
--- a/oxbowbend-core/tests/shedding.rs
+++ b/oxbowbend-core/tests/shedding.rs
@@ -1,7 +1,10 @@
 //! What requests without a place are told while there are more requests than places.
 
+mod cells;
+
 use std::time::{Duration, Instant};
 
+use cells::key;
 use oxbowbend_core::cell::{Cell, Outcome, Patience, Stall, Ticket, Want};
 use oxbowbend_core::ids::ServiceId;
 use oxbowbend_core::routes::Endpoint;
@@ -18,6 +21,7 @@
         zone: "z".into(),
         slots,
         leaving: false,
+        born: 0,
     }]);
     cell
 }
@@ -75,7 +79,7 @@
     }
     assert!(!cell.should_shed(now, waiting[0]));
     // A place that comes free goes to the one that stayed.
-    cell.finish(now, "e", 100, Outcome::Good);
+    cell.finish(now, key("e"), 100, Outcome::Good);
     assert_eq!(cell.assign(now)[0].ticket, waiting[0]);
 }
 
@@ -129,7 +133,7 @@
     let back = cell.arrive(Want { objective: OBJECTIVE - 150 * MS, ..want(1, now) });
     let late = cell.arrive(Want { objective: Duration::ZERO, ..want(1, now - MS) });
     for expected in [back, fresh, late] {
-        cell.finish(now, "e", 100, Outcome::Good);
+        cell.finish(now, key("e"), 100, Outcome::Good);
         assert_eq!(cell.assign(now)[0].ticket, expected);
     }
 }
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -213,7 +213,7 @@
     for tick in 0_u32.. {
         task::sleep(TICK).await;
         let now = Instant::now();
-        let (news, waiting, heard) = {
+        let (news, waiting, heard, restarted) = {
             let mut state = shared.lock();
             let news = state.world.expire(now);
             if tick.is_multiple_of(REGROUP) {
@@ -225,8 +225,10 @@
             }
             state.choose_source(now);
             state.set_shares(now);
-            (news, state.cell.waiting(), state.cell.heard(now))
+            let restarted = std::mem::take(&mut state.restarted);
+            (news, state.cell.waiting(), state.cell.heard(now), restarted)
         };
+        restarted.into_iter().for_each(|address| pool.forget(address));
         shared.give_up(now);
         shared.apply(now, &news, "time");
         if waiting > 0 {
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -72,7 +72,7 @@
             version: world.table().map_or(0, |t| t.version()),
             has_store,
             document: String::from_utf8_lossy(world.document()).into_owned(),
-            endpoints: world.endpoints().cloned().collect(),
+            endpoints: world.entries().cloned().collect(),
             instances,
         }
     }
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use jsonrpsee_types::Notification;
 use oxbowbend_core::cell::{Extent, Report};
-use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId};
+use oxbowbend_core::ids::{AccountId, InstanceId};
 use oxbowbend_http::h1;
 
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
@@ -181,9 +181,9 @@
                 report.spent = changed(state.admission.quotas.spent(), &told.near, reach);
             }
             // What still runs at endpoints that another cell has now.
-            let is_own = |id: &EndpointId| state.group.endpoints.iter().any(|e| e.id == *id);
-            let foreign: Vec<_> =
-                report.loads.iter().filter(|(id, ..)| !is_own(id)).cloned().collect();
+            let is_own = |key| state.group.endpoints.iter().any(|e| e.key() == key);
+            let foreign = report.loads.iter().filter(|load| !is_own(load.endpoint));
+            let foreign: Vec<_> = foreign.copied().collect();
             (report, foreign, addresses)
         };
         let Addresses { near, far } = addresses;
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -133,7 +133,7 @@
         self.is_over = true;
         self.conn = None;
         let unread = if self.first.is_zero() { self.prompt } else { 0 };
-        self.shared.finish(&self.endpoint.id, unread, outcome);
+        self.shared.finish(self.endpoint.key(), unread, outcome);
     }
 }
 
@@ -179,7 +179,8 @@
             Err(failure) => failure,
         };
         let outcome = match &failure {
-            Failure::NotRun(Verdict::NotThere) | Failure::Timeout => Outcome::Neutral,
+            Failure::NotRun(Verdict::NotThere) => Outcome::Absent,
+            Failure::Timeout => Outcome::Neutral,
             Failure::NotRun(_) if is_crowded => Outcome::Neutral,
             _ => Outcome::Bad,
         };
@@ -206,7 +207,7 @@
     ) -> Result<Begun, Failure> {
         let due = silence::due(expected, job.route.objective);
         let limit = until(job.limit);
-        let (endpoint, began) = (run.endpoint.id.clone(), run.began);
+        let (endpoint, began) = (run.endpoint.key(), run.began);
         let beginning = self.begin(job, run, after);
         pin_mut!(beginning);
         if let Ok(begun) = future::timeout(due.min(limit), &mut beginning).await {
@@ -216,7 +217,7 @@
             Silence::TimedOut => return Err(Failure::Timeout),
             Silence::GivenUp => return Err(Failure::Hanging),
             Silence::Suspected => {
-                self.shared.lock().cell.suspect(Instant::now(), &endpoint, began);
+                self.shared.lock().cell.suspect(Instant::now(), endpoint, began);
             }
         }
         match future::timeout(until(job.limit), beginning).await {
@@ -246,14 +247,14 @@
             };
             run.note_event();
             run.first = run.began.elapsed();
-            self.shared.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
+            self.shared.began(run.endpoint.key(), run.prompt, run.backlog, run.first);
             observe::began(&job.route.name, job.arrived.elapsed());
             return Ok(Begun::Stream(head, first, body));
         }
         let whole = body.collect().await.map_err(broken)?.to_bytes();
         if head.status.is_success() {
             run.first = run.began.elapsed();
-            self.shared.began(&run.endpoint.id, run.prompt, run.backlog, run.first);
+            self.shared.began(run.endpoint.key(), run.prompt, run.backlog, run.first);
         }
         Ok(Begun::Whole(Response::from_parts(head, whole)))
     }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
-use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId, ZoneId};
+use oxbowbend_core::ids::{AccountId, EndpointId, EndpointKey, InstanceId, ZoneId};
 use oxbowbend_core::quota::Window;
 use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::subscription::Call;
@@ -105,7 +105,7 @@
     /// Nanoseconds that endpoints take for a unit of work, if it is on this instance to note what
     /// later lives start from.
     #[serde(default)]
-    pub paces: Vec<(EndpointId, u64)>,
+    pub paces: Vec<(EndpointKey, u64)>,
     /// What client accounts have used of their quotas, likewise.
     #[serde(default)]
     pub used: Vec<(AccountId, Window)>,
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the parts of a gateway share, behind one lock that is never held across a wait.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 use oxbowbend_core::cell::{
     Assignment, Cell, Group, Outcome, Reach, Report, Ticket, Want, UNHEARD,
 };
-use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
+use oxbowbend_core::ids::{EndpointKey, InstanceId, ZoneId};
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::Table;
 use oxbowbend_core::shutdown::Shutdown;
@@ -43,6 +44,8 @@
     pub(crate) zone: ZoneId,
     /// Whether the quotas have started from what was noted before.
     is_restored: bool,
+    /// Addresses of endpoints that have started again, to which connections are of no use any more.
+    pub(crate) restarted: Vec<SocketAddr>,
     /// Number of instances that the fleet has, as far as is known.
     pub(crate) instances: usize,
 }
@@ -124,7 +127,7 @@
         let noted = world.instances().values().flat_map(|e| &e.paces);
         let mut n = 0;
         for (endpoint, ns) in noted {
-            cell.restore_pace(endpoint, *ns);
+            cell.restore_pace(*endpoint, *ns);
             n += 1;
         }
         log::info!("event=paces_restored endpoints={n}");
@@ -172,6 +175,7 @@
             me,
             zone,
             is_restored: false,
+            restarted: Vec::new(),
             instances: 1,
         };
         let state = Arc::new(Mutex::new(state));
@@ -225,7 +229,12 @@
                 admission.quotas.restore(now, account, window);
             }
         }
-        if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
+        let restarted = news.iter().filter_map(|item| match item {
+            News::Restarted(endpoint) => Some(endpoint.address),
+            _ => None,
+        });
+        state.restarted.extend(restarted);
+        if news.iter().any(News::is_of_endpoints) {
             state.regroup(now);
             if is_start {
                 state.set_shares(now);
@@ -296,12 +305,12 @@
     }
 
     /// Notes the time to the first event of a run.
-    pub(crate) fn began(&self, endpoint: &EndpointId, prompt: u32, backlog: u32, first: Duration) {
+    pub(crate) fn began(&self, endpoint: EndpointKey, prompt: u32, backlog: u32, first: Duration) {
         self.lock().cell.began(Instant::now(), endpoint, prompt, backlog, first);
     }
 
     /// Ends a run.
-    pub(crate) fn finish(&self, endpoint: &EndpointId, unread: u32, outcome: Outcome) {
+    pub(crate) fn finish(&self, endpoint: EndpointKey, unread: u32, outcome: Outcome) {
         self.lock().cell.finish(Instant::now(), endpoint, unread, outcome);
         self.tell_others();
         self.place();
--- a/oxbowbend-gateway/src/waiting.rs
+++ b/oxbowbend-gateway/src/waiting.rs
@@ -55,7 +55,7 @@
             self.shared.tell_others();
         } else if let Ok(Some(assignment)) = self.rx.try_recv() {
             let Assignment { endpoint, prompt, .. } = assignment;
-            self.shared.finish(&endpoint.id, prompt, Outcome::Neutral);
+            self.shared.finish(endpoint.key(), prompt, Outcome::Neutral);
         }
     }
 }
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -4,7 +4,8 @@
 //! away are kept for a moment after its return, because those that live enter themselves again; an
 //! entry that is missing after that is gone.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,10 @@
     BadConfig(String),
     /// An endpoint is new or has changed.
     Endpoint(Endpoint),
+    /// An endpoint has started again.
+    Restarted(Endpoint),
+    /// The entry of an earlier start of an endpoint was not taken.
+    EarlierStart(Endpoint),
     /// An endpoint has gone.
     EndpointGone(EndpointId),
     /// An entry cannot be read.
@@ -44,6 +49,11 @@
 }
 
 impl News {
+    /// Whether another set of endpoints is in force since.
+    pub(crate) fn is_of_endpoints(&self) -> bool {
+        matches!(self, News::Endpoint(_) | News::Restarted(_) | News::EndpointGone(_))
+    }
+
     /// Writes the line of the log, with the store's revision and from whom it was learned.
     pub(crate) fn log(&self, revision: Revision, source: &str) {
         match self {
@@ -62,16 +72,9 @@
                     "event=config_unreadable revision={revision} source={source} error=\"{e}\""
                 );
             }
-            News::Endpoint(e) => log::info!(
-                "event=endpoint endpoint={} service={} address={} zone={} slots={} leaving={} \
-                 revision={revision} source={source}",
-                e.id,
-                e.service,
-                e.address,
-                e.zone,
-                e.slots,
-                e.leaving
-            ),
+            News::Endpoint(e) => log_endpoint("endpoint", e, revision, source),
+            News::Restarted(e) => log_endpoint("endpoint_restarted", e, revision, source),
+            News::EarlierStart(e) => log_endpoint("endpoint_earlier_start", e, revision, source),
             News::EndpointGone(id) => {
                 log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
             }
@@ -84,6 +87,20 @@
     }
 }
 
+fn log_endpoint(event: &str, e: &Endpoint, revision: Revision, source: &str) {
+    log::info!(
+        "event={event} endpoint={} service={} address={} zone={} slots={} leaving={} born={} \
+         revision={revision} source={source}",
+        e.id,
+        e.service,
+        e.address,
+        e.zone,
+        e.slots,
+        e.leaving,
+        e.born
+    );
+}
+
 /// Who tells what it knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Teller {
@@ -100,6 +117,9 @@
     is_loaded: bool,
     document: Bytes,
     table: Option<Arc<Table>>,
+    /// Entries of endpoints as they were written last.
+    entries: BTreeMap<EndpointId, Endpoint>,
+    /// The newest start of each of them.
     endpoints: BTreeMap<EndpointId, Endpoint>,
     digest: u64,
     lapsed: BTreeMap<EndpointId, Instant>,
@@ -130,12 +150,24 @@
         self.is_loaded && self.table.is_some()
     }
 
-    /// The endpoints in force.
+    /// The endpoints in force. Of two at one address, only the one that began later can be there: the other
+    /// one's entry was written late.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
+        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        for endpoint in self.endpoints.values() {
+            let born = newest.entry(endpoint.address).or_default();
+            *born = endpoint.born.max(*born);
+        }
+        let is_there = move |e: &&Endpoint| e.born == 0 || newest.get(&e.address) == Some(&e.born);
+        self.endpoints.values().filter(is_there)
     }
 
-    /// Digest of the endpoints in force, the same at instances that know the same.
+    /// Entries of endpoints, whether in force or not, to pass on.
+    pub fn entries(&self) -> impl Iterator<Item = &Endpoint> {
+        self.entries.values()
+    }
+
+    /// Digest of the entries of endpoints, the same at instances that know the same.
     pub fn digest(&self) -> u64 {
         self.digest
     }
@@ -183,7 +215,7 @@
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
-        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
+        let mut missing: BTreeSet<_> = self.entries.keys().cloned().collect();
         let mut instances = BTreeMap::new();
         for record in &snapshot.records {
             match record {
@@ -244,7 +276,7 @@
         if snapshot.revision < self.revision {
             return self.learn(now, snapshot, Teller::Other, read);
         }
-        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
+        let mut missing: BTreeSet<_> = self.entries.keys().cloned().collect();
         for record in &snapshot.records {
             if let Record::Endpoint(endpoint) = record {
                 missing.remove(&endpoint.id);
@@ -314,12 +346,27 @@
 
     fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
         self.lapsed.remove(&endpoint.id);
-        let old = self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        let old = self.entries.insert(endpoint.id.clone(), endpoint.clone());
         if old.as_ref() == Some(&endpoint) {
             return None;
         }
         self.digest ^= old.as_ref().map_or(0, digest) ^ digest(&endpoint);
-        Some(News::Endpoint(endpoint))
+        self.begin(endpoint)
+    }
+
+    /// Puts an endpoint in force, unless a later start of it is known. One that does not say when it began is
+    /// taken to be the one that was known.
+    fn begin(&mut self, mut endpoint: Endpoint) -> Option<News> {
+        let old_born = self.endpoints.get(&endpoint.id).map_or(0, |old| old.born);
+        if endpoint.born == 0 {
+            endpoint.born = old_born;
+        }
+        if endpoint.born < old_born {
+            return Some(News::EarlierStart(endpoint));
+        }
+        let is_restart = old_born > 0 && endpoint.born > old_born;
+        self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        Some(if is_restart { News::Restarted(endpoint) } else { News::Endpoint(endpoint) })
     }
 
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
@@ -328,7 +375,7 @@
             Some(returned) if now < returned + LAPSE => returned + LAPSE,
             _ => return self.remove(id),
         };
-        if self.endpoints.contains_key(&id) {
+        if self.entries.contains_key(&id) {
             self.lapsed.entry(id).or_insert(until);
         }
         None
@@ -336,13 +383,14 @@
 
     fn remove(&mut self, id: EndpointId) -> Option<News> {
         self.lapsed.remove(&id);
-        self.digest ^= digest(&self.endpoints.remove(&id)?);
+        self.digest ^= digest(&self.entries.remove(&id)?);
+        self.endpoints.remove(&id);
         Some(News::EndpointGone(id))
     }
 }
 
 /// Part of one endpoint in the digest of all, which is the exclusive or of these.
 fn digest(endpoint: &Endpoint) -> u64 {
-    let Endpoint { id, address, leaving, .. } = endpoint;
-    xxh3_64(format!("{id} {address} {leaving}").as_bytes())
+    let Endpoint { id, address, leaving, born, .. } = endpoint;
+    xxh3_64(format!("{id} {address} {leaving} {born}").as_bytes())
 }
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -27,6 +27,7 @@
         zone: "z".into(),
         slots: 4,
         leaving: false,
+        born: 0,
     })
 }
 
@@ -204,3 +205,87 @@
     world.store_found(now);
     assert_eq!(world.come_back(now), Duration::from_millis(200));
 }
+
+/// The entry of a start of `a`.
+fn start(born: u64) -> Record {
+    match endpoint("a") {
+        Record::Endpoint(endpoint) => Record::Endpoint(Endpoint { born, ..endpoint }),
+        other => other,
+    }
+}
+
+fn born(world: &World) -> Vec<u64> {
+    world.endpoints().map(|e| e.born).collect()
+}
+
+/// A way in which an instance learns what the store holds.
+type Way = fn(&mut World, Instant, Snapshot) -> Vec<News>;
+
+const WAYS: [Way; 4] = [
+    |world, now, snapshot| world.change(now, snapshot, read),
+    // After the history was dropped.
+    |world, now, snapshot| world.load(now, snapshot, read),
+    // From an instance of its cell.
+    |world, now, snapshot| world.copy(now, snapshot, read),
+    // While the store is away, from one that it answers.
+    |world, now, snapshot| {
+        world.store_lost(now);
+        world.learn(now, snapshot, Teller::Follower, read)
+    },
+];
+
+#[test]
+fn a_restart_is_known_by_every_way_and_never_taken_back() {
+    let now = Instant::now();
+    for (way, take) in WAYS.iter().enumerate() {
+        let mut world = World::default();
+        world.load(now, snapshot(10, vec![config("5"), start(1000)]), read);
+        let before = world.digest();
+        let news = take(&mut world, now, snapshot(11, vec![start(2000)]));
+        assert!(matches!(&news[..], [News::Restarted(e)] if e.born == 2000), "{way}: {news:?}");
+        assert_ne!(world.digest(), before, "{way}");
+        let news = take(&mut world, now, snapshot(12, vec![start(1000)]));
+        assert!(matches!(&news[..], [News::EarlierStart(_)]), "{way}: {news:?}");
+        assert_eq!(born(&world), [2000], "{way}");
+        // One that does not say when it began is what was known.
+        take(&mut world, now, snapshot(13, vec![start(0)]));
+        assert_eq!(born(&world), [2000], "{way}");
+    }
+}
+
+#[test]
+fn a_restart_during_an_outage_is_known_after_it() {
+    let now = Instant::now();
+    let mut world = World::default();
+    world.load(now, snapshot(10, vec![config("5"), start(1000)]), read);
+    world.store_lost(now);
+    // Its entry has lapsed meanwhile, and its next start enters itself.
+    world.store_found(now);
+    world.load(now, snapshot(12, vec![]), read);
+    assert_eq!(born(&world), [1000]);
+    let news = world.change(now + LAPSE / 2, snapshot(13, vec![start(2000)]), read);
+    assert!(matches!(&news[..], [News::Restarted(_)]), "{news:?}");
+    assert_eq!(world.expire(now + LAPSE), []);
+    assert_eq!(born(&world), [2000]);
+}
+
+/// Entries of endpoints that are gone were written again after those of their successors at the same
+/// addresses, which answered 654 requests in 14 s that they were not the ones that were meant.
+#[test]
+fn of_two_endpoints_at_one_address_the_later_one_is_there() {
+    let now = Instant::now();
+    let other = |id: &str, born| match endpoint(id) {
+        Record::Endpoint(endpoint) => Record::Endpoint(Endpoint { born, ..endpoint }),
+        record => record,
+    };
+    for (old, new, there) in
+        [(1000, 2000, vec!["b"]), (0, 2000, vec!["a", "b"]), (0, 0, vec!["a", "b"])]
+    {
+        for (take, way) in WAYS.iter().zip(0..) {
+            let mut world = World::default();
+            world.load(now, snapshot(10, vec![config("5"), other("b", new)]), read);
+            take(&mut world, now, snapshot(11, vec![other("b", new), other("a", old)]));
+            assert_eq!(ids(&world), there, "{old} {new} {way}");
+        }
+    }
+}
