Verify the list of endpoints once for the fleet

Change: as with the configuration, the first follower by name asks so often; the others' watches wait and are vouched for by its reports while their digests are the same, and are given up when it knows something else (core::subscription, unchanged). Copying instances go by the age of what their follower knows, whoever verified it.

--- a/oxbowbend-gateway/src/watches.rs
+++ b/oxbowbend-gateway/src/watches.rs
@@ -33,15 +33,16 @@
 
 impl State {
     /// What this instance's watch of a part is for. In a fleet of several cells others copy this one's
-    /// endpoints, and rely on it alone for them.
+    /// endpoints, and are told of changes later than it; so these are verified more often.
     pub(crate) fn role(&self, now: Instant, part: Part) -> Role {
-        if part == Part::Endpoints && self.group.cells > 1 {
-            return Role { rank: 0, every: self.sources.watch() };
-        }
         let is_before = |r: &&Report| r.has_store && r.instance < self.me;
         let all = self.cell.live_reports(now).chain(self.cell.other_reports(now));
         let rank = all.filter(is_before).count();
-        Role::new(rank, self.sources.in_force())
+        let role = Role::new(rank, self.sources.in_force());
+        match part {
+            Part::Endpoints if self.group.cells > 1 => Role { every: self.sources.watch(), ..role },
+            _ => role,
+        }
     }
 
     /// Gives a watch up that is not to be relied on.
@@ -57,6 +58,13 @@
         Some(age.as_millis().min(u32::MAX.into()) as u32)
     }
 
+    /// Milliseconds since the store told this instance, or one that knows the same, that there is no newer
+    /// list of endpoints; none while it does not follow it.
+    pub(crate) fn list_ms(&self, now: Instant) -> Option<u32> {
+        let age = self.subscriptions.endpoints.age(now).filter(|_| self.sources.is_store())?;
+        Some(age.as_millis().min(u32::MAX.into()) as u32)
+    }
+
     /// Compares what this instance knows with what another one does.
     pub(crate) fn compare(&mut self, now: Instant, report: &Report) {
         let as_of = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
--- a/oxbowbend-gateway/tests/sources.rs
+++ b/oxbowbend-gateway/tests/sources.rs
@@ -14,9 +14,9 @@
 /// Name, milliseconds since the store's answer by its own word, and the age of that in milliseconds.
 type Heard = (&'static str, Option<u32>, u32);
 
-fn report(name: &str, seen_ms: Option<u32>) -> Report {
+fn report(name: &str, list_ms: Option<u32>) -> Report {
     let address = Some(([10, 0, 0, name.len() as u8], 7600).into());
-    Report { instance: name.into(), address, seen_ms, ..Report::default() }
+    Report { instance: name.into(), address, list_ms, ..Report::default() }
 }
 
 /// Something that happens to sources.
