Read the store's entries one by one

Cause: entries of other writers. By the watch an entry that cannot be read left the endpoint in force that had that key before; on listing it lapsed; on copying it was removed. Ruled out: nothing else read entries.

--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -125,7 +125,27 @@
     /// An instance's entry has gone.
     InstanceGone(InstanceId),
     /// An entry that cannot be read.
-    Unreadable(String),
+    Unreadable(UnreadableEntry),
+}
+
+/// An entry that cannot be read. What it names is not to be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableEntry {
+    /// What it names.
+    pub names: Named,
+    /// What is wrong with it, in a line of bounded length.
+    pub why: String,
+}
+
+/// What an entry's key names.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Named {
+    /// An endpoint.
+    Endpoint(EndpointId),
+    /// An instance.
+    Instance(InstanceId),
+    /// Nothing of which there may be several.
+    Nothing,
 }
 
 /// A part of the store that is followed. The instances' own entries are not: they change often, and
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -14,7 +14,7 @@
 use oxbowbend_core::routes::{Endpoint, Table};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::seam::{Entry, Record, Revision, Snapshot};
+use crate::seam::{Entry, Named, Record, Revision, Snapshot, UnreadableEntry};
 
 /// Time after the store's return within which lapsed endpoints enter themselves again. The users
 /// promise about two seconds, and bound the time to leave an endpoint alone by the same; the
@@ -45,7 +45,7 @@
     /// An endpoint has gone.
     EndpointGone(EndpointId),
     /// An entry cannot be read.
-    Unreadable(String),
+    Unreadable(UnreadableEntry),
 }
 
 impl News {
@@ -78,9 +78,10 @@
             News::EndpointGone(id) => {
                 log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
             }
-            News::Unreadable(what) => {
+            News::Unreadable(UnreadableEntry { names, why }) => {
                 log::warn!(
-                    "event=entry_unreadable revision={revision} source={source} what=\"{what}\""
+                    "event=entry_unreadable revision={revision} source={source} names={names:?} \
+                     why=\"{why}\""
                 );
             }
         }
@@ -272,7 +273,7 @@
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
                 Record::InstanceGone(name) => drop(self.instances.remove(&name)),
-                Record::Unreadable(what) => news.push(News::Unreadable(what)),
+                Record::Unreadable(entry) => news.extend(self.misread(now, entry)),
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -377,6 +378,19 @@
         Some(if is_restart { News::Restarted(endpoint) } else { News::Endpoint(endpoint) })
     }
 
+    /// An entry that cannot be read stands in place of what its key named before, which is gone.
+    fn misread(&mut self, now: Instant, entry: UnreadableEntry) -> Vec<News> {
+        let gone = match &entry.names {
+            Named::Endpoint(id) => self.lapse(now, id.clone()),
+            Named::Instance(name) => {
+                self.instances.remove(name);
+                None
+            }
+            Named::Nothing => None,
+        };
+        [Some(News::Unreadable(entry)), gone].into_iter().flatten().collect()
+    }
+
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
         let until = match self.returned {
             _ if self.away.is_some() => now + LAPSE,
