Soak: endpoints that start again under their id, entries of other writers

Fault 12 in its longer half kills an endpoint with its connections and enters its next start; the other faults and their order stay. Four bad entries lie among the endpoints from the start.

--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -141,6 +141,7 @@
             task::sleep(time).await;
             fleet.endpoints[endpoint].set_mode(endpoint::Mode::Good);
         }
+        12 if time > FAULT / 2 => fleet.restart_endpoint(endpoint, time).await,
         12 => {
             fleet.leave(endpoint);
             task::sleep(time).await;
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 
 use crate::endpoint::{Endpoint, Runs};
-use crate::proxy::Proxy;
+use crate::proxy::{Mode, Proxy};
 use crate::store::{self, Store};
 
 /// Daemons.
@@ -21,6 +21,8 @@
 const SMALL_CELL: usize = 2;
 /// Endpoints.
 pub const ENDPOINTS: usize = 5;
+/// Start of all endpoints.
+const FIRST_START: u64 = 1_700_000_000_000;
 /// Key of the client account that callers use.
 pub const KEY: &str = "key-one";
 /// Its name.
@@ -35,6 +37,8 @@
     pub runs: Runs,
     pub version: u64,
     addresses: Vec<SocketAddr>,
+    /// When the endpoints began, in milliseconds since the Unix epoch.
+    born: [u64; ENDPOINTS],
 }
 
 pub struct Daemon {
@@ -63,9 +67,20 @@
             endpoints.push(Endpoint::start(&format!("e-{n}"), listener, runs.clone()));
         }
         let daemons = (0..DAEMONS).map(|n| Daemon::new(n, seed, store_address)).collect();
-        let mut fleet =
-            Fleet { store, store_proxy, endpoints, proxies, daemons, runs, version: 0, addresses };
+        let (version, born) = (0, [FIRST_START; ENDPOINTS]);
+        let mut fleet = Fleet {
+            store,
+            store_proxy,
+            endpoints,
+            proxies,
+            daemons,
+            runs,
+            version,
+            addresses,
+            born,
+        };
         fleet.configure();
+        fleet.enter_others();
         (0..ENDPOINTS).for_each(|n| fleet.enter(n));
         fleet
     }
@@ -103,11 +118,34 @@
     pub fn enter(&self, n: usize) {
         let entry = json!({
             "service": "s", "address": self.addresses[n].to_string(), "zone": "z", "slots": 8,
-            "state": "ready",
+            "state": "ready", "born": self.born[n],
         });
         self.store.put(&format!("servers/{}", self.endpoints[n].id), &entry);
     }
 
+    /// Leaves entries of other writers among the endpoints.
+    fn enter_others(&self) {
+        let address = self.addresses[0].to_string();
+        let entries = [
+            json!({ "service": "s", "address": address, "zone": "z", "slots": 8, "state": "lost" }),
+            json!({ "service": 7, "address": address, "zone": "z", "slots": 8, "state": "ready" }),
+            json!({ "service": "s", "zone": "z", "slots": -1, "state": "ready" }),
+            json!("no entry"),
+        ];
+        for (n, entry) in entries.iter().enumerate() {
+            self.store.put(&format!("servers/other-{n}"), entry);
+        }
+    }
+
+    /// An endpoint dies with all its connections, and is back under its id after a while.
+    pub async fn restart_endpoint(&mut self, n: usize, time: Duration) {
+        self.proxies[n].set_mode(Mode::Reset);
+        task::sleep(time).await;
+        self.born[n] += time.as_millis() as u64;
+        self.proxies[n].set_mode(Mode::Pass);
+        self.enter(n);
+    }
+
     /// Removes an endpoint's entry.
     pub fn leave(&self, n: usize) {
         self.store.remove(&format!("servers/{}", self.endpoints[n].id));
