--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use oxbowbend_http::h1;
 use thiserror::Error;
 
+use crate::audience::Audience;
 use crate::follow;
 use crate::observe;
 use crate::peers;
@@ -132,7 +133,7 @@
             socket: UdpSocket::bind(cfg.peers).await.map_err(listen(cfg.peers))?,
             name: cfg.instance.clone(),
             address: cfg.peers,
-            seeds: cfg.seeds.clone(),
+            audience: Audience { address: cfg.peers, seeds: cfg.seeds.clone() },
             pool: pool.clone(),
             door: door.clone(),
         });
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -6,7 +6,7 @@
 //! call, and only when a report shows that the other one knows more.
 
 use std::borrow::Cow;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,10 +19,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jsonrpsee_types::Notification;
-use oxbowbend_core::cell::{Extent, FleetView, Report};
-use oxbowbend_core::ids::{AccountId, InstanceId};
+use oxbowbend_core::cell::{FleetView, Report};
+use oxbowbend_core::ids::InstanceId;
 use oxbowbend_http::h1;
 
+use crate::audience::{changed, known, Audience, Reach, Told};
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
 use crate::observe;
 use crate::seam::Wire;
@@ -36,20 +37,6 @@
 /// Longest time between two reports. Three of them fit into the time after which an instance's
 /// waiting requests hold nobody else's back.
 const BEAT: Duration = Duration::from_millis(130);
-/// Beats of which one also goes to addresses from which nothing is heard.
-const KNOCK: u64 = 8;
-/// Beats after a start that go to everybody who should be there. After a restart of the whole fleet
-/// instances start within 0.3 s of each other, and until they hear each other each keeps to its own
-/// part of every limit.
-const FIRST_BEATS: u64 = 6;
-/// Beats after a start that also tell whom this instance knows. The first one reaches only the addresses of
-/// the settings.
-const INTRODUCTIONS: [u64; 2] = [3, 5];
-/// Beats of which one of a representative also goes to other cells. Quotas bear what accounts use meanwhile.
-const FAR: u64 = 2;
-/// Instances of other cells to which a representative reports at each beat for everybody, other ones each time,
-/// whether it has heard of them or not. Of 295 instances each is told so every 2 s by one of 25 representatives.
-const STRANGERS: usize = 6;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question. One that copies may need another source soon.
@@ -57,80 +44,6 @@
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// Whom a report reaches.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reach {
-    /// The cell, with what runs and waits.
-    Cell,
-    /// The cell, with counters that have changed.
-    CellWithCounters,
-    /// The same; and from a representative the others, with sums of its cell.
-    Representatives,
-    /// All of the cell that should be there, with all counters; and from a representative also some from which
-    /// nothing is heard.
-    Everybody,
-    /// The same at a start, when it is not known yet who belongs to the cell.
-    First { introduces: bool },
-}
-
-impl Reach {
-    /// Whether such a report tells all counters.
-    fn is_full(self) -> bool {
-        matches!(self, Reach::Everybody | Reach::First { .. })
-    }
-
-    /// Whether such a report goes to other cells.
-    fn is_far(self) -> bool {
-        self.is_full() || self == Reach::Representatives
-    }
-
-    /// How much such a report tells.
-    fn extent(self) -> Extent {
-        match self {
-            Reach::Cell => Extent::Loads,
-            Reach::CellWithCounters | Reach::Representatives => Extent::Changes,
-            Reach::Everybody | Reach::First { .. } => Extent::Full,
-        }
-    }
-}
-
-/// Units of accounts that were told last, so that only what has changed is told again.
-#[derive(Default)]
-struct Told {
-    /// To the cell, of this instance.
-    near: HashMap<AccountId, u64>,
-    /// To other cells, of this cell.
-    far: HashMap<AccountId, u64>,
-    /// To the cell, of other cells.
-    fleet: HashMap<AccountId, u64>,
-}
-
-/// The counters to tell: all in reports that go to everybody, else those that have changed.
-fn changed<'a>(
-    counters: impl Iterator<Item = (&'a AccountId, u64)>,
-    told: &HashMap<AccountId, u64>,
-    reach: Reach,
-) -> Vec<(AccountId, u64)> {
-    let is_news = |(account, units): &(&AccountId, u64)| {
-        *units > 0 && (reach.is_full() || told.get(*account) != Some(units))
-    };
-    counters.filter(is_news).map(|(account, units)| (account.clone(), units)).collect()
-}
-
-/// Addresses of all instances that are heard.
-fn known(state: &State, now: Instant) -> Vec<SocketAddr> {
-    let all = state.cell.live_reports(now).chain(state.cell.other_reports(now));
-    all.filter_map(|r| r.address).collect()
-}
-
-/// Where a report goes.
-struct Addresses {
-    /// The cell.
-    near: BTreeSet<SocketAddr>,
-    /// Others, who get a short report.
-    far: BTreeSet<SocketAddr>,
-}
-
 /// This instance's side of the talk.
 pub(crate) struct Peers<W> {
     pub(crate) shared: Shared,
@@ -138,8 +51,8 @@
     pub(crate) socket: UdpSocket,
     pub(crate) name: InstanceId,
     pub(crate) address: SocketAddr,
-    /// Addresses known from the settings.
-    pub(crate) seeds: Vec<SocketAddr>,
+    /// What the settings tell of addresses.
+    pub(crate) audience: Audience,
     pub(crate) pool: h1::Pool,
     pub(crate) door: Arc<h1::Door>,
 }
@@ -159,12 +72,9 @@
                 beaten = Instant::now();
                 beats += 1;
             }
-            let reach = match beats {
-                _ if !is_beat => Reach::Cell,
-                n if n <= FIRST_BEATS => Reach::First { introduces: INTRODUCTIONS.contains(&n) },
-                n if n % KNOCK == 1 || self.is_alone() => Reach::Everybody,
-                n if n % FAR == 0 => Reach::Representatives,
-                _ => Reach::CellWithCounters,
+            let reach = match is_beat {
+                true => Reach::of_beat(beats, self.is_alone()),
+                false => Reach::Cell,
             };
             self.report(reach, beats, &mut told).await;
             task::sleep(PACE).await;
@@ -182,7 +92,7 @@
         let (report, far_report, addresses) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
-            let addresses = self.addresses(&state, now, reach, beat);
+            let addresses = state.addresses(now, &self.audience, reach, beat);
             let report = self.near_report(&mut state, now, reach, told);
             let far_report = (!addresses.far.is_empty())
                 .then(|| self.far_report(&state, now, reach, told, &report));
@@ -246,7 +156,7 @@
             false => Vec::new(),
         };
         let peers = match reach {
-            Reach::First { introduces: true } if self.is_new_fleet(state) => known(state, now),
+            Reach::First { introduces: true } if state.is_new_fleet() => known(state, now),
             _ => near.peers.clone(),
         };
         Report {
@@ -272,11 +182,6 @@
         }
     }
 
-    /// Whether the store knew no other instance at this one's start.
-    fn is_new_fleet(&self, state: &State) -> bool {
-        state.world.instances().keys().all(|name| *name == self.name)
-    }
-
     async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
         let notification = Notification::new(Cow::Borrowed(REPORT), report);
         let datagram = match serde_json::to_vec(&notification) {
@@ -291,61 +196,6 @@
         }
     }
 
-    /// Where to report: the cell always; from a representative the other ones; and now and then whoever should
-    /// be there.
-    fn addresses(&self, state: &State, now: Instant, reach: Reach, beat: u64) -> Addresses {
-        let is_near = |name: &InstanceId| state.group.peers.contains(name);
-        let heard = state.cell.live_reports(now).filter(|r| is_near(&r.instance));
-        let mut near: BTreeSet<_> = heard.filter_map(|r| r.address).collect();
-        let mut far = BTreeSet::new();
-        let entered = || state.world.instances().iter();
-        if reach.is_full() {
-            near.extend(entered().filter(|(name, _)| is_near(name)).map(|(_, e)| e.address));
-        }
-        if reach.is_far() && state.is_representative(now) {
-            let others = state.cell.other_reports(now).filter(|r| r.is_representative);
-            far.extend(others.filter_map(|r| r.address));
-        }
-        if reach.is_full() {
-            let knows_others = !far.is_empty();
-            far.extend(self.strangers(state, now, reach, beat, knows_others));
-        }
-        far.retain(|address| !near.contains(address));
-        far.remove(&self.address);
-        near.remove(&self.address);
-        Addresses { near, far }
-    }
-
-    /// Instances of which this one does not know whether they are there. Who hears nobody, or knows no other cell's
-    /// representative, turns to everybody; a representative to some others at each time.
-    fn strangers(
-        &self,
-        state: &State,
-        now: Instant,
-        reach: Reach,
-        beat: u64,
-        knows_others: bool,
-    ) -> Vec<SocketAddr> {
-        let is_alone = state.cell.heard(now) == 0;
-        let is_cut_off = is_alone || (state.is_representative(now) && !knows_others);
-        let others = state.world.instances().iter();
-        let others = others.filter(|(name, _)| !state.group.peers.contains(*name));
-        let others = others.map(|(_, e)| e.address);
-        let is_start = matches!(reach, Reach::First { .. }) && self.is_new_fleet(state);
-        let mut all: Vec<_> = self.seeds.clone();
-        if is_start || is_cut_off || state.group.cells <= 1 {
-            all.extend(others);
-            all.extend(state.cell.told_addresses());
-            all.extend(known(state, now));
-        } else if state.is_representative(now) {
-            let count = state.world.instances().len().max(1);
-            let from = (beat / KNOCK) as usize * STRANGERS % count;
-            all.extend(others.cycle().skip(from).take(STRANGERS));
-            all.extend(state.cell.told_addresses());
-        }
-        all
-    }
-
     /// Takes in the others' reports.
     pub(crate) async fn listen(self: Arc<Peers<W>>) {
         let mut buf = vec![0; MAX_DATAGRAM];
