Pass the configuration on one after the other

All of a cell asked its follower at once; eight copies of 0.4 MB on a link of 10 Mbit/s came to nobody within the 0.5 s that a question may take, everybody took the follower for silent, and all asked another one, which had the same. Endpoints go the same way, so a leaving one was known after 4.1 to 4.4 s. Ruled out: the store (its watches were answered within 1.1 s), verifying once for the fleet (the followers knew of both in time). The weakness is older than the representatives; with them nobody outside the cell is left to ask. Change: an instance sends one document at a time, at the pace of a small link, and answers others without it; those ask whoever of their cell has it, at once. Who asks tells the digest of its list and is not sent the same again; the answer may take 1.5 s when a document may come.

--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -1,7 +1,8 @@
 //! The gateway as a whole: its parts are started here and wired to each other.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::channel::Receiver;
@@ -136,6 +137,8 @@
             audience: Audience { address: cfg.peers, seeds: cfg.seeds.clone() },
             pool: pool.clone(),
             door: door.clone(),
+            is_fetching: AtomicBool::new(false),
+            link: Mutex::default(),
         });
         let serving = h1::ServeConfig { connections: cfg.connections, head: HEAD };
         let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone());
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What an instance asks another one for, and is told: configuration, endpoints and instances.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use oxbowbend_core::routes::Endpoint;
 use serde::{Deserialize, Serialize};
 
+use crate::link::Link;
 use crate::seam::{Entry, Record, Snapshot};
 use crate::shared::Shared;
 
@@ -26,7 +28,9 @@
     #[serde(default)]
     pub(crate) has_store: bool,
     pub(crate) document: String,
-    pub(crate) endpoints: Vec<Endpoint>,
+    /// None if the one who asks has the same list.
+    #[serde(default)]
+    pub(crate) endpoints: Option<Vec<Endpoint>>,
     pub(crate) instances: Vec<(InstanceId, Entry)>,
 }
 
@@ -42,8 +46,11 @@
 /// What the one who asks knows and need not be told.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Known {
-    /// Version of the configuration.
+    /// Version of the configuration; the highest number if it is not to be told.
     pub(crate) version: u64,
+    /// Digest of the endpoints, if it knows any list of them.
+    #[serde(default)]
+    pub(crate) digest: Option<u64>,
     /// Whether it knows the other instances.
     pub(crate) instances: bool,
 }
@@ -72,16 +79,22 @@
             version: world.table().map_or(0, |t| t.version()),
             has_store,
             document: String::from_utf8_lossy(world.document()).into_owned(),
-            endpoints: world.entries().cloned().collect(),
+            endpoints: Some(world.entries().cloned().collect()),
             instances,
         }
     }
 
-    /// Leaves out what the one who asks knows.
-    pub(crate) fn without(mut self, known: Known) -> Knowledge {
-        if self.version <= known.version {
+    /// Leaves out what the one who asks knows, and a document for which there is no time now: it will ask again.
+    pub(crate) fn without(mut self, known: Known, digest: u64, link: &Mutex<Link>) -> Knowledge {
+        let (now, bytes) = (Instant::now(), self.document.len());
+        let is_known = self.version <= known.version;
+        let may_send = || link.lock().expect("no panic under lock").admits(now, bytes);
+        if is_known || !may_send() {
             self.document.clear();
         }
+        if known.digest == Some(digest) {
+            self.endpoints = None;
+        }
         if known.instances {
             self.instances.clear();
         }
@@ -94,7 +107,7 @@
         if !self.document.is_empty() {
             records.push(Record::Config(Bytes::from(self.document)));
         }
-        records.extend(self.endpoints.into_iter().map(Record::Endpoint));
+        records.extend(self.endpoints.into_iter().flatten().map(Record::Endpoint));
         records.extend(self.instances.into_iter().map(|(n, e)| Record::Instance(n, e)));
         Snapshot { revision: self.revision, records }
     }
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod follow;
 mod knowledge;
+pub mod link;
 mod observe;
 mod peers;
 mod relay;
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -8,7 +8,8 @@
 use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::channel::Receiver;
@@ -25,6 +26,7 @@
 
 use crate::audience::{changed, known, Audience, Reach, Told};
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
+use crate::link::Link;
 use crate::observe;
 use crate::seam::Wire;
 use crate::shared::{Shared, State};
@@ -41,6 +43,8 @@
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question. One that copies may need another source soon.
 const ASK: Duration = Duration::from_millis(500);
+/// The same where the answer may bring a configuration, of up to half a megabyte.
+const ASK_DOCUMENT: Duration = Duration::from_millis(1500);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -55,6 +59,10 @@
     pub(crate) audience: Audience,
     pub(crate) pool: h1::Pool,
     pub(crate) door: Arc<h1::Door>,
+    /// Whether this instance is being told the configuration.
+    pub(crate) is_fetching: AtomicBool,
+    /// When this instance may pass the configuration on.
+    pub(crate) link: Mutex<Link>,
 }
 
 impl<W: Wire> Peers<W> {
@@ -230,7 +238,9 @@
                 continue;
             }
             let since = *behind_since.get_or_insert(now);
-            let patience = if is_source || self.is_blind() { Duration::ZERO } else { ASK_PACE };
+            // Who follows the store will be told by it.
+            let is_told = !is_source && self.follows_store();
+            let patience = if is_told { ASK_PACE } else { Duration::ZERO };
             if now.duration_since(since) < patience || now.duration_since(asked) < ASK_PACE {
                 continue;
             }
@@ -263,39 +273,66 @@
         (is_behind, is_source)
     }
 
-    /// Whether the store tells this instance nothing.
-    fn is_blind(&self) -> bool {
-        self.shared.lock().world.is_cut_off()
+    /// Whether the store tells this instance what is new.
+    fn follows_store(&self) -> bool {
+        let state = self.shared.lock();
+        state.sources.is_store() && !state.world.is_cut_off()
     }
 
+    /// Asks an instance for what it knows, and takes that in.
     async fn ask(self: Arc<Peers<W>>, instance: InstanceId, address: SocketAddr) {
-        let params = self.known(&instance);
+        let (known, limit) = self.known(&instance);
+        let is_fetching = known.version < u64::MAX;
+        let knowledge = self.question(&instance, address, known, limit).await;
+        if is_fetching {
+            self.is_fetching.store(false, Ordering::SeqCst);
+        }
+        if let Some(knowledge) = knowledge {
+            self.take_in(&instance, knowledge);
+        }
+    }
+
+    async fn question(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+        params: Known,
+        limit: Duration,
+    ) -> Option<Knowledge> {
         let (jsonrpc, method) = ("2.0".to_owned(), SNAPSHOT.to_owned());
         let question = Question { jsonrpc, id: 1, method, params };
-        let Ok(body) = serde_json::to_vec(&question) else { return };
+        let body = serde_json::to_vec(&question).ok()?;
         let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
-        let Ok(req) = req else { return };
-        let answer = match self.pool.call(address, req, ASK).await {
+        let answer = match self.pool.call(address, req.ok()?, limit).await {
             Ok(answer) => answer,
             Err(e) => {
-                self.shared.lock().sources.failed(Instant::now(), &instance);
-                return log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
+                self.shared.lock().sources.failed(Instant::now(), instance);
+                log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
+                return None;
             }
         };
-        let knowledge = match serde_json::from_slice::<Answer>(answer.body()) {
-            Ok(answer) => answer.result,
-            Err(e) => return log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\""),
-        };
+        match serde_json::from_slice::<Answer>(answer.body()) {
+            Ok(answer) => Some(answer.result),
+            Err(e) => {
+                log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\"");
+                None
+            }
+        }
+    }
+
+    fn take_in(&self, instance: &InstanceId, knowledge: Knowledge) {
         let now = Instant::now();
         let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
         let teller = match knowledge.has_store {
             true => Teller::Follower,
             false => Teller::Other,
         };
+        let is_same_list = knowledge.endpoints.is_none();
         let snapshot = knowledge.into_snapshot();
         let news = {
             let mut state = self.shared.lock();
-            match state.sources.is(&instance) {
+            match state.sources.is(instance) {
+                _ if is_same_list => state.world.confirm(now, snapshot, read),
                 true => {
                     state.sources.copied();
                     state.world.copy(now, snapshot, read)
@@ -306,13 +343,20 @@
         self.shared.apply(now, &news, "peer");
     }
 
-    /// What need not be told by that instance.
-    fn known(&self, instance: &InstanceId) -> Known {
+    /// What need not be told by that instance, and how long its answer may take.
+    fn known(&self, instance: &InstanceId) -> (Known, Duration) {
         let state = self.shared.lock();
         let version = state.world.table().map_or(0, |t| t.version());
         let theirs = state.cell.live_reports(Instant::now()).find(|r| r.instance == *instance);
         let is_same = theirs.is_some_and(|r| r.roster == Some(state.roster()));
-        Known { version, instances: state.world.is_loaded() && is_same }
+        let is_old = theirs.is_none_or(|r| r.version > version);
+        let digest = state.world.is_loaded().then(|| state.world.digest());
+        let instances = state.world.is_loaded() && is_same;
+        // One document at a time: each takes the link of whoever sends it.
+        if is_old && !self.is_fetching.swap(true, Ordering::SeqCst) {
+            return (Known { version, digest, instances }, ASK_DOCUMENT);
+        }
+        (Known { version: u64::MAX, digest, instances }, ASK)
     }
 
     /// Answers another instance's question.
@@ -326,8 +370,9 @@
         };
         let body = match question {
             Ok(question) if question.method == SNAPSHOT => {
-                let result =
-                    Knowledge::of(&self.shared, &self.name, self.address).without(question.params);
+                let result = Knowledge::of(&self.shared, &self.name, self.address);
+                let digest = self.shared.lock().world.digest();
+                let result = result.without(question.params, digest, &self.link);
                 let id = question.id;
                 serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result })
             }
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -297,6 +297,15 @@
         news
     }
 
+    /// Takes in the rest of what an instance knows that has the same list of endpoints.
+    pub fn confirm<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        self.replace_instances(&snapshot);
+        self.change(now, Snapshot { revision: 0, ..snapshot }, read)
+    }
+
     /// Takes in what another instance knows, if that is more. Its list of endpoints is taken only
     /// while the store is away here, since the store's own word is better; the list of one that the store
     /// answers is taken as it is, since nothing else tells this instance that an endpoint has left.
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -289,3 +289,14 @@
         }
     }
 }
+
+#[test]
+fn the_same_list_is_confirmed_and_the_rest_taken_in() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    let before = world.digest();
+    let news = world.confirm(now, snapshot(20, vec![config("6")]), read);
+    assert_eq!(news, [News::Config(6)]);
+    assert_eq!((world.digest(), world.revision()), (before, 10));
+    assert_eq!(ids(&world), ["a", "b"]);
+}
