--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -9,31 +9,37 @@
 //! This stands in for the pool's [`crate::scheduler`] where slots are no promise of the endpoint.
 
 mod assign;
+mod fleet;
 mod groups;
 mod health;
+mod hear;
 mod pace;
 mod peer;
+mod reach;
 mod report;
 mod shedding;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 pub use assign::{Assignment, UNHEARD};
+pub use fleet::{Beyond, FleetView};
 pub use groups::{Group, MAX_CELL};
+pub use hear::Heard;
 pub use pace::FIXED_UNITS;
-pub use report::{Claim, Report, Tally};
+pub use reach::{Names, Reach};
+pub use report::{Claim, Load, Report, Tally};
 pub use shedding::{Patience, RetryAfter};
 
-use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{EndpointId, EndpointKey, InstanceId, ServiceId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Silence after which an instance's waiting requests hold nobody else's back.
 pub const CLAIM_TTL: Duration = Duration::from_millis(400);
 /// Silence after which what an instance had running is taken to have ended with it.
 pub const LOAD_TTL: Duration = Duration::from_millis(1500);
-/// Silence after which an instance is forgotten.
-const FORGET: Duration = Duration::from_secs(30);
 /// Waiting requests told to others, the first in order. Only few places are free when requests wait, so
 /// those further behind have no say; 32 of them made up most of the bytes between zones under a burst.
 const MAX_CLAIMS: usize = 6;
@@ -91,6 +97,8 @@
     Bad,
     /// Nothing that speaks for or against the endpoint, such as a caller that left.
     Neutral,
+    /// Whoever answers at the endpoint's address is not this endpoint.
+    Absent,
 }
 
 /// A change in what this instance believes of an endpoint, for the log.
@@ -116,6 +124,8 @@
 #[derive(Debug)]
 struct Site {
     endpoint: Endpoint,
+    /// Hash of its id, from which tastes are worked out.
+    hash: u64,
     running: u32,
     /// Tokens of prompts without a first event. Engines read prompts one after the other.
     unread: u32,
@@ -135,14 +145,23 @@
     zone: ZoneId,
     life: u64,
     number: u64,
-    sites: BTreeMap<EndpointId, Site>,
+    sites: BTreeMap<EndpointKey, Site>,
     waiting: BTreeMap<Ticket, Want>,
     next: Ticket,
+    /// Instances of this cell.
     peers: HashMap<InstanceId, peer::Peer>,
+    /// Instances of other cells: their representatives, and whoever has been heard for another reason.
+    others: HashMap<InstanceId, peer::Peer>,
     known: assign::KnownPaces,
     news: Vec<SetAside>,
+    /// When a failure was last noted.
+    last_bad: Option<Instant>,
     /// Part of the fleet that is heard, this instance included.
     share: f64,
+    /// Instances of the cell that are heard, this one included.
+    reach: u32,
+    /// Their names.
+    heard_names: reach::Names,
     shedding: shedding::Shedding,
 }
 
@@ -159,21 +178,29 @@
             waiting: BTreeMap::new(),
             next: 0,
             peers: HashMap::new(),
+            others: HashMap::new(),
             known: assign::KnownPaces::default(),
             news: Vec::new(),
+            last_bad: None,
             share: 1.0,
+            reach: 1,
+            heard_names: reach::Names::default(),
             shedding: shedding::Shedding::default(),
         }
     }
 
     /// Puts the list of endpoints in force; what is known of those that stay is kept. Others get no
-    /// further requests, but are told to have those that still run there: they may be in another cell.
+    /// further requests, but are told to have those that still run there: they may be in another cell. Of one
+    /// that has started again nothing is known, and nothing runs there.
     pub fn set_endpoints(&mut self, endpoints: impl IntoIterator<Item = Endpoint>) {
         let mut old = std::mem::take(&mut self.sites);
+        let mut ids = HashSet::new();
         for endpoint in endpoints {
-            let site = match old.remove(&endpoint.id) {
+            ids.insert(endpoint.id.clone());
+            let site = match old.remove(&endpoint.key()) {
                 Some(site) => Site { endpoint, ..site },
                 None => Site {
+                    hash: xxh3_64(endpoint.id.as_bytes()),
                     endpoint,
                     running: 0,
                     unread: 0,
@@ -185,60 +212,15 @@
                     answered: None,
                 },
             };
-            self.sites.insert(site.endpoint.id.clone(), site);
+            self.sites.insert(site.endpoint.key(), site);
         }
-        for (id, mut site) in old.into_iter().filter(|(_, site)| site.running > 0) {
+        let is_elsewhere = |site: &Site| site.running > 0 && !ids.contains(&site.endpoint.id);
+        for (key, mut site) in old.into_iter().filter(|(_, site)| is_elsewhere(site)) {
             site.endpoint.leaving = true;
-            self.sites.insert(id, site);
+            self.sites.insert(key, site);
         }
     }
 
-    /// Takes in another instance's report. Returns the units that were admitted since the last one,
-    /// by account: its own if it is of this cell, and those of its cell if it speaks for another
-    /// one. Returns nothing if the report is no news.
-    pub fn hear(
-        &mut self,
-        now: Instant,
-        report: Report,
-        is_near: bool,
-    ) -> Option<Vec<(AccountId, u64)>> {
-        if report.instance == self.me {
-            return None;
-        }
-        let before = self.peers.remove(&report.instance);
-        let mut before = before.filter(|b| b.report.life == report.life);
-        if before.as_ref().is_some_and(|b| b.report.number >= report.number) {
-            self.peers.extend(before.take().map(|b| (report.instance.clone(), b)));
-            return None;
-        }
-        let mut peer = before.unwrap_or_else(|| peer::Peer::new(now));
-        let is_first = !peer.is_counted;
-        peer.is_counted |= report.in_full;
-        for tally in &report.tallies {
-            let told = (tally.good, tally.bad);
-            let pace = pace::Pace::reported(tally.ns_per_unit, tally.samples);
-            peer.paces.insert(tally.endpoint.clone(), pace);
-            // What a new acquaintance has counted so far is not of now.
-            let old = peer.counted.insert(tally.endpoint.clone(), told);
-            let old = old.unwrap_or(if is_first { told } else { (0, 0) });
-            if let Some(site) = self.sites.get_mut(&tally.endpoint) {
-                let (good, bad) = (told.0.saturating_sub(old.0), told.1.saturating_sub(old.1));
-                site.health.note(now, good as u32, bad as u32);
-            }
-        }
-        let spent = peer::count_on(&mut peer.spent, &report.spent, is_first);
-        let cell_spent = peer::count_on(&mut peer.cell_spent, &report.cell_spent, !peer.knows_cell);
-        peer.knows_cell |= report.is_cell_told;
-        let news = match is_near {
-            true => spent,
-            false if report.speaks => cell_spent,
-            false => Vec::new(),
-        };
-        (peer.report, peer.heard) = (report, now);
-        self.peers.insert(peer.report.instance.clone(), peer);
-        Some(news)
-    }
-
     /// What to tell the others, but for what only the caller knows: revision, version, address and
     /// peers.
     pub fn report(&mut self, now: Instant, extent: Extent) -> Report {
@@ -248,18 +230,23 @@
             Extent::Changes => MENTION,
             Extent::Full => MENTION_ALL,
         };
-        let running = self.sites.values().filter(|s| s.running > 0);
-        let loads = running.map(|s| (s.endpoint.id.clone(), s.running, s.unread)).collect();
-        let lately = |s: &&Site| s.touched.is_some_and(|t| now.duration_since(t) < mention);
-        let used = self.sites.values().filter(lately);
-        let tallies = used.map(|s| {
+        let running = self.sites.iter().filter(|(_, s)| s.running > 0);
+        let load = |(key, s): (&EndpointKey, &Site)| Load {
+            endpoint: *key,
+            running: s.running,
+            unread: s.unread,
+        };
+        let loads = running.map(load).collect();
+        let lately = |s: &Site| s.touched.is_some_and(|t| now.duration_since(t) < mention);
+        let used = self.sites.iter().filter(|(_, s)| lately(s));
+        let tallies = used.map(|(key, s)| {
             let (ns_per_unit, samples) = s.pace.as_parts();
-            let endpoint = s.endpoint.id.clone();
-            Tally { endpoint, good: s.good, bad: s.bad, ns_per_unit, samples }
+            Tally { endpoint: *key, good: s.good, bad: s.bad, ns_per_unit, samples }
         });
         let tallies = tallies.collect();
         let mut waiting: Vec<_> = self.waiting.values().collect();
         waiting.sort_by_key(|w| self.order(now, w));
+        let is_beat = extent != Extent::Loads;
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
@@ -275,6 +262,8 @@
             life: self.life,
             number: self.number,
             in_full: extent == Extent::Full,
+            reach: is_beat.then_some(self.reach),
+            heard_names: is_beat.then_some(self.heard_names),
             loads,
             tallies,
             claims: claims.collect(),
@@ -282,36 +271,12 @@
         }
     }
 
-    /// Other instances heard within [`LOAD_TTL`].
-    pub fn heard(&self, now: Instant) -> usize {
-        self.live_peers(now).count()
-    }
-
-    /// Last reports of the instances heard within [`LOAD_TTL`].
-    pub fn live_reports(&self, now: Instant) -> impl Iterator<Item = &Report> {
-        self.live_peers(now).map(|p| &p.report)
-    }
-
-    /// Last reports of the instances heard within [`LOAD_TTL`], with their ages.
-    pub fn aged_reports(&self, now: Instant) -> impl Iterator<Item = (&Report, Duration)> {
-        self.live_peers(now).map(move |p| (&p.report, now.saturating_duration_since(p.heard)))
-    }
-
-    fn live_peers(&self, now: Instant) -> impl Iterator<Item = &peer::Peer> {
-        self.peers.values().filter(move |p| p.is_live(now, LOAD_TTL))
-    }
-
     /// Sets the part of the fleet that is heard, this instance included. Of each endpoint no larger part is
     /// used, since those that are not heard use the rest.
     pub fn set_share(&mut self, share: f64) {
         self.share = share.clamp(0.0, 1.0);
     }
 
-    /// Forgets instances that have been silent for long.
-    pub fn forget(&mut self, now: Instant) {
-        self.peers.retain(|_, p| p.is_live(now, FORGET));
-    }
-
     /// Brings in a request that waits for a place.
     pub fn arrive(&mut self, want: Want) -> Ticket {
         self.next += 1;
@@ -354,12 +319,12 @@
     pub fn began(
         &mut self,
         now: Instant,
-        endpoint: &str,
+        endpoint: EndpointKey,
         prompt: u32,
         backlog: u32,
         first: Duration,
     ) {
-        if let Some(site) = self.sites.get_mut(endpoint) {
+        if let Some(site) = self.sites.get_mut(&endpoint) {
             site.unread = site.unread.saturating_sub(prompt);
             site.pace.learn(prompt.saturating_add(backlog), first);
             (site.touched, site.answered) = (Some(now), Some(now));
@@ -368,48 +333,56 @@
 
     /// Notes that a request sent at `since` has had no answer for longer than expected. That speaks against the
     /// endpoint if it has answered nobody here meanwhile; else it may be the request.
-    pub fn suspect(&mut self, now: Instant, endpoint: &str, since: Instant) {
-        let answered = self.sites.get(endpoint).and_then(|site| site.answered);
+    pub fn suspect(&mut self, now: Instant, endpoint: EndpointKey, since: Instant) {
+        let answered = self.sites.get(&endpoint).and_then(|site| site.answered);
         if answered.is_none_or(|at| at <= since) {
             self.judge(now, endpoint, Outcome::Bad);
         }
     }
 
     /// Ends a run; `unread` are the tokens of its prompt if there was no first event.
-    pub fn finish(&mut self, now: Instant, endpoint: &str, unread: u32, outcome: Outcome) {
-        let Some(site) = self.sites.get_mut(endpoint) else { return };
+    pub fn finish(&mut self, now: Instant, endpoint: EndpointKey, unread: u32, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
         site.running = site.running.saturating_sub(1);
         site.unread = site.unread.saturating_sub(unread);
         self.judge(now, endpoint, outcome);
     }
 
     /// Notes what a run that goes on says of its endpoint.
-    pub fn judge(&mut self, now: Instant, endpoint: &str, outcome: Outcome) {
-        let Some(site) = self.sites.get_mut(endpoint) else { return };
+    pub fn judge(&mut self, now: Instant, endpoint: EndpointKey, outcome: Outcome) {
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
         let (good, bad) = match outcome {
             Outcome::Good => (1, 0),
             Outcome::Bad => (0, 1),
-            Outcome::Neutral => (0, 0),
+            Outcome::Neutral | Outcome::Absent => (0, 0),
         };
+        if outcome == Outcome::Absent && !site.health.is_aside(now) {
+            let pause = site.health.set_aside(now);
+            self.news.push(SetAside { endpoint: site.endpoint.id.clone(), pause });
+            return;
+        }
         site.touched = Some(now);
         if outcome == Outcome::Good {
             site.answered = Some(now);
         }
+        if bad > 0 {
+            self.last_bad = Some(now);
+        }
         site.good += u64::from(good);
         site.bad += u64::from(bad);
         site.health.note(now, good, bad);
     }
 
     /// The paces of all endpoints that are known, to note for later lives.
-    pub fn known_paces(&self, now: Instant) -> Vec<(EndpointId, u64)> {
+    pub fn known_paces(&self, now: Instant) -> Vec<(EndpointKey, u64)> {
         let mut paces: Vec<_> = self.paces(now).into_iter().map(|(e, ns)| (e, ns as u64)).collect();
         paces.sort();
         paces
     }
 
     /// Starts from a pace that an earlier life noted, unless there is a measurement.
-    pub fn restore_pace(&mut self, endpoint: &str, ns_per_unit: u64) {
-        let site = self.sites.get_mut(endpoint).filter(|s| s.pace.as_parts().1 == 0);
+    pub fn restore_pace(&mut self, endpoint: EndpointKey, ns_per_unit: u64) {
+        let site = self.sites.get_mut(&endpoint).filter(|s| s.pace.as_parts().1 == 0);
         if let Some(site) = site {
             site.pace = pace::Pace::reported(ns_per_unit, NOTED_SAMPLES);
         }
@@ -421,21 +394,21 @@
     }
 
     /// Requests at an endpoint, of all instances that are heard.
-    pub fn load(&self, now: Instant, endpoint: &str) -> u32 {
-        let mine = self.sites.get(endpoint).map_or(0, |s| s.running);
+    pub fn load(&self, now: Instant, endpoint: EndpointKey) -> u32 {
+        let mine = self.sites.get(&endpoint).map_or(0, |s| s.running);
         let loads = self.live_reports(now).flat_map(|r| &r.loads);
-        mine + loads.filter(|(e, ..)| &**e == endpoint).map(|(_, n, _)| n).sum::<u32>()
+        mine + loads.filter(|l| l.endpoint == endpoint).map(|l| l.running).sum::<u32>()
     }
 
-    fn paces(&self, now: Instant) -> HashMap<EndpointId, f64> {
-        let mut all: HashMap<&str, Vec<pace::Pace>> = HashMap::new();
+    fn paces(&self, now: Instant) -> HashMap<EndpointKey, f64> {
+        let mut all: HashMap<EndpointKey, Vec<pace::Pace>> = HashMap::new();
         for (endpoint, pace) in self.live_peers(now).flat_map(|p| &p.paces) {
-            all.entry(endpoint).or_default().push(*pace);
+            all.entry(*endpoint).or_default().push(*pace);
         }
-        let of = |s: &Site| {
-            let others = all.get(&*s.endpoint.id).into_iter().flatten().copied();
-            Some((s.endpoint.id.clone(), pace::Pace::combine(others.chain([s.pace]))?))
+        let of = |(key, s): (&EndpointKey, &Site)| {
+            let others = all.get(key).into_iter().flatten().copied();
+            Some((*key, pace::Pace::combine(others.chain([s.pace]))?))
         };
-        self.sites.values().filter_map(of).collect()
+        self.sites.iter().filter_map(of).collect()
     }
 }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{AccountId, EndpointId, InstanceId, ServiceId, ZoneId};
+use crate::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
 
 /// State of one instance.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -34,22 +34,36 @@
     /// Milliseconds since the store last answered it; none if it does not follow the store itself.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub seen_ms: Option<u32>,
-    /// The same of the configuration alone; the other one is of the endpoints. Told with beats only.
+    /// Milliseconds since the store told this instance, or one that knows the same, that its list of endpoints is the
+    /// newest; none if it does not follow the store itself. Those that copy the list go by this.
+    #[serde(rename = "G", default, skip_serializing_if = "Option::is_none")]
+    pub list_ms: Option<u32>,
+    /// Milliseconds since the store last told this instance that it knows the newest configuration. Told with
+    /// beats only.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub config_ms: Option<u32>,
     /// Digest of the endpoints that it knows.
     #[serde(rename = "d", default)]
     pub digest: u64,
+    /// Digest of the instances that it knows to be in the fleet. Told with beats only.
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    pub roster: Option<u64>,
     /// Whether it reaches the store.
     #[serde(rename = "s", default)]
     pub has_store: bool,
     /// Whether it takes on any request: it knows what it must, and is not stopping.
     #[serde(rename = "y", default, skip_serializing_if = "is_false")]
     pub is_ready: bool,
+    /// Instances of its cell that it hears, itself included. Told with beats only.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<u32>,
+    /// Their names, likewise.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub heard_names: Option<super::Names>,
     /// Requests that endpoints execute for it, and the tokens of prompts that these have not answered
     /// with a first event; none where there are none.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    pub loads: Vec<(EndpointId, u32, u32)>,
+    pub loads: Vec<Load>,
     /// Whether all counters are told, of accounts and of endpoints used lately.
     #[serde(rename = "f", default, skip_serializing_if = "is_false")]
     pub in_full: bool,
@@ -62,9 +76,15 @@
     /// Units admitted in this life, by client account.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub spent: Vec<(AccountId, u64)>,
-    /// Whether it speaks for its cell to the others.
+    /// Whether it represents its cell among the others.
     #[serde(rename = "k", default, skip_serializing_if = "is_false")]
-    pub speaks: bool,
+    pub is_representative: bool,
+    /// Instances of its cell that take on requests, told to other cells.
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
+    pub cell_ready: u32,
+    /// What it knows of other cells, told to its own.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<super::FleetView>,
     /// Units admitted by all of its cell, as far as it has heard in this life, by client account. Told
     /// to other cells.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
@@ -72,31 +92,66 @@
     /// Whether all accounts that its cell has admitted units of are among them.
     #[serde(rename = "b", default, skip_serializing_if = "is_false")]
     pub is_cell_told: bool,
-    /// Where it knows other instances to be.
+    /// Where it knows representatives of other cells to be, or at the first start of a fleet all instances.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<SocketAddr>,
 }
 
-/// What an instance has seen of one endpoint. The counters run from the start of its life.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+/// What an instance has running at one endpoint. It travels as a list of its parts in this order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(from = "(EndpointKey, u32, u32)", into = "(EndpointKey, u32, u32)")]
+pub struct Load {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Requests that it executes for the sender.
+    pub running: u32,
+    /// Tokens of their prompts that it has not answered with a first event.
+    pub unread: u32,
+}
+
+impl From<(EndpointKey, u32, u32)> for Load {
+    fn from((endpoint, running, unread): (EndpointKey, u32, u32)) -> Load {
+        Load { endpoint, running, unread }
+    }
+}
+
+impl From<Load> for (EndpointKey, u32, u32) {
+    fn from(load: Load) -> (EndpointKey, u32, u32) {
+        (load.endpoint, load.running, load.unread)
+    }
+}
+
+/// What an instance has seen of one endpoint. The counters run from the start of its life. It travels as a
+/// list of its parts in this order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(from = "TallyParts", into = "TallyParts")]
 pub struct Tally {
     /// The endpoint.
-    #[serde(rename = "e")]
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointKey,
     /// Requests that it answered well.
-    #[serde(rename = "k")]
     pub good: u64,
     /// Requests that it failed.
-    #[serde(rename = "b")]
     pub bad: u64,
     /// Nanoseconds to the first event for each unit of work; 0 if not measured.
-    #[serde(rename = "t")]
     pub ns_per_unit: u64,
     /// Measurements behind that.
-    #[serde(rename = "m")]
     pub samples: u32,
 }
 
+type TallyParts = (EndpointKey, u64, u64, u64, u32);
+
+impl From<TallyParts> for Tally {
+    fn from((endpoint, good, bad, ns_per_unit, samples): TallyParts) -> Tally {
+        Tally { endpoint, good, bad, ns_per_unit, samples }
+    }
+}
+
+impl From<Tally> for TallyParts {
+    fn from(t: Tally) -> TallyParts {
+        (t.endpoint, t.good, t.bad, t.ns_per_unit, t.samples)
+    }
+}
+
 /// A waiting request. Ages are sent instead of times, since no two clocks agree.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Claim {
@@ -123,6 +178,10 @@
     pub stall: super::Stall,
 }
 
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
 fn is_false(flag: &bool) -> bool {
     !flag
 }
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! How long a watch is relied on is decided by [`oxbowbend_core::subscription`]; meanwhile other instances'
 //! reports tell of a newer configuration and [`crate::peers`] fetches it.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -35,10 +36,7 @@
 /// heard from whom to copy, and nothing is missed: changes are asked for from the first reading on.
 const SETTLE: Duration = Duration::from_millis(800);
 /// How often an instance that copies looks whether it must follow the store itself.
-const SOURCE_LOOK: Duration = Duration::from_millis(25);
-/// Times the interval of renewals after which an instance that copies reads which instances there
-/// are. It hears of most of them by their reports.
-const COUNT_TIMES: u32 = 3;
+const SOURCE_LOOK: Duration = Duration::from_millis(100);
 /// How often it is looked whether the entry must change. What accounts use meanwhile is not known
 /// to a restarted fleet; [`oxbowbend_core::quota`] counts on it.
 const ENTRY_LOOK: Duration = Duration::from_millis(400);
@@ -260,7 +258,8 @@
         }
         let entry = entry(&shared, &name, &zone, address);
         let began = Instant::now();
-        let Some(step) = upkeep.due(began, &entry) else { continue };
+        let is_urgent = shared.lock().admission.quotas.is_busy();
+        let Some(step) = upkeep.due(began, &entry, is_urgent) else { continue };
         let result = match step {
             Step::Enroll => store.enroll(&name, &entry, TTL).await,
             Step::Renew(id) => store.renew(id).await.map(|()| id),
@@ -292,27 +291,31 @@
     }
 }
 
-/// This instance's entry. The first one that reaches the store, of those that hear each other, notes
-/// what later lives start from.
+/// This instance's entry. Of those that hear each other and that the store answers, the one that hears most
+/// notes what later lives start from; of equals, the first by name. One cut off from a part of the fleet would
+/// leave out what that part has used.
 fn entry(shared: &Shared, me: &InstanceId, zone: &ZoneId, address: SocketAddr) -> Entry {
     let now = Instant::now();
     let mut state = shared.lock();
-    let is_before = |r: &Report| r.instance < *me && r.has_store;
+    let mine = (Reverse(state.cell.reach()), me);
+    let is_before = |r: &Report| r.has_store && (Reverse(r.reach.unwrap_or(0)), &r.instance) < mine;
     let (mut used, mut paces) = (Vec::new(), Vec::new());
-    if state.has_store() && !state.cell.live_reports(now).any(is_before) {
+    let mut all = state.cell.live_reports(now).chain(state.cell.other_reports(now));
+    let is_first = !all.any(is_before);
+    drop(all);
+    if state.has_store() && is_first {
         used = state.admission.quotas.windows(now);
         paces = state.cell.known_paces(now);
     }
     Entry { zone: zone.clone(), address, paces, used }
 }
 
-/// Reads now and then which instances there are. Their reports tell sooner of those that are heard;
-/// this tells of those that are not.
+/// Reads now and then which instances there are. Who copies from another one is told by that.
 pub(crate) async fn count_instances<S: Store>(store: S, shared: Shared) {
     loop {
+        task::sleep(RENEW).await;
         let is_store = shared.lock().sources.is_store();
-        task::sleep(if is_store { RENEW } else { RENEW * COUNT_TIMES }).await;
-        if shared.lock().world.is_store_away() {
+        if !is_store || shared.lock().world.is_store_away() {
             continue;
         }
         let began = Instant::now();
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -6,9 +6,10 @@
 //! call, and only when a report shows that the other one knows more.
 
 use std::borrow::Cow;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::channel::Receiver;
@@ -19,14 +20,16 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jsonrpsee_types::Notification;
-use oxbowbend_core::cell::{Extent, Report};
-use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId};
+use oxbowbend_core::cell::{FleetView, Report};
+use oxbowbend_core::ids::InstanceId;
 use oxbowbend_http::h1;
 
+use crate::audience::{changed, known, Audience, Reach, Told};
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
+use crate::link::Link;
 use crate::observe;
 use crate::seam::Wire;
-use crate::shared::Shared;
+use crate::shared::{Shared, State};
 use crate::world::Teller;
 
 /// Method of a report.
@@ -36,85 +39,15 @@
 /// Longest time between two reports. Three of them fit into the time after which an instance's
 /// waiting requests hold nobody else's back.
 const BEAT: Duration = Duration::from_millis(130);
-/// Beats of which one also goes to addresses from which nothing is heard.
-const KNOCK: u64 = 8;
-/// Beats after a start that go to everybody who should be there. After a restart of the whole fleet
-/// instances start within 0.3 s of each other, and until they hear each other each keeps to its own
-/// part of every limit.
-const FIRST_BEATS: u64 = 6;
-/// Beats after a start that also tell whom this instance knows. The first one reaches only the addresses of
-/// the settings.
-const INTRODUCTIONS: [u64; 2] = [3, 5];
-/// Beats of which one of the instance that speaks for its cell also goes to other cells. Quotas bear
-/// what accounts use meanwhile.
-const FAR: u64 = 2;
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
 /// Time limit of such a question. One that copies may need another source soon.
 const ASK: Duration = Duration::from_millis(500);
+/// The same where the answer may bring a configuration, of up to half a megabyte.
+const ASK_DOCUMENT: Duration = Duration::from_millis(1500);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// Whom a report reaches.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reach {
-    /// The cell, with what runs and waits.
-    Cell,
-    /// The cell, with counters that have changed.
-    CellWithCounters,
-    /// Everybody who is heard, with the same for the cell and sums for others.
-    Heard,
-    /// Everybody who should be there.
-    Everybody,
-    /// The same at a start; some of these reports tell whom this instance knows.
-    First { introduces: bool },
-}
-
-impl Reach {
-    /// Whether such a report goes to everybody who should be there.
-    fn is_wide(self) -> bool {
-        matches!(self, Reach::Everybody | Reach::First { .. })
-    }
-
-    /// How much such a report tells.
-    fn extent(self) -> Extent {
-        match self {
-            Reach::Cell => Extent::Loads,
-            Reach::CellWithCounters | Reach::Heard => Extent::Changes,
-            Reach::Everybody | Reach::First { .. } => Extent::Full,
-        }
-    }
-}
-
-/// Units of accounts that were told last, so that only what has changed is told again.
-#[derive(Default)]
-struct Told {
-    /// To the cell, of this instance.
-    near: HashMap<AccountId, u64>,
-    /// To other cells, of this cell.
-    far: HashMap<AccountId, u64>,
-}
-
-/// The counters to tell: all in reports that go to everybody, else those that have changed.
-fn changed<'a>(
-    counters: impl Iterator<Item = (&'a AccountId, u64)>,
-    told: &HashMap<AccountId, u64>,
-    reach: Reach,
-) -> Vec<(AccountId, u64)> {
-    let is_news = |(account, units): &(&AccountId, u64)| {
-        *units > 0 && (reach.is_wide() || told.get(*account) != Some(units))
-    };
-    counters.filter(is_news).map(|(account, units)| (account.clone(), units)).collect()
-}
-
-/// Where a report goes.
-struct Addresses {
-    /// The cell.
-    near: BTreeSet<SocketAddr>,
-    /// Others, who get a short report.
-    far: BTreeSet<SocketAddr>,
-}
-
 /// This instance's side of the talk.
 pub(crate) struct Peers<W> {
     pub(crate) shared: Shared,
@@ -122,10 +55,14 @@
     pub(crate) socket: UdpSocket,
     pub(crate) name: InstanceId,
     pub(crate) address: SocketAddr,
-    /// Addresses known from the settings.
-    pub(crate) seeds: Vec<SocketAddr>,
+    /// What the settings tell of addresses.
+    pub(crate) audience: Audience,
     pub(crate) pool: h1::Pool,
     pub(crate) door: Arc<h1::Door>,
+    /// Whether this instance is being told the configuration.
+    pub(crate) is_fetching: AtomicBool,
+    /// When this instance may pass the configuration on.
+    pub(crate) link: Mutex<Link>,
 }
 
 impl<W: Wire> Peers<W> {
@@ -143,97 +80,114 @@
                 beaten = Instant::now();
                 beats += 1;
             }
-            let reach = match beats {
-                _ if !is_beat => Reach::Cell,
-                n if n <= FIRST_BEATS => Reach::First { introduces: INTRODUCTIONS.contains(&n) },
-                n if n % KNOCK == 1 => Reach::Everybody,
-                n if n % FAR == 0 => Reach::Heard,
-                _ => Reach::CellWithCounters,
+            let reach = match is_beat {
+                true => Reach::of_beat(beats, self.is_alone()),
+                false => Reach::Cell,
             };
-            self.report(reach, &mut told).await;
+            self.report(reach, beats, &mut told).await;
             task::sleep(PACE).await;
         }
     }
 
+    /// Whether nobody of the cell is heard.
+    fn is_alone(&self) -> bool {
+        self.shared.lock().cell.heard(Instant::now()) == 0
+    }
+
     /// Reports once.
-    async fn report(&self, reach: Reach, told: &mut Told) {
+    async fn report(&self, reach: Reach, beat: u64, told: &mut Told) {
         let now = Instant::now();
-        let (mut report, foreign, addresses) = {
+        let (report, far_report, addresses) = {
             let mut state = self.shared.lock();
             state.cell.forget(now);
-            let addresses = self.addresses(&state, now, reach);
-            let mut report = state.cell.report(now, reach.extent());
-            report.speaks = state.speaks(now);
-            if report.speaks {
-                report.cell_spent = changed(state.admission.quotas.cell_spent(), &told.far, reach);
-            }
-            report.seen_ms = state.sources.seen_ms(now);
-            if reach != Reach::Cell {
-                report.config_ms = state.config_ms(now);
-            }
-            report.digest = state.world.digest();
-            report.revision = state.world.revision();
-            report.version = state.world.table().map_or(0, |t| t.version());
-            report.address = Some(self.address);
-            report.is_ready = state.world.is_loaded() && state.shutdown.is_none();
-            report.has_store = state.has_store() && !self.door.is_closing();
-            if reach != Reach::Cell || state.admission.quotas.is_busy() {
-                report.spent = changed(state.admission.quotas.spent(), &told.near, reach);
-            }
-            // What still runs at endpoints that another cell has now.
-            let is_own = |id: &EndpointId| state.group.endpoints.iter().any(|e| e.id == *id);
-            let foreign: Vec<_> =
-                report.loads.iter().filter(|(id, ..)| !is_own(id)).cloned().collect();
-            (report, foreign, addresses)
+            let addresses = state.addresses(now, &self.audience, reach, beat);
+            let report = self.near_report(&mut state, now, reach, told);
+            let far_report = (!addresses.far.is_empty())
+                .then(|| self.far_report(&state, now, reach, told, &report));
+            (report, far_report, addresses)
         };
-        let Addresses { near, far } = addresses;
-        let cell_spent = std::mem::take(&mut report.cell_spent);
-        let is_needed = report.speaks || reach != Reach::Heard || !foreign.is_empty();
-        if !far.is_empty() && is_needed {
-            // Other cells need no more than versions and what accounts have spent in all.
-            let (tallies, claims, spent) = Default::default();
-            let loads = foreign;
-            let peers = self.acquaintances(reach, &near, &far);
-            let (in_full, is_cell_told) = (false, reach.is_wide() && report.speaks);
-            told.far.extend(cell_spent.iter().cloned());
-            let short = Report {
-                loads,
-                tallies,
-                claims,
-                spent,
-                peers,
-                in_full,
-                cell_spent,
-                is_cell_told,
-                ..report.clone()
-            };
-            self.send(&short, &far).await;
+        if let Some(far_report) = far_report {
+            told.far.extend(far_report.cell_spent.iter().cloned());
+            self.send(&far_report, &addresses.far).await;
         }
         told.near.extend(report.spent.iter().cloned());
-        self.send(&report, &near).await;
+        let fleet = report.fleet.iter().flat_map(|view| &view.spent);
+        told.fleet.extend(fleet.cloned());
+        self.send(&report, &addresses.near).await;
     }
 
-    /// Whom a report tells of: at the first start of a fleet everybody who is known, so that after one
-    /// exchange with the addresses of the settings all know each other; while the store is away, the
-    /// cell.
-    fn acquaintances(
-        &self,
-        reach: Reach,
-        near: &BTreeSet<SocketAddr>,
-        far: &BTreeSet<SocketAddr>,
-    ) -> Vec<SocketAddr> {
-        match reach {
-            Reach::First { introduces: true } if self.is_new_fleet() => {
-                near.union(far).copied().collect()
-            }
-            Reach::Everybody if self.is_blind() => near.iter().copied().collect(),
-            _ => Vec::new(),
+    /// What the cell is told.
+    fn near_report(&self, state: &mut State, now: Instant, reach: Reach, told: &Told) -> Report {
+        let mut report = state.cell.report(now, reach.extent());
+        report.is_representative = state.is_representative(now);
+        report.seen_ms = state.sources.seen_ms(now);
+        report.list_ms = state.list_ms(now);
+        if reach != Reach::Cell {
+            report.config_ms = state.config_ms(now);
+            report.roster = Some(state.roster());
+        }
+        report.digest = state.world.digest();
+        report.revision = state.world.revision();
+        report.version = state.world.table().map_or(0, |t| t.version());
+        report.address = Some(self.address);
+        report.is_ready = state.world.is_loaded() && state.shutdown.is_none();
+        report.has_store = state.has_store() && !self.door.is_closing();
+        let quotas = &state.admission.quotas;
+        if reach != Reach::Cell || quotas.is_busy() {
+            report.spent = changed(quotas.spent(), &told.near, reach);
+            report.fleet = report.is_representative.then(|| FleetView {
+                beyond: state.beyond(now),
+                spent: changed(quotas.far_spent(), &told.fleet, reach),
+                is_full: reach.is_full(),
+            });
         }
+        if reach.is_full() {
+            let others = state.cell.other_reports(now).filter(|r| r.is_representative);
+            report.peers = others.filter_map(|r| r.address).collect();
+        }
+        report
     }
 
-    /// Whether the store knew no other instance at this one's start.
-    fn is_new_fleet(&self) -> bool {
-        self.shared.lock().world.instances().keys().all(|name| *name == self.name)
+    /// What other cells are told: no more than versions and sums.
+    fn far_report(
+        &self,
+        state: &State,
+        now: Instant,
+        reach: Reach,
+        told: &Told,
+        near: &Report,
+    ) -> Report {
+        let is_representative = near.is_representative;
+        let quotas = &state.admission.quotas;
+        let cell_spent = match is_representative {
+            true => changed(quotas.cell_spent(), &told.far, reach),
+            false => Vec::new(),
+        };
+        let peers = match reach {
+            Reach::First { introduces: true } if state.is_new_fleet() => known(state, now),
+            _ => near.peers.clone(),
+        };
+        Report {
+            instance: near.instance.clone(),
+            zone: near.zone.clone(),
+            life: near.life,
+            number: near.number,
+            revision: near.revision,
+            version: near.version,
+            address: near.address,
+            seen_ms: near.seen_ms,
+            config_ms: near.config_ms,
+            digest: near.digest,
+            has_store: near.has_store,
+            is_ready: near.is_ready,
+            reach: near.reach,
+            cell_ready: state.near_ready(now) as u32 + u32::from(near.is_ready),
+            is_representative,
+            is_cell_told: reach.is_full() && is_representative,
+            cell_spent,
+            peers,
+            ..Report::default()
+        }
     }
 
     async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
@@ -250,30 +204,6 @@
         }
     }
 
-    /// Where to report: the cell always, all who are heard less often, and now and then everybody
-    /// who should be there.
-    fn addresses(&self, state: &crate::shared::State, now: Instant, reach: Reach) -> Addresses {
-        let mut near = BTreeSet::new();
-        let mut far = BTreeSet::new();
-        for report in state.cell.live_reports(now) {
-            let Some(address) = report.address else { continue };
-            if state.group.peers.contains(&report.instance) {
-                near.insert(address);
-            } else if reach == Reach::Heard || reach.is_wide() {
-                far.insert(address);
-            }
-        }
-        if reach.is_wide() || (near.is_empty() && far.is_empty()) {
-            far.extend(&self.seeds);
-            far.extend(state.world.instances().values().map(|e| e.address));
-            far.extend(state.cell.live_reports(now).flat_map(|r| &r.peers));
-            far.retain(|address| !near.contains(address));
-        }
-        far.remove(&self.address);
-        near.remove(&self.address);
-        Addresses { near, far }
-    }
-
     /// Takes in the others' reports.
     pub(crate) async fn listen(self: Arc<Peers<W>>) {
         let mut buf = vec![0; MAX_DATAGRAM];
@@ -308,7 +238,9 @@
                 continue;
             }
             let since = *behind_since.get_or_insert(now);
-            let patience = if is_source || self.is_blind() { Duration::ZERO } else { ASK_PACE };
+            // Who follows the store will be told by it.
+            let is_told = !is_source && self.follows_store();
+            let patience = if is_told { ASK_PACE } else { Duration::ZERO };
             if now.duration_since(since) < patience || now.duration_since(asked) < ASK_PACE {
                 continue;
             }
@@ -330,47 +262,77 @@
         if is_source {
             state.sources.compared(Instant::now(), &report.instance, is_other);
         }
+        // Cells are worked out from the instances, so all of a cell go by one list of them.
+        let is_other_fleet = report.roster.is_some_and(|roster| roster != state.roster());
         let world = &state.world;
         let version = world.table().map_or(0, |t| t.version());
         let is_newer = report.revision > world.revision() || (report.has_store && is_other);
-        let is_behind =
-            report.version > version || (world.is_cut_off() && is_newer) || (is_source && is_other);
+        let is_behind = report.version > version
+            || (world.is_cut_off() && is_newer)
+            || (is_source && (is_other || is_other_fleet));
         (is_behind, is_source)
     }
 
-    /// Whether the store tells this instance nothing.
-    fn is_blind(&self) -> bool {
-        self.shared.lock().world.is_cut_off()
+    /// Whether the store tells this instance what is new.
+    fn follows_store(&self) -> bool {
+        let state = self.shared.lock();
+        state.sources.is_store() && !state.world.is_cut_off()
     }
 
+    /// Asks an instance for what it knows, and takes that in.
     async fn ask(self: Arc<Peers<W>>, instance: InstanceId, address: SocketAddr) {
-        let params = self.known();
+        let (known, limit) = self.known(&instance);
+        let is_fetching = known.version < u64::MAX;
+        let knowledge = self.question(&instance, address, known, limit).await;
+        if is_fetching {
+            self.is_fetching.store(false, Ordering::SeqCst);
+        }
+        if let Some(knowledge) = knowledge {
+            self.take_in(&instance, knowledge);
+        }
+    }
+
+    async fn question(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+        params: Known,
+        limit: Duration,
+    ) -> Option<Knowledge> {
         let (jsonrpc, method) = ("2.0".to_owned(), SNAPSHOT.to_owned());
         let question = Question { jsonrpc, id: 1, method, params };
-        let Ok(body) = serde_json::to_vec(&question) else { return };
+        let body = serde_json::to_vec(&question).ok()?;
         let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
-        let Ok(req) = req else { return };
-        let answer = match self.pool.call(address, req, ASK).await {
+        let answer = match self.pool.call(address, req.ok()?, limit).await {
             Ok(answer) => answer,
             Err(e) => {
-                self.shared.lock().sources.failed(Instant::now(), &instance);
-                return log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
+                self.shared.lock().sources.failed(Instant::now(), instance);
+                log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
+                return None;
             }
         };
-        let knowledge = match serde_json::from_slice::<Answer>(answer.body()) {
-            Ok(answer) => answer.result,
-            Err(e) => return log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\""),
-        };
+        match serde_json::from_slice::<Answer>(answer.body()) {
+            Ok(answer) => Some(answer.result),
+            Err(e) => {
+                log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\"");
+                None
+            }
+        }
+    }
+
+    fn take_in(&self, instance: &InstanceId, knowledge: Knowledge) {
         let now = Instant::now();
         let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
         let teller = match knowledge.has_store {
             true => Teller::Follower,
             false => Teller::Other,
         };
+        let is_same_list = knowledge.endpoints.is_none();
         let snapshot = knowledge.into_snapshot();
         let news = {
             let mut state = self.shared.lock();
-            match state.sources.is(&instance) {
+            match state.sources.is(instance) {
+                _ if is_same_list => state.world.confirm(now, snapshot, read),
                 true => {
                     state.sources.copied();
                     state.world.copy(now, snapshot, read)
@@ -381,10 +343,20 @@
         self.shared.apply(now, &news, "peer");
     }
 
-    fn known(&self) -> Known {
+    /// What need not be told by that instance, and how long its answer may take.
+    fn known(&self, instance: &InstanceId) -> (Known, Duration) {
         let state = self.shared.lock();
         let version = state.world.table().map_or(0, |t| t.version());
-        Known { version, instances: state.world.is_loaded() && !state.sources.is_store() }
+        let theirs = state.cell.live_reports(Instant::now()).find(|r| r.instance == *instance);
+        let is_same = theirs.is_some_and(|r| r.roster == Some(state.roster()));
+        let is_old = theirs.is_none_or(|r| r.version > version);
+        let digest = state.world.is_loaded().then(|| state.world.digest());
+        let instances = state.world.is_loaded() && is_same;
+        // One document at a time: each takes the link of whoever sends it.
+        if is_old && !self.is_fetching.swap(true, Ordering::SeqCst) {
+            return (Known { version, digest, instances }, ASK_DOCUMENT);
+        }
+        (Known { version: u64::MAX, digest, instances }, ASK)
     }
 
     /// Answers another instance's question.
@@ -398,8 +370,9 @@
         };
         let body = match question {
             Ok(question) if question.method == SNAPSHOT => {
-                let result =
-                    Knowledge::of(&self.shared, &self.name, self.address).without(question.params);
+                let result = Knowledge::of(&self.shared, &self.name, self.address);
+                let digest = self.shared.lock().world.digest();
+                let result = result.without(question.params, digest, &self.link);
                 let id = question.id;
                 serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result })
             }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
-use oxbowbend_core::ids::{AccountId, EndpointId, InstanceId, ZoneId};
+use oxbowbend_core::ids::{AccountId, EndpointId, EndpointKey, InstanceId, ZoneId};
 use oxbowbend_core::quota::Window;
 use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::subscription::Call;
@@ -105,7 +105,7 @@
     /// Nanoseconds that endpoints take for a unit of work, if it is on this instance to note what
     /// later lives start from.
     #[serde(default)]
-    pub paces: Vec<(EndpointId, u64)>,
+    pub paces: Vec<(EndpointKey, u64)>,
     /// What client accounts have used of their quotas, likewise.
     #[serde(default)]
     pub used: Vec<(AccountId, Window)>,
@@ -125,7 +125,27 @@
     /// An instance's entry has gone.
     InstanceGone(InstanceId),
     /// An entry that cannot be read.
-    Unreadable(String),
+    Unreadable(UnreadableEntry),
+}
+
+/// An entry that cannot be read. What it names is not to be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableEntry {
+    /// What it names.
+    pub names: Named,
+    /// What is wrong with it, in a line of bounded length.
+    pub why: String,
+}
+
+/// What an entry's key names.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Named {
+    /// An endpoint.
+    Endpoint(EndpointId),
+    /// An instance.
+    Instance(InstanceId),
+    /// Nothing of which there may be several.
+    Nothing,
 }
 
 /// A part of the store that is followed. The instances' own entries are not: they change often, and
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the parts of a gateway share, behind one lock that is never held across a wait.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -8,10 +9,12 @@
 use futures::channel::oneshot;
 use oxbowbend_core::admission::Admission;
 use oxbowbend_core::ages::Ages;
-use oxbowbend_core::cell::{Assignment, Cell, Group, Outcome, Report, Ticket, Want, UNHEARD};
-use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
+use oxbowbend_core::cell::{
+    Assignment, Beyond, Cell, Group, Outcome, Reach, Report, Ticket, Want, UNHEARD,
+};
+use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ZoneId};
 use oxbowbend_core::repeats::Repeats;
-use oxbowbend_core::routes::Table;
+use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::subscription::GivenUp;
 
@@ -37,10 +40,15 @@
     /// How sure this instance is of what it knows of the store, while it follows it.
     pub(crate) subscriptions: Subscriptions,
     cell_size: usize,
+    /// Instances and endpoints from which the cell was worked out.
+    members: BTreeMap<InstanceId, ZoneId>,
+    endpoints: Vec<Endpoint>,
     pub(crate) me: InstanceId,
     pub(crate) zone: ZoneId,
     /// Whether the quotas have started from what was noted before.
     is_restored: bool,
+    /// Addresses of endpoints that have started again, to which connections are of no use any more.
+    pub(crate) restarted: Vec<SocketAddr>,
     /// Number of instances that the fleet has, as far as is known.
     pub(crate) instances: usize,
 }
@@ -51,9 +59,12 @@
         let mut members: BTreeMap<_, _> = BTreeMap::from([(self.me.clone(), self.zone.clone())]);
         let entered = self.world.instances().iter();
         members.extend(entered.map(|(name, e)| (name.clone(), e.zone.clone())));
-        let heard = self.cell.live_reports(now);
+        let heard = self.cell.live_reports(now).chain(self.cell.other_reports(now));
         members.extend(heard.map(|r| (r.instance.clone(), r.zone.clone())));
         let endpoints: Vec<_> = self.world.endpoints().cloned().collect();
+        if members == self.members && endpoints == self.endpoints {
+            return;
+        }
         let group = Group::of(&self.me, &members, &endpoints, self.cell_size);
         if group.peers != self.group.peers || group.cells != self.group.cells {
             log::info!(
@@ -63,12 +74,18 @@
                 group.endpoints.len(),
                 members.len()
             );
+            self.cell.set_peers(|name| group.cells <= 1 || group.peers.contains(name));
         }
-        self.instances = members.len();
         if group.endpoints != self.group.endpoints {
             self.cell.set_endpoints(group.endpoints.iter().cloned());
         }
-        self.group = group;
+        self.instances = members.len();
+        (self.members, self.endpoints, self.group) = (members, endpoints, group);
+    }
+
+    /// Digest of the fleet's instances as this one knows them.
+    pub(crate) fn roster(&self) -> u64 {
+        self.world.roster((&self.me, &self.zone))
     }
 
     /// Chooses the source anew. A fleet of one cell does without: it has too few calls to save.
@@ -88,11 +105,25 @@
     /// Works out which parts of the fleet and of the cell are heard: quotas belong to the fleet, endpoints to
     /// the cell.
     pub(crate) fn set_shares(&mut self, now: Instant) {
-        let heard = self.cell.heard(now);
-        self.admission.set_share(part(heard, self.instances.saturating_sub(1)));
         let peers = &self.group.peers;
-        let near = self.cell.live_reports(now).filter(|r| peers.contains(&r.instance)).count();
-        self.cell.set_share(part(near, peers.len()));
+        let Reach { heard: near, covered } = self.cell.measure_reach(now, |i| peers.contains(i));
+        let share = part(self.heard(now), self.instances.saturating_sub(1));
+        self.admission.set_share(share * part(covered, near));
+        self.cell.set_share(part(near, self.group.peers.len()));
+    }
+
+    /// Other instances of the fleet that are heard.
+    pub(crate) fn heard(&self, now: Instant) -> usize {
+        self.cell.heard(now) + self.beyond(now).heard as usize
+    }
+
+    /// Instances of other cells that are heard.
+    pub(crate) fn beyond(&self, now: Instant) -> Beyond {
+        match self.group.cells {
+            0 | 1 => Beyond::default(),
+            _ if self.is_representative(now) => self.cell.beyond(now),
+            _ => self.cell.told_beyond(now),
+        }
     }
 
     /// Whether this instance follows the store, and the store answers it.
@@ -102,26 +133,38 @@
 
     /// Whether at least half of the other instances take on requests.
     pub(crate) fn are_others_ready(&self, now: Instant) -> bool {
-        let ready = self.cell.live_reports(now).filter(|r| r.is_ready).count();
+        let ready = self.near_ready(now) + self.beyond(now).ready as usize;
         ready > 0 && ready * 2 + 1 >= self.instances
     }
 
-    /// Whether this instance speaks for its cell to the others: it is the first by name of those that
+    /// Other instances of the cell that take on requests.
+    pub(crate) fn near_ready(&self, now: Instant) -> usize {
+        self.cell.live_reports(now).filter(|r| r.is_ready).count()
+    }
+
+    /// Whether this instance represents its cell among the others: it is the first by name of those that
     /// are heard.
-    pub(crate) fn speaks(&self, now: Instant) -> bool {
+    pub(crate) fn is_representative(&self, now: Instant) -> bool {
         let is_before = |r: &Report| r.instance < self.me && self.group.peers.contains(&r.instance);
         self.group.cells > 1 && !self.cell.live_reports(now).any(is_before)
     }
 }
 
 impl State {
+    /// Notes what others have admitted.
+    fn draw(&mut self, now: Instant, spent: Vec<(AccountId, u64)>, is_near: bool) {
+        for (account, units) in spent.into_iter().filter(|(_, units)| *units > 0) {
+            self.admission.draw(now, &account, units as f64, is_near);
+        }
+    }
+
     /// Starts from the paces that were noted before.
     fn restore_paces(&mut self) {
         let State { world, cell, .. } = self;
         let noted = world.instances().values().flat_map(|e| &e.paces);
         let mut n = 0;
         for (endpoint, ns) in noted {
-            cell.restore_pace(endpoint, *ns);
+            cell.restore_pace(*endpoint, *ns);
             n += 1;
         }
         log::info!("event=paces_restored endpoints={n}");
@@ -166,9 +209,12 @@
             sources,
             subscriptions: Subscriptions::default(),
             cell_size,
+            members: BTreeMap::new(),
+            endpoints: Vec::new(),
             me,
             zone,
             is_restored: false,
+            restarted: Vec::new(),
             instances: 1,
         };
         let state = Arc::new(Mutex::new(state));
@@ -222,7 +268,12 @@
                 admission.quotas.restore(now, account, window);
             }
         }
-        if news.iter().any(|n| matches!(n, News::Endpoint(_) | News::EndpointGone(_))) {
+        let restarted = news.iter().filter_map(|item| match item {
+            News::Restarted(endpoint) => Some(endpoint.address),
+            _ => None,
+        });
+        state.restarted.extend(restarted);
+        if news.iter().any(News::is_of_endpoints) {
             state.regroup(now);
             if is_start {
                 state.set_shares(now);
@@ -240,14 +291,15 @@
     pub(crate) fn hear(&self, now: Instant, report: Report) {
         let mut state = self.lock();
         let is_near = state.group.cells <= 1 || state.group.peers.contains(&report.instance);
-        let Some(spent) = state.cell.hear(now, report, is_near) else { return };
-        for (account, units) in spent {
-            if units > 0 {
-                state.admission.draw(now, &account, units as f64, is_near);
-            }
-        }
+        let Some(heard) = state.cell.hear(now, report, is_near) else { return };
+        state.draw(now, heard.near, true);
+        state.draw(now, heard.far, false);
+        // Without a request that waits, no report gives anybody a place.
+        let has_work = state.cell.waiting() > 0;
         drop(state);
-        self.place();
+        if has_work {
+            self.place();
+        }
     }
 
     /// Brings in a request; the ticket gets its place.
@@ -293,12 +345,12 @@
     }
 
     /// Notes the time to the first event of a run.
-    pub(crate) fn began(&self, endpoint: &EndpointId, prompt: u32, backlog: u32, first: Duration) {
+    pub(crate) fn began(&self, endpoint: EndpointKey, prompt: u32, backlog: u32, first: Duration) {
         self.lock().cell.began(Instant::now(), endpoint, prompt, backlog, first);
     }
 
     /// Ends a run.
-    pub(crate) fn finish(&self, endpoint: &EndpointId, unread: u32, outcome: Outcome) {
+    pub(crate) fn finish(&self, endpoint: EndpointKey, unread: u32, outcome: Outcome) {
         self.lock().cell.finish(Instant::now(), endpoint, unread, outcome);
         self.tell_others();
         self.place();
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world.rs
@@ -4,16 +4,17 @@
 //! away are kept for a moment after its return, because those that live enter themselves again; an
 //! entry that is missing after that is gone.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use oxbowbend_core::ids::{EndpointId, InstanceId};
+use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
 use oxbowbend_core::routes::{Endpoint, Table};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::seam::{Entry, Record, Revision, Snapshot};
+use crate::seam::{Entry, Named, Record, Revision, Snapshot, UnreadableEntry};
 
 /// Time after the store's return within which lapsed endpoints enter themselves again. The users
 /// promise about two seconds, and bound the time to leave an endpoint alone by the same; the
@@ -37,13 +38,22 @@
     BadConfig(String),
     /// An endpoint is new or has changed.
     Endpoint(Endpoint),
+    /// An endpoint has started again.
+    Restarted(Endpoint),
+    /// The entry of an earlier start of an endpoint was not taken.
+    EarlierStart(Endpoint),
     /// An endpoint has gone.
     EndpointGone(EndpointId),
     /// An entry cannot be read.
-    Unreadable(String),
+    Unreadable(UnreadableEntry),
 }
 
 impl News {
+    /// Whether another set of endpoints is in force since.
+    pub(crate) fn is_of_endpoints(&self) -> bool {
+        matches!(self, News::Endpoint(_) | News::Restarted(_) | News::EndpointGone(_))
+    }
+
     /// Writes the line of the log, with the store's revision and from whom it was learned.
     pub(crate) fn log(&self, revision: Revision, source: &str) {
         match self {
@@ -62,28 +72,36 @@
                     "event=config_unreadable revision={revision} source={source} error=\"{e}\""
                 );
             }
-            News::Endpoint(e) => log::info!(
-                "event=endpoint endpoint={} service={} address={} zone={} slots={} leaving={} \
-                 revision={revision} source={source}",
-                e.id,
-                e.service,
-                e.address,
-                e.zone,
-                e.slots,
-                e.leaving
-            ),
+            News::Endpoint(e) => log_endpoint("endpoint", e, revision, source),
+            News::Restarted(e) => log_endpoint("endpoint_restarted", e, revision, source),
+            News::EarlierStart(e) => log_endpoint("endpoint_earlier_start", e, revision, source),
             News::EndpointGone(id) => {
                 log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
             }
-            News::Unreadable(what) => {
+            News::Unreadable(UnreadableEntry { names, why }) => {
                 log::warn!(
-                    "event=entry_unreadable revision={revision} source={source} what=\"{what}\""
+                    "event=entry_unreadable revision={revision} source={source} names={names:?} \
+                     why=\"{why}\""
                 );
             }
         }
     }
 }
 
+fn log_endpoint(event: &str, e: &Endpoint, revision: Revision, source: &str) {
+    log::info!(
+        "event={event} endpoint={} service={} address={} zone={} slots={} leaving={} born={} \
+         revision={revision} source={source}",
+        e.id,
+        e.service,
+        e.address,
+        e.zone,
+        e.slots,
+        e.leaving,
+        e.born
+    );
+}
+
 /// Who tells what it knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Teller {
@@ -100,6 +118,9 @@
     is_loaded: bool,
     document: Bytes,
     table: Option<Arc<Table>>,
+    /// Entries of endpoints as they were written last.
+    entries: BTreeMap<EndpointId, Endpoint>,
+    /// The newest start of each of them.
     endpoints: BTreeMap<EndpointId, Endpoint>,
     digest: u64,
     lapsed: BTreeMap<EndpointId, Instant>,
@@ -130,12 +151,24 @@
         self.is_loaded && self.table.is_some()
     }
 
-    /// The endpoints in force.
+    /// The endpoints in force. Of two at one address, only the one that began later can be there: the other
+    /// one's entry was written late.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
+        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        for endpoint in self.endpoints.values() {
+            let born = newest.entry(endpoint.address).or_default();
+            *born = endpoint.born.max(*born);
+        }
+        let is_there = move |e: &&Endpoint| e.born == 0 || newest.get(&e.address) == Some(&e.born);
+        self.endpoints.values().filter(is_there)
     }
 
-    /// Digest of the endpoints in force, the same at instances that know the same.
+    /// Entries of endpoints, whether in force or not, to pass on.
+    pub fn entries(&self) -> impl Iterator<Item = &Endpoint> {
+        self.entries.values()
+    }
+
+    /// Digest of the entries of endpoints, the same at instances that know the same.
     pub fn digest(&self) -> u64 {
         self.digest
     }
@@ -145,6 +178,13 @@
         &self.instances
     }
 
+    /// Digest of the instances of the fleet, this one included: the same at those that know the same.
+    pub fn roster(&self, me: (&InstanceId, &ZoneId)) -> u64 {
+        let is_entered = self.instances.contains_key(me.0);
+        let mine = if is_entered { 0 } else { instance_digest(me.0, me.1) };
+        self.instances.iter().fold(mine, |sum, (name, e)| sum ^ instance_digest(name, &e.zone))
+    }
+
     /// Whether the store does not answer.
     pub fn is_store_away(&self) -> bool {
         self.away.is_some()
@@ -183,21 +223,8 @@
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
-        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
-        let mut instances = BTreeMap::new();
-        for record in &snapshot.records {
-            match record {
-                Record::Endpoint(endpoint) => drop(missing.remove(&endpoint.id)),
-                Record::Instance(name, entry) => {
-                    drop(instances.insert(name.clone(), entry.clone()))
-                }
-                _ => {}
-            }
-        }
-        // One that copies is not told instances that it knows.
-        if !instances.is_empty() {
-            self.instances = instances;
-        }
+        let missing = self.missing(&snapshot);
+        self.replace_instances(&snapshot);
         let mut news = self.change(now, snapshot, read);
         for id in missing {
             news.extend(self.lapse(now, id));
@@ -206,6 +233,24 @@
         news
     }
 
+    /// Entries of endpoints that are known here and not in a list.
+    fn missing(&self, snapshot: &Snapshot) -> BTreeSet<EndpointId> {
+        let mut missing: BTreeSet<_> = self.entries.keys().cloned().collect();
+        for record in &snapshot.records {
+            if let Record::Endpoint(endpoint) = record {
+                missing.remove(&endpoint.id);
+            }
+        }
+        missing
+    }
+
+    /// Takes in a list's instances, if it has any: one that copies is not told those that it knows.
+    fn replace_instances(&mut self, snapshot: &Snapshot) {
+        if snapshot.records.iter().any(|r| matches!(r, Record::Instance(..))) {
+            self.instances.clear();
+        }
+    }
+
     /// Takes in a list of instances.
     pub fn set_instances(&mut self, records: Vec<Record>) {
         let instances = records.into_iter().filter_map(|r| match r {
@@ -228,7 +273,7 @@
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
                 Record::InstanceGone(name) => drop(self.instances.remove(&name)),
-                Record::Unreadable(what) => news.push(News::Unreadable(what)),
+                Record::Unreadable(entry) => news.extend(self.misread(now, entry)),
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -244,18 +289,23 @@
         if snapshot.revision < self.revision {
             return self.learn(now, snapshot, Teller::Other, read);
         }
-        let mut missing: BTreeSet<_> = self.endpoints.keys().cloned().collect();
-        for record in &snapshot.records {
-            if let Record::Endpoint(endpoint) = record {
-                missing.remove(&endpoint.id);
-            }
-        }
+        let missing = self.missing(&snapshot);
+        self.replace_instances(&snapshot);
         let mut news = self.change(now, snapshot, read);
         news.extend(missing.into_iter().filter_map(|id| self.remove(id)));
         self.is_loaded = true;
         news
     }
 
+    /// Takes in the rest of what an instance knows that has the same list of endpoints.
+    pub fn confirm<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        self.replace_instances(&snapshot);
+        self.change(now, Snapshot { revision: 0, ..snapshot }, read)
+    }
+
     /// Takes in what another instance knows, if that is more. Its list of endpoints is taken only
     /// while the store is away here, since the store's own word is better; the list of one that the store
     /// answers is taken as it is, since nothing else tells this instance that an endpoint has left.
@@ -314,12 +364,40 @@
 
     fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
         self.lapsed.remove(&endpoint.id);
-        let old = self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        let old = self.entries.insert(endpoint.id.clone(), endpoint.clone());
         if old.as_ref() == Some(&endpoint) {
             return None;
         }
         self.digest ^= old.as_ref().map_or(0, digest) ^ digest(&endpoint);
-        Some(News::Endpoint(endpoint))
+        self.begin(endpoint)
+    }
+
+    /// Puts an endpoint in force, unless a later start of it is known. One that does not say when it began is
+    /// taken to be the one that was known.
+    fn begin(&mut self, mut endpoint: Endpoint) -> Option<News> {
+        let old_born = self.endpoints.get(&endpoint.id).map_or(0, |old| old.born);
+        if endpoint.born == 0 {
+            endpoint.born = old_born;
+        }
+        if endpoint.born < old_born {
+            return Some(News::EarlierStart(endpoint));
+        }
+        let is_restart = old_born > 0 && endpoint.born > old_born;
+        self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
+        Some(if is_restart { News::Restarted(endpoint) } else { News::Endpoint(endpoint) })
+    }
+
+    /// An entry that cannot be read stands in place of what its key named before, which is gone.
+    fn misread(&mut self, now: Instant, entry: UnreadableEntry) -> Vec<News> {
+        let gone = match &entry.names {
+            Named::Endpoint(id) => self.lapse(now, id.clone()),
+            Named::Instance(name) => {
+                self.instances.remove(name);
+                None
+            }
+            Named::Nothing => None,
+        };
+        [Some(News::Unreadable(entry)), gone].into_iter().flatten().collect()
     }
 
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
@@ -328,7 +406,7 @@
             Some(returned) if now < returned + LAPSE => returned + LAPSE,
             _ => return self.remove(id),
         };
-        if self.endpoints.contains_key(&id) {
+        if self.entries.contains_key(&id) {
             self.lapsed.entry(id).or_insert(until);
         }
         None
@@ -336,13 +414,18 @@
 
     fn remove(&mut self, id: EndpointId) -> Option<News> {
         self.lapsed.remove(&id);
-        self.digest ^= digest(&self.endpoints.remove(&id)?);
+        self.digest ^= digest(&self.entries.remove(&id)?);
+        self.endpoints.remove(&id);
         Some(News::EndpointGone(id))
     }
 }
 
+fn instance_digest(name: &InstanceId, zone: &ZoneId) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), xxh3_64(zone.as_bytes()))
+}
+
 /// Part of one endpoint in the digest of all, which is the exclusive or of these.
 fn digest(endpoint: &Endpoint) -> u64 {
-    let Endpoint { id, address, leaving, .. } = endpoint;
-    xxh3_64(format!("{id} {address} {leaving}").as_bytes())
+    let Endpoint { id, address, leaving, born, .. } = endpoint;
+    xxh3_64(format!("{id} {address} {leaving} {born}").as_bytes())
 }
