Compare who is heard in fleets of one cell only

Change: in a fleet of several cells quotas go by the part of the fleet that is heard, as before. Fleets of one cell, for which the comparison was made, are unchanged.

--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -107,6 +107,9 @@
     pub(crate) fn set_shares(&mut self, now: Instant) {
         let peers = &self.group.peers;
         let Reach { heard: near, covered } = self.cell.measure_reach(now, |i| peers.contains(i));
+        // In a fleet of several cells sums come from representatives, whoever hears whom in a cell; and while
+        // instances do not agree on who belongs to it, each hears somebody whom another does not.
+        let covered = if self.group.cells > 1 { near } else { covered };
         let share = part(self.heard(now), self.instances.saturating_sub(1));
         self.admission.set_share(share * part(covered, near));
         self.cell.set_share(part(near, self.group.peers.len()));
