Tell what a refusal over a quota was decided from

Change: account, units used live and noted, limit, bucket, rate and share heard in the refused line. Conclusion: neither the even rate nor the window is at fault. Membership changes with each stop, the number of cells goes back and forth, instances are not in the cells that others take them to be in, and counters are counted again when who tells them changes.

--- a/oxbowbend-core/src/admission.rs
+++ b/oxbowbend-core/src/admission.rs
@@ -21,12 +21,31 @@
 }
 
 /// A request would pass its account's quota.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaExceeded {
     /// Which bound it would pass.
     pub bound: Bound,
     /// Time until there will be room.
     pub retry_after: Duration,
+    /// What it was decided from.
+    pub usage: AccountUsage,
+}
+
+/// What an instance knows of an account's usage.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AccountUsage {
+    /// Units admitted in the window by this instance, and by others as they told.
+    pub live: f64,
+    /// Units that were in the window before this instance's start, as was noted or told.
+    pub noted: f64,
+    /// Units that this instance may use of the window.
+    pub limit: f64,
+    /// Units left in the bucket; below 0, what others have taken beyond it.
+    pub level: f64,
+    /// Units a second that the bucket gets.
+    pub per_s: f64,
+    /// Share of the fleet that is heard.
+    pub share: f64,
 }
 
 /// The bounds of all client accounts.
@@ -69,10 +88,21 @@
         units: u64,
         rank: u8,
     ) -> Result<(), QuotaExceeded> {
-        let exceeded = |bound| move |retry_after| QuotaExceeded { bound, retry_after };
-        self.buckets.admit(now, account, units, rank).map_err(exceeded(Bound::Rate))?;
-        let admitted = self.quotas.admit(now, account, units).map_err(exceeded(Bound::Window));
-        admitted.inspect_err(|_| self.buckets.give_back(account, units))
+        if let Err(retry_after) = self.buckets.admit(now, account, units, rank) {
+            let usage = self.usage(account);
+            return Err(QuotaExceeded { bound: Bound::Rate, retry_after, usage });
+        }
+        self.quotas.admit(now, account, units).map_err(|retry_after| {
+            self.buckets.give_back(account, units);
+            QuotaExceeded { bound: Bound::Window, retry_after, usage: self.usage(account) }
+        })
+    }
+
+    /// What is known of an account's usage.
+    pub fn usage(&self, account: &str) -> AccountUsage {
+        let mut usage = self.quotas.usage(account);
+        self.buckets.add_usage(account, &mut usage);
+        usage
     }
 
     /// Gives back the units of a request that has not run.
--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -23,6 +23,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::admission::AccountUsage;
 use crate::ids::AccountId;
 use crate::routes::Quota;
 
@@ -130,6 +131,18 @@
         Ok(())
     }
 
+    /// What is known of an account's window.
+    pub fn usage(&self, account: &str) -> AccountUsage {
+        let Some(usage) = self.usages.get(account) else { return AccountUsage::default() };
+        AccountUsage {
+            live: usage.live.sum,
+            noted: usage.noted.sum,
+            limit: usage.usable(&self.bounds, self.share),
+            share: self.share,
+            ..AccountUsage::default()
+        }
+    }
+
     /// Gives back the units of a request that has not run.
     pub fn give_back(&mut self, account: &str, units: u64) {
         if let Some(usage) = self.usages.get_mut(account) {
--- a/oxbowbend-core/src/token_bucket.rs
+++ b/oxbowbend-core/src/token_bucket.rs
@@ -16,6 +16,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::admission::AccountUsage;
 use crate::ids::AccountId;
 use crate::quota::{QuotaBounds, TOLERANCE_SHARE};
 use crate::routes::Quota;
@@ -100,6 +101,14 @@
         }
     }
 
+    /// Adds what is known of an account's bucket.
+    pub(crate) fn add_usage(&self, account: &str, usage: &mut AccountUsage) {
+        if let Some(bucket) = self.buckets.get(account) {
+            usage.level = bucket.level.map_or(0.0, |(level, _)| level);
+            usage.per_s = bucket.flow(&self.bounds, self.share).per_s;
+        }
+    }
+
     /// Gives back the units of a request that has not run.
     pub fn give_back(&mut self, account: &str, units: u64) {
         let bucket = self.buckets.get_mut(account);
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -105,7 +105,10 @@
             Some(account) => state.admission.admit(arrived, &account.name, units, route.tier),
             None => Ok(()),
         };
-        admitted.map_err(|exceeded| Refusal::OverQuota { exceeded, units })?;
+        admitted.map_err(|exceeded| {
+            let account = account.map(|a| a.name.clone()).unwrap_or_default();
+            Refusal::OverQuota { account, exceeded, units }
+        })?;
         state.repeats.requested(arrived, &service);
         let age = state.ages.age(&route.name, ask.patience, route.timeout);
         drop(state);
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -5,9 +5,10 @@
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use oxbowbend_clock as clock;
-use oxbowbend_core::admission::QuotaExceeded;
+use oxbowbend_core::admission::{AccountUsage, QuotaExceeded};
 use oxbowbend_core::cell::RetryAfter;
 use oxbowbend_core::fingerprint::Fingerprint;
+use oxbowbend_core::ids::AccountId;
 use oxbowbend_http::h1;
 
 /// When to come back to another instance, if this one stops.
@@ -31,7 +32,7 @@
     /// The caller did not send the whole body.
     CutBody,
     /// The client account has used its quota up.
-    OverQuota { exceeded: QuotaExceeded, units: u64 },
+    OverQuota { account: AccountId, exceeded: QuotaExceeded, units: u64 },
     /// No endpoint had a place in time.
     Busy { retry_after: RetryAfter, on_arrival: bool },
     /// It has ended the endpoints that ran it.
@@ -98,9 +99,7 @@
     fn detail(&self) -> String {
         match self {
             Refusal::Unreadable(e) => e.clone(),
-            Refusal::OverQuota { exceeded, units } => {
-                format!("bound={:?} units={units}", exceeded.bound)
-            }
+            Refusal::OverQuota { account, exceeded, units } => over_quota(account, exceeded, *units),
             Refusal::Busy { retry_after: RetryAfter { placed, refused, .. }, on_arrival } => {
                 format!("on_arrival={on_arrival} placed_last_s={placed} refused_last_s={refused}")
             }
@@ -136,3 +135,13 @@
         answer
     }
 }
+
+/// What a refusal over a quota was decided from.
+fn over_quota(account: &AccountId, exceeded: &QuotaExceeded, units: u64) -> String {
+    let AccountUsage { live, noted, limit, level, per_s, share } = exceeded.usage;
+    format!(
+        "bound={:?} account={account} units={units} live={live:.0} noted={noted:.0} \
+         limit={limit:.0} level={level:.0} per_s={per_s:.0} share={share:.3}",
+        exceeded.bound
+    )
+}
