Tie what is known of the store to its epoch

Cause: a store that comes back from a copy some seconds old gives its revisions and leases out again; nothing here told a later revision of an older history from a newer one. The first configuration written after such a return could be missed (a watch from a revision that the copy reaches again is answered without what came before), an endpoint that had left was taken back from the copy, and a renewal or the end of a lease could hit another instance's. Ruled out: comparing revisions alone; after a few writes they are the same again. Change: every answer carries the epoch; positions are epoch and revision; a list or a change of an earlier epoch is dropped, one of a later epoch makes the follower read everything anew; the copy takes nothing back (configuration, endpoints that leave or have gone); leases belong to their epoch; notes of an earlier epoch count as a whole window old; reports and copies between instances carry the epoch.

--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -24,6 +24,9 @@
     /// Number of the report in this life.
     #[serde(rename = "n")]
     pub number: u64,
+    /// Epoch of the store in which that revision is.
+    #[serde(rename = "E", default, skip_serializing_if = "is_zero_epoch")]
+    pub epoch: u64,
     /// Revision of the store up to which the sender knows.
     #[serde(rename = "r")]
     pub revision: u64,
@@ -187,6 +190,10 @@
     pub stall: super::Stall,
 }
 
+fn is_zero_epoch(n: &u64) -> bool {
+    *n == 0
+}
+
 fn is_zero(n: &u32) -> bool {
     *n == 0
 }
--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -40,6 +40,15 @@
 /// the limit may be reached before the next beat.
 const BUSY_SHARE: f64 = 0.6;
 
+/// How old a note of an account's window may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Note {
+    /// As old as notes usually are.
+    Fresh,
+    /// Of an older copy of the store: nobody knows how old. Usage is taken to have gone on for a whole window.
+    Old,
+}
+
 /// Units that an account has used in each of the last seconds, the newest first.
 pub type Window = Vec<u64>;
 
@@ -183,9 +192,13 @@
     }
 
     /// Starts from a note of an account's window. Of several, the fullest counts.
-    pub fn restore(&mut self, now: Instant, account: &str, window: &[u64]) {
+    pub fn restore(&mut self, now: Instant, account: &str, window: &[u64], note: Note) {
         let Some(usage) = self.usages.get_mut(account) else { return };
-        let unseen = window.first().map_or(0.0, |last| *last as f64) * NOTE_AGE.as_secs_f64();
+        let behind = match note {
+            Note::Fresh => NOTE_AGE,
+            Note::Old => self.bounds.window,
+        };
+        let unseen = window.first().map_or(0.0, |last| *last as f64) * behind.as_secs_f64();
         let noted = window.iter().sum::<u64>() as f64 + unseen;
         if noted <= usage.noted.sum {
             return;
--- a/oxbowbend-gateway/src/entry.rs
+++ b/oxbowbend-gateway/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::seam::{Entry, LeaseId};
+use crate::seam::{Entry, Epoch, Lease};
 
 /// Time for which the entry outlives this instance. Its absence makes the fleet look smaller, which
 /// widens the quotas' shares, and loses the note of accounts' windows; eight seconds of these are
@@ -24,9 +24,20 @@
     /// Enter with a new lease.
     Enroll,
     /// Renew the lease. A change of the entry does not do that.
-    Renew(LeaseId),
+    Renew(Lease),
     /// Write the changed entry.
-    Update(LeaseId),
+    Update(Lease),
+}
+
+/// What was done, and the store's epoch in which.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Done {
+    /// Entered with this lease.
+    Enrolled(Lease),
+    /// Renewed.
+    Renewed(Epoch),
+    /// Written.
+    Updated(Epoch),
 }
 
 impl Step {
@@ -43,7 +54,7 @@
 /// What has been done about the entry.
 #[derive(Debug, Default)]
 pub struct Upkeep {
-    lease: Option<LeaseId>,
+    lease: Option<Lease>,
     renewed: Option<Instant>,
     told: Option<Entry>,
     updated: Option<Instant>,
@@ -65,23 +76,32 @@
         (!may_wait && self.told.as_ref() != Some(entry)).then_some(Step::Update(lease))
     }
 
-    /// Notes that a step begun at `began` was done.
-    pub fn done(&mut self, began: Instant, step: Step, lease: LeaseId, entry: Entry) {
-        self.lease = Some(lease);
-        match step {
-            Step::Enroll => (self.renewed, self.told) = (Some(began), Some(entry)),
-            Step::Renew(_) => self.renewed = Some(began),
-            Step::Update(_) => (self.updated, self.told) = (Some(began), Some(entry)),
+    /// Notes that a step begun at `began` was done. In a later epoch than that of the lease it was done to
+    /// somebody else's lease, or to none.
+    pub fn done(&mut self, began: Instant, done: Done, entry: Entry) {
+        match done {
+            Done::Enrolled(lease) => {
+                self.lease = Some(lease);
+                (self.renewed, self.told) = (Some(began), Some(entry));
+            }
+            Done::Renewed(epoch) | Done::Updated(epoch) if self.is_of_before(epoch) => self.lost(),
+            Done::Renewed(_) => self.renewed = Some(began),
+            Done::Updated(_) => (self.updated, self.told) = (Some(began), Some(entry)),
         }
     }
 
+    /// Whether the lease was granted before an epoch of the store.
+    pub fn is_of_before(&self, epoch: Epoch) -> bool {
+        self.lease.is_some_and(|lease| lease.epoch < epoch)
+    }
+
     /// Notes that the lease has ended.
     pub fn lost(&mut self) {
         *self = Upkeep::default();
     }
 
     /// The lease, if there is one.
-    pub fn lease(&self) -> Option<LeaseId> {
+    pub fn lease(&self) -> Option<Lease> {
         self.lease
     }
 }
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -19,11 +19,12 @@
 use oxbowbend_http::h1;
 use rand::Rng;
 
-use crate::entry::{Step, Upkeep, TTL};
+use crate::entry::{Done, Step, Upkeep, TTL};
 use crate::observe;
-use crate::seam::{Entry, Part, Revision, Snapshot, Store, StoreError, Wire};
+use crate::seam::{Entry, Part, Position, Snapshot, Store, StoreError, Wire};
 use crate::shared::Shared;
 use crate::source;
+use crate::world::log_outdated;
 
 /// How often a follower that waits for the store's return looks for it.
 const AWAY_LOOK: Duration = Duration::from_millis(100);
@@ -97,21 +98,20 @@
     }
 
     /// Reads everything, however long it takes; nothing if there is another source meanwhile.
-    async fn load(&self) -> Option<Revision> {
+    async fn load(&self) -> Option<Position> {
         let mut backoff = Backoff { pause: PAUSE.0 };
         while self.is_needed() {
             let began = clock::now();
             match self.store.load().await {
                 Ok(snapshot) => {
                     observe::store_call("load", "ok");
-                    let revision = snapshot.revision;
-                    let (records, took_ms) =
-                        (snapshot.records.len(), clock::since(began).as_millis());
-                    log::info!(
-                        "event=store_listed revision={revision} records={records} took_ms={took_ms}"
-                    );
+                    log_listed(&snapshot, began);
+                    let position = snapshot.position();
+                    if self.is_outdated(position) {
+                        continue;
+                    }
                     take(&self.shared, &self.wire, None, snapshot);
-                    return Some(revision);
+                    return Some(position);
                 }
                 Err(e) => {
                     note_failed("load", began, &e);
@@ -123,6 +123,15 @@
         None
     }
 
+    /// Whether an answer is of an epoch that is over: it was on its way while the store came back from a copy.
+    fn is_outdated(&self, position: Position) -> bool {
+        let is_outdated = position.epoch < self.shared.lock().world.epoch();
+        if is_outdated {
+            log_outdated(position, "store");
+        }
+        is_outdated
+    }
+
     /// Time after a change before the next ones are asked for.
     fn gather(&self) -> Duration {
         let state = self.shared.lock();
@@ -134,14 +143,14 @@
         }
     }
 
-    /// Follows a part until its changes since the last one are not kept any more, or until there is
-    /// another source.
-    async fn follow(&self, part: Part, mut after: Revision) {
+    /// Follows a part until its changes since the last one are not kept any more, the store has come back from
+    /// an older copy, or there is another source.
+    async fn follow(&self, part: Part, mut after: Position) {
         let mut backoff = Backoff { pause: PAUSE.0 };
         while self.is_needed() {
             let began = clock::now();
             let call = self.shared.begin_watch(began, part);
-            let changes = pin!(self.store.changes(part, after, call));
+            let changes = pin!(self.store.changes(part, after.revision, call));
             // Nothing tells a watch whose answer was lost from one without a change: waiting for it alone left
             // every instance with an old configuration for 21.5 s.
             let given_up = pin!(self.shared.given_up(part));
@@ -149,7 +158,14 @@
                 Either::Left((Ok(changes), _)) => {
                     log_answer(part, after, &changes, began);
                     backoff.pause = PAUSE.0;
-                    after = changes.revision;
+                    if self.is_outdated(changes.position()) {
+                        continue;
+                    }
+                    if changes.epoch > after.epoch {
+                        // Its revisions are not those that this instance knows.
+                        return;
+                    }
+                    after = changes.position();
                     let is_news = !changes.records.is_empty();
                     take(&self.shared, &self.wire, Some(part), changes);
                     if is_news {
@@ -198,11 +214,23 @@
     }
 }
 
-fn log_answer(part: Part, after: Revision, changes: &Snapshot, began: Instant) {
+fn log_listed(snapshot: &Snapshot, began: Instant) {
+    log::info!(
+        "event=store_listed epoch={} revision={} records={} took_ms={}",
+        snapshot.epoch,
+        snapshot.revision,
+        snapshot.records.len(),
+        clock::since(began).as_millis()
+    );
+}
+
+fn log_answer(part: Part, after: Position, changes: &Snapshot, began: Instant) {
     observe::store_call(part.name(), "ok");
     log::info!(
-        "event=watch_answered part={} after={after} revision={} records={} took_ms={}",
+        "event=watch_answered part={} after={} epoch={} revision={} records={} took_ms={}",
         part.name(),
+        after.revision,
+        changes.epoch,
         changes.revision,
         changes.records.len(),
         clock::since(began).as_millis()
@@ -262,20 +290,24 @@
         }
         let entry = entry(&shared, &name, &zone, address);
         let began = clock::now();
+        if upkeep.is_of_before(entry.epoch) {
+            log::warn!("event=entry_lost instance={name} epoch={}", entry.epoch);
+            upkeep.lost();
+        }
         let is_urgent = shared.lock().admission.quotas.is_busy();
         let Some(step) = upkeep.due(began, &entry, is_urgent) else { continue };
         let result = match step {
-            Step::Enroll => store.enroll(&name, &entry, TTL).await,
-            Step::Renew(id) => store.renew(id).await.map(|()| id),
-            Step::Update(id) => store.update(&name, &entry, id).await.map(|()| id),
+            Step::Enroll => store.enroll(&name, &entry, TTL).await.map(Done::Enrolled),
+            Step::Renew(lease) => store.renew(lease.id).await.map(Done::Renewed),
+            Step::Update(lease) => store.update(&name, &entry, lease.id).await.map(Done::Updated),
         };
         match result {
-            Ok(id) => {
+            Ok(done) => {
                 observe::store_call(step.name(), "ok");
-                if step == Step::Enroll {
-                    log::info!("event=entered instance={name} lease={id}");
+                if let Done::Enrolled(lease) = done {
+                    log::info!("event=entered instance={name} lease={}", lease.id);
                 }
-                upkeep.done(began, step, id, entry);
+                upkeep.done(began, done, entry);
             }
             Err(StoreError::Condition) => {
                 observe::store_call(step.name(), "failed");
@@ -288,8 +320,10 @@
             }
         }
     }
-    if let Some(id) = upkeep.lease() {
-        if let Err(e) = store.retire(id).await {
+    let epoch = shared.lock().world.epoch();
+    // In another epoch its number may be that of another instance's lease.
+    if let Some(lease) = upkeep.lease().filter(|lease| lease.epoch >= epoch) {
+        if let Err(e) = store.retire(lease.id).await {
             log::warn!("event=entry_not_removed instance={name} error=\"{e}\"");
         }
     }
@@ -312,7 +346,8 @@
         paces = state.cell.known_paces(now);
     }
     let quarantined = state.quarantine.notes(now, is_first);
-    Entry { zone: zone.clone(), address, paces, used, quarantined }
+    let epoch = state.world.epoch();
+    Entry { zone: zone.clone(), address, paces, used, epoch, quarantined }
 }
 
 /// Reads now and then which instances there are. Who copies from another one is told by that.
@@ -325,9 +360,10 @@
         }
         let began = clock::now();
         match store.instances().await {
-            Ok(records) => {
+            Ok(snapshot) => {
                 observe::store_call("instances", "ok");
-                shared.lock().world.set_instances(records);
+                let news = shared.lock().world.set_instances(snapshot);
+                shared.apply(clock::now(), news.as_slice(), "store");
                 shared.read_notes(clock::now());
             }
             Err(e) => note_failed("instances", began, &e),
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::link::Link;
-use crate::seam::{Entry, Record, Snapshot};
+use crate::seam::{Entry, Position, Record, Snapshot};
 use crate::shared::{Shared, State};
 
 /// Method of the question.
@@ -22,6 +22,8 @@
 /// What one instance tells another that knows less.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct Knowledge {
+    #[serde(default)]
+    pub(crate) epoch: u64,
     pub(crate) revision: u64,
     pub(crate) version: u64,
     /// Whether the store answers the one who tells.
@@ -77,9 +79,12 @@
         let others = world.instances().iter().filter(|(name, _)| *name != me);
         let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
         let quarantined = quarantine.notes(clock::now(), true);
-        instances.push((me.clone(), Entry { zone, address, paces, used, quarantined }));
+        let position = if world.is_loaded() { world.position() } else { Position::default() };
+        let Position { epoch, revision } = position;
+        instances.push((me.clone(), Entry { zone, address, paces, used, epoch, quarantined }));
         Knowledge {
-            revision: if world.is_loaded() { world.revision() } else { 0 },
+            epoch,
+            revision,
             version: world.table().map_or(0, |t| t.version()),
             has_store,
             document: String::from_utf8_lossy(world.document()).into_owned(),
@@ -114,6 +119,7 @@
         }
         records.extend(self.endpoints.into_iter().flatten().map(Record::Endpoint));
         records.extend(self.instances.into_iter().map(|(n, e)| Record::Instance(n, e)));
-        Snapshot { revision: self.revision, records, lapsed: self.lapsed }
+        let (epoch, revision) = (self.epoch, self.revision);
+        Snapshot { epoch, revision, records, lapsed: self.lapsed }
     }
 }
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -29,7 +29,7 @@
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
 use crate::link::Link;
 use crate::observe;
-use crate::seam::Wire;
+use crate::seam::{Position, Wire};
 use crate::shared::{Shared, State};
 use crate::world::Teller;
 
@@ -129,6 +129,7 @@
             report.roster = Some(state.roster());
         }
         report.digest = state.world.digest();
+        report.epoch = state.world.epoch();
         report.revision = state.world.revision();
         report.version = state.world.table().map_or(0, |t| t.version());
         report.address = Some(self.address);
@@ -179,6 +180,7 @@
             zone: near.zone.clone(),
             life: near.life,
             number: near.number,
+            epoch: near.epoch,
             revision: near.revision,
             version: near.version,
             address: near.address,
@@ -265,8 +267,8 @@
         let mut state = self.shared.lock();
         state.compare(clock::now(), report);
         let is_source = state.sources.is(&report.instance);
-        let is_other =
-            report.digest != state.world.digest() && report.revision >= state.world.revision();
+        let position = Position { epoch: report.epoch, revision: report.revision };
+        let is_other = report.digest != state.world.digest() && position >= state.world.position();
         if is_source {
             state.sources.compared(clock::now(), &report.instance, is_other);
         }
@@ -274,7 +276,7 @@
         let is_other_fleet = report.roster.is_some_and(|roster| roster != state.roster());
         let world = &state.world;
         let version = world.table().map_or(0, |t| t.version());
-        let is_newer = report.revision > world.revision() || (report.has_store && is_other);
+        let is_newer = position > world.position() || (report.has_store && is_other);
         let is_behind = report.version > version
             || (world.is_cut_off() && is_newer)
             || (is_source && (is_other || is_other_fleet));
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -99,7 +99,9 @@
     fn detail(&self) -> String {
         match self {
             Refusal::Unreadable(e) => e.clone(),
-            Refusal::OverQuota { account, exceeded, units } => over_quota(account, exceeded, *units),
+            Refusal::OverQuota { account, exceeded, units } => {
+                over_quota(account, exceeded, *units)
+            }
             Refusal::Busy { retry_after: RetryAfter { placed, refused, .. }, on_arrival } => {
                 format!("on_arrival={on_arrival} placed_last_s={placed} refused_last_s={refused}")
             }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -15,9 +15,30 @@
 
 /// Revision of the store.
 pub type Revision = u64;
-/// A lease at the store.
+/// Epoch of the store. One that comes back from an older copy begins a new epoch, in which it gives out again
+/// revisions and leases that it has given out before. 0 where the store tells none.
+pub type Epoch = u64;
+/// Number of a lease at the store.
 pub type LeaseId = u64;
 
+/// A lease at the store. It means nothing in another epoch, where its number may be another one's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// Its number.
+    pub id: LeaseId,
+    /// The epoch in which it was granted.
+    pub epoch: Epoch,
+}
+
+/// A place in the store's history; one of a later epoch is later whatever its revision.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// The epoch.
+    pub epoch: Epoch,
+    /// The revision in it.
+    pub revision: Revision,
+}
+
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Ask {
@@ -110,6 +131,9 @@
     /// What client accounts have used of their quotas, likewise.
     #[serde(default)]
     pub used: Vec<(AccountId, Window)>,
+    /// The store's epoch as this instance knew it. What was noted in an earlier one is older than it looks.
+    #[serde(default)]
+    pub epoch: Epoch,
     /// Requests in quarantine, from this instance if it decided that, else likewise.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantined: Vec<ToldVerdict>,
@@ -175,6 +199,8 @@
 /// All that the store holds.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
+    /// The store's epoch.
+    pub epoch: Epoch,
     /// Revision to continue from.
     pub revision: Revision,
     /// The records.
@@ -183,6 +209,13 @@
     pub lapsed: Vec<EndpointId>,
 }
 
+impl Snapshot {
+    /// Where to continue from.
+    pub fn position(&self) -> Position {
+        Position { epoch: self.epoch, revision: self.revision }
+    }
+}
+
 /// Why the store did not do what was asked.
 #[derive(Debug, Error, PartialEq)]
 pub enum StoreError {
@@ -215,7 +248,7 @@
     ) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
     /// Reads the instances that have entered themselves; the answer may be some seconds old.
-    fn instances(&self) -> impl Future<Output = Result<Vec<Record>, StoreError>> + Send;
+    fn instances(&self) -> impl Future<Output = Result<Snapshot, StoreError>> + Send;
 
     /// Enters this instance for as long as the lease is renewed.
     fn enroll(
@@ -223,18 +256,18 @@
         name: &InstanceId,
         entry: &Entry,
         ttl: Duration,
-    ) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Lease, StoreError>> + Send;
 
-    /// Changes this instance's entry.
+    /// Changes this instance's entry; returns the store's epoch.
     fn update(
         &self,
         name: &InstanceId,
         entry: &Entry,
         lease: LeaseId,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    ) -> impl Future<Output = Result<Epoch, StoreError>> + Send;
 
-    /// Renews the lease.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Renews the lease; returns the store's epoch.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<Epoch, StoreError>> + Send;
 
     /// Ends the lease.
     fn retire(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -15,6 +15,7 @@
 };
 use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ZoneId};
 use oxbowbend_core::quarantine::Quarantine;
+use oxbowbend_core::quota::Note;
 use oxbowbend_core::repeats::Repeats;
 use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::shutdown::Shutdown;
@@ -288,9 +289,14 @@
             let noted = world.instances().values().flat_map(|e| &e.quarantined).cloned();
             quarantine.hear_verdicts(now, &noted.collect::<Vec<_>>());
             self.loaded.1.close();
-            for (account, window) in world.instances().values().flat_map(|e| &e.used) {
-                log::info!("event=window_restored account={account} units={window:?}");
-                admission.quotas.restore(now, account, window);
+            for entry in world.instances().values() {
+                let note = if entry.epoch < world.epoch() { Note::Old } else { Note::Fresh };
+                for (account, window) in &entry.used {
+                    log::info!(
+                        "event=window_restored account={account} note={note:?} units={window:?}"
+                    );
+                    admission.quotas.restore(now, account, window, note);
+                }
             }
         }
         for item in news {
--- a/oxbowbend-gateway/src/watches.rs
+++ b/oxbowbend-gateway/src/watches.rs
@@ -68,14 +68,17 @@
     /// Compares what this instance knows with what another one does.
     pub(crate) fn compare(&mut self, now: Instant, report: &Report) {
         let as_of = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
+        // In another epoch nothing that is known of the store holds, even if it looks the same.
+        let is_same_epoch = report.epoch == self.world.epoch();
         if let Some(as_of) = report.seen_ms.and_then(as_of) {
-            let is_same = report.digest == self.world.digest();
+            let is_same = report.digest == self.world.digest() && is_same_epoch;
             self.subscriptions.endpoints.heard(now, as_of, is_same);
         }
         let version = self.world.table().map_or(0, |t| t.version());
         let as_of = report.config_ms.and_then(as_of).filter(|_| report.version >= version);
         if let Some(as_of) = as_of {
-            self.subscriptions.config.heard(now, as_of, report.version == version);
+            let is_same = report.version == version && is_same_epoch;
+            self.subscriptions.config.heard(now, as_of, is_same);
         }
     }
 }
--- a/oxbowbend-gateway/src/world.rs
+++ b/oxbowbend-gateway/src/world/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Configuration never goes back within one life. Endpoints whose entries went while the store was
 //! away are kept for a moment after its return, because those that live enter themselves again; an
-//! entry that is missing after that is gone.
+//! entry that is missing after that is gone. A store that comes back from an older copy is treated alike, and
+//! what its copy says of endpoints that are known to have left is not believed ([`restored`]).
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -14,7 +15,15 @@
 use oxbowbend_core::routes::{Endpoint, Table};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::seam::{Entry, Named, Record, Revision, Snapshot, UnreadableEntry};
+use crate::seam::{Entry, Epoch, Named, Position, Record, Revision, Snapshot, UnreadableEntry};
+
+mod news;
+mod restored;
+
+pub(crate) use news::log_outdated;
+pub use news::News;
+use restored::Departed;
+pub use restored::CONFIRM;
 
 /// Time after the store's return within which lapsed endpoints enter themselves again. The users
 /// promise about two seconds, and bound the time to leave an endpoint alone by the same; the
@@ -27,81 +36,6 @@
 /// 4 to 6 s, and callers wait a third of the time that they have left, 4 s at most.
 const OUTAGE: (Duration, Duration) = (Duration::from_millis(1500), Duration::from_millis(4000));
 
-/// A change of what is known, for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    /// A configuration came in force.
-    Config(u64),
-    /// An older configuration was not taken.
-    OldConfig(u64),
-    /// A configuration could not be read.
-    BadConfig(String),
-    /// An endpoint is new or has changed.
-    Endpoint(Endpoint),
-    /// An endpoint has started again.
-    Restarted(Endpoint),
-    /// The entry of an earlier start of an endpoint was not taken.
-    EarlierStart(Endpoint),
-    /// An endpoint has gone.
-    EndpointGone(EndpointId),
-    /// An entry cannot be read.
-    Unreadable(UnreadableEntry),
-}
-
-impl News {
-    /// Whether another set of endpoints is in force since.
-    pub(crate) fn is_of_endpoints(&self) -> bool {
-        matches!(self, News::Endpoint(_) | News::Restarted(_) | News::EndpointGone(_))
-    }
-
-    /// Writes the line of the log, with the store's revision and from whom it was learned.
-    pub(crate) fn log(&self, revision: Revision, source: &str) {
-        match self {
-            News::Config(version) => {
-                log::info!(
-                    "event=config_in_force version={version} revision={revision} source={source}"
-                );
-            }
-            News::OldConfig(version) => {
-                log::warn!(
-                    "event=config_older version={version} revision={revision} source={source}"
-                );
-            }
-            News::BadConfig(e) => {
-                log::error!(
-                    "event=config_unreadable revision={revision} source={source} error=\"{e}\""
-                );
-            }
-            News::Endpoint(e) => log_endpoint("endpoint", e, revision, source),
-            News::Restarted(e) => log_endpoint("endpoint_restarted", e, revision, source),
-            News::EarlierStart(e) => log_endpoint("endpoint_earlier_start", e, revision, source),
-            News::EndpointGone(id) => {
-                log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
-            }
-            News::Unreadable(UnreadableEntry { names, why }) => {
-                log::warn!(
-                    "event=entry_unreadable revision={revision} source={source} names={names:?} \
-                     why=\"{why}\""
-                );
-            }
-        }
-    }
-}
-
-fn log_endpoint(event: &str, e: &Endpoint, revision: Revision, source: &str) {
-    log::info!(
-        "event={event} endpoint={} service={} address={} zone={} slots={} leaving={} born={} \
-         revision={revision} source={source}",
-        e.id,
-        e.service,
-        e.address,
-        e.zone,
-        e.slots,
-        e.leaving,
-        e.born
-    );
-}
-
 /// Who tells what it knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Teller {
@@ -114,7 +48,8 @@
 /// All that is known.
 #[derive(Debug, Default)]
 pub struct World {
-    revision: Revision,
+    /// Up to where changes are known.
+    position: Position,
     is_loaded: bool,
     document: Bytes,
     table: Option<Arc<Table>>,
@@ -125,6 +60,8 @@
     digest: u64,
     lapsed: BTreeMap<EndpointId, Instant>,
     instances: BTreeMap<InstanceId, Entry>,
+    /// Endpoints that have left, as long as a copy of the store may still list them.
+    departed: Departed,
     returned: Option<Instant>,
     /// Since when the store has not answered.
     away: Option<Instant>,
@@ -133,7 +70,17 @@
 impl World {
     /// Revision up to which changes are known.
     pub fn revision(&self) -> Revision {
-        self.revision
+        self.position.revision
+    }
+
+    /// Epoch and revision up to which changes are known.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Epoch of the store as far as is known.
+    pub fn epoch(&self) -> Epoch {
+        self.position.epoch
     }
 
     /// The configuration in force.
@@ -233,9 +180,19 @@
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
+        if snapshot.epoch < self.epoch() {
+            return vec![News::Outdated(snapshot.position())];
+        }
+        let is_restored = self.is_restored(&snapshot);
         let missing = self.missing(&snapshot);
-        self.replace_instances(&snapshot);
-        let mut news = self.change(now, snapshot, read);
+        let mut news = Vec::new();
+        if is_restored {
+            news.push(News::Restored { before: self.position, now: snapshot.position() });
+            self.returned = Some(now);
+        } else {
+            self.replace_instances(&snapshot);
+        }
+        news.extend(self.take(now, snapshot, is_restored, read));
         for id in missing {
             news.extend(self.lapse(now, id));
         }
@@ -243,6 +200,12 @@
         news
     }
 
+    /// Whether a list is of a later epoch than all that is known: the store has come back from an older copy.
+    /// Entries of instances that it lacks are still known; these enter themselves again.
+    fn is_restored(&self, snapshot: &Snapshot) -> bool {
+        self.is_loaded && snapshot.epoch > self.epoch()
+    }
+
     /// Entries of endpoints that are known here and not in a list.
     fn missing(&self, snapshot: &Snapshot) -> BTreeSet<EndpointId> {
         let mut missing: BTreeSet<_> = self.entries.keys().cloned().collect();
@@ -261,24 +224,40 @@
         }
     }
 
-    /// Takes in a list of instances.
-    pub fn set_instances(&mut self, records: Vec<Record>) {
-        let instances = records.into_iter().filter_map(|r| match r {
+    /// Takes in a list of instances, unless it is of an epoch that is over.
+    pub fn set_instances(&mut self, snapshot: Snapshot) -> Option<News> {
+        if snapshot.epoch < self.epoch() {
+            return Some(News::Outdated(snapshot.position()));
+        }
+        let instances = snapshot.records.into_iter().filter_map(|r| match r {
             Record::Instance(name, entry) => Some((name, entry)),
             _ => None,
         });
         self.instances = instances.collect();
+        None
     }
 
     /// Takes in changes.
     pub fn change<F>(&mut self, now: Instant, changes: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
+        self.take(now, changes, false, read)
+    }
+
+    /// Takes in records; `is_copy` if they may be older than what is known.
+    fn take<F>(&mut self, now: Instant, changes: Snapshot, is_copy: bool, read: F) -> Vec<News>
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
         let mut news = Vec::new();
+        let position = changes.position();
         for record in changes.records {
             match record {
                 Record::Config(document) => news.extend(self.configure(document, &read)),
+                Record::Endpoint(endpoint) if is_copy => {
+                    news.extend(self.enter_copy(now, endpoint))
+                }
                 Record::Endpoint(endpoint) => news.extend(self.enter(endpoint)),
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
@@ -286,7 +265,7 @@
                 Record::Unreadable(entry) => news.extend(self.misread(now, entry)),
             }
         }
-        self.revision = self.revision.max(changes.revision);
+        self.position = self.position.max(position);
         news
     }
 
@@ -296,13 +275,14 @@
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
-        if snapshot.revision < self.revision {
+        if snapshot.position() < self.position {
             return self.learn(now, snapshot, Teller::Other, read);
         }
+        let is_restored = self.is_restored(&snapshot);
         let missing = self.missing(&snapshot);
         self.replace_instances(&snapshot);
-        let mut news = self.change(now, snapshot, read);
-        news.extend(missing.into_iter().filter_map(|id| self.remove(id)));
+        let mut news = self.take(now, snapshot, is_restored, read);
+        news.extend(missing.into_iter().filter_map(|id| self.remove(now, id)));
         self.is_loaded = true;
         news
     }
@@ -313,7 +293,7 @@
         F: Fn(&[u8]) -> Result<Table, String>,
     {
         self.replace_instances(&snapshot);
-        self.change(now, Snapshot { revision: 0, ..snapshot }, read)
+        self.change(now, Snapshot { epoch: 0, revision: 0, ..snapshot }, read)
     }
 
     /// Takes in what another instance knows, if that is more. Its list of endpoints is taken only
@@ -331,10 +311,10 @@
     {
         let snapshot = self.without_lapsed(snapshot);
         if self.is_cut_off() {
-            if teller == Teller::Follower && snapshot.revision >= self.revision {
+            if teller == Teller::Follower && snapshot.position() >= self.position {
                 return self.copy(now, snapshot, read);
             }
-            if snapshot.revision > self.revision {
+            if snapshot.position() > self.position {
                 return self.load(now, snapshot, read);
             }
         }
@@ -361,7 +341,12 @@
         }
         let due = self.lapsed.iter().filter(|(_, until)| now >= **until);
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
-        due.into_iter().filter_map(|id| self.remove(id)).collect()
+        let mut news: Vec<_> = due.into_iter().filter_map(|id| self.remove(now, id)).collect();
+        for id in self.departed.confirmed(now) {
+            let endpoint = self.entries.get(&id).cloned();
+            news.extend(endpoint.and_then(|endpoint| self.begin(endpoint)));
+        }
+        news
     }
 
     fn configure<F>(&mut self, document: Bytes, read: F) -> Option<News>
@@ -385,15 +370,38 @@
     }
 
     fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
-        self.lapsed.remove(&endpoint.id);
-        let old = self.entries.insert(endpoint.id.clone(), endpoint.clone());
-        if old.as_ref() == Some(&endpoint) {
+        let was_held = self.departed.release(&endpoint.id);
+        let is_new = self.write_down(&endpoint);
+        if is_new || was_held {
+            return self.begin(endpoint);
+        }
+        None
+    }
+
+    /// Takes in an entry that may be older than what is known: it takes nothing back.
+    fn enter_copy(&mut self, now: Instant, endpoint: Endpoint) -> Option<News> {
+        let is_new = self.write_down(&endpoint);
+        if !is_new || self.departed.hold(now, &endpoint) {
+            return None;
+        }
+        let known = self.endpoints.get(&endpoint.id).filter(|e| e.born == endpoint.born);
+        if known.is_some_and(|known| known.leaving) {
             return None;
         }
-        self.digest ^= old.as_ref().map_or(0, digest) ^ digest(&endpoint);
         self.begin(endpoint)
     }
 
+    /// Notes an entry as it is written; returns whether it is another one than before.
+    fn write_down(&mut self, endpoint: &Endpoint) -> bool {
+        self.lapsed.remove(&endpoint.id);
+        let old = self.entries.insert(endpoint.id.clone(), endpoint.clone());
+        let is_new = old.as_ref() != Some(endpoint);
+        if is_new {
+            self.digest ^= old.as_ref().map_or(0, digest) ^ digest(endpoint);
+        }
+        is_new
+    }
+
     /// Puts an endpoint in force, unless a later start of it is known. One that does not say when it began is
     /// taken to be the one that was known.
     fn begin(&mut self, mut endpoint: Endpoint) -> Option<News> {
@@ -425,8 +433,9 @@
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
         let until = match self.returned {
             _ if self.away.is_some() => now + LAPSE,
+            _ if self.departed.release(&id) => return self.remove(now, id),
             Some(returned) if now < returned + LAPSE => returned + LAPSE,
-            _ => return self.remove(id),
+            _ => return self.remove(now, id),
         };
         if self.entries.contains_key(&id) {
             self.lapsed.entry(id).or_insert(until);
@@ -434,10 +443,11 @@
         None
     }
 
-    fn remove(&mut self, id: EndpointId) -> Option<News> {
+    fn remove(&mut self, now: Instant, id: EndpointId) -> Option<News> {
         self.lapsed.remove(&id);
-        self.digest ^= digest(&self.entries.remove(&id)?);
-        self.endpoints.remove(&id);
+        let entry = self.entries.remove(&id)?;
+        self.digest ^= digest(&entry);
+        self.departed.note(now, self.endpoints.remove(&id).unwrap_or(entry));
         Some(News::EndpointGone(id))
     }
 }
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use oxbowbend_core::routes::{Endpoint, Limits, Table};
 use oxbowbend_gateway::seam::{Record, Snapshot};
-use oxbowbend_gateway::world::{News, Teller, World, LAPSE};
+use oxbowbend_gateway::world::{News, Teller, World, CONFIRM, LAPSE};
 
 /// The version is the document.
 fn read(document: &[u8]) -> Result<Table, String> {
@@ -325,3 +325,93 @@
         assert_eq!(ids(&world), expected, "told of revision {told_revision}, kept {keeps}");
     }
 }
+
+/// What a store lists that has come back from a copy.
+fn restored(revision: u64, records: Vec<Record>) -> Snapshot {
+    Snapshot { epoch: 2, ..snapshot(revision, records) }
+}
+
+fn leaving(id: &str) -> Record {
+    match endpoint(id) {
+        Record::Endpoint(endpoint) => Record::Endpoint(Endpoint { leaving: true, ..endpoint }),
+        record => record,
+    }
+}
+
+/// Ways by which an instance learns that the store has come back.
+const RESTORED: [Way; 2] = [
+    |world, now, snapshot| world.load(now, snapshot, read),
+    // From the instance from which it copies.
+    |world, now, snapshot| world.copy(now, snapshot, read),
+];
+
+/// The copy knows nothing of the last configuration and lists what has left; its revisions are lower.
+#[test]
+fn a_copy_of_the_store_takes_nothing_back() {
+    let now = Instant::now();
+    for (way, take) in RESTORED.iter().enumerate() {
+        let mut world = loaded(now);
+        let records = vec![config("6"), leaving("a"), Record::EndpointGone("b".into())];
+        world.change(now, snapshot(20, records), read);
+        let news =
+            take(&mut world, now, restored(9, vec![config("5"), endpoint("a"), endpoint("b")]));
+        assert!(news.contains(&News::OldConfig(5)), "{way}: {news:?}");
+        assert_eq!(version(&world), 6, "{way}");
+        assert_eq!((world.epoch(), world.revision()), (2, 9), "{way}");
+        // One goes on leaving, the other one is not there until it is known to be.
+        let there: Vec<_> = world.endpoints().map(|e| (&*e.id, e.leaving)).collect();
+        assert_eq!(there, [("a", true)], "{way}");
+        assert_eq!(world.expire(now + CONFIRM / 2), [], "{way}");
+        // Changes of the new epoch are taken though their revisions were given out before.
+        world.change(now, restored(10, vec![config("7")]), read);
+        assert_eq!((version(&world), world.revision()), (7, 10), "{way}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_a_copy_lists_is_used_once_it_is_known_to_be_there() {
+    let now = Instant::now();
+    let gone = |world: &mut World| {
+        world.change(now, snapshot(20, vec![Record::EndpointGone("b".into())]), read);
+        world.load(now, restored(9, vec![endpoint("a"), endpoint("b")]), read);
+        assert_eq!(ids(world), ["a"]);
+    };
+    // It writes its entry again.
+    let mut world = loaded(now);
+    gone(&mut world);
+    world.change(now, restored(10, vec![endpoint("b")]), read);
+    assert_eq!(ids(&world), ["a", "b"]);
+    // The store would have removed the entry by now.
+    let mut world = loaded(now);
+    gone(&mut world);
+    assert_eq!(world.expire(now + CONFIRM).len(), 1);
+    assert_eq!(ids(&world), ["a", "b"]);
+    // The store removes it.
+    let mut world = loaded(now);
+    gone(&mut world);
+    world.change(now, restored(10, vec![Record::EndpointGone("b".into())]), read);
+    assert_eq!(world.expire(now + CONFIRM), []);
+    assert_eq!(ids(&world), ["a"]);
+}
+
+#[test]
+fn endpoints_that_a_copy_lacks_are_given_time_to_return() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    world.load(now, restored(3, vec![endpoint("a")]), read);
+    assert_eq!(ids(&world), ["a", "b"]);
+    assert_eq!(world.expire(now + LAPSE), [News::EndpointGone("b".into())]);
+}
+
+#[test]
+fn an_answer_of_an_earlier_epoch_is_dropped() {
+    let now = Instant::now();
+    let mut world = loaded(now);
+    world.load(now, restored(3, vec![config("6"), endpoint("a"), endpoint("b")]), read);
+    let late = snapshot(30, vec![config("9"), endpoint("c")]);
+    assert!(matches!(world.load(now, late.clone(), read)[..], [News::Outdated(_)]));
+    world.copy(now, Snapshot { records: vec![endpoint("c")], ..late.clone() }, read);
+    assert!(world.set_instances(late).is_some());
+    assert_eq!((ids(&world), version(&world)), (vec!["a".to_owned(), "b".to_owned()], 6));
+    assert_eq!(world.epoch(), 2);
+}
