--- a/oxbowbend-core/src/cell/fleet.rs
+++ b/oxbowbend-core/src/cell/fleet.rs
@@ -19,6 +19,7 @@
 use super::report::Report;
 use super::{Cell, LOAD_TTL};
 use crate::ids::AccountId;
+use crate::rollout::evidence::EvidenceKey;
 
 /// What a representative tells its cell of the other cells.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -29,7 +30,10 @@
     /// Units that they have admitted, as far as the representative has heard in its life, by client account.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub spent: Vec<(AccountId, u64)>,
-    /// Whether all accounts of which there are any are among these.
+    /// Answers of versions that are rolled out, likewise.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<(EvidenceKey, u64)>,
+    /// Whether all counters of which there are any are among these.
     #[serde(rename = "f", default)]
     pub is_full: bool,
 }
--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -1,12 +1,14 @@
 //! Taking in what other instances report, and who of them is heard.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use super::peer::{count_on, Peer};
+use super::peer::{count_on, Counted, Peer};
 use super::report::Report;
 use super::{pace, Cell, LOAD_TTL};
 use crate::ids::{AccountId, InstanceId};
+use crate::rollout::evidence::EvidenceKey;
 
 /// Silence after which an instance of this cell is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
@@ -16,13 +18,67 @@
 /// Time for which an instance that has just started is told what it cannot know: five beats, of which three may be lost.
 const INTRODUCED: Duration = Duration::from_millis(600);
 
-/// Units of client accounts that a report tells to be admitted since the one before.
+/// By how much counters have grown since the report before.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Growth<K> {
+    /// Those of an instance of this cell.
+    pub near: Vec<(K, u64)>,
+    /// Those of other cells.
+    pub far: Vec<(K, u64)>,
+}
+
+impl<K> Default for Growth<K> {
+    fn default() -> Growth<K> {
+        Growth { near: Vec::new(), far: Vec::new() }
+    }
+}
+
+/// What a report tells to be new.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Heard {
-    /// By an instance of this cell.
-    pub near: Vec<(AccountId, u64)>,
-    /// By other cells.
-    pub far: Vec<(AccountId, u64)>,
+    /// Units of client accounts that were admitted.
+    pub spent: Growth<AccountId>,
+    /// Answers of versions that are rolled out.
+    pub evidence: Growth<EvidenceKey>,
+}
+
+/// What of a report's counters is counted here.
+#[derive(Clone, Copy, Debug)]
+struct Counting {
+    /// Whether the sender belongs to this cell.
+    is_near: bool,
+    /// Whether its sums of other cells, or of its own if it belongs to another one, are not told by somebody else.
+    is_teller: bool,
+    /// Whether its counters were not all known before, by whose they are.
+    is_first: bool,
+    is_first_cell: bool,
+    is_first_fleet: bool,
+}
+
+/// Counters of one sort in a report.
+struct ToldCounters<'a, K> {
+    own: &'a [(K, u64)],
+    cell: &'a [(K, u64)],
+    fleet: &'a [(K, u64)],
+}
+
+impl Counting {
+    fn growth<K: Clone + Eq + Hash>(
+        self,
+        counted: &mut Counted<K>,
+        told: ToldCounters<'_, K>,
+    ) -> Growth<K> {
+        let own = count_on(&mut counted.own, told.own, self.is_first);
+        let cell = count_on(&mut counted.cell, told.cell, self.is_first_cell);
+        if !self.is_near {
+            return Growth {
+                near: Vec::new(),
+                far: if self.is_teller { cell } else { Vec::new() },
+            };
+        }
+        let fleet = count_on(&mut counted.fleet, told.fleet, self.is_first_fleet);
+        Growth { near: own, far: if self.is_teller { fleet } else { Vec::new() } }
+    }
 }
 
 impl Cell {
@@ -76,23 +132,42 @@
 
     /// What has been admitted since the last report. Counters go on from the first report that tells all of them.
     fn growth(&self, now: Instant, peer: &mut Peer, report: &Report, is_near: bool) -> Heard {
-        let is_first = !peer.knows_spent;
-        peer.knows_spent |= report.in_full;
-        let near = count_on(&mut peer.spent, &report.spent, is_first);
-        let cell = count_on(&mut peer.cell_spent, &report.cell_spent, !peer.knows_cell);
+        let counting = Counting {
+            is_near,
+            is_teller: self.is_teller(now, report, is_near),
+            is_first: !peer.knows_own,
+            is_first_cell: !peer.knows_cell,
+            is_first_fleet: !peer.knows_fleet,
+        };
+        peer.knows_own |= report.in_full;
         peer.knows_cell |= report.is_cell_told;
-        if !is_near {
+        peer.knows_fleet |= is_near && report.fleet.as_ref().is_some_and(|view| view.is_full);
+        let view = report.fleet.as_ref();
+        let spent = ToldCounters {
+            own: &report.spent,
+            cell: &report.cell_spent,
+            fleet: view.map_or(&[], |view| &view.spent),
+        };
+        let evidence = ToldCounters {
+            own: &report.evidence,
+            cell: &report.cell_evidence,
+            fleet: view.map_or(&[], |view| &view.evidence),
+        };
+        Heard {
+            spent: counting.growth(&mut peer.spent, spent),
+            evidence: counting.growth(&mut peer.evidence, evidence),
+        }
+    }
+
+    /// Whether the sums that a report tells are counted here.
+    fn is_teller(&self, now: Instant, report: &Report, is_near: bool) -> bool {
+        let representative = self.representative(now).map(|r| &r.instance);
+        match is_near {
+            // While a cell has two representatives, both tell the same.
+            true => representative.is_none_or(|first| *first >= report.instance),
             // Who has a representative is told by it.
-            let is_told = self.representative(now).is_some_and(|r| r.instance < self.me);
-            let counts = report.is_representative && !is_told;
-            return Heard { near: Vec::new(), far: if counts { cell } else { Vec::new() } };
+            false => report.is_representative && representative.is_none_or(|r| *r >= self.me),
         }
-        let Some(view) = &report.fleet else { return Heard { near, far: Vec::new() } };
-        let fleet = count_on(&mut peer.fleet_spent, &view.spent, !peer.knows_fleet);
-        peer.knows_fleet |= view.is_full;
-        // While a cell has two representatives, both tell the same.
-        let is_second = self.representative(now).is_some_and(|r| r.instance < report.instance);
-        Heard { near, far: if is_second { Vec::new() } else { fleet } }
     }
 
     /// Sets which instances belong to this cell.
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -25,7 +25,7 @@
 pub use assign::{Assignment, UNHEARD};
 pub use fleet::{Beyond, FleetView};
 pub use groups::{Group, MAX_CELL};
-pub use hear::Heard;
+pub use hear::{Growth, Heard};
 pub use pace::FIXED_UNITS;
 pub use reach::{Names, Reach};
 pub use report::{Claim, Load, Report, Tally};
@@ -284,6 +284,17 @@
         self.next
     }
 
+    /// Lets what waits for a service wait for another one.
+    pub fn move_waiting(&mut self, from: &ServiceId, to: &ServiceId) {
+        let waiting = self.waiting.values_mut().filter(|want| want.service == *from);
+        waiting.for_each(|want| want.service = to.clone());
+    }
+
+    /// Whether this cell has an endpoint of a service that takes requests.
+    pub fn serves(&self, service: &ServiceId) -> bool {
+        self.sites.values().any(|s| s.endpoint.service == *service && !s.endpoint.leaving)
+    }
+
     /// Takes a request out of the queue; `false` means that it has been placed.
     pub fn withdraw(&mut self, ticket: Ticket) -> bool {
         self.waiting.remove(&ticket).is_some()
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -1,12 +1,31 @@
 //! What an instance of the fleet has told, as far as later reports go on from it.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use super::fleet::Beyond;
 use super::pace;
 use super::report::Report;
 use crate::ids::{AccountId, EndpointKey};
+use crate::rollout::evidence::EvidenceKey;
+
+/// Counters that an instance has told so far, which only grow in its life. Frequent reports leave them out.
+#[derive(Clone, Debug)]
+pub(super) struct Counted<K> {
+    /// Its own.
+    pub(super) own: HashMap<K, u64>,
+    /// Those of its cell.
+    pub(super) cell: HashMap<K, u64>,
+    /// Those of all other cells, as it tells its own.
+    pub(super) fleet: HashMap<K, u64>,
+}
+
+impl<K> Default for Counted<K> {
+    fn default() -> Counted<K> {
+        Counted { own: HashMap::new(), cell: HashMap::new(), fleet: HashMap::new() }
+    }
+}
 
 /// Another instance.
 #[derive(Clone, Debug)]
@@ -19,14 +38,13 @@
     pub(super) counted: HashMap<EndpointKey, (u64, u64)>,
     /// Whether a full report was heard, which the counters go on from.
     pub(super) is_counted: bool,
-    /// Units told to be admitted so far, by account. Frequent reports leave them out.
-    pub(super) spent: HashMap<AccountId, u64>,
-    pub(super) knows_spent: bool,
-    /// The same for its cell, and whether a report with all accounts was heard.
-    pub(super) cell_spent: HashMap<AccountId, u64>,
+    /// Units admitted, by account.
+    pub(super) spent: Counted<AccountId>,
+    /// Answers of versions that are rolled out.
+    pub(super) evidence: Counted<EvidenceKey>,
+    /// Whether a report with all of its own counters was heard, of those of its cell, of those of the others.
+    pub(super) knows_own: bool,
     pub(super) knows_cell: bool,
-    /// The same of all other cells, as it tells its own.
-    pub(super) fleet_spent: HashMap<AccountId, u64>,
     pub(super) knows_fleet: bool,
     /// When it last told of other cells.
     pub(super) viewed: Option<Instant>,
@@ -44,11 +62,10 @@
             since: now,
             counted: HashMap::new(),
             is_counted: false,
-            spent: HashMap::new(),
-            cell_spent: HashMap::new(),
-            knows_spent: false,
+            spent: Counted::default(),
+            evidence: Counted::default(),
+            knows_own: false,
             knows_cell: false,
-            fleet_spent: HashMap::new(),
             knows_fleet: false,
             viewed: None,
             wider_since: None,
@@ -84,15 +101,15 @@
 
 /// Takes in counters and returns by how much they have grown. Of one not seen before, all is growth
 /// unless it is the first report.
-pub(super) fn count_on(
-    counted: &mut HashMap<AccountId, u64>,
-    told: &[(AccountId, u64)],
+pub(super) fn count_on<K: Clone + Eq + Hash>(
+    counted: &mut HashMap<K, u64>,
+    told: &[(K, u64)],
     is_first: bool,
-) -> Vec<(AccountId, u64)> {
-    let growth = told.iter().map(|(account, units)| {
-        let old = counted.insert(account.clone(), *units);
+) -> Vec<(K, u64)> {
+    let growth = told.iter().map(|(key, units)| {
+        let old = counted.insert(key.clone(), *units);
         let old = old.unwrap_or(if is_first { *units } else { 0 });
-        (account.clone(), units.saturating_sub(old))
+        (key.clone(), units.saturating_sub(old))
     });
     growth.collect()
 }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -8,6 +8,8 @@
 use crate::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
 use crate::quarantine::Told;
 use crate::quota::Window;
+use crate::rollout::evidence::EvidenceKey;
+use crate::rollout::ToldRollout;
 
 /// State of one instance.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -97,6 +99,15 @@
     /// Whether all accounts that its cell has admitted units of are among them.
     #[serde(rename = "b", default, skip_serializing_if = "is_false")]
     pub is_cell_told: bool,
+    /// Roll-outs, and how far they are.
+    #[serde(rename = "R", default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<ToldRollout>,
+    /// Answers of versions that are rolled out, in this life.
+    #[serde(rename = "V", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<(EvidenceKey, u64)>,
+    /// Those of all of its cell, as far as it has heard. Told to other cells.
+    #[serde(rename = "C", default, skip_serializing_if = "Vec::is_empty")]
+    pub cell_evidence: Vec<(EvidenceKey, u64)>,
     /// What accounts have used in each of the last seconds, the newest first. Told while an instance of its cell has
     /// just started.
     #[serde(rename = "W", default, skip_serializing_if = "Vec::is_empty")]
--- a/oxbowbend-core/src/ids.rs
+++ b/oxbowbend-core/src/ids.rs
@@ -15,6 +15,8 @@
 pub type AccountId = Arc<str>;
 /// A declared service.
 pub type ServiceId = Arc<str>;
+/// Version of an endpoint's software.
+pub type VersionId = Arc<str>;
 /// A pool: the endpoints that serve one model or service inside one place.
 pub type PoolId = Arc<str>;
 /// A declared place.
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod queue;
 pub mod quota;
 pub mod repeats;
+pub mod rollout;
 pub mod routes;
 pub mod scheduler;
 pub mod shutdown;
--- /dev/null
+++ b/oxbowbend-core/src/rollout/detector.rs
@@ -0,0 +1,95 @@
+//! Whether a version answers worse than those that run.
+//!
+//! The versions that run are the control: whatever makes all endpoints slow or fail, crests, crashes, callers' own
+//! errors, shows there as well. For failures, and for answers slower than each of some bounds, the shares of both
+//! sides are compared by a likelihood ratio, over the last second, all of the time and spans between, since a version
+//! may turn bad late; and for each route by itself, since it may be bad on one only.
+//!
+//! The test is looked at again and again, so the bound on the ratio is high.
+
+use super::evidence::{classes, Comparison, Counts, Evidence};
+
+/// Logarithm of the likelihood ratio from which a version is bad.
+const BOUND: f64 = 12.0;
+/// Bad answers below which nothing follows.
+const MIN_BAD: u32 = 6;
+/// By how much its share of bad answers must be larger, so that a difference that nobody minds is none.
+const MIN_EXCESS: f64 = 0.04;
+/// Answers of the control below which nobody can tell what is slow.
+const MIN_CONTROL: u32 = 24;
+/// Answers that are taken to be known of the control beforehand, and how many of them were bad: without any, a single
+/// failure would be infinitely unlikely. Failures are rare at all endpoints; how many answers are slower than some
+/// bound is not known beforehand.
+const FAILURES_BEFORE: Before = Before { all: 100.0, bad: 1.0 };
+const SLOW_BEFORE: Before = Before { all: 2.0, bad: 1.0 };
+
+struct Before {
+    all: f64,
+    bad: f64,
+}
+
+/// Answers of one side.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sample {
+    /// All of them.
+    pub all: u32,
+    /// The bad ones.
+    pub bad: u32,
+}
+
+/// Why a version is bad.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    /// Answers of the version.
+    pub new: Sample,
+    /// Those of the versions that run.
+    pub old: Sample,
+    /// Logarithm of the likelihood ratio.
+    pub ratio: f64,
+    /// Class of time from which an answer counted as bad; none if failures only did.
+    pub slow_from: Option<usize>,
+}
+
+/// Looks for a version that answers worse.
+pub fn find(evidence: &Evidence) -> Option<Finding> {
+    evidence.spans().flatten().find_map(|comparison| compare(&comparison))
+}
+
+fn compare(comparison: &Comparison) -> Option<Finding> {
+    let Comparison { old, new } = comparison;
+    if new.all() < MIN_BAD {
+        return None;
+    }
+    let failures = |counts: &Counts| Sample { all: counts.all(), bad: counts.failed() };
+    judge(failures(new), failures(old), FAILURES_BEFORE, None).or_else(|| {
+        // Without a control in the same time a version is judged by its failures alone.
+        let mut bounds = classes().filter(|_| old.all() >= MIN_CONTROL);
+        bounds.find_map(|class| {
+            let slow =
+                |counts: &Counts| Sample { all: counts.all(), bad: counts.failed_or_slow(class) };
+            judge(slow(new), slow(old), SLOW_BEFORE, Some(class))
+        })
+    })
+}
+
+/// Compares the shares of bad answers of both sides.
+fn judge(new: Sample, old: Sample, before: Before, slow_from: Option<usize>) -> Option<Finding> {
+    let share = |bad: f64, all: f64| bad / all;
+    let (bad, all) = (f64::from(new.bad), f64::from(new.all));
+    let (old_bad, old_all) = (f64::from(old.bad) + before.bad, f64::from(old.all) + before.all);
+    let (share_new, share_old) = (share(bad, all), share(old_bad, old_all));
+    if new.bad < MIN_BAD || share_new < share_old + MIN_EXCESS {
+        return None;
+    }
+    // Against both sides having the share of the two together.
+    let share_both = share(bad + old_bad, all + old_all);
+    let ratio = likelihood(bad, all, share_new) + likelihood(old_bad, old_all, share_old)
+        - likelihood(bad + old_bad, all + old_all, share_both);
+    (ratio >= BOUND).then_some(Finding { new, old, ratio, slow_from })
+}
+
+/// Logarithm of the likelihood of so many bad ones of all at a share.
+fn likelihood(bad: f64, all: f64, share: f64) -> f64 {
+    let term = |n: f64, share: f64| if n > 0.0 { n * share.ln() } else { 0.0 };
+    term(bad, share) + term(all - bad, 1.0 - share)
+}
--- /dev/null
+++ b/oxbowbend-core/src/rollout/evidence.rs
@@ -0,0 +1,207 @@
+//! What is known of the answers of the versions of a service.
+//!
+//! Each instance counts the answers that it saw: by route, by version, by the time that they took for a unit of work,
+//! and failures. The counters are told like those of client accounts, as sums that only grow, and what they
+//! grow by is kept here by time, since a version may turn bad late.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Number of an order: a hash of what it asks for.
+pub type OrderId = u32;
+/// Number of a route: a hash of its name.
+pub type RouteKey = u16;
+
+/// Classes of time, each up to twice that of the one before. Engines differ by 4.4, and answers of a bad version are
+/// several times slower.
+const TIMES: usize = 14;
+/// Class of failures.
+const FAILED: u8 = TIMES as u8;
+/// Nanoseconds for a unit of work up to which an answer is in the first class.
+const FASTEST_NS: f64 = 1_000.0;
+/// Time for which answers are added up.
+const SLOT: Duration = Duration::from_millis(500);
+/// Times that are kept: what is older says nothing of a version that has turned bad since.
+const MAX_SLOTS: usize = 240;
+
+/// Version of an endpoint's software, as far as an order tells them apart.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub enum Side {
+    /// Any version but the one that is ordered.
+    #[serde(rename = "o")]
+    Old,
+    /// The one that is ordered.
+    #[serde(rename = "n")]
+    New,
+}
+
+/// What an endpoint made of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// A good answer that took so many nanoseconds for a unit of work.
+    Good {
+        /// Nanoseconds.
+        ns_per_unit: f64,
+    },
+    /// An error of its own, a broken answer, or none.
+    Failed,
+}
+
+/// What a counter counts.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub struct EvidenceKey {
+    /// The order.
+    #[serde(rename = "o")]
+    pub order: OrderId,
+    /// The route.
+    #[serde(rename = "r")]
+    pub route: RouteKey,
+    /// The version.
+    #[serde(rename = "s")]
+    pub side: Side,
+    /// Class of time, or failures.
+    #[serde(rename = "c")]
+    class: u8,
+}
+
+impl EvidenceKey {
+    /// The counter for an answer.
+    pub fn new(order: OrderId, route: &str, side: Side, answer: Answer) -> EvidenceKey {
+        let class = match answer {
+            Answer::Failed => FAILED,
+            Answer::Good { ns_per_unit } => time_class(ns_per_unit),
+        };
+        EvidenceKey { order, route: xxh3_64(route.as_bytes()) as RouteKey, side, class }
+    }
+}
+
+fn time_class(ns_per_unit: f64) -> u8 {
+    let times = (ns_per_unit / FASTEST_NS).max(1.0).log2();
+    (times as usize).min(TIMES - 1) as u8
+}
+
+/// Answers of one version on one route.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Good answers by class of time.
+    times: [u32; TIMES],
+    failed: u32,
+}
+
+impl Counts {
+    /// All answers.
+    pub fn all(&self) -> u32 {
+        self.times.iter().sum::<u32>() + self.failed
+    }
+
+    /// Failures.
+    pub fn failed(&self) -> u32 {
+        self.failed
+    }
+
+    /// Failures, and good answers of a class of time or a slower one.
+    pub fn failed_or_slow(&self, class: usize) -> u32 {
+        self.failed + self.times.iter().skip(class).sum::<u32>()
+    }
+
+    fn add(&mut self, class: u8, n: u32) {
+        match self.times.get_mut(usize::from(class)) {
+            Some(count) => *count += n,
+            None => self.failed += n,
+        }
+    }
+
+    fn merge(&mut self, other: &Counts) {
+        self.times.iter_mut().zip(other.times).for_each(|(sum, n)| *sum += n);
+        self.failed += other.failed;
+    }
+}
+
+/// Classes of time, slower ones later.
+pub(super) fn classes() -> std::ops::Range<usize> {
+    1..TIMES
+}
+
+/// Answers of both versions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Comparison {
+    /// Of the versions that run.
+    pub old: Counts,
+    /// Of the one that is ordered.
+    pub new: Counts,
+}
+
+impl Comparison {
+    fn side(&mut self, side: Side) -> &mut Counts {
+        match side {
+            Side::Old => &mut self.old,
+            Side::New => &mut self.new,
+        }
+    }
+
+    fn merge(&mut self, other: &Comparison) {
+        self.old.merge(&other.old);
+        self.new.merge(&other.new);
+    }
+}
+
+#[derive(Debug)]
+struct Slot {
+    at: Instant,
+    routes: BTreeMap<RouteKey, Comparison>,
+}
+
+/// Answers of all instances, by time.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    slots: VecDeque<Slot>,
+}
+
+impl Evidence {
+    /// Adds answers.
+    pub fn add(&mut self, now: Instant, key: EvidenceKey, n: u64) {
+        let n = n.min(u64::from(u32::MAX)) as u32;
+        let is_open = |slot: &Slot| now.saturating_duration_since(slot.at) < SLOT;
+        if !self.slots.back().is_some_and(is_open) {
+            self.slots.push_back(Slot { at: now, routes: BTreeMap::new() });
+            if self.slots.len() > MAX_SLOTS {
+                self.slots.pop_front();
+            }
+        }
+        if let Some(slot) = self.slots.back_mut() {
+            slot.routes.entry(key.route).or_default().side(key.side).add(key.class, n);
+        }
+    }
+
+    /// Answers of the last seconds, of all of them, and of spans between: each of twice as many slots as the one
+    /// before. Each with routes by themselves and all routes together.
+    pub fn spans(&self) -> impl Iterator<Item = Vec<Comparison>> + '_ {
+        let all = self.slots.len();
+        let lengths = std::iter::successors(Some(1_usize), |n| Some(n * 2));
+        let lengths = lengths.take_while(move |n| *n < all * 2).map(move |n| n.min(all));
+        lengths.map(|length| self.span(length))
+    }
+
+    fn span(&self, slots: usize) -> Vec<Comparison> {
+        let mut routes: BTreeMap<RouteKey, Comparison> = BTreeMap::new();
+        let mut whole = Comparison::default();
+        for slot in self.slots.iter().rev().take(slots) {
+            for (route, comparison) in &slot.routes {
+                routes.entry(*route).or_default().merge(comparison);
+                whole.merge(comparison);
+            }
+        }
+        routes.into_values().chain([whole]).collect()
+    }
+
+    /// All answers so far, of all routes.
+    pub fn whole(&self) -> Comparison {
+        self.span(self.slots.len()).pop().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -0,0 +1,545 @@
+//! Roll-outs: an operator orders that a service's requests move to another version of its endpoints, which run beside
+//! the others meanwhile.
+//!
+//! A version may be bad: it fails a part of its requests or is several times slower, at once or later, under load or
+//! on one route only. So a roll-out begins as a canary: each instance sends the version a small part of its own
+//! requests, which keeps the fleet within the operator's bound whoever hears whom, and only to as many
+//! endpoints as that part keeps as busy as the others. All instances tell each other what became of both versions'
+//! requests ([`evidence`]), and whoever finds the version worse ([`detector`]) rolls back. Time that is left is time
+//! for evidence: only when the rest is needed for what still runs at the other versions does all traffic shift.
+//! Once nothing runs there any more the roll-out is complete, and the platform stops them.
+//!
+//! Phases only go forward, whoever tells of them and in whatever order, and the last ones are final: of two instances that
+//! decide apart, the one that has the status written in the store is right.
+//!
+//! What was traded: a version that turns bad after the shift has had up to a second of all requests; and
+//! evidence from before an instance was first heard is lost.
+
+pub mod detector;
+pub mod evidence;
+mod told;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{EndpointId, InstanceId, ServiceId, VersionId};
+use crate::routes::Endpoint;
+use detector::Finding;
+use evidence::{Answer, Comparison, Evidence, EvidenceKey, OrderId, Side};
+pub use told::{Phase, Teller, ToldRollout};
+
+/// Part of the bound on exposure that is used: what is on its way when a version is found to be bad comes on top.
+const USED_SHARE: f64 = 0.8;
+/// Part of an order's time after which the shift begins at the latest, so that there is evidence of the canary in
+/// any case.
+const CANARY_SHARE: f64 = 0.6;
+/// Time before the deadline at which the status is written although something still runs at the other versions.
+const LAST: Duration = Duration::from_millis(700);
+/// Time for which nobody must have told of anything at the other versions: reports come every 130 ms, and pass
+/// two representatives.
+const IDLE: Duration = Duration::from_millis(1000);
+/// Time for which a service must have had no other version before an order for it is complete by itself.
+const NO_OTHERS: Duration = Duration::from_secs(3);
+/// Time after a complete roll-out for which the other versions are left alone: their entries go after three
+/// heartbeats of 1.2 s.
+const RETIRING: Duration = Duration::from_secs(10);
+/// Age up to which what an instance tells of its runs counts.
+const TOLD_TTL: Duration = Duration::from_millis(1500);
+/// Separates a service's name from the version in the name of the part that is moved to.
+const PART: char = '\u{1f}';
+
+/// Bounds of the operator.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutBounds {
+    /// Largest share of a service's requests that a version may get that turns out to be bad.
+    pub share: f64,
+}
+
+/// What an operator orders.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The service.
+    pub service: ServiceId,
+    /// The version to move to.
+    pub destination: VersionId,
+    /// Time from the order within which it should be complete.
+    pub duration: Duration,
+}
+
+impl Order {
+    /// Its number. The same asked for again is the same order, and what was decided on it stands.
+    pub fn id(&self) -> OrderId {
+        xxh3_64(format!("{}{PART}{}", self.service, self.destination).as_bytes()) as OrderId
+    }
+}
+
+/// What the operator is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Status {
+    /// Both versions run.
+    Running,
+    /// All requests go to the new version.
+    Complete,
+    /// No request goes there.
+    RolledBack,
+}
+
+/// Why a roll-out is in another phase.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Why {
+    /// It was ordered.
+    Ordered,
+    /// The version answers worse.
+    Worse(Finding),
+    /// The time for evidence is over.
+    Time,
+    /// The deadline has come, and there was nothing to move to.
+    NoEndpoints,
+    /// Nothing is left at the other versions.
+    Idle,
+    /// The order was taken back.
+    Cancelled,
+    /// Another instance, or the store, says so.
+    Told,
+}
+
+/// A roll-out is in another phase, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The service.
+    pub service: ServiceId,
+    /// The version.
+    pub destination: VersionId,
+    /// The phase.
+    pub phase: Phase,
+    /// Why.
+    pub why: Why,
+    /// Since the order.
+    pub age: Duration,
+    /// What is known of both versions' answers.
+    pub answers: Comparison,
+}
+
+/// Where an endpoint of a service stands in its roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// It serves what is sent to the service.
+    Service,
+    /// It serves what is sent to this name.
+    Version(ServiceId),
+    /// It is sent nothing.
+    None,
+}
+
+/// Number of a service's endpoints by version.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Sides {
+    old: usize,
+    new: usize,
+}
+
+#[derive(Debug)]
+struct Rollout {
+    order: Order,
+    id: OrderId,
+    ordered: Instant,
+    deadline: Instant,
+    /// Longest time that a request to the service may take.
+    longest: Duration,
+    phase: Phase,
+    phase_at: Instant,
+    evidence: Evidence,
+    sides: Sides,
+    no_others_since: Option<Instant>,
+    /// Requests sent by this instance, and those of them to the new version.
+    sent: u64,
+    sent_new: u64,
+    /// Requests of this instance at other versions.
+    running: u32,
+    others: HashMap<InstanceId, Others>,
+    idle_since: Option<Instant>,
+    /// What the store says.
+    status: Option<Status>,
+}
+
+/// What an instance has told of runs at other versions.
+#[derive(Clone, Copy, Debug)]
+struct Others {
+    at: Instant,
+    teller: Teller,
+    running: u32,
+    beyond: u32,
+}
+
+/// All roll-outs as one instance sees them.
+#[derive(Debug)]
+pub struct Rollouts {
+    bounds: RolloutBounds,
+    all: BTreeMap<ServiceId, Rollout>,
+    /// Answers that this instance saw, those that its cell told of, and those of other cells.
+    own: BTreeMap<EvidenceKey, u64>,
+    near: BTreeMap<EvidenceKey, u64>,
+    far: BTreeMap<EvidenceKey, u64>,
+    changes: Vec<Change>,
+}
+
+impl Rollouts {
+    /// None yet.
+    pub fn new(bounds: RolloutBounds) -> Rollouts {
+        Rollouts {
+            bounds,
+            all: BTreeMap::new(),
+            own: BTreeMap::new(),
+            near: BTreeMap::new(),
+            far: BTreeMap::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Takes in an order. `longest` is the longest time that a request to the service may take. The same order
+    /// again changes nothing; one for another version takes the place of the one before.
+    pub fn ordered(&mut self, now: Instant, order: Order, longest: Duration) {
+        if self.all.get(&order.service).is_some_and(|r| r.id == order.id()) {
+            return;
+        }
+        let deadline = now + order.duration;
+        self.begin(now, order, deadline, longest, Phase::Canary, Why::Ordered);
+    }
+
+    fn begin(
+        &mut self,
+        now: Instant,
+        order: Order,
+        deadline: Instant,
+        longest: Duration,
+        phase: Phase,
+        why: Why,
+    ) {
+        let service = order.service.clone();
+        let rollout = Rollout::new(now, order, deadline, longest, phase);
+        for counters in [&mut self.own, &mut self.near, &mut self.far] {
+            counters.retain(|key, _| key.order == rollout.id);
+        }
+        self.changes.push(rollout.change(now, why));
+        self.all.insert(service, rollout);
+    }
+
+    /// Takes an order back.
+    pub fn cancelled(&mut self, now: Instant, service: &ServiceId) {
+        if let Some(rollout) = self.all.get_mut(service) {
+            if rollout.phase < Phase::RolledBack {
+                self.changes.extend(rollout.enter(now, Phase::RolledBack, Why::Cancelled));
+            }
+        }
+    }
+
+    /// Takes in what the store says of an order for a version.
+    pub fn status_read(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        destination: &VersionId,
+        status: Status,
+    ) {
+        let rollout = self.all.get_mut(service).filter(|r| r.order.destination == *destination);
+        let Some(rollout) = rollout else { return };
+        rollout.status = Some(status);
+        let phase = match status {
+            Status::Running => return,
+            Status::Complete => Phase::Complete,
+            Status::RolledBack => Phase::RolledBack,
+        };
+        if rollout.phase != phase {
+            self.changes.extend(rollout.enter(now, phase, Why::Told));
+        }
+    }
+
+    /// Forgets what the store said, since it may not hold it any more.
+    pub fn store_restored(&mut self) {
+        self.all.values_mut().for_each(|rollout| rollout.status = None);
+    }
+
+    /// What the store should say and does not, as far as is known.
+    pub fn due(&self, now: Instant) -> Vec<(Order, Status)> {
+        let due = self.all.values().filter_map(|rollout| {
+            let status = rollout.due(now)?;
+            (rollout.status != Some(status)).then(|| (rollout.order.clone(), status))
+        });
+        due.collect()
+    }
+
+    /// Takes in the list of all endpoints; returns where each stands.
+    pub fn set_endpoints(&mut self, now: Instant, endpoints: &[Endpoint]) -> Vec<Part> {
+        for rollout in self.all.values_mut() {
+            rollout.set_endpoints(now, endpoints);
+        }
+        let canaries = self.canaries(endpoints);
+        let part = |endpoint: &Endpoint| match self.all.get(&endpoint.service) {
+            Some(rollout) => rollout.part(endpoint, canaries.contains(&&endpoint.id)),
+            None => Part::Service,
+        };
+        endpoints.iter().map(part).collect()
+    }
+
+    /// Endpoints of versions that are tried: as many as the part of the requests that they get keeps as busy as the
+    /// others.
+    fn canaries<'a>(&self, endpoints: &'a [Endpoint]) -> Vec<&'a EndpointId> {
+        let mut canaries = Vec::new();
+        for rollout in self.all.values().filter(|r| r.phase == Phase::Canary) {
+            let new = endpoints.iter().filter(|e| rollout.side(e) == Some(Side::New) && !e.leaving);
+            let mut new: Vec<_> = new.map(|e| &e.id).collect();
+            new.sort_by_key(|id| xxh3_64(id.as_bytes()));
+            let part = rollout.sides.old.max(new.len()) as f64 * self.bounds.share * USED_SHARE;
+            canaries.extend(new.into_iter().take(part.ceil() as usize));
+        }
+        canaries
+    }
+
+    /// Where to send a request to a service, by name of the part; counts it. `has_new` if this instance has
+    /// endpoints of the new version, `is_first` if the request was sent nowhere before: one that has failed is not
+    /// tried out again.
+    pub fn deal(&mut self, service: &ServiceId, has_new: bool, is_first: bool) -> ServiceId {
+        let share = self.bounds.share * USED_SHARE;
+        let Some(rollout) = self.all.get_mut(service) else { return service.clone() };
+        match rollout.deal(share, has_new, is_first) {
+            Side::Old => service.clone(),
+            Side::New => rollout.part_name(),
+        }
+    }
+
+    /// Name of the part of a service that is moved to, if there is one.
+    pub fn part_name(&self, service: &ServiceId) -> Option<ServiceId> {
+        self.all.get(service).map(Rollout::part_name)
+    }
+
+    /// Notes that a request began to run at an endpoint.
+    pub fn began(&mut self, endpoint: &Endpoint) {
+        if let Some(rollout) = self.all.get_mut(base(&endpoint.service)) {
+            if rollout.side(endpoint) == Some(Side::Old) {
+                rollout.running += 1;
+            }
+        }
+    }
+
+    /// Notes that a request ended at an endpoint, and with what answer if that says something of the endpoint.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        endpoint: &Endpoint,
+        route: &str,
+        answer: Option<Answer>,
+    ) {
+        let Some(rollout) = self.all.get_mut(base(&endpoint.service)) else { return };
+        let Some(side) = rollout.side(endpoint) else { return };
+        if side == Side::Old {
+            rollout.running = rollout.running.saturating_sub(1);
+        }
+        let Some(answer) = answer.filter(|_| rollout.phase < Phase::RolledBack) else { return };
+        let key = EvidenceKey::new(rollout.id, route, side, answer);
+        rollout.evidence.add(now, key, 1);
+        *self.own.entry(key).or_default() += 1;
+    }
+
+    /// Adds answers that another instance told of, or another cell.
+    pub fn draw(&mut self, now: Instant, key: EvidenceKey, n: u64, is_near: bool) {
+        let Some(rollout) = self.all.values_mut().find(|r| r.id == key.order) else { return };
+        rollout.evidence.add(now, key, n);
+        let counters = if is_near { &mut self.near } else { &mut self.far };
+        *counters.entry(key).or_default() += n;
+    }
+
+    /// Answers that this instance saw.
+    pub fn counters(&self) -> impl Iterator<Item = (&EvidenceKey, u64)> {
+        self.own.iter().map(|(key, n)| (key, *n))
+    }
+
+    /// Answers that this cell saw, as far as it has heard.
+    pub fn cell_counters(&self) -> impl Iterator<Item = (&EvidenceKey, u64)> {
+        let keys = self.own.keys().chain(self.near.keys().filter(|k| !self.own.contains_key(k)));
+        let n = |counters: &BTreeMap<EvidenceKey, u64>, key| counters.get(key).copied();
+        keys.map(move |key| (key, n(&self.own, key).unwrap_or(0) + n(&self.near, key).unwrap_or(0)))
+    }
+
+    /// Answers that other cells saw, likewise.
+    pub fn far_counters(&self) -> impl Iterator<Item = (&EvidenceKey, u64)> {
+        self.far.iter().map(|(key, n)| (key, *n))
+    }
+
+    /// Decides what time and evidence bring.
+    pub fn settle(&mut self, now: Instant) {
+        for rollout in self.all.values_mut() {
+            self.changes.extend(rollout.settle(now));
+        }
+        let is_over = |r: &Rollout| r.phase == Phase::Complete && now >= r.phase_at + RETIRING;
+        for rollout in self.all.values_mut().filter(|r| is_over(r)) {
+            rollout.phase = Phase::Retired;
+        }
+    }
+
+    /// Roll-outs in progress.
+    pub fn in_progress(&self) -> usize {
+        self.all.values().filter(|r| r.phase < Phase::RolledBack).count()
+    }
+
+    /// What has changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+}
+
+/// A service's name without that of a part.
+fn base(service: &ServiceId) -> &str {
+    service.split(PART).next().unwrap_or(service)
+}
+
+impl Rollout {
+    fn new(
+        now: Instant,
+        order: Order,
+        deadline: Instant,
+        longest: Duration,
+        phase: Phase,
+    ) -> Rollout {
+        Rollout {
+            id: order.id(),
+            order,
+            ordered: now,
+            deadline,
+            longest,
+            phase,
+            phase_at: now,
+            evidence: Evidence::default(),
+            sides: Sides::default(),
+            no_others_since: None,
+            sent: 0,
+            sent_new: 0,
+            running: 0,
+            others: HashMap::new(),
+            idle_since: None,
+            status: None,
+        }
+    }
+
+    fn change(&self, now: Instant, why: Why) -> Change {
+        Change {
+            service: self.order.service.clone(),
+            destination: self.order.destination.clone(),
+            phase: self.phase,
+            why,
+            age: now.saturating_duration_since(self.ordered),
+            answers: self.evidence.whole(),
+        }
+    }
+
+    fn enter(&mut self, now: Instant, phase: Phase, why: Why) -> Option<Change> {
+        (self.phase, self.phase_at) = (phase, now);
+        self.idle_since = None;
+        Some(self.change(now, why))
+    }
+
+    /// On which side an endpoint is, if it belongs to the service.
+    fn side(&self, endpoint: &Endpoint) -> Option<Side> {
+        if base(&endpoint.service) != &*self.order.service {
+            return None;
+        }
+        let is_new = endpoint.version == self.order.destination;
+        Some(if is_new { Side::New } else { Side::Old })
+    }
+
+    fn part_name(&self) -> ServiceId {
+        format!("{}{PART}{}", self.order.service, self.order.destination).as_str().into()
+    }
+
+    fn part(&self, endpoint: &Endpoint, is_canary: bool) -> Part {
+        let is_new = self.side(endpoint) == Some(Side::New);
+        match self.phase {
+            Phase::Canary if is_new && !is_canary => Part::None,
+            Phase::RolledBack if is_new => Part::None,
+            Phase::Complete if !is_new => Part::None,
+            Phase::Retired => Part::Service,
+            _ if is_new => Part::Version(self.part_name()),
+            _ => Part::Service,
+        }
+    }
+
+    fn set_endpoints(&mut self, now: Instant, endpoints: &[Endpoint]) {
+        let mut sides = Sides::default();
+        for endpoint in endpoints.iter().filter(|e| !e.leaving) {
+            match self.side(endpoint) {
+                Some(Side::Old) => sides.old += 1,
+                Some(Side::New) => sides.new += 1,
+                None => {}
+            }
+        }
+        self.sides = sides;
+        self.no_others_since = match sides {
+            Sides { old: 0, new } if new > 0 => self.no_others_since.or(Some(now)),
+            _ => None,
+        };
+    }
+
+    fn deal(&mut self, share: f64, has_new: bool, is_first: bool) -> Side {
+        self.sent += 1;
+        let is_within = (self.sent_new + 1) as f64 <= share * self.sent as f64;
+        let side = match self.phase {
+            Phase::Canary if has_new && is_first && is_within => Side::New,
+            Phase::Shift | Phase::Complete if has_new => Side::New,
+            _ => Side::Old,
+        };
+        self.sent_new += u64::from(side == Side::New);
+        side
+    }
+
+    /// When all traffic shifts at the latest.
+    fn shift_at(&self) -> Instant {
+        let duration = self.deadline.saturating_duration_since(self.ordered);
+        let rest = (self.longest + LAST).min(duration.mul_f64(1.0 - CANARY_SHARE));
+        self.deadline.checked_sub(rest).unwrap_or(self.ordered)
+    }
+
+    fn settle(&mut self, now: Instant) -> Option<Change> {
+        if self.phase >= Phase::RolledBack {
+            return None;
+        }
+        let lasting = |since: Instant| now.saturating_duration_since(since) >= NO_OTHERS;
+        if self.no_others_since.is_some_and(lasting) && self.phase == Phase::Canary {
+            return self.enter(now, Phase::Shift, Why::Idle);
+        }
+        if let Some(finding) = detector::find(&self.evidence) {
+            return self.enter(now, Phase::RolledBack, Why::Worse(finding));
+        }
+        self.note_idle(now);
+        match self.phase {
+            Phase::Canary if self.sides.new == 0 && now >= self.deadline && self.sides.old > 0 => {
+                self.enter(now, Phase::RolledBack, Why::NoEndpoints)
+            }
+            Phase::Canary if self.sides.new > 0 && now >= self.shift_at() => {
+                self.enter(now, Phase::Shift, Why::Time)
+            }
+            _ => None,
+        }
+    }
+
+    fn note_idle(&mut self, now: Instant) {
+        let is_idle = self.phase == Phase::Shift && self.at_others(now) == 0;
+        self.idle_since = if is_idle { self.idle_since.or(Some(now)) } else { None };
+    }
+
+    /// What the store should say.
+    fn due(&self, now: Instant) -> Option<Status> {
+        if self.sides == Sides::default() {
+            return None;
+        }
+        let is_idle = self.idle_since.is_some_and(|at| now.saturating_duration_since(at) >= IDLE);
+        let is_last = now + LAST >= self.deadline || self.no_others_since.is_some();
+        match self.phase {
+            Phase::Canary => Some(Status::Running),
+            Phase::Shift if is_idle || is_last => Some(Status::Complete),
+            Phase::Shift => Some(Status::Running),
+            Phase::RolledBack => Some(Status::RolledBack),
+            Phase::Complete | Phase::Retired => Some(Status::Complete),
+        }
+    }
+}
--- /dev/null
+++ b/oxbowbend-core/src/rollout/told.rs
@@ -0,0 +1,191 @@
+//! What instances tell each other of roll-outs, and note in the store.
+
+use std::time::{Duration, Instant};
+
+use super::{Order, Others, Phase as P, Rollout, Rollouts, Why, TOLD_TTL};
+use crate::ids::{InstanceId, ServiceId, VersionId};
+
+/// Phase of a roll-out. Later ones take the place of earlier ones.
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub enum Phase {
+    /// A small part of the requests goes to the new version.
+    Canary,
+    /// All new requests go there.
+    Shift,
+    /// None do: the version is bad.
+    RolledBack,
+    /// All do, and the other versions are stopped.
+    Complete,
+    /// As if there had been no order: versions are alike again.
+    Retired,
+}
+
+/// What one report tells of a roll-out. Times left are sent instead of times, since no two clocks agree.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct ToldRollout {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: ServiceId,
+    /// The version.
+    #[serde(rename = "d")]
+    pub destination: VersionId,
+    /// Milliseconds since the order.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+    /// Milliseconds from the order to the deadline.
+    #[serde(rename = "t")]
+    pub duration_ms: u32,
+    /// The phase.
+    #[serde(rename = "p")]
+    pub phase: Phase,
+    /// Requests at other versions, of the sender or, told to other cells, of its cell; one more for each instance that
+    /// still sends some there.
+    #[serde(rename = "r", default)]
+    pub running: u32,
+    /// Those of other cells, from a representative to its cell.
+    #[serde(rename = "b", default)]
+    pub beyond: u32,
+}
+
+/// Who tells of a roll-out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Teller {
+    /// An instance of this cell.
+    Near,
+    /// A representative of another cell.
+    Far,
+}
+
+impl Rollouts {
+    /// What to tell an instance of this cell, or those of others.
+    pub fn tell(&self, now: Instant, to: Teller) -> Vec<ToldRollout> {
+        let tell = |rollout: &Rollout| ToldRollout {
+            service: rollout.order.service.clone(),
+            destination: rollout.order.destination.clone(),
+            age_ms: millis(now.saturating_duration_since(rollout.ordered)),
+            duration_ms: millis(rollout.deadline.saturating_duration_since(rollout.ordered)),
+            phase: rollout.phase,
+            running: match to {
+                Teller::Near => rollout.at_others_here(),
+                Teller::Far => rollout.at_others_near(now),
+            },
+            beyond: match to {
+                Teller::Near => rollout.at_others_far(now),
+                Teller::Far => 0,
+            },
+        };
+        self.all.values().map(tell).collect()
+    }
+
+    /// Takes in what another instance tells. `longest` is the longest time that a request to a service may take.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        teller: Teller,
+        told: &[ToldRollout],
+        longest: impl Fn(&ServiceId) -> Duration,
+    ) {
+        for told in told {
+            self.hear_one(now, from, teller, told, longest(&told.service));
+        }
+    }
+
+    /// Takes in what an instance noted in the store before this one's start.
+    pub fn restore(&mut self, now: Instant, told: &ToldRollout, longest: Duration) {
+        self.learn(now, told, longest);
+    }
+
+    fn hear_one(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        teller: Teller,
+        told: &ToldRollout,
+        longest: Duration,
+    ) {
+        self.learn(now, told, longest);
+        let is_same = |r: &&mut Rollout| r.order.destination == told.destination;
+        if let Some(rollout) = self.all.get_mut(&told.service).filter(is_same) {
+            let (running, beyond) = (told.running, told.beyond);
+            let others = Others { at: now, teller, running, beyond };
+            rollout.others.insert(from.clone(), others);
+        }
+    }
+
+    /// An order that is not known, or that is younger than the one that is, takes its place; of the same one the
+    /// later phase holds.
+    fn learn(&mut self, now: Instant, told: &ToldRollout, longest: Duration) {
+        let age = Duration::from_millis(told.age_ms.into());
+        let ordered = now.checked_sub(age).unwrap_or(now);
+        let destination = told.destination.clone();
+        let Some(known) = self.all.get_mut(&told.service) else {
+            return self.begin_told(now, told, ordered, longest);
+        };
+        if known.order.destination != destination {
+            // Ages differ by what a report takes.
+            if ordered > known.ordered + TOLD_TTL {
+                self.begin_told(now, told, ordered, longest);
+            }
+            return;
+        }
+        known.ordered = known.ordered.min(ordered);
+        let duration = Duration::from_millis(told.duration_ms.into());
+        known.deadline = known.deadline.min(ordered + duration);
+        if told.phase > known.phase {
+            self.changes.extend(known.enter(now, told.phase, Why::Told));
+        }
+    }
+
+    fn begin_told(
+        &mut self,
+        now: Instant,
+        told: &ToldRollout,
+        ordered: Instant,
+        longest: Duration,
+    ) {
+        let duration = Duration::from_millis(told.duration_ms.into());
+        let (service, destination) = (told.service.clone(), told.destination.clone());
+        let order = Order { service, destination, duration };
+        self.begin(now, order, ordered + duration, longest, told.phase, Why::Told);
+        if let Some(rollout) = self.all.get_mut(&told.service) {
+            rollout.ordered = ordered;
+        }
+    }
+}
+
+impl Rollout {
+    /// Requests of this instance at other versions; one more if it still sends some there.
+    fn at_others_here(&self) -> u32 {
+        self.running + u32::from(self.phase < P::Shift)
+    }
+
+    /// Those of its cell, as far as is heard.
+    fn at_others_near(&self, now: Instant) -> u32 {
+        let near = self.live(now).filter(|o| o.teller == Teller::Near);
+        self.at_others_here() + near.map(|o| o.running).sum::<u32>()
+    }
+
+    /// Those of other cells: as their representatives told, or one of this cell did.
+    fn at_others_far(&self, now: Instant) -> u32 {
+        let far = self.live(now).filter(|o| o.teller == Teller::Far);
+        let beyond = self.live(now).filter(|o| o.teller == Teller::Near).map(|o| o.beyond);
+        far.map(|o| o.running).sum::<u32>().max(beyond.max().unwrap_or(0))
+    }
+
+    /// Those of the fleet.
+    pub(super) fn at_others(&self, now: Instant) -> u32 {
+        self.at_others_near(now) + self.at_others_far(now)
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Others> {
+        let is_live = move |o: &&Others| now.saturating_duration_since(o.at) < TOLD_TTL;
+        self.others.values().filter(is_live)
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    time.as_millis().min(u128::from(u32::MAX)) as u32
+}
--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{AccountId, EndpointId, EndpointKey, ServiceId, ZoneId};
+use crate::ids::{AccountId, EndpointId, EndpointKey, ServiceId, VersionId, ZoneId};
 
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -115,6 +115,9 @@
     /// again under its id, and then knows nothing of before.
     #[serde(default)]
     pub born: u64,
+    /// Version of its software; empty if it does not say so.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub version: VersionId,
 }
 
 impl Endpoint {
@@ -130,6 +133,7 @@
     /// #     slots: 4,
     /// #     leaving: false,
     /// #     born: 1_700_000_000_000,
+    /// #     version: "".into(),
     /// # };
     /// let restarted = Endpoint { born: endpoint.born + 1, ..endpoint.clone() };
     /// assert_ne!(endpoint.key(), restarted.key());
@@ -242,6 +246,13 @@
         self.services.get(name)
     }
 
+    /// Longest time that a request to a service may take, by its routes.
+    pub fn longest(&self, service: &ServiceId) -> Duration {
+        let is_target = |route: &&Arc<Route>| route.targets.iter().any(|(name, _)| name == service);
+        let routes = self.by_host.values().flatten().filter(is_target);
+        routes.map(|route| route.timeout).max().unwrap_or(Duration::ZERO)
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.by_host.values().map(Vec::len).sum()
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -189,7 +189,7 @@
         report.spent = vec![("acc".into(), units)];
         report
     };
-    let drawn = |heard: Option<Heard>| heard.expect("news").near.first().map(|(_, u)| *u);
+    let drawn = |heard: Option<Heard>| heard.expect("news").spent.near.first().map(|(_, u)| *u);
     assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1000), true)), Some(0));
     assert_eq!(drawn(b.hear(now, with(a.report(now, Extent::Full), 1200), true)), Some(200));
 }
@@ -204,7 +204,7 @@
     let mut full = a.report(now, Extent::Full);
     full.spent = vec![("acc".into(), 1000)];
     let drawn = b.hear(now, full, true).expect("news");
-    assert_eq!(drawn.near[0].1, 0);
+    assert_eq!(drawn.spent.near[0].1, 0);
     b.assign(now);
     assert_eq!(b.take_news(), []);
 }
@@ -253,7 +253,7 @@
         report.is_representative = speaks;
         report.cell_spent = vec![("acc".into(), cell_spent)];
         let news = b.hear(now, report, false).expect("news");
-        news.far.first().map_or(0, |(_, units)| *units)
+        news.spent.far.first().map_or(0, |(_, units)| *units)
     };
     assert_eq!(told(true, false, 1000), 0, "known from the start on");
     assert_eq!(told(true, false, 1100), 0, "another one speaks");
--- a/oxbowbend-core/tests/cells/mod.rs
+++ b/oxbowbend-core/tests/cells/mod.rs
@@ -19,6 +19,7 @@
         slots,
         leaving: false,
         born: 0,
+        version: "".into(),
     }
 }
 
--- a/oxbowbend-core/tests/fleet.rs
+++ b/oxbowbend-core/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cells::{cell, MS};
-use oxbowbend_core::cell::{Beyond, Cell, Extent, FleetView, Heard, Report, LOAD_TTL};
+use oxbowbend_core::cell::{Beyond, Cell, Extent, FleetView, Growth, Report, LOAD_TTL};
 use oxbowbend_core::ids::AccountId;
 
 fn report(cell: &mut Cell, now: Instant) -> Report {
@@ -18,7 +18,8 @@
 
 /// What a representative tells its cell of others that have admitted so many units.
 fn view(units: u64, heard: u32) -> FleetView {
-    FleetView { beyond: Beyond { heard, ready: heard - 1 }, spent: spent(units), is_full: true }
+    let beyond = Beyond { heard, ready: heard - 1 };
+    FleetView { beyond, spent: spent(units), is_full: true, ..FleetView::default() }
 }
 
 fn as_representative(cell: &mut Cell, now: Instant, view: FleetView) -> Report {
@@ -51,10 +52,11 @@
     let (mut first, mut me) = (cell("a", &[]), cell("c", &[]));
     let heard = me.hear(now, as_representative(&mut first, now, view(1000, 283)), true);
     // What was admitted before it was heard is not of now.
-    assert_eq!(heard, Some(Heard { near: vec![], far: spent(0) }));
+    let growth = Growth { near: vec![], far: spent(0) };
+    assert_eq!(heard.expect("news").spent, growth);
     assert_eq!(me.told_beyond(now), Beyond { heard: 283, ready: 282 });
     let heard = me.hear(now, as_representative(&mut first, now, view(1250, 283)), true);
-    assert_eq!(heard.expect("news").far, spent(250));
+    assert_eq!(heard.expect("news").spent.far, spent(250));
     // A report that leaves it out changes nothing.
     me.hear(now, Report { is_representative: true, ..report(&mut first, now) }, true);
     assert_eq!(me.told_beyond(now).heard, 283);
@@ -74,14 +76,14 @@
     };
     let mut alone = cell("c", &[]);
     alone.hear(now, far_report(100), false);
-    assert_eq!(alone.hear(now, far_report(250), false).expect("news").far, spent(150));
+    assert_eq!(alone.hear(now, far_report(250), false).expect("news").spent.far, spent(150));
     let mut me = cell("c", &[]);
     me.hear(now, far_report(300), false);
     me.hear(now, as_representative(&mut first, now, view(1000, 12)), true);
-    assert_eq!(me.hear(now, far_report(450), false).expect("news").far, []);
+    assert_eq!(me.hear(now, far_report(450), false).expect("news").spent.far, []);
     // Without one, what it is told itself counts again, and only what is new.
     let later = now + LOAD_TTL;
-    assert_eq!(me.hear(later, far_report(470), false).expect("news").far, spent(20));
+    assert_eq!(me.hear(later, far_report(470), false).expect("news").spent.far, spent(20));
 }
 
 #[test]
@@ -91,9 +93,9 @@
     me.hear(now, as_representative(&mut first, now, view(1000, 283)), true);
     me.hear(now, as_representative(&mut second, now, view(600, 283)), true);
     let heard = me.hear(now, as_representative(&mut first, now, view(1100, 283)), true);
-    assert_eq!(heard.expect("news").far, spent(100));
+    assert_eq!(heard.expect("news").spent.far, spent(100));
     let heard = me.hear(now, as_representative(&mut second, now, view(700, 283)), true);
-    assert_eq!(heard.expect("news").far, []);
+    assert_eq!(heard.expect("news").spent.far, []);
     // One that has just stepped in knows of nobody yet.
     let heard = view(700, 1);
     me.hear(now, as_representative(&mut second, now, heard), true);
@@ -101,7 +103,7 @@
     // The first one falls silent: the second one's word counts, from where it was.
     let later = now + LOAD_TTL;
     let heard = me.hear(later, as_representative(&mut second, later, view(900, 271)), true);
-    assert_eq!(heard.expect("news").far, spent(200));
+    assert_eq!(heard.expect("news").spent.far, spent(200));
     assert_eq!(me.told_beyond(later).heard, 271);
 }
 
@@ -132,5 +134,5 @@
     assert_eq!((me.heard(now), me.other_reports(now).count()), (0, 1));
     me.set_peers(|_| true);
     let heard = me.hear(now, with(report(&mut other, now), 130), true);
-    assert_eq!(heard.expect("news").near, spent(30));
+    assert_eq!(heard.expect("news").spent.near, spent(30));
 }
--- a/oxbowbend-core/tests/groups.rs
+++ b/oxbowbend-core/tests/groups.rs
@@ -21,6 +21,7 @@
         slots: 4,
         leaving: false,
         born: 0,
+        version: "".into(),
     };
     (0..n).map(endpoint).collect()
 }
--- a/oxbowbend-core/tests/shedding.rs
+++ b/oxbowbend-core/tests/shedding.rs
@@ -22,6 +22,7 @@
         slots,
         leaving: false,
         born: 0,
+        version: "".into(),
     }]);
     cell
 }
--- a/oxbowbend-gateway/src/audience.rs
+++ b/oxbowbend-gateway/src/audience.rs
@@ -2,11 +2,13 @@
 //! and then whoever should be there, so that parts of a fleet that have lost each other find each other again.
 
 use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use oxbowbend_core::cell::Extent;
 use oxbowbend_core::ids::{AccountId, InstanceId};
+use oxbowbend_core::rollout::evidence::EvidenceKey;
 
 use crate::shared::State;
 
@@ -79,27 +81,39 @@
     }
 }
 
-/// Units of accounts that were told last, so that only what has changed is told again.
-#[derive(Default)]
-pub(crate) struct Told {
+/// Counters that were told last, so that only what has changed is told again.
+pub(crate) struct Told<K> {
     /// To the cell, of this instance.
-    pub(crate) near: HashMap<AccountId, u64>,
+    pub(crate) near: HashMap<K, u64>,
     /// To other cells, of this cell.
-    pub(crate) far: HashMap<AccountId, u64>,
+    pub(crate) far: HashMap<K, u64>,
     /// To the cell, of other cells.
-    pub(crate) fleet: HashMap<AccountId, u64>,
+    pub(crate) fleet: HashMap<K, u64>,
+}
+
+impl<K> Default for Told<K> {
+    fn default() -> Told<K> {
+        Told { near: HashMap::new(), far: HashMap::new(), fleet: HashMap::new() }
+    }
+}
+
+/// What was told last of all counters.
+#[derive(Default)]
+pub(crate) struct ToldAll {
+    /// Units of accounts.
+    pub(crate) spent: Told<AccountId>,
+    /// Answers of versions that are rolled out.
+    pub(crate) evidence: Told<EvidenceKey>,
 }
 
 /// The counters to tell: all in reports that go to everybody, else those that have changed.
-pub(crate) fn changed<'a>(
-    counters: impl Iterator<Item = (&'a AccountId, u64)>,
-    told: &HashMap<AccountId, u64>,
+pub(crate) fn changed<'a, K: Clone + Eq + Hash + 'a>(
+    counters: impl Iterator<Item = (&'a K, u64)>,
+    told: &HashMap<K, u64>,
     reach: Reach,
-) -> Vec<(AccountId, u64)> {
-    let is_news = |(account, units): &(&AccountId, u64)| {
-        *units > 0 && (reach.is_full() || told.get(*account) != Some(units))
-    };
-    counters.filter(is_news).map(|(account, units)| (account.clone(), units)).collect()
+) -> Vec<(K, u64)> {
+    let is_news = |(key, n): &(&K, u64)| *n > 0 && (reach.is_full() || told.get(*key) != Some(n));
+    counters.filter(is_news).map(|(key, n)| (key.clone(), n)).collect()
 }
 
 /// Addresses of all instances that are heard.
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -347,7 +347,8 @@
     }
     let quarantined = state.quarantine.notes(now, is_first);
     let epoch = state.world.epoch();
-    Entry { zone: zone.clone(), address, paces, used, epoch, quarantined }
+    let rollouts = if is_first { state.rollout_notes(now) } else { Vec::new() };
+    Entry { zone: zone.clone(), address, paces, used, epoch, quarantined, rollouts }
 }
 
 /// Reads now and then which instances there are. Who copies from another one is told by that.
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use oxbowbend_core::ids::{InstanceId, ZoneId};
 use oxbowbend_core::quota::QuotaBounds;
 use oxbowbend_core::repeats::{Allowance, Repeats};
+use oxbowbend_core::rollout::{RolloutBounds, Rollouts};
 use oxbowbend_http::h1;
 use thiserror::Error;
 
@@ -23,6 +24,7 @@
 use crate::observe;
 use crate::peers;
 use crate::relay;
+use crate::rollouts;
 use crate::seam::{Store, Wire};
 use crate::shared::Shared;
 use crate::source::Sources;
@@ -68,6 +70,8 @@
     pub grace: Duration,
     /// Bound on repeats over all instances.
     pub repeats: Allowance,
+    /// Bounds of roll-outs over all instances.
+    pub rollouts: RolloutBounds,
     /// Bounds of quotas over all instances.
     pub quotas: QuotaBounds,
     /// Instances of a cell at most.
@@ -126,6 +130,7 @@
             Sources::new(cfg.in_force),
             Admission::new(cfg.quotas),
             Repeats::new(cfg.repeats),
+            Rollouts::new(cfg.rollouts),
         );
         let door = Arc::new(h1::Door::default());
         let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
@@ -150,6 +155,7 @@
         task::spawn(follow::run(store.clone(), wire, shared.clone()));
         let entry = (cfg.instance.clone(), cfg.zone.clone(), cfg.peers);
         task::spawn(follow::count_instances(store.clone(), shared.clone()));
+        task::spawn(rollouts::keep_statuses(store.clone(), shared.clone()));
         task::spawn(follow::stay_entered(store, entry, shared.clone(), door.clone()));
         task::spawn(peers.clone().speak(changed));
         task::spawn(peers.listen());
@@ -253,6 +259,7 @@
             }
             state.choose_source(now);
             state.judge_ends(now);
+            state.settle_rollouts(now);
             state.set_shares(now);
             waiting = state.cell.waiting();
             let restarted = std::mem::take(&mut state.restarted);
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -81,7 +81,9 @@
         let quarantined = quarantine.notes(clock::now(), true);
         let position = if world.is_loaded() { world.position() } else { Position::default() };
         let Position { epoch, revision } = position;
-        instances.push((me.clone(), Entry { zone, address, paces, used, epoch, quarantined }));
+        let rollouts = state.rollout_notes(clock::now());
+        let mine = Entry { zone, address, paces, used, epoch, quarantined, rollouts };
+        instances.push((me.clone(), mine));
         Knowledge {
             epoch,
             revision,
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod quarantine;
 mod relay;
+mod rollouts;
 mod shared;
 mod stop;
 mod waiting;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -77,6 +77,11 @@
     counter!("oxbow_sends_held_total").increment(1);
 }
 
+/// Sets the number of roll-outs in progress.
+pub(crate) fn rollouts(n: usize) {
+    gauge!("oxbow_rollouts").set(n as f64);
+}
+
 /// Notes what was decided on a request that ends endpoints.
 pub(crate) fn quarantine_changed(what: &'static str) {
     counter!("oxbow_quarantine_total", "what" => what).increment(1);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -23,15 +23,16 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{FleetView, Report};
 use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::rollout::Teller;
 use oxbowbend_http::h1;
 
-use crate::audience::{changed, known, Audience, Reach, Told};
+use crate::audience::{changed, known, Audience, Reach, ToldAll};
 use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
 use crate::link::Link;
 use crate::observe;
 use crate::seam::{Position, Wire};
 use crate::shared::{Shared, State};
-use crate::world::Teller;
+use crate::world;
 
 /// Method of a report.
 const REPORT: &str = "report";
@@ -70,7 +71,7 @@
     /// Reports what changes, and a beat when nothing does.
     pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
         let mut beats: u64 = 0;
-        let mut told = Told::default();
+        let mut told = ToldAll::default();
         let now = clock::now();
         let mut beaten = now.checked_sub(BEAT).unwrap_or(now);
         loop {
@@ -97,7 +98,7 @@
     }
 
     /// Reports once.
-    async fn report(&self, reach: Reach, beat: u64, told: &mut Told) {
+    async fn report(&self, reach: Reach, beat: u64, told: &mut ToldAll) {
         let now = clock::now();
         let (report, far_report, addresses) = {
             let mut state = self.shared.lock();
@@ -109,17 +110,21 @@
             (report, far_report, addresses)
         };
         if let Some(far_report) = far_report {
-            told.far.extend(far_report.cell_spent.iter().cloned());
+            told.spent.far.extend(far_report.cell_spent.iter().cloned());
+            told.evidence.far.extend(far_report.cell_evidence.iter().cloned());
             self.send(&far_report, &addresses.far).await;
         }
-        told.near.extend(report.spent.iter().cloned());
-        let fleet = report.fleet.iter().flat_map(|view| &view.spent);
-        told.fleet.extend(fleet.cloned());
+        told.spent.near.extend(report.spent.iter().cloned());
+        told.evidence.near.extend(report.evidence.iter().cloned());
+        if let Some(view) = &report.fleet {
+            told.spent.fleet.extend(view.spent.iter().cloned());
+            told.evidence.fleet.extend(view.evidence.iter().cloned());
+        }
         self.send(&report, &addresses.near).await;
     }
 
     /// What the cell is told.
-    fn near_report(&self, state: &mut State, now: Instant, reach: Reach, told: &Told) -> Report {
+    fn near_report(&self, state: &mut State, now: Instant, reach: Reach, told: &ToldAll) -> Report {
         let mut report = state.cell.report(now, reach.extent());
         report.is_representative = state.is_representative(now);
         report.seen_ms = state.sources.seen_ms(now);
@@ -137,13 +142,18 @@
         report.has_store = state.has_store() && !self.door.is_closing();
         let quotas = &state.admission.quotas;
         if reach != Reach::Cell || quotas.is_busy() {
-            report.spent = changed(quotas.spent(), &told.near, reach);
+            report.spent = changed(quotas.spent(), &told.spent.near, reach);
+            report.evidence = changed(state.rollouts.counters(), &told.evidence.near, reach);
             report.fleet = report.is_representative.then(|| FleetView {
                 beyond: state.beyond(now),
-                spent: changed(quotas.far_spent(), &told.fleet, reach),
+                spent: changed(quotas.far_spent(), &told.spent.fleet, reach),
+                evidence: changed(state.rollouts.far_counters(), &told.evidence.fleet, reach),
                 is_full: reach.is_full(),
             });
         }
+        if reach != Reach::Cell {
+            report.rollouts = state.rollouts.tell(now, Teller::Near);
+        }
         if reach != Reach::Cell && state.cell.has_newcomer(now) {
             report.windows = state.admission.quotas.windows(now);
         }
@@ -162,15 +172,16 @@
         state: &State,
         now: Instant,
         reach: Reach,
-        told: &Told,
+        told: &ToldAll,
         near: &Report,
     ) -> Report {
         let is_representative = near.is_representative;
         let quotas = &state.admission.quotas;
-        let cell_spent = match is_representative {
-            true => changed(quotas.cell_spent(), &told.far, reach),
-            false => Vec::new(),
-        };
+        let (mut cell_spent, mut cell_evidence) = (Vec::new(), Vec::new());
+        if is_representative {
+            cell_spent = changed(quotas.cell_spent(), &told.spent.far, reach);
+            cell_evidence = changed(state.rollouts.cell_counters(), &told.evidence.far, reach);
+        }
         let peers = match reach {
             Reach::First { introduces: true } if state.is_new_fleet() => known(state, now),
             _ => near.peers.clone(),
@@ -194,6 +205,8 @@
             is_representative,
             is_cell_told: reach.is_full() && is_representative,
             cell_spent,
+            cell_evidence,
+            rollouts: state.rollouts.tell(now, Teller::Far),
             quarantine: near.quarantine.clone(),
             peers,
             ..Report::default()
@@ -334,8 +347,8 @@
         let now = clock::now();
         let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
         let teller = match knowledge.has_store {
-            true => Teller::Follower,
-            false => Teller::Other,
+            true => world::Teller::Follower,
+            false => world::Teller::Other,
         };
         let is_same_list = knowledge.endpoints.is_none();
         let snapshot = knowledge.into_snapshot();
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -182,8 +182,9 @@
         // A stop ends whatever waits; without an answer the caller could not tell that it has not run.
         let shutdown = self.shared.lock().shutdown;
         let hold = shutdown.map_or(hold, |s| s.hold(now, hold));
+        let service = self.shared.lock().deal(&job.service, tries.avoid.is_empty());
         let waiting = self.shared.arrive(Want {
-            service: job.service.clone(),
+            service,
             rank: job.rank,
             prompt: job.ask.prompt,
             output: job.ask.output.unwrap_or(0),
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -1,5 +1,6 @@
 //! One exchange with one endpoint.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::future;
@@ -9,8 +10,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
-use oxbowbend_core::cell::{Assignment, Outcome};
-use oxbowbend_core::routes::Endpoint;
+use oxbowbend_core::cell::{Assignment, Outcome, FIXED_UNITS};
+use oxbowbend_core::rollout::evidence::Answer;
+use oxbowbend_core::routes::{Endpoint, Route};
 use oxbowbend_core::silence::{self, Silence};
 use oxbowbend_http::h1;
 use thiserror::Error;
@@ -23,6 +25,9 @@
 use crate::seam::{Onward, Verdict, Wire};
 use crate::shared::Shared;
 
+/// Units of work of an event of a stream, roughly: what is compared are answers on the same route.
+const EVENT_UNITS: u32 = 1000;
+
 /// An endpoint's answer.
 pub(crate) enum Sent {
     /// All of it.
@@ -94,12 +99,17 @@
     /// Longest time between two events.
     pause: Duration,
     last_event: Instant,
+    /// Events so far.
+    events: u32,
+    /// Name of its route.
+    route: Arc<Route>,
     is_over: bool,
 }
 
 impl Run {
-    fn new(shared: &Shared, id: &str, place: Assignment) -> Run {
-        let (shared, id) = (shared.clone(), id.to_owned());
+    fn new(shared: &Shared, job: &Job, place: Assignment) -> Run {
+        let (shared, id) = (shared.clone(), job.ask.id.clone());
+        shared.run_began(&place.endpoint);
         Run {
             shared,
             id,
@@ -111,6 +121,8 @@
             first: Duration::ZERO,
             pause: Duration::ZERO,
             last_event: clock::now(),
+            events: 0,
+            route: job.route.clone(),
             is_over: false,
         }
     }
@@ -122,6 +134,7 @@
             self.pause = self.pause.max(now.duration_since(self.last_event));
         }
         self.last_event = now;
+        self.events += 1;
     }
 
     /// Ends the run after a clean end of its answer, and keeps the connection.
@@ -137,8 +150,22 @@
         self.is_over = true;
         self.conn = None;
         let unread = if self.first.is_zero() { self.prompt } else { 0 };
+        let answer = match outcome {
+            Outcome::Good => Some(self.took()),
+            Outcome::Bad => Some(Answer::Failed),
+            Outcome::Neutral | Outcome::Absent => None,
+        };
+        self.shared.run_ended(&self.endpoint, &self.route.name, answer);
         self.shared.finish(self.endpoint.key(), unread, outcome);
     }
+
+    /// The time that it has taken, for each unit of work.
+    fn took(&self) -> Answer {
+        let units = self.prompt.saturating_add(self.backlog).saturating_add(FIXED_UNITS);
+        let units = units.saturating_add(self.events.saturating_mul(EVENT_UNITS));
+        let ns = clock::since(self.began).as_nanos() as f64;
+        Answer::Good { ns_per_unit: ns / f64::from(units) }
+    }
 }
 
 impl Drop for Run {
@@ -165,7 +192,7 @@
         after: Option<u64>,
     ) -> Result<Sent, Failure> {
         let (load, expected) = (place.load, place.expected);
-        let mut run = Run::new(&self.shared, &job.ask.id, place);
+        let mut run = Run::new(&self.shared, job, place);
         let is_crowded = load > run.endpoint.slots;
         let result = self.exchange(job, &mut run, expected, after).await;
         let failure = match result {
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -6,9 +6,12 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
-use oxbowbend_core::ids::{AccountId, EndpointId, EndpointKey, InstanceId, ZoneId};
+use oxbowbend_core::ids::{
+    AccountId, EndpointId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId,
+};
 use oxbowbend_core::quarantine::ToldVerdict;
 use oxbowbend_core::quota::Window;
+use oxbowbend_core::rollout::{Order, Status, ToldRollout};
 use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::subscription::Call;
 use thiserror::Error;
@@ -137,6 +140,20 @@
     /// Requests in quarantine, from this instance if it decided that, else likewise.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantined: Vec<ToldVerdict>,
+    /// Roll-outs in progress, if it is on this instance to note them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<ToldRollout>,
+}
+
+/// What the store says of a service's roll-out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NotedStatus {
+    /// The version.
+    pub destination: VersionId,
+    /// The status.
+    pub status: Status,
+    /// When that was written.
+    pub revision: Revision,
 }
 
 /// Something in the store.
@@ -152,6 +169,19 @@
     Instance(InstanceId, Entry),
     /// An instance's entry has gone.
     InstanceGone(InstanceId),
+    /// A roll-out that the operator orders.
+    Rollout(Order),
+    /// Its order has gone.
+    RolloutGone(ServiceId),
+    /// What the operator was told of a roll-out.
+    RolloutStatus {
+        /// The service.
+        service: ServiceId,
+        /// The version.
+        destination: VersionId,
+        /// The status.
+        status: Status,
+    },
     /// An entry that cannot be read.
     Unreadable(UnreadableEntry),
 }
@@ -180,7 +210,7 @@
 /// each change would cost every instance a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Part {
-    /// The operator's configuration.
+    /// What the operator writes: the configuration, and orders of roll-outs.
     Config,
     /// The endpoints.
     Endpoints,
@@ -269,6 +299,21 @@
     /// Renews the lease; returns the store's epoch.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<Epoch, StoreError>> + Send;
 
+    /// Reads what the operator was told of a service's roll-out.
+    fn rollout_status(
+        &self,
+        service: &ServiceId,
+    ) -> impl Future<Output = Result<Option<NotedStatus>, StoreError>> + Send;
+
+    /// Tells the operator how a roll-out stands, if what was told before was written at that revision; 0 if nothing
+    /// was.
+    fn note_rollout(
+        &self,
+        order: &Order,
+        status: Status,
+        before: Revision,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Ends the lease.
     fn retire(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -17,6 +17,7 @@
 use oxbowbend_core::quarantine::Quarantine;
 use oxbowbend_core::quota::Note;
 use oxbowbend_core::repeats::Repeats;
+use oxbowbend_core::rollout::Rollouts;
 use oxbowbend_core::routes::{Endpoint, Table};
 use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::subscription::GivenUp;
@@ -38,6 +39,7 @@
     pub(crate) repeats: Repeats,
     pub(crate) ages: Ages,
     pub(crate) quarantine: Quarantine,
+    pub(crate) rollouts: Rollouts,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
@@ -71,7 +73,7 @@
         members.extend(entered.map(|(name, e)| (name.clone(), e.zone.clone())));
         let heard = self.cell.live_reports(now).chain(self.cell.other_reports(now));
         members.extend(heard.map(|r| (r.instance.clone(), r.zone.clone())));
-        let endpoints: Vec<_> = self.world.endpoints().cloned().collect();
+        let endpoints = self.endpoints_by_version(now);
         if members == self.members && endpoints == self.endpoints {
             return;
         }
@@ -216,6 +218,7 @@
         sources: Sources,
         admission: Admission,
         repeats: Repeats,
+        rollouts: Rollouts,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
         let state = State {
@@ -225,6 +228,7 @@
             repeats,
             ages: Ages::default(),
             quarantine: Quarantine::new(&me),
+            rollouts,
             shutdown: None,
             waiters: HashMap::new(),
             group: Group::default(),
@@ -313,10 +317,12 @@
             _ => None,
         });
         state.restarted.extend(restarted);
+        state.take_rollouts(now, news);
         if news.iter().any(News::is_of_endpoints) {
             state.regroup(now);
             if is_start {
                 state.set_shares(now);
+                state.restore_rollouts(now);
                 state.restore_paces();
             }
         }
@@ -333,14 +339,21 @@
         state.hear_of_ends(now, &report.quarantine);
         let is_near = state.group.cells <= 1 || state.group.peers.contains(&report.instance);
         let windows = std::mem::take(&mut report.windows);
+        state.hear_of_rollouts(now, &report, is_near);
         let Some(heard) = state.cell.hear(now, report, is_near) else { return };
         if is_near && state.is_new(now) {
             for (account, window) in &windows {
                 state.admission.quotas.restore_told(now, account, window);
             }
         }
-        state.draw(now, heard.near, true);
-        state.draw(now, heard.far, false);
+        state.draw(now, heard.spent.near, true);
+        state.draw(now, heard.spent.far, false);
+        for (key, n) in heard.evidence.near {
+            state.rollouts.draw(now, key, n, true);
+        }
+        for (key, n) in heard.evidence.far {
+            state.rollouts.draw(now, key, n, false);
+        }
         // Without a request that waits, no report gives anybody a place.
         let has_work = state.cell.waiting() > 0;
         drop(state);
--- a/oxbowbend-gateway/src/world/mod.rs
+++ b/oxbowbend-gateway/src/world/mod.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use oxbowbend_core::ids::{EndpointId, InstanceId, ZoneId};
+use oxbowbend_core::ids::{EndpointId, InstanceId, ServiceId, ZoneId};
+use oxbowbend_core::rollout::Order;
 use oxbowbend_core::routes::{Endpoint, Table};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -60,6 +61,8 @@
     digest: u64,
     lapsed: BTreeMap<EndpointId, Instant>,
     instances: BTreeMap<InstanceId, Entry>,
+    /// Orders of roll-outs.
+    rollouts: BTreeMap<ServiceId, Order>,
     /// Endpoints that have left, as long as a copy of the store may still list them.
     departed: Departed,
     returned: Option<Instant>,
@@ -183,6 +186,18 @@
         if snapshot.epoch < self.epoch() {
             return vec![News::Outdated(snapshot.position())];
         }
+        let is_restored = self.is_restored(&snapshot);
+        let orders = if is_restored { Vec::new() } else { self.missing_orders(&snapshot) };
+        let mut news = self.load_told(now, snapshot, read);
+        news.extend(orders.into_iter().filter_map(|service| self.cancel(service)));
+        news
+    }
+
+    /// Takes in everything that the store holds, but for orders of roll-outs, as another instance tells it.
+    fn load_told<F>(&mut self, now: Instant, snapshot: Snapshot, read: F) -> Vec<News>
+    where
+        F: Fn(&[u8]) -> Result<Table, String>,
+    {
         let is_restored = self.is_restored(&snapshot);
         let missing = self.missing(&snapshot);
         let mut news = Vec::new();
@@ -262,6 +277,11 @@
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
                 Record::InstanceGone(name) => drop(self.instances.remove(&name)),
+                Record::Rollout(order) => news.extend(self.order(order)),
+                Record::RolloutGone(service) => news.extend(self.cancel(service)),
+                Record::RolloutStatus { service, destination, status } => {
+                    news.push(News::RolloutStatus { service, destination, status });
+                }
                 Record::Unreadable(entry) => news.extend(self.misread(now, entry)),
             }
         }
@@ -315,7 +335,7 @@
                 return self.copy(now, snapshot, read);
             }
             if snapshot.position() > self.position {
-                return self.load(now, snapshot, read);
+                return self.load_told(now, snapshot, read);
             }
         }
         let is_config = |r: &Record| matches!(r, Record::Config(_));
@@ -349,6 +369,25 @@
         news
     }
 
+    fn order(&mut self, order: Order) -> Option<News> {
+        let old = self.rollouts.insert(order.service.clone(), order.clone());
+        (old.as_ref() != Some(&order)).then_some(News::Rollout(order))
+    }
+
+    fn cancel(&mut self, service: ServiceId) -> Option<News> {
+        self.rollouts.remove(&service)?;
+        Some(News::RolloutCancelled(service))
+    }
+
+    /// Orders that a list lacks were taken back, unless it is of an older copy.
+    fn missing_orders(&self, snapshot: &Snapshot) -> Vec<ServiceId> {
+        let is_listed = |service: &ServiceId| {
+            let is = |r: &Record| matches!(r, Record::Rollout(o) if o.service == *service);
+            snapshot.records.iter().any(is)
+        };
+        self.rollouts.keys().filter(|service| !is_listed(service)).cloned().collect()
+    }
+
     fn configure<F>(&mut self, document: Bytes, read: F) -> Option<News>
     where
         F: Fn(&[u8]) -> Result<Table, String>,
--- a/oxbowbend-gateway/src/world/news.rs
+++ b/oxbowbend-gateway/src/world/news.rs
@@ -1,6 +1,7 @@
 //! What is newly known of the store, and its lines in the log.
 
-use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::ids::{EndpointId, ServiceId, VersionId};
+use oxbowbend_core::rollout::{Order, Status};
 use oxbowbend_core::routes::Endpoint;
 
 use crate::seam::{Position, Revision, UnreadableEntry};
@@ -24,6 +25,19 @@
     EndpointGone(EndpointId),
     /// An entry cannot be read.
     Unreadable(UnreadableEntry),
+    /// A roll-out is ordered.
+    Rollout(Order),
+    /// The order of a service's roll-out was taken back.
+    RolloutCancelled(ServiceId),
+    /// What the store says of a roll-out.
+    RolloutStatus {
+        /// The service.
+        service: ServiceId,
+        /// The version.
+        destination: VersionId,
+        /// The status.
+        status: Status,
+    },
     /// The store has come back from an older copy.
     Restored {
         /// What was known of it before.
@@ -81,6 +95,24 @@
                     before.revision
                 );
             }
+            News::Rollout(Order { service, destination, duration }) => {
+                log::info!(
+                    "event=rollout_ordered service={service} destination={destination} \
+                     duration_ms={} revision={revision} source={source}",
+                    duration.as_millis()
+                );
+            }
+            News::RolloutCancelled(service) => {
+                log::info!(
+                    "event=rollout_cancelled service={service} revision={revision} source={source}"
+                );
+            }
+            News::RolloutStatus { service, destination, status } => {
+                log::info!(
+                    "event=rollout_status_read service={service} destination={destination} \
+                     status={status:?} revision={revision}"
+                );
+            }
             News::Outdated(position) => log_outdated(*position, source),
         }
     }
--- a/oxbowbend-gateway/tests/entry.rs
+++ b/oxbowbend-gateway/tests/entry.rs
@@ -8,7 +8,15 @@
 fn entry(units: u64) -> Entry {
     let address = ([10, 0, 0, 1], 7600).into();
     let used = vec![("a".into(), vec![units])];
-    Entry { zone: "z".into(), address, paces: Vec::new(), used, epoch: 1, quarantined: Vec::new() }
+    Entry {
+        zone: "z".into(),
+        address,
+        paces: Vec::new(),
+        used,
+        epoch: 1,
+        quarantined: Vec::new(),
+        rollouts: Vec::new(),
+    }
 }
 
 const LEASE: Lease = Lease { id: 7, epoch: 1 };
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -28,6 +28,7 @@
         slots: 4,
         leaving: false,
         born: 0,
+        version: "".into(),
     })
 }
 
