Soak: a store that comes back from a copy, beside other faults

Cause: the epoch had unit tests only. Change: the stand-in store copies itself, comes back, rises its era in every answer and gives revisions and leases out again; a test with one and two cells, and a fault of the soak beside kills. Seeds that failed before play the faults of their time. Found by it, before the mend: 40 requests to an endpoint that had left and that the copy listed, since a second list of the same epoch was taken for its own word; and the digest of endpoints left out their version. Both mended: what is listed again as it was says nothing, a change does.

--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -9,12 +9,14 @@
 use rustix::process::Signal;
 
 use crate::caller::{self, Seen, KINDS};
+use crate::drills;
 use crate::endpoint;
 use crate::ends;
 use crate::fleet::{Fleet, DAEMONS, ENDPOINTS};
 use crate::outages;
 use crate::proxy;
 use crate::store;
+use crate::CASES;
 
 /// Time between two requests.
 const PACE: Duration = Duration::from_millis(8);
@@ -30,7 +32,9 @@
 /// would have made more events. The whole stream would take 6 s.
 const STOPPED: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(300));
 /// Kinds of faults.
-const FAULTS: usize = 20;
+const FAULTS: usize = 22;
+/// The same before there were returns from a copy: seeds that failed then play what they played then.
+const FAULTS_BEFORE: usize = 20;
 /// Time within which a configuration must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
 
@@ -48,9 +52,10 @@
     let callers =
         task::spawn(call(fleet.daemons.iter().map(|d| d.callers).collect(), seed, all.clone()));
     let mut broken = Vec::new();
+    let faults = if CASES.contains(&seed) { FAULTS_BEFORE } else { FAULTS };
     let until = Instant::now() + length;
     while Instant::now() < until {
-        broken.extend(fault(&mut fleet, &mut rng, &all).await);
+        broken.extend(fault(&mut fleet, &mut rng, faults, &all).await);
     }
     callers.cancel().await;
     if !fleet.ready(RECOVERY).await {
@@ -81,11 +86,11 @@
 }
 
 /// One fault from its beginning to its end.
-async fn fault(fleet: &mut Fleet, rng: &mut Pcg64, all: &All) -> Vec<String> {
+async fn fault(fleet: &mut Fleet, rng: &mut Pcg64, faults: usize, all: &All) -> Vec<String> {
     let daemon = rng.random_range(0..DAEMONS);
     let endpoint = rng.random_range(0..ENDPOINTS);
     let time = FAULT.mul_f64(rng.random_range(0.2..1.0));
-    let kind = rng.random_range(0..FAULTS);
+    let kind = rng.random_range(0..faults);
     println!("fault {kind} of daemon {daemon} or endpoint {endpoint} for {time:?}");
     let mut broken = Vec::new();
     match kind {
@@ -150,6 +155,7 @@
             task::sleep(time).await;
             fleet.enter(endpoint);
         }
+        20 | 21 => return drills::play_one(fleet, rng, endpoint).await,
         18 | 19 => ends::press_once(fleet, rng, time).await,
         13 => {
             fleet.configure();
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! are played every time.
 
 mod caller;
+mod drills;
 mod endpoint;
 mod ends;
 mod faults;
--- a/oxbowbend-daemon/tests/soak/outages.rs
+++ b/oxbowbend-daemon/tests/soak/outages.rs
@@ -31,7 +31,7 @@
 /// Time for which the store answers nothing.
 const OUTAGE: Duration = Duration::from_millis(700);
 /// Time after an outage within which all that was changed must be in force.
-const IN_FORCE: Duration = Duration::from_millis(3000);
+pub const IN_FORCE: Duration = Duration::from_millis(3000);
 
 /// Further time after which an endpoint whose entry went in an outage is not used: an attempt to reach the store takes 1.5 s
 /// and a pause, and entries have 1.7 s to return, 3.3 s in all.
@@ -49,7 +49,7 @@
 }
 
 /// Versions that are not in force as they must be at some instance.
-async fn stale(fleet: &Fleet) -> Vec<String> {
+pub async fn stale(fleet: &Fleet) -> Vec<String> {
     let mut stale = Vec::new();
     for (n, daemon) in fleet.daemons.iter().enumerate() {
         for (version, expected) in [(fleet.version, 200), (fleet.version - 1, 404)] {
--- a/oxbowbend-daemon/tests/soak/store.rs
+++ b/oxbowbend-daemon/tests/soak/store.rs
@@ -27,7 +27,18 @@
     Deaf,
 }
 
+/// What a copy of the store holds.
+#[derive(Clone, Default)]
+struct Copied {
+    revision: u64,
+    items: BTreeMap<String, Value>,
+    leases: HashMap<u64, (Duration, Instant)>,
+}
+
 struct State {
+    /// Rises each time that the store comes back from a copy.
+    era: u64,
+    copy: Copied,
     revision: u64,
     items: BTreeMap<String, Value>,
     history: Vec<(u64, String, Value)>,
@@ -48,6 +59,8 @@
 impl Store {
     pub async fn start(listener: TcpListener) -> Store {
         let state = State {
+            era: 1,
+            copy: Copied::default(),
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -95,6 +108,53 @@
         self.state.lock().unwrap().remove(key);
     }
 
+    /// Makes a copy.
+    pub fn copy(&self) {
+        let mut state = self.state.lock().unwrap();
+        let (revision, items) = (state.revision, state.items.clone());
+        state.copy = Copied { revision, items, leases: state.leases.clone() };
+    }
+
+    /// Comes back from the last copy: what was written since is gone, revisions and leases are given out again. Returns
+    /// what the operator and the endpoints had written, and will write again.
+    pub fn restore(&self) -> BTreeMap<String, Value> {
+        let mut state = self.state.lock().unwrap();
+        let Copied { revision, items, mut leases } = state.copy.clone();
+        leases.values_mut().for_each(|(_, at)| *at = Instant::now());
+        let lost = std::mem::replace(&mut state.items, items);
+        (state.revision, state.kept_from, state.leases) = (revision, revision, leases);
+        state.history.clear();
+        state.era += 1;
+        lost.into_iter().filter(|(key, _)| is_written_again(key)).collect()
+    }
+
+    /// The operator and the endpoints write again what they had written.
+    pub fn write_again(&self, lost: &BTreeMap<String, Value>) {
+        let mut state = self.state.lock().unwrap();
+        let kept: Vec<_> =
+            state.items.keys().filter(|key| is_written_again(key)).cloned().collect();
+        kept.iter().filter(|key| !lost.contains_key(*key)).for_each(|key| state.remove(key));
+        for (key, item) in lost {
+            if state.items.get(key).map(|now| &now["value"]) != Some(&item["value"]) {
+                state.put(key, item["value"].as_str().unwrap_or_default(), 0);
+            }
+        }
+    }
+
+    /// Keys below a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let mut state = self.state.lock().unwrap();
+        state.expire();
+        state.items.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        let state = self.state.lock().unwrap();
+        let value = STANDARD.decode(state.items.get(key)?["value"].as_str()?).ok()?;
+        serde_json::from_slice(&value).ok()
+    }
+
     async fn answer(self, req: Request<Incoming>) -> Response<h1::Whole> {
         let path = req.uri().path().to_owned();
         let query: HashMap<String, String> = req
@@ -108,25 +168,34 @@
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let mode = self.state.lock().unwrap().mode;
         match mode {
-            Mode::Refusing => return reply(503, json!({})),
+            Mode::Refusing => return reply(503, json!({}), self.era()),
             Mode::Slow(by) => task::sleep(by).await,
             Mode::Up | Mode::Mute | Mode::Deaf => {}
         }
         let cuts = self.state.lock().unwrap().cuts;
-        let (status, answer) = match path.as_str() {
+        // An answer is of the era in which it is worked out, whenever it arrives.
+        let (status, answer, era) = match path.as_str() {
             "/kv-watch" => self.watch(&query, cuts).await,
-            _ => self.state.lock().unwrap().call(&path, &query, &body),
+            _ => {
+                let mut state = self.state.lock().unwrap();
+                let (status, answer) = state.call(&path, &query, &body);
+                (status, answer, state.era)
+            }
         };
         if path == "/kv-watch" && self.state.lock().unwrap().cuts != cuts {
-            return reply(503, json!({}));
+            return reply(503, json!({}), era);
         }
         if mode == Mode::Mute || self.state.lock().unwrap().mode == Mode::Mute {
             task::sleep(Duration::from_secs(3600)).await;
         }
-        reply(status, answer)
+        reply(status, answer, era)
     }
 
-    async fn watch(&self, query: &HashMap<String, String>, cuts: u64) -> (u16, Value) {
+    fn era(&self) -> u64 {
+        self.state.lock().unwrap().era
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>, cuts: u64) -> (u16, Value, u64) {
         let after: u64 = query["after"].parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(query["wait_ms"].parse().unwrap_or(0));
         loop {
@@ -134,10 +203,10 @@
                 let mut state = self.state.lock().unwrap();
                 state.expire();
                 if state.cuts != cuts {
-                    return (503, json!({}));
+                    return (503, json!({}), state.era);
                 }
-                if after < state.kept_from {
-                    return (410, json!({}));
+                if after < state.kept_from || after > state.revision {
+                    return (410, json!({}), state.era);
                 }
                 let events = state
                     .history
@@ -151,7 +220,8 @@
                         true => (events, state.revision),
                         false => (Vec::new(), after),
                     };
-                    return (200, json!({ "events": events, "current_rev": revision }));
+                    let answer = json!({ "events": events, "current_rev": revision });
+                    return (200, answer, state.era);
                 }
             }
             task::sleep(Duration::from_millis(10)).await;
@@ -209,6 +279,10 @@
                     .collect();
                 (200, json!({ "items": items, "more_pages": false, "current_rev": self.revision }))
             }
+            "/kv-key" => match self.items.get(&query["key"]) {
+                Some(item) => (200, item.clone()),
+                None => (404, json!({})),
+            },
             "/kv-lease" => {
                 let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1000));
                 let lease = self.revision * 1000 + self.leases.len() as u64 + 1;
@@ -216,6 +290,14 @@
                 (200, json!({ "lease": lease, "ttl_ms": ttl.as_millis() as u64 }))
             }
             "/kv-txn" => {
+                for expected in body["expected_rev"].as_array().into_iter().flatten() {
+                    let key = expected["key"].as_str().unwrap_or_default();
+                    let known =
+                        self.items.get(key).map_or(0, |item| item["revision"].as_u64().unwrap());
+                    if expected["revision"].as_u64() != Some(known) {
+                        return (412, json!({ "items": [] }));
+                    }
+                }
                 for put in body["puts"].as_array().into_iter().flatten() {
                     let lease = put["lease"].as_u64().unwrap_or(0);
                     if lease != 0 && !self.leases.contains_key(&lease) {
@@ -242,9 +324,15 @@
     }
 }
 
-fn reply(status: u16, body: Value) -> Response<h1::Whole> {
+/// Whether whoever wrote a key writes it again after the store has come back from a copy.
+fn is_written_again(key: &str) -> bool {
+    key.starts_with("op/") || key.starts_with("servers/")
+}
+
+fn reply(status: u16, body: Value, era: u64) -> Response<h1::Whole> {
     let mut answer = Response::new(h1::Whole::from(body.to_string()));
     *answer.status_mut() = status.try_into().unwrap();
+    answer.headers_mut().insert("store-era", era.into());
     answer
 }
 
--- a/oxbowbend-gateway/src/world/mod.rs
+++ b/oxbowbend-gateway/src/world/mod.rs
@@ -46,6 +46,27 @@
     Other,
 }
 
+/// Where records come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    /// What was written since the last word of the store.
+    Change,
+    /// All that the store holds.
+    List,
+    /// The same, the first time after the store has come back from an older copy.
+    Copy,
+}
+
+impl Origin {
+    fn of_list(is_restored: bool) -> Origin {
+        if is_restored {
+            Origin::Copy
+        } else {
+            Origin::List
+        }
+    }
+}
+
 /// All that is known.
 #[derive(Debug, Default)]
 pub struct World {
@@ -207,7 +228,7 @@
         } else {
             self.replace_instances(&snapshot);
         }
-        news.extend(self.take(now, snapshot, is_restored, read));
+        news.extend(self.take(now, snapshot, Origin::of_list(is_restored), read));
         for id in missing {
             news.extend(self.lapse(now, id));
         }
@@ -257,11 +278,11 @@
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
-        self.take(now, changes, false, read)
+        self.take(now, changes, Origin::Change, read)
     }
 
-    /// Takes in records; `is_copy` if they may be older than what is known.
-    fn take<F>(&mut self, now: Instant, changes: Snapshot, is_copy: bool, read: F) -> Vec<News>
+    /// Takes in records.
+    fn take<F>(&mut self, now: Instant, changes: Snapshot, origin: Origin, read: F) -> Vec<News>
     where
         F: Fn(&[u8]) -> Result<Table, String>,
     {
@@ -270,10 +291,10 @@
         for record in changes.records {
             match record {
                 Record::Config(document) => news.extend(self.configure(document, &read)),
-                Record::Endpoint(endpoint) if is_copy => {
-                    news.extend(self.enter_copy(now, endpoint))
+                Record::Endpoint(endpoint) if origin == Origin::Copy => {
+                    news.extend(self.enter_copy(now, endpoint));
                 }
-                Record::Endpoint(endpoint) => news.extend(self.enter(endpoint)),
+                Record::Endpoint(endpoint) => news.extend(self.enter(endpoint, origin)),
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
                 Record::InstanceGone(name) => drop(self.instances.remove(&name)),
@@ -301,7 +322,7 @@
         let is_restored = self.is_restored(&snapshot);
         let missing = self.missing(&snapshot);
         self.replace_instances(&snapshot);
-        let mut news = self.take(now, snapshot, is_restored, read);
+        let mut news = self.take(now, snapshot, Origin::of_list(is_restored), read);
         news.extend(missing.into_iter().filter_map(|id| self.remove(now, id)));
         self.is_loaded = true;
         news
@@ -408,9 +429,11 @@
         Some(News::Config(version))
     }
 
-    fn enter(&mut self, endpoint: Endpoint) -> Option<News> {
-        let was_held = self.departed.release(&endpoint.id);
+    fn enter(&mut self, endpoint: Endpoint, origin: Origin) -> Option<News> {
         let is_new = self.write_down(&endpoint);
+        // What is listed again as it was may still be what the copy held.
+        let is_written = is_new || origin == Origin::Change;
+        let was_held = is_written && self.departed.release(&endpoint.id);
         if is_new || was_held {
             return self.begin(endpoint);
         }
@@ -497,6 +520,6 @@
 
 /// Part of one endpoint in the digest of all, which is the exclusive or of these.
 fn digest(endpoint: &Endpoint) -> u64 {
-    let Endpoint { id, address, leaving, born, .. } = endpoint;
-    xxh3_64(format!("{id} {address} {leaving} {born}").as_bytes())
+    let Endpoint { id, address, leaving, born, version, .. } = endpoint;
+    xxh3_64(format!("{id} {address} {leaving} {born} {version}").as_bytes())
 }
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -359,7 +359,8 @@
         assert!(news.contains(&News::OldConfig(5)), "{way}: {news:?}");
         assert_eq!(version(&world), 6, "{way}");
         assert_eq!((world.epoch(), world.revision()), (2, 9), "{way}");
-        // One goes on leaving, the other one is not there until it is known to be.
+        // One goes on leaving, the other one is not there until it is known to be, however often it is listed.
+        take(&mut world, now, restored(9, vec![config("5"), endpoint("a"), endpoint("b")]));
         let there: Vec<_> = world.endpoints().map(|e| (&*e.id, e.leaving)).collect();
         assert_eq!(there, [("a", true)], "{way}");
         assert_eq!(world.expire(now + CONFIRM / 2), [], "{way}");
