Play roll-outs with processes

Cause: the roll-outs had tests of the core only. Change: soak/rollouts.rs, one cell and two, a good version and a bad one, the first daemon killed in between. Mended: only what other cells told is told on; the last moment is 1.5 s before the deadline.

--- a/oxbowbend-core/src/rollout/mod.rs
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -35,8 +35,9 @@
 /// Part of an order's time after which the shift begins at the latest, so that there is evidence of the canary in
 /// any case.
 const CANARY_SHARE: f64 = 0.6;
-/// Time before the deadline at which the status is written although something still runs at the other versions.
-const LAST: Duration = Duration::from_millis(700);
+/// Time before the deadline at which the status is written although something still runs at the other versions: an order
+/// is known up to 0.7 s after it was given, and the status is written up to 0.5 s after it is due.
+const LAST: Duration = Duration::from_millis(1500);
 /// Time for which nobody must have told of anything at the other versions: reports come every 130 ms, and pass
 /// two representatives.
 const IDLE: Duration = Duration::from_millis(1000);
--- a/oxbowbend-core/src/rollout/told.rs
+++ b/oxbowbend-core/src/rollout/told.rs
@@ -72,7 +72,7 @@
                 Teller::Far => rollout.at_others_near(now),
             },
             beyond: match to {
-                Teller::Near => rollout.at_others_far(now),
+                Teller::Near => rollout.told_by_far(now),
                 Teller::Far => 0,
             },
         };
@@ -170,9 +170,14 @@
 
     /// Those of other cells: as their representatives told, or one of this cell did.
     fn at_others_far(&self, now: Instant) -> u32 {
-        let far = self.live(now).filter(|o| o.teller == Teller::Far);
         let beyond = self.live(now).filter(|o| o.teller == Teller::Near).map(|o| o.beyond);
-        far.map(|o| o.running).sum::<u32>().max(beyond.max().unwrap_or(0))
+        self.told_by_far(now).max(beyond.max().unwrap_or(0))
+    }
+
+    /// Those that other cells told this instance of. Only these are told on: what two instances of a cell told each
+    /// other on would stay for ever.
+    fn told_by_far(&self, now: Instant) -> u32 {
+        self.live(now).filter(|o| o.teller == Teller::Far).map(|o| o.running).sum()
     }
 
     /// Those of the fleet.
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -39,6 +39,8 @@
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
     pub version: u64,
+    /// Versions of the endpoints' software.
+    pub versions: [&'static str; ENDPOINTS],
     addresses: Vec<SocketAddr>,
     born: Born,
 }
@@ -81,6 +83,7 @@
             daemons,
             runs,
             version,
+            versions: ["v1"; ENDPOINTS],
             addresses,
             born,
         };
@@ -124,7 +127,8 @@
 
     /// Enters an endpoint.
     pub fn enter(&self, n: usize) {
-        let entry = entry(self.addresses[n], self.born.lock().unwrap()[n]);
+        let mut entry = entry(self.addresses[n], self.born.lock().unwrap()[n]);
+        entry["version"] = self.versions[n].into();
         self.store.put(&format!("servers/{}", self.endpoints[n].id), &entry);
     }
 
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod outages;
 mod proxy;
 mod quotas;
+mod rollouts;
 mod starts;
 mod store;
 
