--- a/oxbowbend-core/src/rollout/mod.rs
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -17,32 +17,23 @@
 
 pub mod detector;
 pub mod evidence;
+mod state;
 mod told;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{EndpointId, InstanceId, ServiceId, VersionId};
+use crate::ids::{EndpointId, ServiceId, VersionId};
 use crate::routes::Endpoint;
 use detector::Finding;
-use evidence::{Answer, Comparison, Evidence, EvidenceKey, OrderId, Side};
+use evidence::{Answer, Comparison, EvidenceKey, OrderId, Side};
+use state::Rollout;
 pub use told::{Phase, Teller, ToldRollout};
 
 /// Part of the bound on exposure that is used: what is on its way when a version is found to be bad comes on top.
 const USED_SHARE: f64 = 0.8;
-/// Part of an order's time after which the shift begins at the latest, so that there is evidence of the canary in
-/// any case.
-const CANARY_SHARE: f64 = 0.6;
-/// Time before the deadline at which the status is written although something still runs at the other versions: an order
-/// is known up to 0.7 s after it was given, and the status is written up to 0.5 s after it is due.
-const LAST: Duration = Duration::from_millis(1500);
-/// Time for which nobody must have told of anything at the other versions: reports come every 130 ms, and pass
-/// two representatives.
-const IDLE: Duration = Duration::from_millis(1000);
-/// Time for which a service must have had no other version before an order for it is complete by itself.
-const NO_OTHERS: Duration = Duration::from_secs(3);
 /// Time after a complete roll-out for which the other versions are left alone: their entries go after three
 /// heartbeats of 1.2 s.
 const RETIRING: Duration = Duration::from_secs(10);
@@ -134,46 +125,6 @@
     None,
 }
 
-/// Number of a service's endpoints by version.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Sides {
-    old: usize,
-    new: usize,
-}
-
-#[derive(Debug)]
-struct Rollout {
-    order: Order,
-    id: OrderId,
-    ordered: Instant,
-    deadline: Instant,
-    /// Longest time that a request to the service may take.
-    longest: Duration,
-    phase: Phase,
-    phase_at: Instant,
-    evidence: Evidence,
-    sides: Sides,
-    no_others_since: Option<Instant>,
-    /// Requests sent by this instance, and those of them to the new version.
-    sent: u64,
-    sent_new: u64,
-    /// Requests of this instance at other versions.
-    running: u32,
-    others: HashMap<InstanceId, Others>,
-    idle_since: Option<Instant>,
-    /// What the store says.
-    status: Option<Status>,
-}
-
-/// What an instance has told of runs at other versions.
-#[derive(Clone, Copy, Debug)]
-struct Others {
-    at: Instant,
-    teller: Teller,
-    running: u32,
-    beyond: u32,
-}
-
 /// All roll-outs as one instance sees them.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -394,153 +345,3 @@
 fn base(service: &ServiceId) -> &str {
     service.split(PART).next().unwrap_or(service)
 }
-
-impl Rollout {
-    fn new(
-        now: Instant,
-        order: Order,
-        deadline: Instant,
-        longest: Duration,
-        phase: Phase,
-    ) -> Rollout {
-        Rollout {
-            id: order.id(),
-            order,
-            ordered: now,
-            deadline,
-            longest,
-            phase,
-            phase_at: now,
-            evidence: Evidence::default(),
-            sides: Sides::default(),
-            no_others_since: None,
-            sent: 0,
-            sent_new: 0,
-            running: 0,
-            others: HashMap::new(),
-            idle_since: None,
-            status: None,
-        }
-    }
-
-    fn change(&self, now: Instant, why: Why) -> Change {
-        Change {
-            service: self.order.service.clone(),
-            destination: self.order.destination.clone(),
-            phase: self.phase,
-            why,
-            age: now.saturating_duration_since(self.ordered),
-            answers: self.evidence.whole(),
-        }
-    }
-
-    fn enter(&mut self, now: Instant, phase: Phase, why: Why) -> Option<Change> {
-        (self.phase, self.phase_at) = (phase, now);
-        self.idle_since = None;
-        Some(self.change(now, why))
-    }
-
-    /// On which side an endpoint is, if it belongs to the service.
-    fn side(&self, endpoint: &Endpoint) -> Option<Side> {
-        if base(&endpoint.service) != &*self.order.service {
-            return None;
-        }
-        let is_new = endpoint.version == self.order.destination;
-        Some(if is_new { Side::New } else { Side::Old })
-    }
-
-    fn part_name(&self) -> ServiceId {
-        format!("{}{PART}{}", self.order.service, self.order.destination).as_str().into()
-    }
-
-    fn part(&self, endpoint: &Endpoint, is_canary: bool) -> Part {
-        let is_new = self.side(endpoint) == Some(Side::New);
-        match self.phase {
-            Phase::Canary if is_new && !is_canary => Part::None,
-            Phase::RolledBack if is_new => Part::None,
-            Phase::Complete if !is_new => Part::None,
-            Phase::Retired => Part::Service,
-            _ if is_new => Part::Version(self.part_name()),
-            _ => Part::Service,
-        }
-    }
-
-    fn set_endpoints(&mut self, now: Instant, endpoints: &[Endpoint]) {
-        let mut sides = Sides::default();
-        for endpoint in endpoints.iter().filter(|e| !e.leaving) {
-            match self.side(endpoint) {
-                Some(Side::Old) => sides.old += 1,
-                Some(Side::New) => sides.new += 1,
-                None => {}
-            }
-        }
-        self.sides = sides;
-        self.no_others_since = match sides {
-            Sides { old: 0, new } if new > 0 => self.no_others_since.or(Some(now)),
-            _ => None,
-        };
-    }
-
-    fn deal(&mut self, share: f64, has_new: bool, is_first: bool) -> Side {
-        self.sent += 1;
-        let is_within = (self.sent_new + 1) as f64 <= share * self.sent as f64;
-        let side = match self.phase {
-            Phase::Canary if has_new && is_first && is_within => Side::New,
-            Phase::Shift | Phase::Complete if has_new => Side::New,
-            _ => Side::Old,
-        };
-        self.sent_new += u64::from(side == Side::New);
-        side
-    }
-
-    /// When all traffic shifts at the latest.
-    fn shift_at(&self) -> Instant {
-        let duration = self.deadline.saturating_duration_since(self.ordered);
-        let rest = (self.longest + LAST).min(duration.mul_f64(1.0 - CANARY_SHARE));
-        self.deadline.checked_sub(rest).unwrap_or(self.ordered)
-    }
-
-    fn settle(&mut self, now: Instant) -> Option<Change> {
-        if self.phase >= Phase::RolledBack {
-            return None;
-        }
-        let lasting = |since: Instant| now.saturating_duration_since(since) >= NO_OTHERS;
-        if self.no_others_since.is_some_and(lasting) && self.phase == Phase::Canary {
-            return self.enter(now, Phase::Shift, Why::Idle);
-        }
-        if let Some(finding) = detector::find(&self.evidence) {
-            return self.enter(now, Phase::RolledBack, Why::Worse(finding));
-        }
-        self.note_idle(now);
-        match self.phase {
-            Phase::Canary if self.sides.new == 0 && now >= self.deadline && self.sides.old > 0 => {
-                self.enter(now, Phase::RolledBack, Why::NoEndpoints)
-            }
-            Phase::Canary if self.sides.new > 0 && now >= self.shift_at() => {
-                self.enter(now, Phase::Shift, Why::Time)
-            }
-            _ => None,
-        }
-    }
-
-    fn note_idle(&mut self, now: Instant) {
-        let is_idle = self.phase == Phase::Shift && self.at_others(now) == 0;
-        self.idle_since = if is_idle { self.idle_since.or(Some(now)) } else { None };
-    }
-
-    /// What the store should say.
-    fn due(&self, now: Instant) -> Option<Status> {
-        if self.sides == Sides::default() {
-            return None;
-        }
-        let is_idle = self.idle_since.is_some_and(|at| now.saturating_duration_since(at) >= IDLE);
-        let is_last = now + LAST >= self.deadline || self.no_others_since.is_some();
-        match self.phase {
-            Phase::Canary => Some(Status::Running),
-            Phase::Shift if is_idle || is_last => Some(Status::Complete),
-            Phase::Shift => Some(Status::Running),
-            Phase::RolledBack => Some(Status::RolledBack),
-            Phase::Complete | Phase::Retired => Some(Status::Complete),
-        }
-    }
-}
--- a/oxbowbend-core/src/rollout/told.rs
+++ b/oxbowbend-core/src/rollout/told.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Order, Others, Phase as P, Rollout, Rollouts, Why, TOLD_TTL};
+use super::state::{Others, Rollout};
+use super::{Order, Phase as P, Rollouts, Why, TOLD_TTL};
 use crate::ids::{InstanceId, ServiceId, VersionId};
 
 /// Phase of a roll-out. Later ones take the place of earlier ones.
--- a/oxbowbend-gateway/src/world/mod.rs
+++ b/oxbowbend-gateway/src/world/mod.rs
@@ -5,8 +5,7 @@
 //! entry that is missing after that is gone. A store that comes back from an older copy is treated alike, and
 //! what its copy says of endpoints that are known to have left is not believed ([`restored`]).
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,12 +17,13 @@
 
 use crate::seam::{Entry, Epoch, Named, Position, Record, Revision, Snapshot, UnreadableEntry};
 
+mod endpoints;
 mod news;
 mod restored;
 
+use endpoints::{Endpoints, Origin};
 pub(crate) use news::log_outdated;
 pub use news::News;
-use restored::Departed;
 pub use restored::CONFIRM;
 
 /// Time after the store's return within which lapsed endpoints enter themselves again. The users
@@ -46,27 +46,6 @@
     Other,
 }
 
-/// Where records come from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Origin {
-    /// What was written since the last word of the store.
-    Change,
-    /// All that the store holds.
-    List,
-    /// The same, the first time after the store has come back from an older copy.
-    Copy,
-}
-
-impl Origin {
-    fn of_list(is_restored: bool) -> Origin {
-        if is_restored {
-            Origin::Copy
-        } else {
-            Origin::List
-        }
-    }
-}
-
 /// All that is known.
 #[derive(Debug, Default)]
 pub struct World {
@@ -75,17 +54,10 @@
     is_loaded: bool,
     document: Bytes,
     table: Option<Arc<Table>>,
-    /// Entries of endpoints as they were written last.
-    entries: BTreeMap<EndpointId, Endpoint>,
-    /// The newest start of each of them.
-    endpoints: BTreeMap<EndpointId, Endpoint>,
-    digest: u64,
-    lapsed: BTreeMap<EndpointId, Instant>,
+    endpoints: Endpoints,
     instances: BTreeMap<InstanceId, Entry>,
     /// Orders of roll-outs.
     rollouts: BTreeMap<ServiceId, Order>,
-    /// Endpoints that have left, as long as a copy of the store may still list them.
-    departed: Departed,
     returned: Option<Instant>,
     /// Since when the store has not answered.
     away: Option<Instant>,
@@ -125,13 +97,7 @@
     /// The endpoints in force. Of two at one address, only the one that began later can be there: the other
     /// one's entry was written late.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
-        for endpoint in self.endpoints.values() {
-            let born = newest.entry(endpoint.address).or_default();
-            *born = endpoint.born.max(*born);
-        }
-        let is_there = move |e: &&Endpoint| e.born == 0 || newest.get(&e.address) == Some(&e.born);
-        self.endpoints.values().filter(is_there)
+        self.endpoints.in_force()
     }
 
     /// The newest start of an endpoint, if it has an entry.
@@ -141,17 +107,17 @@
 
     /// Entries of endpoints, whether in force or not, to pass on.
     pub fn entries(&self) -> impl Iterator<Item = &Endpoint> {
-        self.entries.values()
+        self.endpoints.entries()
     }
 
     /// Endpoints that are kept for a moment, though their entries have gone.
     pub fn lapsed(&self) -> impl Iterator<Item = &EndpointId> {
-        self.lapsed.keys()
+        self.endpoints.lapsed()
     }
 
     /// Digest of the entries of endpoints, the same at instances that know the same.
     pub fn digest(&self) -> u64 {
-        self.digest
+        self.endpoints.digest()
     }
 
     /// Instances that have entered themselves.
@@ -220,7 +186,7 @@
         F: Fn(&[u8]) -> Result<Table, String>,
     {
         let is_restored = self.is_restored(&snapshot);
-        let missing = self.missing(&snapshot);
+        let missing = self.endpoints.missing(&snapshot);
         let mut news = Vec::new();
         if is_restored {
             news.push(News::Restored { before: self.position, now: snapshot.position() });
@@ -242,17 +208,6 @@
         self.is_loaded && snapshot.epoch > self.epoch()
     }
 
-    /// Entries of endpoints that are known here and not in a list.
-    fn missing(&self, snapshot: &Snapshot) -> BTreeSet<EndpointId> {
-        let mut missing: BTreeSet<_> = self.entries.keys().cloned().collect();
-        for record in &snapshot.records {
-            if let Record::Endpoint(endpoint) = record {
-                missing.remove(&endpoint.id);
-            }
-        }
-        missing
-    }
-
     /// Takes in a list's instances, if it has any: one that copies is not told those that it knows.
     fn replace_instances(&mut self, snapshot: &Snapshot) {
         if snapshot.records.iter().any(|r| matches!(r, Record::Instance(..))) {
@@ -291,10 +246,9 @@
         for record in changes.records {
             match record {
                 Record::Config(document) => news.extend(self.configure(document, &read)),
-                Record::Endpoint(endpoint) if origin == Origin::Copy => {
-                    news.extend(self.enter_copy(now, endpoint));
+                Record::Endpoint(endpoint) => {
+                    news.extend(self.endpoints.enter(now, endpoint, origin));
                 }
-                Record::Endpoint(endpoint) => news.extend(self.enter(endpoint, origin)),
                 Record::EndpointGone(id) => news.extend(self.lapse(now, id)),
                 Record::Instance(name, entry) => drop(self.instances.insert(name, entry)),
                 Record::InstanceGone(name) => drop(self.instances.remove(&name)),
@@ -320,10 +274,10 @@
             return self.learn(now, snapshot, Teller::Other, read);
         }
         let is_restored = self.is_restored(&snapshot);
-        let missing = self.missing(&snapshot);
+        let missing = self.endpoints.missing(&snapshot);
         self.replace_instances(&snapshot);
         let mut news = self.take(now, snapshot, Origin::of_list(is_restored), read);
-        news.extend(missing.into_iter().filter_map(|id| self.remove(now, id)));
+        news.extend(missing.into_iter().filter_map(|id| self.endpoints.remove(now, id)));
         self.is_loaded = true;
         news
     }
@@ -369,7 +323,7 @@
     fn without_lapsed(&self, mut snapshot: Snapshot) -> Snapshot {
         let lapsed = std::mem::take(&mut snapshot.lapsed);
         snapshot.records.retain(|record| match record {
-            Record::Endpoint(e) => !lapsed.contains(&e.id) || self.entries.contains_key(&e.id),
+            Record::Endpoint(e) => !lapsed.contains(&e.id) || self.endpoints.has_entry(&e.id),
             _ => true,
         });
         snapshot
@@ -380,14 +334,7 @@
         if self.away.is_some() {
             return Vec::new();
         }
-        let due = self.lapsed.iter().filter(|(_, until)| now >= **until);
-        let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
-        let mut news: Vec<_> = due.into_iter().filter_map(|id| self.remove(now, id)).collect();
-        for id in self.departed.confirmed(now) {
-            let endpoint = self.entries.get(&id).cloned();
-            news.extend(endpoint.and_then(|endpoint| self.begin(endpoint)));
-        }
-        news
+        self.endpoints.expire(now)
     }
 
     fn order(&mut self, order: Order) -> Option<News> {
@@ -429,56 +376,6 @@
         Some(News::Config(version))
     }
 
-    fn enter(&mut self, endpoint: Endpoint, origin: Origin) -> Option<News> {
-        let is_new = self.write_down(&endpoint);
-        // What is listed again as it was may still be what the copy held.
-        let is_written = is_new || origin == Origin::Change;
-        let was_held = is_written && self.departed.release(&endpoint.id);
-        if is_new || was_held {
-            return self.begin(endpoint);
-        }
-        None
-    }
-
-    /// Takes in an entry that may be older than what is known: it takes nothing back.
-    fn enter_copy(&mut self, now: Instant, endpoint: Endpoint) -> Option<News> {
-        let is_new = self.write_down(&endpoint);
-        if !is_new || self.departed.hold(now, &endpoint) {
-            return None;
-        }
-        let known = self.endpoints.get(&endpoint.id).filter(|e| e.born == endpoint.born);
-        if known.is_some_and(|known| known.leaving) {
-            return None;
-        }
-        self.begin(endpoint)
-    }
-
-    /// Notes an entry as it is written; returns whether it is another one than before.
-    fn write_down(&mut self, endpoint: &Endpoint) -> bool {
-        self.lapsed.remove(&endpoint.id);
-        let old = self.entries.insert(endpoint.id.clone(), endpoint.clone());
-        let is_new = old.as_ref() != Some(endpoint);
-        if is_new {
-            self.digest ^= old.as_ref().map_or(0, digest) ^ digest(endpoint);
-        }
-        is_new
-    }
-
-    /// Puts an endpoint in force, unless a later start of it is known. One that does not say when it began is
-    /// taken to be the one that was known.
-    fn begin(&mut self, mut endpoint: Endpoint) -> Option<News> {
-        let old_born = self.endpoints.get(&endpoint.id).map_or(0, |old| old.born);
-        if endpoint.born == 0 {
-            endpoint.born = old_born;
-        }
-        if endpoint.born < old_born {
-            return Some(News::EarlierStart(endpoint));
-        }
-        let is_restart = old_born > 0 && endpoint.born > old_born;
-        self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
-        Some(if is_restart { News::Restarted(endpoint) } else { News::Endpoint(endpoint) })
-    }
-
     /// An entry that cannot be read stands in place of what its key named before, which is gone.
     fn misread(&mut self, now: Instant, entry: UnreadableEntry) -> Vec<News> {
         let gone = match &entry.names {
@@ -495,31 +392,15 @@
     fn lapse(&mut self, now: Instant, id: EndpointId) -> Option<News> {
         let until = match self.returned {
             _ if self.away.is_some() => now + LAPSE,
-            _ if self.departed.release(&id) => return self.remove(now, id),
+            _ if self.endpoints.release(&id) => return self.endpoints.remove(now, id),
             Some(returned) if now < returned + LAPSE => returned + LAPSE,
-            _ => return self.remove(now, id),
+            _ => return self.endpoints.remove(now, id),
         };
-        if self.entries.contains_key(&id) {
-            self.lapsed.entry(id).or_insert(until);
-        }
+        self.endpoints.keep(id, until);
         None
     }
-
-    fn remove(&mut self, now: Instant, id: EndpointId) -> Option<News> {
-        self.lapsed.remove(&id);
-        let entry = self.entries.remove(&id)?;
-        self.digest ^= digest(&entry);
-        self.departed.note(now, self.endpoints.remove(&id).unwrap_or(entry));
-        Some(News::EndpointGone(id))
-    }
 }
 
 fn instance_digest(name: &InstanceId, zone: &ZoneId) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), xxh3_64(zone.as_bytes()))
 }
-
-/// Part of one endpoint in the digest of all, which is the exclusive or of these.
-fn digest(endpoint: &Endpoint) -> u64 {
-    let Endpoint { id, address, leaving, born, version, .. } = endpoint;
-    xxh3_64(format!("{id} {address} {leaving} {born} {version}").as_bytes())
-}
