Serve a service that has only the ordered version, and move what waits when a phase ends

Cause, found in the reading: an order for the version that runs already left 92 in 100 requests without an endpoint until it was complete, 3 s; and what waited for a version that was rolled back, or for one that is stopped, waited until it was refused. Change: without another version all of it is served; what waits is moved with the phase. Figures: tests/rollout.rs and tests/cell.rs, the first seen failing before by reading only.

--- a/oxbowbend-core/src/rollout/mod.rs
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -85,7 +85,7 @@
     Ordered,
     /// The version answers worse.
     Worse(Finding),
-    /// The time for evidence is over.
+    /// The time of the phase before is over.
     Time,
     /// The deadline has come, and there was nothing to move to.
     NoEndpoints,
@@ -244,7 +244,8 @@
             let mut new: Vec<_> = new.map(|e| &e.id).collect();
             new.sort_by_key(|id| xxh3_64(id.as_bytes()));
             let part = rollout.sides.old.max(new.len()) as f64 * self.bounds.share * USED_SHARE;
-            canaries.extend(new.into_iter().take(part.ceil() as usize));
+            let tried = if rollout.sides.old == 0 { new.len() } else { part.ceil() as usize };
+            canaries.extend(new.into_iter().take(tried));
         }
         canaries
     }
@@ -326,7 +327,7 @@
         }
         let is_over = |r: &Rollout| r.phase == Phase::Complete && now >= r.phase_at + RETIRING;
         for rollout in self.all.values_mut().filter(|r| is_over(r)) {
-            rollout.phase = Phase::Retired;
+            self.changes.extend(rollout.enter(now, Phase::Retired, Why::Time));
         }
     }
 
--- a/oxbowbend-core/src/rollout/state.rs
+++ b/oxbowbend-core/src/rollout/state.rs
@@ -151,6 +151,8 @@
         self.sent += 1;
         let is_within = (self.sent_new + 1) as f64 <= share * self.sent as f64;
         let side = match self.phase {
+            // There is nothing else to send it to.
+            Phase::Canary if has_new && self.sides.old == 0 => Side::New,
             Phase::Canary if has_new && is_first && is_within => Side::New,
             Phase::Shift | Phase::Complete if has_new => Side::New,
             _ => Side::Old,
--- a/oxbowbend-core/src/rollout/told.rs
+++ b/oxbowbend-core/src/rollout/told.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::state::{Others, Rollout};
-use super::{Order, Phase as P, Rollouts, Why, TOLD_TTL};
+use super::{Order, Rollouts, Why, TOLD_TTL};
 use crate::ids::{InstanceId, ServiceId, VersionId};
 
 /// Phase of a roll-out. Later ones take the place of earlier ones.
@@ -160,7 +160,7 @@
 impl Rollout {
     /// Requests of this instance at other versions; one more if it still sends some there.
     fn at_others_here(&self) -> u32 {
-        self.running + u32::from(self.phase < P::Shift)
+        self.running + u32::from(self.phase < Phase::Shift)
     }
 
     /// Those of its cell, as far as is heard.
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -242,6 +242,18 @@
     assert_eq!(b.take_news().len(), 1);
 }
 
+/// What waits for a version that is rolled back is served by the others.
+#[test]
+fn what_waits_for_one_service_can_wait_for_another() {
+    let now = Instant::now();
+    let mut cell = cell("a", &[endpoint(0, 1)]);
+    let ticket = cell.arrive(Want { service: "t".into(), ..want(0, 100, now) });
+    assert!(cell.assign(now).is_empty());
+    assert!(cell.serves(&"s".into()) && !cell.serves(&"t".into()));
+    cell.move_waiting(&"t".into(), &"s".into());
+    assert_eq!(placed(&mut cell, now), [(ticket, "e0".to_owned())]);
+}
+
 #[test]
 fn of_another_cell_only_its_speaker_s_sums_count() {
     let now = Instant::now();
--- a/oxbowbend-core/tests/rollout.rs
+++ b/oxbowbend-core/tests/rollout.rs
@@ -243,7 +243,10 @@
     let mut rollouts = Rollouts::new(BOUNDS);
     rollouts.ordered(now, order("1"), LONGEST);
     let all = [endpoint("a", "1"), endpoint("b", "1")];
-    rollouts.set_endpoints(now, &all);
+    let parts = rollouts.set_endpoints(now, &all);
+    // Meanwhile all of it is served by all of them.
+    assert!(parts.iter().all(|part| matches!(part, Part::Version(_))), "{parts:?}");
+    (0..20).for_each(|_| assert_ne!(rollouts.deal(&"s".into(), true, true), "s".into()));
     rollouts.settle(now);
     assert_eq!(rollouts.due(now)[0].1, Status::Running);
     rollouts.settle(now + 4 * S);
--- a/oxbowbend-gateway/src/rollouts.rs
+++ b/oxbowbend-gateway/src/rollouts.rs
@@ -8,7 +8,7 @@
 use oxbowbend_core::cell::Report;
 use oxbowbend_core::ids::ServiceId;
 use oxbowbend_core::rollout::evidence::{Answer, Comparison};
-use oxbowbend_core::rollout::{Change, Order, Part, Status, Teller, ToldRollout, Why};
+use oxbowbend_core::rollout::{Change, Order, Part, Phase, Status, Teller, ToldRollout, Why};
 use oxbowbend_core::routes::{Endpoint, Table};
 
 use crate::observe;
@@ -75,10 +75,23 @@
             return;
         }
         changes.iter().for_each(log_change);
+        for Change { service, phase, .. } in &changes {
+            self.move_waiting(service, *phase);
+        }
         observe::rollouts(self.rollouts.in_progress());
         self.regroup(now);
     }
 
+    /// Lets what waits for the part of a service that is sent nothing any more wait for the other one.
+    fn move_waiting(&mut self, service: &ServiceId, phase: Phase) {
+        let Some(part) = self.rollouts.part_name(service) else { return };
+        match phase {
+            Phase::Canary | Phase::Shift => {}
+            Phase::RolledBack | Phase::Retired => self.cell.move_waiting(&part, service),
+            Phase::Complete => self.cell.move_waiting(service, &part),
+        }
+    }
+
     /// The endpoints by what they are sent: those of a version that is rolled out by a name of their own.
     pub(crate) fn endpoints_by_version(&mut self, now: Instant) -> Vec<Endpoint> {
         let endpoints: Vec<_> = self.world.endpoints().cloned().collect();
