Leave the part of a quota to an instance that has stopped

Two instances were cut off while the four others stopped in turn and came back; the two had heard that these stop and counted them as heard for 12 s, so they used the whole limit (share=1.000 in their refusals), and those that were back used their own parts on the other side (0.667). Ruled out: notes and told windows, which were as full as what was used. Change: the rule is taken back; one that has stopped is not heard. It is back within a second as a rule, and until 1.5 s after its last word it counts anyway. Entries go on outlasting stops. The test of the rule is replaced by one of the opposite.

--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -252,11 +252,6 @@
         self.live_peers(now).any(|p| now.saturating_duration_since(p.since) < INTRODUCED)
     }
 
-    /// Other instances of this cell of which it is known what they admit: they are heard, or have stopped.
-    pub fn accounted(&self, now: Instant) -> usize {
-        self.heard(now) + self.peers.values().filter(|p| p.has_stopped(now)).count()
-    }
-
     /// Other instances of this cell that were heard within [`LOAD_TTL`].
     pub fn heard(&self, now: Instant) -> usize {
         self.live_peers(now).count()
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -5,15 +5,11 @@
 use std::time::{Duration, Instant};
 
 use super::fleet::Beyond;
+use super::pace;
 use super::report::Report;
-use super::{pace, LOAD_TTL};
 use crate::ids::{AccountId, EndpointKey};
 use crate::rollout::evidence::EvidenceKey;
 
-/// Time for which an instance that has stopped is taken to be one of the fleet that admits nothing; its entry goes
-/// after that.
-const STOPPED_TTL: Duration = Duration::from_secs(12);
-
 /// Counters that an instance has told so far, which only grow in its life. Frequent reports leave them out.
 #[derive(Clone, Debug)]
 pub(super) struct Counted<K> {
@@ -83,12 +79,6 @@
         self.knows_fleet = false;
     }
 
-    /// Whether it was silent after word that it would stop.
-    pub(super) fn has_stopped(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.heard);
-        self.report.is_stopping && silent >= LOAD_TTL && silent < STOPPED_TTL
-    }
-
     pub(super) fn new(now: Instant) -> Peer {
         Peer {
             report: Report::default(),
--- a/oxbowbend-core/src/cell/reach.rs
+++ b/oxbowbend-core/src/cell/reach.rs
@@ -27,7 +27,7 @@
 /// What an instance hears of its cell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Reach {
-    /// Other instances that it hears or that have stopped.
+    /// Other instances that it hears.
     pub heard: usize,
     /// Those of them that hear nobody whom it does not hear.
     pub covered: usize,
@@ -66,15 +66,11 @@
         let heard = near.len();
         let covered = near.into_iter().filter_map(|p| (!p.is_wider(now, names)).then_some(()));
         let covered = covered.count();
-        let is_stopped = |p: &&super::peer::Peer| is_near(&p.report.instance) && p.has_stopped(now);
-        // What those admit is known: nothing.
-        let stopped = self.peers.values().filter(is_stopped).count();
-        let (heard, covered) = (heard + stopped, covered + stopped);
         (self.heard_names, self.reach) = (names, heard as u32 + 1);
         Reach { heard, covered }
     }
 
-    /// Instances of the cell that are heard or have stopped, this one included.
+    /// Instances of the cell that are heard, this one included.
     pub fn reach(&self) -> u32 {
         self.reach
     }
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -61,10 +61,10 @@
     /// Whether it takes on any request: it knows what it must, and is not stopping.
     #[serde(rename = "y", default, skip_serializing_if = "is_false")]
     pub is_ready: bool,
-    /// Whether it is about to end and will admit nothing once it is silent.
+    /// Whether it is about to end, and leaves it to others to represent the cell.
     #[serde(rename = "S", default, skip_serializing_if = "is_false")]
     pub is_stopping: bool,
-    /// Instances of its cell that it hears or that have stopped, itself included. Told with beats only.
+    /// Instances of its cell that it hears, itself included. Told with beats only.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub reach: Option<u32>,
     /// Their names, likewise.
--- a/oxbowbend-core/tests/quota_handovers.rs
+++ b/oxbowbend-core/tests/quota_handovers.rs
@@ -196,18 +196,16 @@
     );
 }
 
-/// An instance that has stopped admits nothing: what the others may use is no smaller for it.
+/// An instance that stops is back within a second, and then it may be on the other side of a cut: its part is not
+/// used by others. Counted as heard for 12 s, the two sides of a cut used 10 sixths of a quota.
 #[test]
-fn one_that_has_stopped_is_accounted_for() {
+fn the_part_of_one_that_has_stopped_is_left_to_it() {
     let now = Instant::now();
     let mut me = Cell::new("a".into(), "z".into(), 1);
     let mut other = Cell::new("b".into(), "z".into(), 1);
-    for (is_stopping, accounted) in [(false, 0), (true, 1)] {
-        let report = Report { is_stopping, ..other.report(now, Extent::Full) };
-        me.hear(now, report, true);
-        let silent = now + Duration::from_millis(1600);
-        assert_eq!((me.heard(silent), me.accounted(silent)), (0, accounted));
-        assert_eq!(me.measure_reach(silent, |_| true).heard, accounted);
-        assert_eq!(me.accounted(now + Duration::from_secs(13)), 0);
-    }
+    let report = Report { is_stopping: true, ..other.report(now, Extent::Full) };
+    me.hear(now, report, true);
+    assert_eq!(me.measure_reach(now, |_| true).heard, 1);
+    let silent = now + Duration::from_millis(1600);
+    assert_eq!(me.measure_reach(silent, |_| true).heard, 0);
 }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -127,9 +127,9 @@
         self.cell.set_share(part(near, self.group.peers.len()));
     }
 
-    /// Other instances of the fleet that are heard or have stopped.
+    /// Other instances of the fleet that are heard.
     pub(crate) fn heard(&self, now: Instant) -> usize {
-        self.cell.accounted(now) + self.beyond(now).heard as usize
+        self.cell.heard(now) + self.beyond(now).heard as usize
     }
 
     /// Instances of other cells that are heard.
