Wait in the test of requests that end endpoints for the last of them

What is pressed last still runs for 60 ms when the others begin, and ends its endpoint with what runs beside it; only the first of 16 was hit. No log of the failing run was kept: the cause is by reading, the id and the times fit. Change: the time after which endpoints are back passes first. What is asserted stays.

--- a/oxbowbend-daemon/tests/soak/ends.rs
+++ b/oxbowbend-daemon/tests/soak/ends.rs
@@ -129,6 +129,8 @@
     if sends > 0 && kinds.len() == 1 {
         broken.push(format!("seed {seed}: sent {sends} times long after three ends"));
     }
+    // What was sent last still ends its endpoint, and may break off what runs beside it there.
+    task::sleep(BACK_AFTER).await;
     broken.extend(others(&fleet, seed).await);
     // Nobody remembers what was not noted outside the instances.
     (0..DAEMONS).for_each(|n| fleet.daemons[n].signal(Signal::KILL));
