Tell what endpoints say of themselves in their answers

Now event=endpoint_said does, with what was said before, whenever that changes and for each rest that is asked for; oxbow_endpoint_signals_total counts. Nothing is decided from it yet.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -18,6 +18,7 @@
 mod reach;
 mod report;
 mod shedding;
+mod signals;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -30,6 +31,7 @@
 pub use reach::{Names, Reach};
 pub use report::{Claim, Load, Report, Tally};
 pub use shedding::{Patience, RetryAfter};
+pub use signals::{Said, Signals};
 
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod rollouts;
 mod shared;
+mod signals;
 mod stop;
 mod waiting;
 mod watches;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -5,6 +5,7 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use oxbowbend_core::cell::{Said, Signals};
 
 /// Upper bounds of the histograms' buckets in seconds, around the users' objectives of 0.1 to 0.8 s.
 const BUCKETS: [f64; 14] =
@@ -77,6 +78,18 @@
     counter!("oxbow_sends_held_total").increment(1);
 }
 
+/// Notes what an endpoint newly said of itself.
+pub(crate) fn endpoint_said(signals: &Signals) {
+    let said = [
+        ("rate_limit", signals.rate_limit != Said::Nothing),
+        ("draining", signals.is_draining),
+        ("backoff", signals.backoff != Said::Nothing),
+    ];
+    for (signal, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
+        counter!("oxbow_endpoint_signals_total", "signal" => signal).increment(1);
+    }
+}
+
 /// Sets the number of roll-outs in progress.
 pub(crate) fn rollouts(n: usize) {
     gauge!("oxbow_rollouts").set(n as f64);
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -268,7 +268,11 @@
     async fn begin(&self, job: &Job, run: &mut Run, after: Option<u64>) -> Result<Begun, Failure> {
         let answer = self.ask(job, run, after).await?;
         let (mut head, mut body) = answer.into_parts();
-        match self.wire.judge(&head, &job.ask.id) {
+        let verdict = self.wire.judge(&head, &job.ask.id);
+        if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
+            self.shared.endpoint_said(&run.endpoint, &job.ask.id, self.wire.signals(&head));
+        }
+        match verdict {
             Verdict::Answer => {}
             Verdict::Foreign => {
                 let status = head.status;
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
+use oxbowbend_core::cell::Signals;
 use oxbowbend_core::ids::{
     AccountId, EndpointId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId,
 };
@@ -109,6 +110,9 @@
     /// Judges the head of an endpoint's answer to the request of that id.
     fn judge(&self, head: &response::Parts, id: &str) -> Verdict;
 
+    /// Reads what the head of an endpoint's answer says of the endpoint.
+    fn signals(&self, head: &response::Parts) -> Signals;
+
     /// Takes off an answer's headers what concerns one connection only.
     fn back(&self, headers: &mut HeaderMap);
 
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use oxbowbend_core::subscription::GivenUp;
 
 use crate::quarantine::log_changes;
+use crate::signals::LastSaid;
 use crate::source::Sources;
 use crate::waiting::Waiting;
 use crate::watches::Subscriptions;
@@ -40,6 +41,8 @@
     pub(crate) ages: Ages,
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
+    /// What endpoints said last in their answers.
+    pub(crate) said: LastSaid,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
@@ -232,6 +235,7 @@
             ages: Ages::default(),
             quarantine: Quarantine::new(&me),
             rollouts,
+            said: LastSaid::default(),
             shutdown: None,
             waiters: HashMap::new(),
             group: Group::default(),
