Test that a limit which an endpoint names is kept by all instances together, failing

What callers saw: nothing yet; an engine in need got as much as before, 23 requests in 4 s where its limit allows 15. Endpoints of the soak say what they want in all their answers, and a check adds up what reaches each of them over all instances by the users' own words.

--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -9,6 +9,7 @@
 use oxbowbend_http::h1;
 
 use crate::endpoint::{Runs, EVENTS, LEAVES};
+use crate::exchanges::SENT_TO;
 use crate::fleet::{ACCOUNT, KEY};
 
 /// How long a caller waits.
@@ -83,6 +84,7 @@
         .header("deadline-ms", PATIENCE.as_millis() as u64)
         .header("authorization", format!("Bearer {key}"))
         .header("tenant", "somebody-else")
+        .header(SENT_TO, daemon.to_string())
         .body(body)
         .unwrap();
     seen.is_sent = true;
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -15,6 +15,8 @@
 use hyper::body::{Frame, Incoming};
 use oxbowbend_http::h1;
 
+use crate::exchanges::{Exchanges, Says};
+
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
 /// Events of a stream whose caller is to leave before its end.
@@ -66,7 +68,9 @@
 pub struct Endpoint {
     pub id: String,
     mode: Arc<Mutex<Mode>>,
+    says: Arc<Mutex<Says>>,
     runs: Runs,
+    exchanges: Exchanges,
     /// Requests that were meant for it.
     arrived: Arc<AtomicU64>,
     /// Told when a request ends it.
@@ -78,12 +82,14 @@
 type Body = Either<h1::Whole, StreamBody<stream::BoxStream<'static, Result<Frame<Bytes>, String>>>>;
 
 impl Endpoint {
-    pub fn start(id: &str, listener: TcpListener, runs: Runs) -> Endpoint {
+    pub fn start(id: &str, listener: TcpListener, runs: Runs, exchanges: Exchanges) -> Endpoint {
         let mode = Arc::new(Mutex::new(Mode::Good));
         let endpoint = Endpoint {
             id: id.to_owned(),
             mode,
+            says: Arc::default(),
             runs,
+            exchanges,
             arrived: Arc::default(),
             ended: channel::unbounded(),
             lives: Arc::default(),
@@ -98,6 +104,11 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// What it says of itself from now on.
+    pub fn set_says(&self, says: Says) {
+        *self.says.lock().unwrap() = says;
+    }
+
     /// Requests that have been sent to it.
     pub fn arrived(&self) -> u64 {
         self.arrived.load(Ordering::SeqCst)
@@ -121,7 +132,23 @@
         task::sleep(Duration::from_secs(3600)).await;
     }
 
+    /// Answers a request; all answers say what the endpoint says of itself.
     async fn answer(self, req: Request<Incoming>) -> Response<Body> {
+        let is_meant = text(req.headers(), "expect-instance") == self.id;
+        let arrived = match is_meant {
+            true => self.exchanges.arrived(&self.id, req.headers()),
+            false => None,
+        };
+        let mut answer = self.clone().run(req).await;
+        let says = *self.says.lock().unwrap();
+        if let Some(limit) = says.limit.filter(|_| is_meant) {
+            answer.headers_mut().insert("server-limit", limit.to_string().parse().unwrap());
+        }
+        self.exchanges.answered(arrived, says);
+        answer
+    }
+
+    async fn run(self, req: Request<Incoming>) -> Response<Body> {
         let (head, body) = req.into_parts();
         let text = |name: &str| text(&head.headers, name);
         let id = text("request-id");
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 
 use crate::endpoint::{Endpoint, Runs};
+use crate::exchanges::Exchanges;
 use crate::proxy::{Mode, Proxy};
 use crate::store::{self, Store};
 
@@ -38,6 +39,7 @@
     pub proxies: Vec<Proxy>,
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
+    pub exchanges: Exchanges,
     pub version: u64,
     /// Versions of the endpoints' software.
     pub versions: [&'static str; ENDPOINTS],
@@ -64,14 +66,15 @@
         let store_address = store::address(&store_proxy_listener);
         let store_proxy = Proxy::start(store_proxy_listener, store::address(&store_listener));
         let store = Store::start(store_listener).await;
-        let runs = Runs::default();
+        let (runs, exchanges) = (Runs::default(), Exchanges::default());
         let (mut endpoints, mut proxies, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
         for n in 0..ENDPOINTS {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             addresses.push(store::address(&proxy_listener));
             proxies.push(Proxy::start(proxy_listener, store::address(&listener)));
-            endpoints.push(Endpoint::start(&format!("e-{n}"), listener, runs.clone()));
+            let (id, runs) = (format!("e-{n}"), runs.clone());
+            endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
         let daemons = (0..DAEMONS).map(|n| Daemon::new(n, seed, store_address)).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
@@ -82,6 +85,7 @@
             proxies,
             daemons,
             runs,
+            exchanges,
             version,
             versions: ["v1"; ENDPOINTS],
             addresses,
