Keep the limits that endpoints name, by all instances together

What callers saw: nothing at once; two engines in need got as much as before, 23 and 20 requests in 4 s where their limits of 1.6 and 1.4 a second allow 15 and 13. Cause: nothing of an answer but status and seal was read. Ruled out: instances that heed it one by one (each went on as before), sends beside first ones (all 43 were first sends). Change: a part of the limit for each instance, a token bucket; all buckets together hold 1.5 N + 4 requests, where the bound has room for 2 N + 5 beyond the rate, so the sum holds whatever is told, lost or late; one gate, in the assignment. Stricter words hold at once, looser ones from a request sent after them.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::gate::Rooms;
 use super::{Cell, Stall, Ticket, Want, CLAIM_TTL, FIXED_UNITS};
 use crate::ids::{EndpointId, EndpointKey, ServiceId, ZoneId};
 use crate::routes::Endpoint;
@@ -99,6 +100,8 @@
     pub expected: Duration,
     /// Expected time to the end of the answer; none if the caller gave no estimate.
     pub whole: Option<Duration>,
+    /// Endpoints of its service that would have had a place and want no request now.
+    pub withheld: u32,
 }
 
 /// A waiting request of this instance or another one.
@@ -137,6 +140,8 @@
     usual_ns: f64,
     /// Whether the pace is only a guess.
     is_guess: bool,
+    /// Requests that it wants from this instance, if that is not any number. Others have parts of their own.
+    wanted: Option<u32>,
 }
 
 impl Cell {
@@ -148,8 +153,11 @@
             return Vec::new();
         }
         self.know_paces(now);
-        let assignments = self.work_out(now);
+        // An endpoint that names a limit gets no more than that from all instances together, by whatever way a request comes to it.
+        let rooms = self.rooms(now);
+        let assignments = self.work_out(now, &rooms);
         for a in &assignments {
+            self.pass(now, a.endpoint.key());
             if let Some(want) = self.waiting.remove(&a.ticket) {
                 self.shedding.placed(now, &want.service, want.rank);
             }
@@ -161,8 +169,11 @@
         assignments
     }
 
-    fn work_out(&self, now: Instant) -> Vec<Assignment> {
-        let mut places = self.places(now);
+    fn work_out(&self, now: Instant, rooms: &Rooms) -> Vec<Assignment> {
+        let mut places = self.places(now, rooms);
+        let withheld = withheld(&places);
+        places.retain(|p| p.wanted != Some(0));
+        places.iter_mut().for_each(|p| p.room = p.room.min(p.wanted.unwrap_or(p.room)));
         let mut assignments = Vec::new();
         // Most reports change no place, and there are many of both when there is most to do.
         if places.iter().all(|p| p.room == 0) {
@@ -191,6 +202,7 @@
                     backlog,
                     expected,
                     whole,
+                    withheld: withheld.get(candidate.service).copied().unwrap_or(0),
                 });
             }
         }
@@ -245,15 +257,14 @@
         all
     }
 
-    fn places(&self, now: Instant) -> Vec<Place<'_>> {
+    fn places(&self, now: Instant, rooms: &Rooms) -> Vec<Place<'_>> {
         let mut loads: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
         for told in self.live_reports(now).flat_map(|r| &r.loads) {
             let load = loads.entry(told.endpoint).or_default();
             *load = (load.0 + told.running, load.1.saturating_add(told.unread));
         }
         let KnownPaces { paces, usual, .. } = &self.known;
-        let is_open = |s: &super::Site| !s.endpoint.leaving && !s.health.is_aside(now);
-        let open = self.sites.iter().filter(|(_, s)| is_open(s));
+        let open = self.sites.iter().filter(|(_, s)| s.is_open(now));
         let place = |key: &EndpointKey, s: &'_ super::Site| {
             let (running, unread) = loads.get(key).copied().unwrap_or_default();
             let load = s.running + running;
@@ -274,6 +285,7 @@
                 ns,
                 usual_ns: *usual,
                 is_guess,
+                wanted: rooms.get(key).copied(),
             }
         })
         .collect()
@@ -328,7 +340,9 @@
 ) -> Option<(&'b mut Place<'a>, Duration)> {
     let left = candidate.order.due.saturating_duration_since(now);
     let fits = |p: &Place<'_>| {
-        p.endpoint.service == *candidate.service && !candidate.avoid.contains(&p.endpoint.id)
+        p.endpoint.service == *candidate.service
+            && !candidate.avoid.contains(&p.endpoint.id)
+            && (p.wanted.is_none() || candidate.ticket.is_some())
     };
     let in_time = places.iter().any(|p| fits(p) && first(p, candidate) <= left);
     let is_patient = left > candidate.objective.mul_f64(PATIENT_SHARE)
@@ -364,6 +378,15 @@
     free
 }
 
+/// Endpoints by service that have a place and want no request.
+fn withheld<'a>(places: &[Place<'a>]) -> HashMap<&'a ServiceId, u32> {
+    let mut withheld = HashMap::new();
+    for place in places.iter().filter(|p| p.room > 0 && p.wanted == Some(0)) {
+        *withheld.entry(&place.endpoint.service).or_default() += 1;
+    }
+    withheld
+}
+
 /// How much slower an endpoint is for what runs there.
 fn crowd(place: &Place<'_>) -> f64 {
     1.0 + CROWDING * f64::from(place.load) / f64::from(place.endpoint.slots.max(1))
--- a/oxbowbend-core/src/cell/groups.rs
+++ b/oxbowbend-core/src/cell/groups.rs
@@ -33,6 +33,8 @@
     pub cells: usize,
     /// Which of them this is, from 0.
     pub index: usize,
+    /// Services whose endpoints belong to all cells.
+    pub shared: BTreeSet<ServiceId>,
 }
 
 impl Group {
@@ -52,27 +54,40 @@
         }
         let mine = cell_of.get(me).copied().unwrap_or(0);
         let peers = cell_of.iter().filter(|(name, cell)| **cell == mine && **name != me);
+        let shared = shared(cells, endpoints);
         Group {
             peers: peers.map(|(name, _)| (*name).clone()).collect(),
-            endpoints: endpoints_of(mine, cells, endpoints),
+            endpoints: endpoints_of(mine, cells, endpoints, &shared),
             cells,
             index: mine,
+            shared,
         }
     }
 }
 
-fn endpoints_of(mine: usize, cells: usize, endpoints: &[Endpoint]) -> Vec<Endpoint> {
+/// Services with too few endpoints to be dealt out.
+fn shared(cells: usize, endpoints: &[Endpoint]) -> BTreeSet<ServiceId> {
     let mut services: BTreeMap<&ServiceId, usize> = BTreeMap::new();
     for endpoint in endpoints {
         *services.entry(&endpoint.service).or_default() += 1;
     }
+    let few = services.into_iter().filter(|(_, n)| *n < cells * MIN_ENDPOINTS);
+    few.map(|(service, _)| service.clone()).collect()
+}
+
+fn endpoints_of(
+    mine: usize,
+    cells: usize,
+    endpoints: &[Endpoint],
+    shared: &BTreeSet<ServiceId>,
+) -> Vec<Endpoint> {
     let mut by_zone: BTreeMap<_, Vec<&Endpoint>> = BTreeMap::new();
     for endpoint in endpoints {
         by_zone.entry((&endpoint.service, &endpoint.zone)).or_default().push(endpoint);
     }
     let mut own = Vec::new();
     for ((service, zone), part) in by_zone {
-        if services[service] < cells * MIN_ENDPOINTS {
+        if shared.contains(service) {
             own.extend(part.into_iter().cloned());
             continue;
         }
--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -4,6 +4,7 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
+use super::limits::Origin;
 use super::peer::{count_on, Counted, Peer};
 use super::report::Report;
 use super::{pace, Cell, LOAD_TTL};
@@ -103,6 +104,8 @@
             self.take_tallies(now, &mut peer, &report);
         }
         let heard = self.growth(now, &mut peer, &report, is_near);
+        let origin = if is_near { Origin::Cell } else { Origin::Fleet };
+        self.limits.told(now, &report.limits, origin);
         if !report.is_representative {
             (peer.summed, peer.summed_fleet) = (None, None);
         } else if !is_near {
@@ -245,6 +248,7 @@
     pub fn forget(&mut self, now: Instant) {
         self.peers.retain(|_, p| p.is_live(now, FORGET));
         self.others.retain(|_, p| p.is_live(now, FORGET_OTHERS));
+        self.forget_said(now);
     }
 
     /// Whether another instance of this cell has been heard for the first time within [`INTRODUCED`].
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -10,9 +10,11 @@
 
 mod assign;
 mod fleet;
+mod gate;
 mod groups;
 mod health;
 mod hear;
+mod limits;
 mod pace;
 mod peer;
 mod reach;
@@ -20,13 +22,14 @@
 mod shedding;
 mod signals;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 pub use assign::{Assignment, UNHEARD};
 pub use fleet::{Beyond, FleetView};
 pub use groups::{Group, MAX_CELL};
 pub use hear::{Growth, Heard};
+pub use limits::{LimitChange, Origin, ToldLimit};
 pub use pace::FIXED_UNITS;
 pub use reach::{Names, Reach};
 pub use report::{Claim, Load, Report, Tally};
@@ -170,6 +173,10 @@
     /// When it was last heard what each other cell has admitted, and what all of them have.
     summed: BTreeMap<u32, Instant>,
     viewed: Option<Instant>,
+    /// Limits that endpoints name.
+    limits: limits::Limits,
+    /// Services whose endpoints belong to all cells.
+    shared: BTreeSet<ServiceId>,
 }
 
 impl Cell {
@@ -177,6 +184,8 @@
     /// life from others of the same name.
     pub fn new(me: InstanceId, zone: ZoneId, life: u64) -> Cell {
         Cell {
+            limits: limits::Limits::new(&me),
+            shared: BTreeSet::new(),
             me,
             zone,
             life,
@@ -257,6 +266,10 @@
         let mut waiting: Vec<_> = self.waiting.values().collect();
         waiting.sort_by_key(|w| self.order(now, w));
         let is_beat = extent != Extent::Loads;
+        let limits = match is_beat {
+            true => self.limits.tell(now, self.is_representative, None),
+            false => Vec::new(),
+        };
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
@@ -277,6 +290,7 @@
             loads,
             tallies,
             claims: claims.collect(),
+            limits,
             ..Report::default()
         }
     }
@@ -327,7 +341,11 @@
         rank: u16,
         patience: Patience,
     ) -> RetryAfter {
-        self.shedding.refused(now, service, rank, patience)
+        let refused = self.shedding.refused(now, service, rank, patience);
+        match self.opens_in(now, service) {
+            Some(opens_in) => refused.not_before(opens_in, patience),
+            None => refused,
+        }
     }
 
     /// Requests that wait here.
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -121,6 +121,9 @@
     /// just started.
     #[serde(rename = "W", default, skip_serializing_if = "Vec::is_empty")]
     pub windows: Vec<(AccountId, Window)>,
+    /// Limits that endpoints name, from answers to it or to its cell. Told with beats only.
+    #[serde(rename = "B", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<super::ToldLimit>,
     /// What it knows of requests that end endpoints.
     #[serde(rename = "Q", default, skip_serializing_if = "Told::is_empty")]
     pub quarantine: Told,
--- a/oxbowbend-core/src/cell/shedding.rs
+++ b/oxbowbend-core/src/cell/shedding.rs
@@ -69,6 +69,16 @@
     pub placed: usize,
     /// Those that were refused, this one included.
     pub refused: usize,
+    /// Whether all endpoints that could take it want no request now.
+    pub is_withheld: bool,
+}
+
+impl RetryAfter {
+    /// For a caller for whom there is nothing before an endpoint wants a request again.
+    pub(super) fn not_before(self, opens_in: Duration, patience: Patience) -> RetryAfter {
+        let after = opens_in.mul_f64(1.0 + patience.spread).min(patience.longest);
+        RetryAfter { after, is_withheld: true, ..self }
+    }
 }
 
 impl Shedding {
@@ -107,7 +117,7 @@
             false => (LATE, patience.longest),
         };
         let after = of.mul_f64(from + (to - from) * patience.spread).min(patience.longest);
-        RetryAfter { after, placed, refused }
+        RetryAfter { after, placed, refused, is_withheld: false }
     }
 
     fn counts(&mut self, now: Instant, service: &ServiceId, rank: u16) -> &mut Counts {
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -5,7 +5,6 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
-use oxbowbend_core::cell::{Said, Signals};
 
 /// Upper bounds of the histograms' buckets in seconds, around the users' objectives of 0.1 to 0.8 s.
 const BUCKETS: [f64; 14] =
@@ -42,9 +41,22 @@
     histogram!("oxbow_request_seconds", "route" => route.to_owned()).record(took);
 }
 
-/// Notes how long a request waited for its place.
-pub(crate) fn placed(route: &str, waited: Duration) {
+/// Notes how long a request waited for its place, and whether another endpoint wanted none.
+pub(crate) fn placed(route: &str, waited: Duration, is_moved: bool) {
     histogram!("oxbow_wait_seconds", "route" => route.to_owned()).record(waited);
+    if is_moved {
+        withheld("moved");
+    }
+}
+
+/// Notes a request that endpoints did not want: one that was moved to another endpoint, or refused.
+pub(crate) fn withheld(how: &'static str) {
+    counter!("oxbow_requests_withheld_total", "how" => how).increment(1);
+}
+
+/// Sets the number of endpoints that have named limits.
+pub(crate) fn limited(n: usize) {
+    gauge!("oxbow_endpoints_limited").set(n as f64);
 }
 
 /// Notes the time from a request's arrival to the first event of its answer.
@@ -78,18 +90,6 @@
     counter!("oxbow_sends_held_total").increment(1);
 }
 
-/// Notes what an endpoint newly said of itself.
-pub(crate) fn endpoint_said(signals: &Signals) {
-    let said = [
-        ("rate_limit", signals.rate_limit != Said::Nothing),
-        ("draining", signals.is_draining),
-        ("backoff", signals.backoff != Said::Nothing),
-    ];
-    for (signal, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
-        counter!("oxbow_endpoint_signals_total", "signal" => signal).increment(1);
-    }
-}
-
 /// Sets the number of roll-outs in progress.
 pub(crate) fn rollouts(n: usize) {
     gauge!("oxbow_rollouts").set(n as f64);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -215,6 +215,7 @@
             cell_lately: told.lately(now, || quotas.cell_lately(now)),
             cell_evidence,
             rollouts: state.rollouts.tell(now, Teller::Far),
+            limits: state.cell.limits_for_others(now),
             quarantine: near.quarantine.clone(),
             peers,
             ..Report::default()
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -183,6 +183,10 @@
         let shutdown = self.shared.lock().shutdown;
         let hold = shutdown.map_or(hold, |s| s.hold(now, hold));
         let service = self.shared.lock().deal(&job.service, tries.avoid.is_empty());
+        // Waiting is of no use where no endpoint wants a request in time.
+        if self.shared.lock().cell.opens_in(now, &service).is_some_and(|opens_in| opens_in > hold) {
+            return Err(self.busy(job, true));
+        }
         let waiting = self.shared.arrive(Want {
             service,
             rank: job.rank,
@@ -198,17 +202,18 @@
         }
         let place = waiting.place(hold).await.ok_or_else(|| self.busy(job, false))?;
         let waited = clock::since(now);
-        observe::placed(&job.route.name, waited);
+        observe::placed(&job.route.name, waited, place.withheld > 0);
         log::info!(
             "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
-             waited_ms={}",
+             waited_ms={} withheld={}",
             job.ask.id,
             place.endpoint.id,
             place.load,
             place.endpoint.slots,
             place.backlog,
             place.expected.as_millis(),
-            waited.as_millis()
+            waited.as_millis(),
+            place.withheld
         );
         Ok(place)
     }
@@ -237,6 +242,10 @@
         };
         let mut state = self.shared.lock();
         let retry_after = state.cell.refuse(now, &job.service, job.rank, patience);
+        drop(state);
+        if retry_after.is_withheld {
+            observe::withheld("refused");
+        }
         Refusal::Busy { retry_after, on_arrival }
     }
 
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -102,8 +102,12 @@
             Refusal::OverQuota { account, exceeded, units } => {
                 over_quota(account, exceeded, *units)
             }
-            Refusal::Busy { retry_after: RetryAfter { placed, refused, .. }, on_arrival } => {
-                format!("on_arrival={on_arrival} placed_last_s={placed} refused_last_s={refused}")
+            Refusal::Busy { retry_after, on_arrival } => {
+                let RetryAfter { placed, refused, is_withheld, .. } = retry_after;
+                format!(
+                    "on_arrival={on_arrival} placed_last_s={placed} refused_last_s={refused} \
+                     withheld={is_withheld}"
+                )
             }
             Refusal::Quarantined { fingerprint, .. } => format!("fingerprint={fingerprint:016x}"),
             _ => String::new(),
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -270,7 +270,8 @@
         let (mut head, mut body) = answer.into_parts();
         let verdict = self.wire.judge(&head, &job.ask.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
-            self.shared.endpoint_said(&run.endpoint, &job.ask.id, self.wire.signals(&head));
+            let signals = self.wire.signals(&head);
+            self.shared.endpoint_said(&run.endpoint, &job.ask.id, run.began, signals);
         }
         match verdict {
             Verdict::Answer => {}
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -23,7 +23,6 @@
 use oxbowbend_core::subscription::GivenUp;
 
 use crate::quarantine::log_changes;
-use crate::signals::LastSaid;
 use crate::source::Sources;
 use crate::waiting::Waiting;
 use crate::watches::Subscriptions;
@@ -41,8 +40,6 @@
     pub(crate) ages: Ages,
     pub(crate) quarantine: Quarantine,
     pub(crate) rollouts: Rollouts,
-    /// What endpoints said last in their answers.
-    pub(crate) said: LastSaid,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
@@ -91,6 +88,9 @@
             );
             self.cell.set_peers(|name| group.cells <= 1 || group.peers.contains(name));
         }
+        let all = || members.keys();
+        let near = || all().filter(|name| **name == self.me || group.peers.contains(*name));
+        self.cell.set_sharers(near(), all(), group.shared.clone());
         if group.endpoints != self.group.endpoints {
             self.cell.set_endpoints(group.endpoints.iter().cloned());
         }
@@ -235,7 +235,6 @@
             ages: Ages::default(),
             quarantine: Quarantine::new(&me),
             rollouts,
-            said: LastSaid::default(),
             shutdown: None,
             waiters: HashMap::new(),
             group: Group::default(),
@@ -348,6 +347,7 @@
         let windows = std::mem::take(&mut report.windows);
         state.hear_of_rollouts(now, &report, is_near);
         let Some(heard) = state.cell.hear(now, report, is_near) else { return };
+        state.log_limits();
         if is_near && state.is_new(now) {
             for (account, window) in &windows {
                 state.admission.quotas.restore_told(now, account, window);
--- a/oxbowbend-gateway/src/signals.rs
+++ b/oxbowbend-gateway/src/signals.rs
@@ -1,36 +1,60 @@
-//! What endpoints say of themselves in their answers, and its lines in the log.
+//! What endpoints say of themselves in their answers, and what is believed of it, in the log.
 
-use std::collections::HashMap;
+use std::time::Instant;
 
-use oxbowbend_core::cell::{Said, Signals};
-use oxbowbend_core::ids::EndpointKey;
+use oxbowbend_clock as clock;
+use oxbowbend_core::cell::{LimitChange, Said, Signals};
 use oxbowbend_core::routes::Endpoint;
 
 use crate::observe;
-use crate::shared::Shared;
-
-/// What endpoints said last.
-pub(crate) type LastSaid = HashMap<EndpointKey, Signals>;
+use crate::shared::{Shared, State};
 
 impl Shared {
-    /// Notes what an answer to a request says of its endpoint. The log tells what is new, and each rest.
-    pub(crate) fn endpoint_said(&self, endpoint: &Endpoint, id: &str, signals: Signals) {
-        let said = &mut self.lock().said;
-        let before = said.insert(endpoint.key(), signals).unwrap_or_default();
-        if before == signals && signals.backoff == Said::Nothing {
-            return;
+    /// Takes in what an answer to a request, sent at `sent`, says of its endpoint.
+    pub(crate) fn endpoint_said(
+        &self,
+        endpoint: &Endpoint,
+        id: &str,
+        sent: Instant,
+        signals: Signals,
+    ) {
+        if signals.rate_limit == Said::Unreadable || signals.backoff == Said::Unreadable {
+            log::warn!(
+                "event=endpoint_said_unreadable endpoint={} id={id} {signals:?}",
+                endpoint.id
+            );
+        }
+        let mut state = self.lock();
+        state.cell.endpoint_said(clock::now(), endpoint.key(), sent, signals);
+        if state.log_limits() {
+            drop(state);
+            self.tell_others();
         }
-        observe::endpoint_said(&signals);
+    }
+}
+
+impl State {
+    /// Logs what is newly believed of limits; `true` if there is anything.
+    pub(crate) fn log_limits(&mut self) -> bool {
+        let changes = self.cell.take_limit_changes();
+        if changes.is_empty() {
+            return false;
+        }
+        observe::limited(self.cell.limited());
+        for change in changes {
+            self.log_limit(&change);
+        }
+        true
+    }
+
+    fn log_limit(&self, change: &LimitChange) {
+        let LimitChange { endpoint, per_s, before, origin, age } = change;
+        let entry = self.world.endpoints().find(|e| e.key() == *endpoint);
         log::info!(
-            "event=endpoint_said endpoint={} start={:08x} id={id} rate_limit={:?} draining={} backoff={:?} before=\"{:?} \
-             {}\"",
-            endpoint.id,
-            endpoint.key(),
-            signals.rate_limit,
-            signals.is_draining,
-            signals.backoff,
-            before.rate_limit,
-            before.is_draining
+            "event=endpoint_limit endpoint={} start={endpoint:08x} per_s={per_s:?} before={before:?} from={origin:?} \
+             age_ms={}",
+            entry.map_or("-", |e| &e.id),
+            age.as_millis()
         );
     }
 }
