Test that an endpoint which says in its answers that it leaves gets nothing more, failing

What callers saw: nothing yet; an engine got requests 2.5 and 2.9 s after an instance had passed on its word that it leaves, while the store answered nobody. Endpoints of the soak now also say that they leave and ask for rest, callers tell them when they sent a request and to which instance. The press of this test and of the one of limits is one now.

--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -9,7 +9,7 @@
 use oxbowbend_http::h1;
 
 use crate::endpoint::{Runs, EVENTS, LEAVES};
-use crate::exchanges::SENT_TO;
+use crate::exchanges::{beginning, SENT_AT, SENT_TO};
 use crate::fleet::{ACCOUNT, KEY};
 
 /// How long a caller waits.
@@ -66,6 +66,7 @@
     id: String,
     body: Bytes,
 ) -> Seen {
+    let sent_at = beginning().elapsed();
     let mut seen = Seen {
         id: id.clone(),
         kind,
@@ -85,6 +86,7 @@
         .header("authorization", format!("Bearer {key}"))
         .header("tenant", "somebody-else")
         .header(SENT_TO, daemon.to_string())
+        .header(SENT_AT, sent_at.as_micros() as u64)
         .body(body)
         .unwrap();
     seen.is_sent = true;
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -139,10 +139,14 @@
             true => self.exchanges.arrived(&self.id, req.headers()),
             false => None,
         };
-        let mut answer = self.clone().run(req).await;
-        let says = *self.says.lock().unwrap();
-        if let Some(limit) = says.limit.filter(|_| is_meant) {
-            answer.headers_mut().insert("server-limit", limit.to_string().parse().unwrap());
+        let rest = self.says.lock().unwrap().rest_s.filter(|_| is_meant);
+        let mut answer = match rest {
+            Some(_) => reply(503, &[("not-executed", "1")], Either::Left(h1::Whole::default())),
+            None => self.clone().run(req).await,
+        };
+        let says = Says { rest_s: rest, ..*self.says.lock().unwrap() };
+        if is_meant {
+            says.write(answer.headers_mut());
         }
         self.exchanges.answered(arrived, says);
         answer
--- a/oxbowbend-daemon/tests/soak/limits.rs
+++ b/oxbowbend-daemon/tests/soak/limits.rs
@@ -20,16 +20,14 @@
 use async_std::task;
 use rustix::process::Signal;
 
-use crate::caller::{self, KINDS};
 use crate::exchanges::Says;
-use crate::fleet::{Fleet, DAEMONS};
+use crate::fleet::Fleet;
+use crate::press::{press, unserved};
 
 /// Seeds of their own, beside those that are played meanwhile: two of one cell, two of two cells.
 const SEEDS: [u64; 4] = [227, 229, 226, 228];
 /// Endpoints that name a limit, and which.
 const LIMITS: [(usize, f64); 2] = [(0, 2.0), (1, 0.5)];
-/// Time between two requests.
-const PACE: Duration = Duration::from_millis(6);
 /// Time for which limits are named.
 const LENGTH: Duration = Duration::from_secs(11);
 /// Last part of it, in which the endpoints get what they take: a limit that is kept by sending nothing serves nobody.
@@ -41,31 +39,13 @@
 /// Time for which it is looked whether it does, and more than the limit that it gets then.
 const LOOKED: (Duration, f64) = (Duration::from_secs(2), 3.0);
 
-/// Sends requests of all kinds to all instances for a while; returns how many were not served.
-async fn press(fleet: &Fleet, part: &str, length: Duration) -> Vec<String> {
-    let until = Instant::now() + length;
-    let mut sent = Vec::new();
-    for n in 0.. {
-        if Instant::now() >= until {
-            break;
-        }
-        let daemon = fleet.daemons[n % DAEMONS].callers;
-        let kind = KINDS[n / DAEMONS % KINDS.len()];
-        sent.push(task::spawn(caller::send(daemon, kind, format!("l-{part}-{n}"))));
-        task::sleep(PACE).await;
-    }
-    let seen = futures::future::join_all(sent).await;
-    let refused = seen.iter().filter(|seen| !seen.is_served());
-    refused.map(|seen| format!("not served: {seen:?}")).collect()
-}
-
 /// Plays one fleet, of which one instance may be killed meanwhile; returns what was not as it must be.
 async fn play(seed: u64, kills: Option<usize>) -> Vec<String> {
     let mut fleet = Fleet::start(seed).await;
     assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
     press(&fleet, "before", Duration::from_secs(1)).await;
     for (n, limit) in LIMITS {
-        fleet.endpoints[n].set_says(Says { limit: Some(limit) });
+        fleet.endpoints[n].set_says(Says { limit: Some(limit), ..Says::default() });
     }
     let mut excused: Vec<(SocketAddr, Instant)> = Vec::new();
     press(&fleet, "a", LENGTH / 3).await;
@@ -75,8 +55,8 @@
         fleet.daemons[n].restart().await;
         assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready again");
     }
-    let mut broken = press(&fleet, "b", LENGTH * 2 / 3).await;
-    broken.truncate(1);
+    let mut broken: Vec<_> =
+        unserved(&press(&fleet, "b", LENGTH * 2 / 3).await).into_iter().collect();
     let now = Instant::now();
     for (n, limit) in LIMITS {
         let id = &fleet.endpoints[n].id;
