Test that an endpoint which asks an instance for rest gets it, failing

What callers saw: repeats, and refusals of requests that were turned away three times; a plain server that had asked an instance for 3 s of rest got five requests and more of it in that time, where two are allowed. Listed until the mend.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod press;
 mod proxy;
 mod quotas;
+mod rests;
 mod rollouts;
 mod starts;
 mod store;
