Heed endpoints that say in an answer that they leave

What callers saw: nothing; an engine that had said that it leaves got requests 2.5 and 2.9 s later from the instance that had passed the word on (2.0 allowed), and from all others. Cause: leaving was known from the store's list alone, which nobody could read from 7.0 to 20.6 s. Ruled out: a word that was read and lost. Change: one belief from answer or entry, by the start of the endpoint; told in each beat, to other cells for services that all share, and with the list of endpoints to whoever asks for it. It is the gate of limits, in the assignment, so every way to an endpoint goes by it.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -264,7 +264,7 @@
             *load = (load.0 + told.running, load.1.saturating_add(told.unread));
         }
         let KnownPaces { paces, usual, .. } = &self.known;
-        let open = self.sites.iter().filter(|(_, s)| s.is_open(now));
+        let open = self.sites.iter().filter(|(key, s)| self.is_open(now, **key, s));
         let place = |key: &EndpointKey, s: &'_ super::Site| {
             let (running, unread) = loads.get(key).copied().unwrap_or_default();
             let load = s.running + running;
@@ -310,7 +310,7 @@
             return;
         }
         let mut services: HashMap<ServiceId, (usize, usize)> = HashMap::new();
-        for site in self.sites.values().filter(|s| !s.endpoint.leaving) {
+        for (_, site) in self.sites.iter().filter(|(key, s)| !self.is_leaving(**key, s)) {
             let (all, aside) = services.entry(site.endpoint.service.clone()).or_default();
             *all += 1;
             *aside += usize::from(site.health.is_aside(now));
--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use super::limits::{LimitChange, Scope, ToldLimit};
-use super::signals::Signals;
+use super::leaving::Leaver;
+use super::limits::{LimitChange, Scope};
+use super::report::ToldEndpoints;
+use super::signals::{Audience, Origin, Signals};
 use super::{Cell, Site};
 use crate::ids::{EndpointKey, InstanceId, ServiceId};
 
@@ -34,13 +36,57 @@
         signals: Signals,
     ) {
         self.limits.answered(now, endpoint, sent, signals.rate_limit);
+        if signals.is_draining {
+            self.leaving.hear(now, endpoint, Origin::Answer);
+        }
+    }
+
+    /// Takes in what another instance tells of endpoints, whether they are listed here yet or not.
+    pub fn told_of_endpoints(&mut self, now: Instant, said: &ToldEndpoints, is_near: bool) {
+        let origin = if is_near { Origin::Cell } else { Origin::Fleet };
+        self.limits.told(now, &said.limits, origin);
+        said.leaving.iter().for_each(|key| self.leaving.hear(now, *key, origin));
+    }
+
+    /// The same from a report. Of endpoints that are not listed nothing is believed: it would be told from one to the other for ever.
+    pub(super) fn hear_of_endpoints(&mut self, now: Instant, said: &ToldEndpoints, is_near: bool) {
+        let is_listed = |key: &EndpointKey| self.sites.contains_key(key);
+        let leaving = said.leaving.iter().filter(|key| is_listed(key)).copied().collect();
+        let listed = ToldEndpoints { leaving, limits: said.limits.clone() };
+        self.told_of_endpoints(now, &listed, is_near);
+    }
+
+    /// What its cell is told of endpoints.
+    pub(super) fn tell_of_endpoints(&self, now: Instant) -> ToldEndpoints {
+        let audience = match self.is_representative {
+            true => Audience::CellOfRepresentative,
+            false => Audience::Cell,
+        };
+        self.tell(now, audience, |key| self.sites.contains_key(key))
+    }
+
+    /// What other cells are told, of endpoints that belong to all cells.
+    pub fn tell_others_of_endpoints(&self, now: Instant) -> ToldEndpoints {
+        let is_shared = |key: &EndpointKey| {
+            let service = self.sites.get(key).map(|s| &s.endpoint.service);
+            service.is_some_and(|service| self.shared.contains(service))
+        };
+        self.tell(now, Audience::Others, is_shared)
     }
 
-    /// Limits that other cells are told.
-    pub fn limits_for_others(&self, now: Instant) -> Vec<ToldLimit> {
-        let is_shared = |(_, s): &(&EndpointKey, &Site)| self.shared.contains(&s.endpoint.service);
-        let shared = self.sites.iter().filter(is_shared).map(|(key, _)| *key).collect();
-        self.limits.tell(now, true, Some(&shared))
+    /// What an instance is told that has just started.
+    pub fn introduce_endpoints(&self, now: Instant) -> ToldEndpoints {
+        self.tell(now, Audience::Newcomer, |key| self.sites.contains_key(key))
+    }
+
+    fn tell(
+        &self,
+        now: Instant,
+        audience: Audience,
+        is_for: impl Fn(&EndpointKey) -> bool,
+    ) -> ToldEndpoints {
+        let limits = self.limits.tell(now, audience, &is_for);
+        ToldEndpoints { limits, leaving: self.leaving.tell(is_for) }
     }
 
     /// What was newly believed of limits since the last call.
@@ -48,6 +94,16 @@
         self.limits.take_changes()
     }
 
+    /// Endpoints that are newly known to leave since the last call.
+    pub fn take_leavers(&mut self) -> Vec<Leaver> {
+        self.leaving.take_changes()
+    }
+
+    /// Endpoints that have said that they leave.
+    pub fn leavers(&self) -> usize {
+        self.leaving.count()
+    }
+
     /// Endpoints that are believed to have a limit.
     pub fn limited(&self) -> usize {
         self.limits.limited().len()
@@ -59,7 +115,7 @@
         if rooms.is_empty() {
             return None;
         }
-        let open = self.sites.iter().filter(|(_, s)| s.is_open(now));
+        let open = self.sites.iter().filter(|(key, s)| self.is_open(now, **key, s));
         let of_service = open.filter(|(_, s)| s.endpoint.service == *service);
         let keys: Vec<_> = of_service.map(|(key, s)| (*key, self.scope(s))).collect();
         if keys.iter().any(|(key, _)| rooms.get(key).is_none_or(|room| *room > 0)) {
@@ -88,6 +144,18 @@
     pub(super) fn forget_said(&mut self, now: Instant) {
         let sites = &self.sites;
         self.limits.forget(now, |key| sites.contains_key(key));
+        self.leaving.forget(now, |key| sites.contains_key(&key));
+    }
+
+    /// Whether an endpoint leaves, by its entry or its own word: one belief, whichever comes first. While the store is away only the
+    /// endpoint itself can say so.
+    pub(super) fn is_leaving(&self, key: EndpointKey, site: &Site) -> bool {
+        site.endpoint.leaving || self.leaving.has(key)
+    }
+
+    /// Whether an endpoint takes requests at all.
+    pub(super) fn is_open(&self, now: Instant, key: EndpointKey, site: &Site) -> bool {
+        !self.is_leaving(key, site) && !site.health.is_aside(now)
     }
 
     fn scope(&self, site: &Site) -> Scope {
@@ -97,10 +165,3 @@
         }
     }
 }
-
-impl Site {
-    /// Whether it takes requests at all.
-    pub(super) fn is_open(&self, now: Instant) -> bool {
-        !self.endpoint.leaving && !self.health.is_aside(now)
-    }
-}
--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -4,7 +4,6 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use super::limits::Origin;
 use super::peer::{count_on, Counted, Peer};
 use super::report::Report;
 use super::{pace, Cell, LOAD_TTL};
@@ -104,8 +103,7 @@
             self.take_tallies(now, &mut peer, &report);
         }
         let heard = self.growth(now, &mut peer, &report, is_near);
-        let origin = if is_near { Origin::Cell } else { Origin::Fleet };
-        self.limits.told(now, &report.limits, origin);
+        self.hear_of_endpoints(now, &report.said, is_near);
         if !report.is_representative {
             (peer.summed, peer.summed_fleet) = (None, None);
         } else if !is_near {
--- a/oxbowbend-core/src/cell/limits.rs
+++ b/oxbowbend-core/src/cell/limits.rs
@@ -16,12 +16,12 @@
 //! What was traded: the part of an instance with no request for the endpoint is not used by others, and that of one that is gone not before
 //! its entry has lapsed.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::signals::Said;
+use super::signals::{Audience, Origin, Said};
 use crate::ids::{EndpointKey, InstanceId};
 
 /// Seconds of the window in which the users count.
@@ -51,17 +51,6 @@
     Fleet,
 }
 
-/// From whom a limit is known.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Origin {
-    /// An answer to this instance.
-    Answer,
-    /// An instance of its cell.
-    Cell,
-    /// The representative of another cell.
-    Fleet,
-}
-
 /// A limit as instances tell it to each other. It travels as a list of its parts in this order.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(from = "(EndpointKey, Option<f64>, u32)", into = "(EndpointKey, Option<f64>, u32)")]
@@ -212,24 +201,16 @@
         self.beliefs.insert(endpoint, Belief { per_s, heard, origin, part });
     }
 
-    /// What to tell the cell, or with `far` representatives of other cells: there only of those endpoints that all cells share.
+    /// What to tell of endpoints of which others are told.
     pub(super) fn tell(
         &self,
         now: Instant,
-        is_representative: bool,
-        far: Option<&HashSet<EndpointKey>>,
+        audience: Audience,
+        is_for: impl Fn(&EndpointKey) -> bool,
     ) -> Vec<ToldLimit> {
-        // Each word passes from an answer to the cell, and from there once from cell to cell.
-        let is_ours = |b: &Belief| match (b.origin, far) {
-            (Origin::Answer, _) => true,
-            (Origin::Cell, far) => far.is_some(),
-            (Origin::Fleet, far) => is_representative && far.is_none(),
-        };
         let age = |b: &Belief| now.saturating_duration_since(b.heard);
         let is_told = |(key, b): &(&EndpointKey, &Belief)| {
-            is_ours(b)
-                && (b.per_s.is_some() || age(b) < TELL_END)
-                && far.is_none_or(|shared| shared.contains(*key))
+            audience.is_told(b.origin) && (b.per_s.is_some() || age(b) < TELL_END) && is_for(key)
         };
         let mut told: Vec<_> = self.beliefs.iter().filter(is_told).collect();
         told.sort_by_key(|(key, b)| (age(b), **key));
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod groups;
 mod health;
 mod hear;
+mod leaving;
 mod limits;
 mod pace;
 mod peer;
@@ -29,12 +30,13 @@
 pub use fleet::{Beyond, FleetView};
 pub use groups::{Group, MAX_CELL};
 pub use hear::{Growth, Heard};
-pub use limits::{LimitChange, Origin, ToldLimit};
+pub use leaving::Leaver;
+pub use limits::{LimitChange, ToldLimit};
 pub use pace::FIXED_UNITS;
 pub use reach::{Names, Reach};
-pub use report::{Claim, Load, Report, Tally};
+pub use report::{Claim, Load, Report, Tally, ToldEndpoints};
 pub use shedding::{Patience, RetryAfter};
-pub use signals::{Said, Signals};
+pub use signals::{Origin, Said, Signals};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -175,6 +177,8 @@
     viewed: Option<Instant>,
     /// Limits that endpoints name.
     limits: limits::Limits,
+    /// Endpoints that have said that they leave.
+    leaving: leaving::Leaving,
     /// Services whose endpoints belong to all cells.
     shared: BTreeSet<ServiceId>,
 }
@@ -185,6 +189,7 @@
     pub fn new(me: InstanceId, zone: ZoneId, life: u64) -> Cell {
         Cell {
             limits: limits::Limits::new(&me),
+            leaving: leaving::Leaving::default(),
             shared: BTreeSet::new(),
             me,
             zone,
@@ -266,10 +271,6 @@
         let mut waiting: Vec<_> = self.waiting.values().collect();
         waiting.sort_by_key(|w| self.order(now, w));
         let is_beat = extent != Extent::Loads;
-        let limits = match is_beat {
-            true => self.limits.tell(now, self.is_representative, None),
-            false => Vec::new(),
-        };
         let claims = waiting.into_iter().take(MAX_CLAIMS).map(|w| Claim {
             service: w.service.clone(),
             rank: w.rank,
@@ -279,7 +280,7 @@
             output: w.output,
             stall: w.stall,
         });
-        Report {
+        let mut report = Report {
             instance: self.me.clone(),
             zone: self.zone.clone(),
             life: self.life,
@@ -290,9 +291,12 @@
             loads,
             tallies,
             claims: claims.collect(),
-            limits,
             ..Report::default()
+        };
+        if is_beat {
+            report.said = self.tell_of_endpoints(now);
         }
+        report
     }
 
     /// Sets the part of the fleet that is heard, this instance included. Of each endpoint no larger part is
@@ -316,7 +320,10 @@
 
     /// Whether this cell has an endpoint of a service that takes requests.
     pub fn serves(&self, service: &ServiceId) -> bool {
-        self.sites.values().any(|s| s.endpoint.service == *service && !s.endpoint.leaving)
+        let is_open = |(key, s): (&EndpointKey, &Site)| {
+            s.endpoint.service == *service && !self.is_leaving(*key, s)
+        };
+        self.sites.iter().any(is_open)
     }
 
     /// Takes a request out of the queue; `false` means that it has been placed.
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -121,9 +121,9 @@
     /// just started.
     #[serde(rename = "W", default, skip_serializing_if = "Vec::is_empty")]
     pub windows: Vec<(AccountId, Window)>,
-    /// Limits that endpoints name, from answers to it or to its cell. Told with beats only.
-    #[serde(rename = "B", default, skip_serializing_if = "Vec::is_empty")]
-    pub limits: Vec<super::ToldLimit>,
+    /// What endpoints have said of themselves. Told with beats only.
+    #[serde(rename = "B", default, skip_serializing_if = "ToldEndpoints::is_empty")]
+    pub said: ToldEndpoints,
     /// What it knows of requests that end endpoints.
     #[serde(rename = "Q", default, skip_serializing_if = "Told::is_empty")]
     pub quarantine: Told,
@@ -132,6 +132,24 @@
     pub peers: Vec<SocketAddr>,
 }
 
+/// What endpoints have said of themselves in their answers.
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct ToldEndpoints {
+    /// Limits, of endpoints that have named one.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<super::ToldLimit>,
+    /// Endpoints that leave.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<EndpointKey>,
+}
+
+impl ToldEndpoints {
+    /// Whether nothing is told.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.leaving.is_empty()
+    }
+}
+
 /// What an instance has running at one endpoint. It travels as a list of its parts in this order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(from = "(EndpointKey, u32, u32)", into = "(EndpointKey, u32, u32)")]
--- a/oxbowbend-core/src/cell/signals.rs
+++ b/oxbowbend-core/src/cell/signals.rs
@@ -1,4 +1,4 @@
-//! What endpoints say of themselves in their answers.
+//! What endpoints say of themselves in their answers, and who passes it on to whom.
 
 use std::time::Duration;
 
@@ -40,3 +40,39 @@
     /// Time for which it wants nothing from this instance.
     pub backoff: Said<Duration>,
 }
+
+/// From whom a word of an endpoint is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// An answer to this instance.
+    Answer,
+    /// An instance of its cell.
+    Cell,
+    /// The representative of another cell.
+    Fleet,
+}
+
+/// Whom a report is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Audience {
+    /// The own cell, by any of its instances.
+    Cell,
+    /// The own cell, by its representative.
+    CellOfRepresentative,
+    /// Other cells.
+    Others,
+    /// An instance that has just started.
+    Newcomer,
+}
+
+impl Audience {
+    /// Whether it is told what is known from there. Each word passes from an answer to the cell, and from there once from cell to
+    /// cell: what was told on would seem younger each time, and never end.
+    pub(super) fn is_told(self, origin: Origin) -> bool {
+        match origin {
+            Origin::Answer => true,
+            Origin::Cell => matches!(self, Audience::Others | Audience::Newcomer),
+            Origin::Fleet => matches!(self, Audience::CellOfRepresentative | Audience::Newcomer),
+        }
+    }
+}
--- a/oxbowbend-daemon/tests/soak/rests.rs
+++ b/oxbowbend-daemon/tests/soak/rests.rs
@@ -39,6 +39,7 @@
     press(&fleet, "before", Duration::from_secs(1)).await;
     let rest = Says { rest_s: Some(REST_S), ..Says::default() };
     TIRED.iter().for_each(|n| fleet.endpoints[*n].set_says(rest));
+    press(&fleet, "first", KNOWN).await;
     let mut broken: Vec<_> = unserved(&press(&fleet, "rest", LENGTH).await).into_iter().collect();
     TIRED.iter().for_each(|n| fleet.endpoints[*n].set_says(Says::default()));
     press(&fleet, "over", Duration::from_secs_f64(REST_S) + AGAIN).await;
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use oxbowbend_clock as clock;
+use oxbowbend_core::cell::ToldEndpoints;
 use oxbowbend_core::ids::{EndpointId, InstanceId};
 use oxbowbend_core::routes::Endpoint;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,9 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) lapsed: Vec<EndpointId>,
     pub(crate) instances: Vec<(InstanceId, Entry)>,
+    /// What endpoints have said of themselves.
+    #[serde(default, skip_serializing_if = "ToldEndpoints::is_empty")]
+    pub(crate) said: ToldEndpoints,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -75,6 +79,7 @@
         let paces = state.cell.known_paces(clock::now());
         let zone = state.zone.clone();
         let has_store = state.has_store();
+        let said = state.cell.introduce_endpoints(clock::now());
         let State { world, quarantine, .. } = &*state;
         let others = world.instances().iter().filter(|(name, _)| *name != me);
         let mut instances: Vec<_> = others.map(|(n, e)| (n.clone(), e.clone())).collect();
@@ -93,6 +98,7 @@
             endpoints: Some(world.entries().cloned().collect()),
             lapsed: world.lapsed().cloned().collect(),
             instances,
+            said,
         }
     }
 
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -90,6 +90,11 @@
     counter!("oxbow_sends_held_total").increment(1);
 }
 
+/// Sets the number of endpoints that have said that they leave.
+pub(crate) fn leaving(n: usize) {
+    gauge!("oxbow_endpoints_leaving").set(n as f64);
+}
+
 /// Sets the number of roll-outs in progress.
 pub(crate) fn rollouts(n: usize) {
     gauge!("oxbow_rollouts").set(n as f64);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -215,8 +215,8 @@
             cell_lately: told.lately(now, || quotas.cell_lately(now)),
             cell_evidence,
             rollouts: state.rollouts.tell(now, Teller::Far),
-            limits: state.cell.limits_for_others(now),
             quarantine: near.quarantine.clone(),
+            said: state.cell.tell_others_of_endpoints(now),
             peers,
             ..Report::default()
         }
@@ -360,9 +360,12 @@
             false => world::Teller::Other,
         };
         let is_same_list = knowledge.endpoints.is_none();
+        let said = knowledge.said.clone();
         let snapshot = knowledge.into_snapshot();
         let news = {
             let mut state = self.shared.lock();
+            state.cell.told_of_endpoints(now, &said, true);
+            state.log_said();
             match state.sources.is(instance) {
                 _ if is_same_list => state.world.confirm(now, snapshot, read),
                 true => {
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -347,7 +347,7 @@
         let windows = std::mem::take(&mut report.windows);
         state.hear_of_rollouts(now, &report, is_near);
         let Some(heard) = state.cell.hear(now, report, is_near) else { return };
-        state.log_limits();
+        state.log_said();
         if is_near && state.is_new(now) {
             for (account, window) in &windows {
                 state.admission.quotas.restore_told(now, account, window);
--- a/oxbowbend-gateway/src/signals.rs
+++ b/oxbowbend-gateway/src/signals.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use oxbowbend_clock as clock;
-use oxbowbend_core::cell::{LimitChange, Said, Signals};
+use oxbowbend_core::cell::{Leaver, LimitChange, Said, Signals};
+use oxbowbend_core::ids::EndpointKey;
 use oxbowbend_core::routes::Endpoint;
 
 use crate::observe;
@@ -26,7 +27,7 @@
         }
         let mut state = self.lock();
         state.cell.endpoint_said(clock::now(), endpoint.key(), sent, signals);
-        if state.log_limits() {
+        if state.log_said() {
             drop(state);
             self.tell_others();
         }
@@ -34,27 +35,41 @@
 }
 
 impl State {
-    /// Logs what is newly believed of limits; `true` if there is anything.
-    pub(crate) fn log_limits(&mut self) -> bool {
-        let changes = self.cell.take_limit_changes();
-        if changes.is_empty() {
-            return false;
+    /// Logs what is newly believed of endpoints' words; `true` if there is anything.
+    pub(crate) fn log_said(&mut self) -> bool {
+        let (limits, leavers) = (self.cell.take_limit_changes(), self.cell.take_leavers());
+        for change in &limits {
+            self.log_limit(change);
         }
-        observe::limited(self.cell.limited());
-        for change in changes {
-            self.log_limit(&change);
+        for leaver in &leavers {
+            self.log_leaver(leaver);
         }
-        true
+        let is_news = !limits.is_empty() || !leavers.is_empty();
+        if is_news {
+            observe::limited(self.cell.limited());
+            observe::leaving(self.cell.leavers());
+        }
+        is_news
     }
 
     fn log_limit(&self, change: &LimitChange) {
         let LimitChange { endpoint, per_s, before, origin, age } = change;
-        let entry = self.world.endpoints().find(|e| e.key() == *endpoint);
         log::info!(
             "event=endpoint_limit endpoint={} start={endpoint:08x} per_s={per_s:?} before={before:?} from={origin:?} \
              age_ms={}",
-            entry.map_or("-", |e| &e.id),
+            self.name_of(*endpoint),
             age.as_millis()
         );
     }
+
+    fn log_leaver(&self, leaver: &Leaver) {
+        let Leaver { endpoint, origin } = leaver;
+        let name = self.name_of(*endpoint);
+        log::info!("event=endpoint_leaving endpoint={name} start={endpoint:08x} from={origin:?}");
+    }
+
+    fn name_of(&self, endpoint: EndpointKey) -> &str {
+        let entry = self.world.endpoints().find(|e| e.key() == endpoint);
+        entry.map_or("-", |e| &e.id)
+    }
 }
