--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -27,6 +27,11 @@
         self.shared = shared;
     }
 
+    /// Sets which endpoints the platform lists, of all cells.
+    pub fn set_listed(&mut self, listed: impl Iterator<Item = EndpointKey>) {
+        self.listed = listed.collect();
+    }
+
     /// Takes in what an answer says of its endpoint, to a request that was sent at `sent`.
     pub fn endpoint_said(
         &mut self,
@@ -53,8 +58,8 @@
 
     /// The same from a report. Of endpoints that are not listed nothing is believed: it would be told from one to the other for ever.
     pub(super) fn hear_of_endpoints(&mut self, now: Instant, said: &ToldEndpoints, is_near: bool) {
-        let is_listed = |key: &EndpointKey| self.sites.contains_key(key);
-        let leaving = said.leaving.iter().filter(|key| is_listed(key)).copied().collect();
+        let listed = said.leaving.iter().filter(|key| self.is_listed(**key));
+        let leaving = listed.copied().collect();
         let listed = ToldEndpoints { leaving, limits: said.limits.clone() };
         self.told_of_endpoints(now, &listed, is_near);
     }
@@ -68,7 +73,8 @@
         self.tell(now, audience, |key| self.sites.contains_key(key))
     }
 
-    /// What other cells are told, of endpoints that belong to all cells.
+    /// What other cells are told: limits of endpoints that belong to all cells, and all who leave, since an endpoint may come to
+    /// another cell, and an instance that has just started asks any for the list of endpoints.
     pub fn tell_others_of_endpoints(&self, now: Instant) -> ToldEndpoints {
         let is_shared = |key: &EndpointKey| {
             let service = self.sites.get(key).map(|s| &s.endpoint.service);
@@ -79,7 +85,7 @@
 
     /// What an instance is told that has just started.
     pub fn introduce_endpoints(&self, now: Instant) -> ToldEndpoints {
-        self.tell(now, Audience::Newcomer, |key| self.sites.contains_key(key))
+        self.tell(now, Audience::Newcomer, |key| self.is_listed(*key))
     }
 
     fn tell(
@@ -88,8 +94,8 @@
         audience: Audience,
         is_for: impl Fn(&EndpointKey) -> bool,
     ) -> ToldEndpoints {
-        let limits = self.limits.tell(now, audience, &is_for);
-        ToldEndpoints { limits, leaving: self.leaving.tell(is_for) }
+        let limits = self.limits.tell(now, audience, is_for);
+        ToldEndpoints { limits, leaving: self.leaving.tell(|key| self.is_listed(*key)) }
     }
 
     /// What was newly believed of limits since the last call.
@@ -161,10 +167,15 @@
 
     /// Forgets what was said by endpoints that are not listed any more.
     pub(super) fn forget_said(&mut self, now: Instant) {
-        let sites = &self.sites;
-        self.limits.forget(now, |key| sites.contains_key(key));
+        let (sites, listed) = (&self.sites, &self.listed);
+        let is_listed = |key: &EndpointKey| sites.contains_key(key) || listed.contains(key);
+        self.limits.forget(now, is_listed);
         self.rests.forget(now);
-        self.leaving.forget(now, |key| sites.contains_key(&key));
+        self.leaving.forget(now, is_listed);
+    }
+
+    fn is_listed(&self, key: EndpointKey) -> bool {
+        self.sites.contains_key(&key) || self.listed.contains(&key)
     }
 
     /// Whether an endpoint leaves, by its entry or its own word: one belief, whichever comes first. While the store is away only the
--- a/oxbowbend-core/src/cell/leaving.rs
+++ b/oxbowbend-core/src/cell/leaving.rs
@@ -58,9 +58,9 @@
     }
 
     /// Forgets endpoints that are not listed any more.
-    pub(super) fn forget(&mut self, now: Instant, is_listed: impl Fn(EndpointKey) -> bool) {
+    pub(super) fn forget(&mut self, now: Instant, is_listed: impl Fn(&EndpointKey) -> bool) {
         let is_late = |at: Instant| now.saturating_duration_since(at) > FORGET;
-        self.known.retain(|key, at| !is_late(*at) || is_listed(*key));
+        self.known.retain(|key, at| !is_late(*at) || is_listed(key));
     }
 
     /// Those that are newly known since the last call.
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -184,6 +184,8 @@
     rests: rests::Rests,
     /// Services whose endpoints belong to all cells.
     shared: BTreeSet<ServiceId>,
+    /// Endpoints that the platform lists, of all cells.
+    listed: HashSet<EndpointKey>,
 }
 
 impl Cell {
@@ -195,6 +197,7 @@
             leaving: leaving::Leaving::default(),
             rests: rests::Rests::default(),
             shared: BTreeSet::new(),
+            listed: HashSet::new(),
             me,
             zone,
             life,
--- a/oxbowbend-core/tests/leaving.rs
+++ b/oxbowbend-core/tests/leaving.rs
@@ -54,6 +54,13 @@
     assert!(!c[0].serves(&"s".into()));
     c[0].set_endpoints([Endpoint { born: 1, ..endpoint(0, 4) }]);
     assert_eq!(c[0].assign(now + 20 * MS).len(), 1);
+    // One of another cell is told on to whoever starts, if the platform lists it.
+    let mut other = cell("d", &[endpoint(2, 4)]);
+    for listed in [0, 1] {
+        other.set_listed([key("e0")].into_iter().take(listed));
+        other.hear(now + 20 * MS * listed as u32, b[0].report(now, Extent::Changes), false);
+        assert_eq!(other.introduce_endpoints(now).leaving.len(), listed);
+    }
     // Of one that is not listed nothing is told, and it is forgotten.
     assert!(c[0].report(now, Extent::Changes).said.leaving.is_empty());
     hears_from(&mut c[0], &mut b[0], now + 10 * MS);
