Soak: endpoints that name limits, leave and want rest, beside all other faults

Beside each seed's faults two speakers now let three of five endpoints name limits (0 to 8 a second), ask for rest or leave and start again; the check adds up what reaches each start of an endpoint by the users' own words, without what was not passed on (a link that is reset, a start, a freeze or a kill of the instance since).

--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -15,6 +15,7 @@
 use crate::fleet::{Fleet, DAEMONS, ENDPOINTS};
 use crate::outages;
 use crate::proxy;
+use crate::signals;
 use crate::store;
 use crate::CASES;
 
@@ -52,11 +53,13 @@
     let callers =
         task::spawn(call(fleet.daemons.iter().map(|d| d.callers).collect(), seed, all.clone()));
     let mut broken = Vec::new();
+    let said = signals::Signalling::start(&fleet, seed, length);
     let faults = if CASES.contains(&seed) { FAULTS_BEFORE } else { FAULTS };
     let until = Instant::now() + length;
     while Instant::now() < until {
         broken.extend(fault(&mut fleet, &mut rng, faults, &all).await);
     }
+    let episodes = said.ended().await;
     callers.cancel().await;
     if !fleet.ready(RECOVERY).await {
         broken.push("not all daemons were ready again after the last fault".to_owned());
@@ -64,6 +67,8 @@
     task::sleep(RECOVERY).await;
     broken.extend(calm(&fleet, seed, &all).await);
     broken.extend(ends::beyond_bound(&fleet));
+    let excuses = fleet.excuses.lock().unwrap().clone();
+    broken.extend(episodes.iter().flat_map(|e| fleet.exchanges.check(e, &excuses)));
     for seen in all.lock().unwrap().iter() {
         broken.extend(seen.check(&fleet.runs));
     }
@@ -121,9 +126,12 @@
                 proxy::Mode::Silent,
                 proxy::Mode::Strike,
             ][kind - 4];
+            let id = &fleet.endpoints[endpoint].id;
+            fleet.exchanges.set_unheard(id, true);
             fleet.proxies[endpoint].set_mode(mode);
             task::sleep(time).await;
             fleet.proxies[endpoint].set_mode(proxy::Mode::Pass);
+            fleet.exchanges.set_unheard(id, false);
         }
         9 => {
             let modes = [proxy::Mode::Reset, proxy::Mode::Silent, proxy::Mode::OneWay];
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -21,6 +21,7 @@
 mod quotas;
 mod rests;
 mod rollouts;
+mod signals;
 mod starts;
 mod store;
 
