Reset the connection of a request that is given up

By its story the request had come 6.2 s before, was sent into a link that was cut, given up after 0.3 s and served by another endpoint; closing the connection left its bytes with the system, which delivered them when the link was back. What callers saw: nothing; a request may run for nobody, long after. Ruled out: the choice of the endpoint (it got its place 3.4 s before the endpoint said that it leaves). Change: a connection whose answer has not ended is reset when it is dropped.

--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -82,8 +82,11 @@
 #[derive(Debug)]
 pub struct Conn {
     address: SocketAddr,
+    stream: TcpStream,
     tx: http1::SendRequest<Outgoing>,
     task: AbortHandle,
+    /// Whether a request was sent whose answer has not come to its end.
+    is_busy: bool,
     idle_for: Duration,
     idle_since: Instant,
     is_reused: bool,
@@ -93,6 +96,11 @@
 
 impl Drop for Conn {
     fn drop(&mut self) {
+        // A request that is given up must not reach the endpoint later, from what the system still holds for a link that is cut.
+        if self.is_busy {
+            // Without it the connection closes in the ordinary way.
+            let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
         self.task.abort();
     }
 }
@@ -109,6 +117,7 @@
     ///
     /// [`CallError::Unsent`] if nothing was written, [`CallError::Broken`] otherwise.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
+        self.is_busy = true;
         let (head, body) = req.into_parts();
         let (body, is_out) = Outgoing::new(body);
         let req = Request::from_parts(head, body);
@@ -196,7 +205,7 @@
             .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
         watch_peer(&stream).map_err(failed)?;
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let handshake = http1::handshake(FuturesIo::new(stream.clone())).await;
         let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let (conn, task) = futures::future::abortable(conn);
         task::spawn(async move {
@@ -205,7 +214,17 @@
             }
         });
         let (idle_for, idle_since) = (self.cfg.idle, clock::now());
-        Ok(Conn { address, tx, task, idle_for, idle_since, is_reused: false, is_early: false })
+        Ok(Conn {
+            address,
+            stream,
+            tx,
+            task,
+            is_busy: false,
+            idle_for,
+            idle_since,
+            is_reused: false,
+            is_early: false,
+        })
     }
 
     /// Gives a connection back after the clean end of its answer. It is dropped if the answer came
@@ -221,6 +240,7 @@
                 return;
             }
             conn.idle_since = clock::now();
+            conn.is_busy = false;
             let mut idle = pool.idle.lock().expect("no panic under lock");
             let kept = idle.entry(conn.address).or_default();
             if kept.len() < pool.bound.load(Ordering::SeqCst) {
--- a/oxbowbend-http/tests/h1.rs
+++ b/oxbowbend-http/tests/h1.rs
@@ -270,6 +270,37 @@
 }
 
 /// Endpoints accept a limited number of connections from all instances together.
+/// A request was sent into a link that was cut, given up after 0.3 s and served by another endpoint. Its connection was closed, but what it had
+/// been given was still on its way: when the link was back, 6 s later, it reached the first endpoint, which had been leaving for 2.8 s:
+///
+/// ```text
+///  5.248 s  the request comes; 5.555 s it reaches another endpoint; 7.615 s the caller has the whole answer
+///  8.661 s  the first endpoint is leaving
+/// 11.459 s  the request reaches the first endpoint
+/// ```
+#[test]
+fn a_request_that_is_given_up_does_not_arrive_later() {
+    const BODY: &[u8] = &[b'x'; 60_000];
+    task::block_on(async {
+        let (listener, address) = listener().await;
+        // Most of the request waits on this side until the endpoint reads.
+        socket2::SockRef::from(&listener).set_recv_buffer_size(2_000).expect("an option");
+        let call = pool().call(address, request(BODY), Duration::from_millis(100)).await;
+        assert!(matches!(call, Err(h1::CallError::Timeout(_))), "{call:?}");
+        task::sleep(Duration::from_millis(50)).await;
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let (mut got, mut buf) = (0, [0; 4096]);
+        let end = loop {
+            match stream.read(&mut buf).await {
+                Ok(0) => break "closed",
+                Ok(n) => got += n,
+                Err(_) => break "reset",
+            }
+        };
+        assert!(end == "reset" && got < BODY.len(), "{end} after {got} bytes");
+    });
+}
+
 #[test]
 fn idle_connections_are_bounded() {
     task::block_on(async {
