Judge a version by time only where the other versions answer as often

Change: slowness is judged on the moments in which the versions that run have answered at least as often as the new one; failures as before. What is lost: a version that turns slow only after the shift is not found by time.

--- a/oxbowbend-core/src/rollout/detector.rs
+++ b/oxbowbend-core/src/rollout/detector.rs
@@ -7,7 +7,7 @@
 //!
 //! The test is looked at again and again, so the bound on the ratio is high.
 
-use super::evidence::{classes, Comparison, Counts, Evidence};
+use super::evidence::{classes, Comparison, Counts, Evidence, SideCounts};
 
 /// Logarithm of the likelihood ratio from which a version is bad.
 const BOUND: f64 = 12.0;
@@ -56,13 +56,15 @@
 }
 
 fn compare(comparison: &Comparison) -> Option<Finding> {
-    let Comparison { old, new } = comparison;
+    let SideCounts { old, new } = &comparison.all;
     if new.all() < MIN_BAD {
         return None;
     }
     let failures = |counts: &Counts| Sample { all: counts.all(), bad: counts.failed() };
     judge(failures(new), failures(old), FAILURES_BEFORE, None).or_else(|| {
-        // Without a control in the same time a version is judged by its failures alone.
+        // Without a control in the same moments a version is judged by its failures alone: what slows all machines down after the shift
+        // would look like a slow version.
+        let SideCounts { old, new } = &comparison.controlled;
         let mut bounds = classes().filter(|_| old.all() >= MIN_CONTROL);
         bounds.find_map(|class| {
             let slow =
--- a/oxbowbend-core/src/rollout/evidence.rs
+++ b/oxbowbend-core/src/rollout/evidence.rs
@@ -130,14 +130,33 @@
 
 /// Answers of both versions.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Comparison {
+pub struct SideCounts {
     /// Of the versions that run.
     pub old: Counts,
     /// Of the one that is ordered.
     pub new: Counts,
 }
 
+/// Answers of both versions in a span.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Comparison {
+    /// All of them.
+    pub all: SideCounts,
+    /// Those of moments in which the versions that run have answered at least as often. At other moments, as
+    /// after the shift, nothing tells a slow version from slow machines.
+    pub controlled: SideCounts,
+}
+
 impl Comparison {
+    fn add(&mut self, slot: &SideCounts) {
+        self.all.merge(slot);
+        if slot.old.all() >= slot.new.all() {
+            self.controlled.merge(slot);
+        }
+    }
+}
+
+impl SideCounts {
     fn side(&mut self, side: Side) -> &mut Counts {
         match side {
             Side::Old => &mut self.old,
@@ -145,7 +164,7 @@
         }
     }
 
-    fn merge(&mut self, other: &Comparison) {
+    fn merge(&mut self, other: &SideCounts) {
         self.old.merge(&other.old);
         self.new.merge(&other.new);
     }
@@ -154,7 +173,7 @@
 #[derive(Debug)]
 struct Slot {
     at: Instant,
-    routes: BTreeMap<RouteKey, Comparison>,
+    routes: BTreeMap<RouteKey, SideCounts>,
 }
 
 /// Answers of all instances, by time.
@@ -192,16 +211,18 @@
         let mut routes: BTreeMap<RouteKey, Comparison> = BTreeMap::new();
         let mut whole = Comparison::default();
         for slot in self.slots.iter().rev().take(slots) {
-            for (route, comparison) in &slot.routes {
-                routes.entry(*route).or_default().merge(comparison);
-                whole.merge(comparison);
+            let mut together = SideCounts::default();
+            for (route, sides) in &slot.routes {
+                routes.entry(*route).or_default().add(sides);
+                together.merge(sides);
             }
+            whole.add(&together);
         }
         routes.into_values().chain([whole]).collect()
     }
 
     /// All answers so far, of all routes.
-    pub fn whole(&self) -> Comparison {
-        self.span(self.slots.len()).pop().unwrap_or_default()
+    pub fn whole(&self) -> SideCounts {
+        self.span(self.slots.len()).pop().unwrap_or_default().all
     }
 }
