Tell in beats that an endpoint leaves by its entry

Now whoever learns it tells it in its beats for 5 s, as it does a word from an answer. Told for 5 s and not for as long as it is listed: 32 leavers in each beat to eleven others would be 30 KB a second.

--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Takes in that an endpoint leaves by its entry. With it the word reaches all instances in beats, whoever of them
+    /// reads the store: those that copy another one's list learned it up to two seconds later.
+    pub fn leaves_by_entry(&mut self, now: Instant, endpoint: EndpointKey) {
+        self.leaving.hear(now, endpoint, Origin::Entry);
+    }
+
     /// Takes in what another instance tells of endpoints, whether they are listed here yet or not.
     pub fn told_of_endpoints(&mut self, now: Instant, said: &ToldEndpoints, is_near: bool) {
         let origin = if is_near { Origin::Cell } else { Origin::Fleet };
@@ -95,7 +101,8 @@
         is_for: impl Fn(&EndpointKey) -> bool,
     ) -> ToldEndpoints {
         let limits = self.limits.tell(now, audience, is_for);
-        ToldEndpoints { limits, leaving: self.leaving.tell(|key| self.is_listed(*key)) }
+        let leaving = self.leaving.tell(now, audience, |key| self.is_listed(*key));
+        ToldEndpoints { limits, leaving }
     }
 
     /// What was newly believed of limits since the last call.
--- a/oxbowbend-core/src/cell/leaving.rs
+++ b/oxbowbend-core/src/cell/leaving.rs
@@ -7,13 +7,15 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::signals::Origin;
+use super::signals::{Audience, Origin};
 use crate::ids::EndpointKey;
 
 /// Time after its word for which an endpoint that is not listed is remembered.
 const FORGET: Duration = Duration::from_secs(60);
-/// Endpoints that a report tells at most, the last ones first.
-const MAX_TOLD: usize = 32;
+/// Time for which an instance tells what it has learned: some 40 beats. Who starts later is told all.
+const TELL: Duration = Duration::from_secs(5);
+/// Endpoints that are told at most, the last ones first.
+const MAX_TOLD: usize = 64;
 
 /// An endpoint that is newly known to leave.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,20 +26,28 @@
     pub origin: Origin,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    first: Instant,
+    last: Instant,
+}
+
 /// All endpoints that have said that they leave.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Leaving {
-    /// With the time of the last word.
-    known: HashMap<EndpointKey, Instant>,
+    known: HashMap<EndpointKey, Word>,
     changes: Vec<Leaver>,
 }
 
 impl Leaving {
     /// Takes in that an endpoint leaves.
     pub(super) fn hear(&mut self, now: Instant, endpoint: EndpointKey, origin: Origin) {
-        if self.known.insert(endpoint, now).is_none() {
-            self.changes.push(Leaver { endpoint, origin });
+        if let Some(word) = self.known.get_mut(&endpoint) {
+            word.last = now;
+            return;
         }
+        self.known.insert(endpoint, Word { first: now, last: now });
+        self.changes.push(Leaver { endpoint, origin });
     }
 
     /// Whether an endpoint has said that it leaves.
@@ -50,17 +60,26 @@
         self.known.len()
     }
 
-    /// What to tell of endpoints of which others are told.
-    pub(super) fn tell(&self, is_for: impl Fn(&EndpointKey) -> bool) -> Vec<EndpointKey> {
-        let mut all: Vec<_> = self.known.iter().filter(|(key, _)| is_for(key)).collect();
-        all.sort_by_key(|(key, at)| (std::cmp::Reverse(**at), **key));
+    /// What to tell of listed endpoints: what is new, or everything to an instance that has just started.
+    pub(super) fn tell(
+        &self,
+        now: Instant,
+        audience: Audience,
+        is_listed: impl Fn(&EndpointKey) -> bool,
+    ) -> Vec<EndpointKey> {
+        let is_new = |word: &Word| now.saturating_duration_since(word.first) < TELL;
+        let is_told = |(key, word): &(&EndpointKey, &Word)| {
+            is_listed(key) && (audience == Audience::Newcomer || is_new(word))
+        };
+        let mut all: Vec<_> = self.known.iter().filter(is_told).collect();
+        all.sort_by_key(|(key, word)| (std::cmp::Reverse(word.first), **key));
         all.into_iter().take(MAX_TOLD).map(|(key, _)| *key).collect()
     }
 
     /// Forgets endpoints that are not listed any more.
     pub(super) fn forget(&mut self, now: Instant, is_listed: impl Fn(&EndpointKey) -> bool) {
         let is_late = |at: Instant| now.saturating_duration_since(at) > FORGET;
-        self.known.retain(|key, at| !is_late(*at) || is_listed(key));
+        self.known.retain(|key, word| !is_late(word.last) || is_listed(key));
     }
 
     /// Those that are newly known since the last call.
--- a/oxbowbend-core/src/cell/signals.rs
+++ b/oxbowbend-core/src/cell/signals.rs
@@ -46,6 +46,8 @@
 pub enum Origin {
     /// An answer to this instance.
     Answer,
+    /// The endpoint's entry, as this instance knows it.
+    Entry,
     /// An instance of its cell.
     Cell,
     /// The representative of another cell.
@@ -70,7 +72,7 @@
     /// cell: what was told on would seem younger each time, and never end.
     pub(super) fn is_told(self, origin: Origin) -> bool {
         match origin {
-            Origin::Answer => true,
+            Origin::Answer | Origin::Entry => true,
             Origin::Cell => matches!(self, Audience::Others | Audience::Newcomer),
             Origin::Fleet => matches!(self, Audience::CellOfRepresentative | Audience::Newcomer),
         }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -281,7 +281,8 @@
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
-        let State { world, admission, ages, is_restored, loaded_at, quarantine, .. } = &mut *state;
+        let State { world, admission, ages, is_restored, loaded_at, quarantine, cell, .. } =
+            &mut *state;
         let revision = world.revision();
         for item in news {
             item.log(revision, source);
@@ -315,10 +316,14 @@
                 News::Restarted(Endpoint { id, .. }) | News::EndpointGone(id) => {
                     quarantine.entry_changed(now, id);
                 }
+                News::Endpoint(endpoint) if endpoint.leaving => {
+                    cell.leaves_by_entry(now, endpoint.key());
+                }
                 _ => {}
             }
         }
         log_changes(quarantine);
+        state.log_said();
         let restarted = news.iter().filter_map(|item| match item {
             News::Restarted(endpoint) => Some(endpoint.address),
             _ => None,
