--- a/oxbowbend-core/tests/limits.rs
+++ b/oxbowbend-core/tests/limits.rs
@@ -7,6 +7,7 @@
 use cells::{cell, endpoint, key, want, MS};
 use oxbowbend_core::cell::{Cell, Extent, Origin, Outcome, Said, Signals};
 use oxbowbend_core::ids::InstanceId;
+use rand::{Rng, SeedableRng};
 
 /// What the users allow in any 4 s, in requests: half as much again as the limit, and five.
 fn allowed(limit: f64) -> f64 {
@@ -86,6 +87,43 @@
     }
 }
 
+/// Requests come at random, three times as many as the limit in all, spread over the instances: of an instance without one its part is not used.
+#[test]
+fn most_of_a_limit_is_used_where_each_instance_has_few_requests() {
+    let (mut rng, mut unused) = (rand_pcg::Pcg64::seed_from_u64(74), Vec::new());
+    for n in [7, 74, 295] {
+        for limit in [1.5, 20.0, 50.0] {
+            let all = names(n);
+            let start = Instant::now() + Duration::from_secs(60);
+            let mut cells: Vec<_> = (0..n).map(|i| instance(i, &all)).collect();
+            for cell in &mut cells {
+                cell.endpoint_said(start, key("e0"), start, says(Some(limit)));
+            }
+            let chance = 3.0 * limit / n as f64 * 0.1;
+            let mut sent = Vec::new();
+            for step in 0..200 {
+                let at = 100 * MS * step;
+                let mut wanted = || usize::from(rng.random_bool(f64::min(chance, 1.0)));
+                let all = cells.iter_mut().map(|cell| press(cell, start + at, wanted()));
+                sent.push((at, all.sum::<usize>()));
+            }
+            let most = most_in_window(&sent);
+            let used = sent.iter().map(|(_, n)| n).sum::<usize>() as f64 / (20.0 * limit);
+            println!(
+                "{n} instances, {limit} a second, few requests each: {most} in 4 s, used {used:.2}"
+            );
+            assert!(
+                most as f64 <= allowed(limit),
+                "{n} instances, {limit} a second: {most} in 4 s"
+            );
+            if used < 0.5 {
+                unused.push(format!("{n} instances, {limit} a second: {used:.2} used"));
+            }
+        }
+    }
+    assert!(unused.is_empty(), "{}", unused.join("; "));
+}
+
 #[test]
 fn the_bound_holds_whatever_is_saved_up() {
     for n in [3, 7, 74, 295] {
