Log how the end of an answer is marked, and whether its stream ends inside an event

Cause: when a caller got a short stream as a whole one, event=answered showed the bytes (without those passed on at the end) and nothing of how the endpoint had framed its answer. An answer without length and chunks whose connection ends could not be told from one that the endpoint itself ended with its last chunk, nor a stream that ends between events from one that ends inside an event. Change: h1::Framing of an answer; core::event_stream::BoundaryScanner follows the lines of a stream; both in event=answered (framing=, in_event=), whose bytes= now holds all bytes. No behaviour changes.

--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod budget;
 pub mod cache;
 pub mod cell;
+pub mod event_stream;
 pub mod fingerprint;
 pub mod ids;
 pub mod ingress;
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -118,6 +118,8 @@
     max_event_gap: Duration,
     last_event_at: Instant,
     event_count: u32,
+    /// What marks the end of the response; unknown until its head has arrived.
+    framing: Option<h1::Framing>,
     route: Arc<Route>,
     is_finished: bool,
 }
@@ -138,6 +140,7 @@
             max_event_gap: Duration::ZERO,
             last_event_at: clock::now(),
             event_count: 0,
+            framing: None,
             route: request.route.clone(),
             is_finished: false,
         }
@@ -216,7 +219,8 @@
             Ok(ResponseStart::Complete(response)) => {
                 let is_bad = response.status().is_server_error();
                 let outcome = if is_bad { Outcome::Bad } else { Outcome::Good };
-                log_response(request, &attempt, response.status().as_u16(), response.body().len());
+                let (status, bytes) = (response.status().as_u16(), response.body().len());
+                log_response(request, &attempt, status, bytes, false);
                 self.record_success(request);
                 attempt.complete(&self.pool, outcome);
                 return Ok(AttemptResponse::Complete(response));
@@ -321,6 +325,7 @@
             }
             verdict => return Err(AttemptError::NotExecuted(verdict)),
         }
+        attempt.framing = Some(h1::Framing::of(&request.method, head.status, &head.headers));
         self.wire.back(&mut head.headers);
         let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(e.to_string());
         if request.route.stream && head.status.is_success() {
@@ -413,22 +418,25 @@
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
-/// Logs a completed response and updates the metrics.
+/// Logs a completed response, how its end was marked and whether its stream ended inside an event,
+/// and updates the metrics.
 pub(crate) fn log_response(
     request: &AdmittedRequest,
     attempt: &Attempt,
     status: u16,
     bytes: usize,
+    is_inside_event: bool,
 ) {
     observe::answered(&request.route.name, "answered", clock::since(request.arrived_at));
     log::info!(
         "event=answered id={} endpoint={} status={status} bytes={bytes} first_ms={} pause_ms={} at_endpoint_ms={} \
-         total_ms={}",
+         total_ms={} framing={:?} in_event={is_inside_event}",
         request.metadata.id,
         attempt.endpoint.id,
         attempt.time_to_first_event.as_millis(),
         attempt.max_event_gap.as_millis(),
         clock::since(attempt.started_at).as_millis(),
-        clock::since(request.arrived_at).as_millis()
+        clock::since(request.arrived_at).as_millis(),
+        attempt.framing.unwrap_or(h1::Framing::Bodyless)
     );
 }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use oxbowbend_core::cell::Outcome;
+use oxbowbend_core::event_stream::BoundaryScanner;
 use oxbowbend_core::ids::EndpointId;
 use thiserror::Error;
 
@@ -53,6 +54,7 @@
     request: Arc<AdmittedRequest>,
     stream: Option<Box<EndpointStream>>,
     events: EventSplitter,
+    boundaries: BoundaryScanner,
     excluded_endpoints: Vec<EndpointId>,
     send_count: u32,
     bytes_sent: usize,
@@ -67,6 +69,7 @@
     let state = StreamRelay {
         relay,
         events: EventSplitter::resume_after(request.metadata.after),
+        boundaries: BoundaryScanner::default(),
         request,
         stream: Some(stream),
         excluded_endpoints: Vec::new(),
@@ -88,6 +91,7 @@
             let stream = self.stream.as_mut()?;
             match receive_item(stream, &self.request).await {
                 StreamItem::Data(data) => {
+                    self.boundaries.scan(&data);
                     let data = match self.request.route.resumable {
                         true => self.events.push(&data),
                         false => data,
@@ -114,7 +118,9 @@
     fn finish(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         let stream = self.stream.take()?;
         let partial = self.events.take_partial();
-        log_response(&self.request, &stream.attempt, 200, self.bytes_sent);
+        let bytes = self.bytes_sent + partial.len();
+        let is_inside_event = self.boundaries.is_inside_event();
+        log_response(&self.request, &stream.attempt, 200, bytes, is_inside_event);
         self.relay.record_success(&self.request);
         stream.attempt.complete(&self.relay.pool, Outcome::Good);
         (!partial.is_empty()).then_some(Ok(partial))
@@ -143,6 +149,7 @@
             self.relay.check_for_crash(&self.request, &endpoint, false).await;
         }
         self.events.discard_partial();
+        self.boundaries = BoundaryScanner::default();
         let mut unexecuted = 0;
         while self.request.route.resumable
             && self.send_count < self.request.route.max_attempts
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -5,10 +5,12 @@
 //! uses the nearest kin that tells it. Pools, bounds and the end of connections are here; framing
 //! is the library's.
 
+mod framing;
 mod outgoing;
 mod pool;
 mod server;
 
+pub use framing::Framing;
 pub use pool::{CallError, Conn, Pool, PoolConfig};
 pub use server::{serve, Door, ServeConfig};
 
