A failing test: a stream without framing that breaks off inside an event

What callers see: an answer of status 200 that is framed as complete and ends inside an event. The soak's proxy turns requests into HTTP/1.0, so that the stand-in answers without a length and chunks; two of five endpoints break off, after each byte of an event in turn. The stand-in's cut streams now wait 15 ms between their last bytes and the cut: without that the half event never left the library's buffer and no test saw one.

--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -9,8 +9,8 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use bytes::Bytes;
-use futures::stream;
-use http::{HeaderMap, Request, Response};
+use futures::stream::{self, StreamExt};
+use http::{HeaderMap, Request, Response, Version};
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use oxbowbend_http::h1;
@@ -44,10 +44,23 @@
     Failing,
     /// Breaks streams off in the middle of an event.
     Cutting,
+    /// The same, after so many bytes of the event.
+    CuttingAt(usize),
     /// Runs requests and answers nothing.
     Hanging,
 }
 
+impl Mode {
+    /// Bytes of an event after which a stream breaks off.
+    fn cut(self) -> Option<usize> {
+        match self {
+            Mode::Cutting => Some(8),
+            Mode::CuttingAt(at) => Some(at),
+            _ => None,
+        }
+    }
+}
+
 /// What endpoints have done.
 #[derive(Default)]
 pub struct Records {
@@ -135,6 +148,7 @@
     /// Answers a request; all answers say what the endpoint says of itself.
     async fn answer(self, req: Request<Incoming>) -> Response<Body> {
         let is_meant = text(req.headers(), "expect-instance") == self.id;
+        let is_old = req.version() == Version::HTTP_10;
         let arrived = match is_meant {
             true => self.exchanges.arrived(&self.id, req.headers()),
             false => None,
@@ -149,7 +163,10 @@
             says.write(answer.headers_mut());
         }
         self.exchanges.answered(arrived, says);
-        answer
+        match is_old {
+            true => answer.map(unframed),
+            false => answer,
+        }
     }
 
     async fn run(self, req: Request<Incoming>) -> Response<Body> {
@@ -213,8 +230,8 @@
                 task::sleep(PAUSE).await;
                 runs.lock().unwrap().made.insert(id.clone(), n);
                 let event = format!("id: {n}\ndata: {id}\n\n");
-                if mode == Mode::Cutting && n == EVENTS / 2 {
-                    let half = Bytes::copy_from_slice(&event.as_bytes()[..8]);
+                if let (Some(at), true) = (mode.cut(), n == EVENTS / 2) {
+                    let half = Bytes::copy_from_slice(&event.as_bytes()[..at]);
                     return Some((Ok(Frame::data(half)), all + 1));
                 }
                 Some((Ok(Frame::data(Bytes::from(event))), n + 1))
@@ -234,15 +251,30 @@
     S: futures::Stream<Item = Result<Frame<Bytes>, String>> + Send + 'static,
 {
     fn map_cut(self, mode: Mode) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
-        use futures::StreamExt;
-        if mode == Mode::Cutting {
-            self.chain(stream::once(async { Err("cut".to_owned()) })).boxed()
+        if mode.cut().is_some() {
+            let cut = async {
+                // Time for the half event to be sent.
+                task::sleep(PAUSE).await;
+                Err("cut".to_owned())
+            };
+            self.chain(stream::once(cut)).boxed()
         } else {
             self.boxed()
         }
     }
 }
 
+/// A body of no stated length.
+fn unframed(body: Body) -> Body {
+    match body {
+        Either::Left(whole) => {
+            let frames = whole.into_data_stream().map(|data| Ok(Frame::data(data.unwrap())));
+            Either::Right(StreamBody::new(frames.boxed()))
+        }
+        right => right,
+    }
+}
+
 fn text(headers: &HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -24,6 +24,7 @@
 mod signals;
 mod starts;
 mod store;
+mod unframed;
 
 use std::time::Duration;
 
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -26,6 +26,8 @@
     Silent,
     /// Connections are reset, new ones refused.
     Down,
+    /// Answers have neither a length nor chunks and end with their connection: requests arrive as those of HTTP/1.0.
+    Unframed,
 }
 
 #[derive(Clone)]
@@ -99,6 +101,9 @@
                 Ok(Ok(n)) if n > 0 => n,
                 Ok(_) => return,
             };
+            if self.mode() == Mode::Unframed && !is_back {
+                make_old(&mut buf[..n]);
+            }
             loop {
                 match self.mode() {
                     Mode::Reset | Mode::Down => return,
@@ -119,6 +124,14 @@
     }
 }
 
+/// Makes the head of a request one of HTTP/1.0.
+fn make_old(head: &mut [u8]) {
+    const VERSION: &[u8] = b" HTTP/1.1\r\n";
+    if let Some(at) = head.windows(VERSION.len()).position(|w| w == VERSION) {
+        head[at + VERSION.len() - 3] = b'0';
+    }
+}
+
 /// Makes the end of a connection a reset.
 fn reset(stream: &TcpStream) {
     // A stream that has failed already needs none.
