Treat a stream that ends inside an event as interrupted, however its end is marked

Cause: an answer may have neither a length nor chunks and end with its connection. The library reports that end as it reports a complete body, and the relay took it for one: it passed on what it held of the event, closed the answer with its last chunk, counted a success for the endpoint's health, its version and the request's fingerprint, and asked nobody to go on. On routes that cannot be resumed it did not look at events at all. Beside it the endpoint's HTTP version was copied into the answer: behind an HTTP/1.0 endpoint the client got no chunks either, and no break could show. Ruled out: an early end of our own (resume, pool): each was logged when the run ended, without event=repeat before; and an endpoint that ends its broken answer with a last chunk would be caught by the same check. Change: the relay follows the events of every stream; one that ends inside an event has been interrupted: it is resumed at another endpoint where the route allows it, and otherwise the client's connection breaks off. Without framing a stream that ends before its first event counts as no answer. What the relay passes on is HTTP/1.1 of its own. Why it works: the place where the bytes end is the only evidence that an answer without framing gives, and a stream that ends inside an event is broken in every framing.

--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -6,7 +6,8 @@
 use async_std::future;
 use bytes::Bytes;
 use futures::pin_mut;
-use http::{response, Request, Response, Uri};
+use http::header::{self, HeaderMap};
+use http::{response, Request, Response, Uri, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
@@ -28,6 +29,8 @@
 /// Approximate work units per stream event. Only responses on the same route are compared, so the
 /// exact value matters little.
 const WORK_UNITS_PER_EVENT: u32 = 1000;
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// The response of an endpoint.
 pub(crate) enum AttemptResponse {
@@ -118,8 +121,8 @@
     max_event_gap: Duration,
     last_event_at: Instant,
     event_count: u32,
-    /// What marks the end of the response; unknown until its head has arrived.
-    framing: Option<h1::Framing>,
+    /// What marks the end of the response; [`h1::Framing::Bodyless`] until its head has arrived.
+    pub(crate) framing: h1::Framing,
     route: Arc<Route>,
     is_finished: bool,
 }
@@ -140,7 +143,7 @@
             max_event_gap: Duration::ZERO,
             last_event_at: clock::now(),
             event_count: 0,
-            framing: None,
+            framing: h1::Framing::Bodyless,
             route: request.route.clone(),
             is_finished: false,
         }
@@ -220,13 +223,14 @@
                 let is_bad = response.status().is_server_error();
                 let outcome = if is_bad { Outcome::Bad } else { Outcome::Good };
                 let (status, bytes) = (response.status().as_u16(), response.body().len());
-                log_response(request, &attempt, status, bytes, false);
+                log_response(request, &attempt, status, bytes);
                 self.record_success(request);
                 attempt.complete(&self.pool, outcome);
                 return Ok(AttemptResponse::Complete(response));
             }
             Ok(ResponseStart::Streaming(head, first_frame, body)) => {
-                let stream = Box::new(EndpointStream::new(attempt, first_frame, body));
+                let has_events = has_events(&head.headers);
+                let stream = Box::new(EndpointStream::new(attempt, first_frame, body, has_events));
                 return Ok(AttemptResponse::Streaming(head, stream));
             }
             Err(error) => error,
@@ -325,12 +329,19 @@
             }
             verdict => return Err(AttemptError::NotExecuted(verdict)),
         }
-        attempt.framing = Some(h1::Framing::of(&request.method, head.status, &head.headers));
+        attempt.framing = h1::Framing::of(&request.method, head.status, &head.headers);
         self.wire.back(&mut head.headers);
+        // The client's connection has a version of its own. In that of an HTTP/1.0 endpoint the response
+        // could not be sent in chunks, whose missing end shows an interruption.
+        head.version = Version::HTTP_11;
         let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(e.to_string());
         if request.route.stream && head.status.is_success() {
             let first_frame = match body.frame().await {
                 Some(frame) => Some(frame.map_err(no_valid_response)?),
+                None if attempt.framing == h1::Framing::UntilClose => {
+                    let reason = "connection closed before the first event";
+                    return Err(AttemptError::NoValidResponse(reason.to_owned()));
+                }
                 None => None,
             };
             attempt.record_event();
@@ -412,31 +423,35 @@
     Streaming(response::Parts, Option<hyper::body::Frame<Bytes>>, Incoming),
 }
 
+/// Returns whether a streamed response consists of events: unless it says otherwise.
+fn has_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
+    content_type.is_none_or(|value| value.to_ascii_lowercase().starts_with(EVENT_STREAM))
+}
+
 /// Returns the path and query of `uri` without scheme and authority.
 fn path_only(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
-/// Logs a completed response, how its end was marked and whether its stream ended inside an event,
-/// and updates the metrics.
+/// Logs a completed response and how its end was marked, and updates the metrics.
 pub(crate) fn log_response(
     request: &AdmittedRequest,
     attempt: &Attempt,
     status: u16,
     bytes: usize,
-    is_inside_event: bool,
 ) {
     observe::answered(&request.route.name, "answered", clock::since(request.arrived_at));
     log::info!(
         "event=answered id={} endpoint={} status={status} bytes={bytes} first_ms={} pause_ms={} at_endpoint_ms={} \
-         total_ms={} framing={:?} in_event={is_inside_event}",
+         total_ms={} framing={:?}",
         request.metadata.id,
         attempt.endpoint.id,
         attempt.time_to_first_event.as_millis(),
         attempt.max_event_gap.as_millis(),
         clock::since(attempt.started_at).as_millis(),
         clock::since(request.arrived_at).as_millis(),
-        attempt.framing.unwrap_or(h1::Framing::Bodyless)
+        attempt.framing
     );
 }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -10,6 +10,7 @@
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::event_stream::BoundaryScanner;
 use oxbowbend_core::ids::EndpointId;
+use oxbowbend_http::h1;
 use thiserror::Error;
 
 use super::events::EventSplitter;
@@ -29,6 +30,8 @@
     attempt: Attempt,
     first_frame: Option<Frame<Bytes>>,
     body: Incoming,
+    /// Whether the body consists of events, whose boundaries show whether it is complete.
+    has_events: bool,
 }
 
 impl EndpointStream {
@@ -36,8 +39,13 @@
         attempt: Attempt,
         first_frame: Option<Frame<Bytes>>,
         body: Incoming,
+        has_events: bool,
     ) -> EndpointStream {
-        EndpointStream { attempt, first_frame, body }
+        EndpointStream { attempt, first_frame, body, has_events }
+    }
+
+    fn framing(&self) -> h1::Framing {
+        self.attempt.framing
     }
 }
 
@@ -102,7 +110,16 @@
                     self.bytes_sent += data.len();
                     return Some(Ok(data));
                 }
-                StreamItem::End => return self.finish(),
+                StreamItem::End if !stream.has_events || !self.boundaries.is_inside_event() => {
+                    return self.finish();
+                }
+                // The end of a connection looks the same whether the endpoint closed it or failed.
+                StreamItem::End => {
+                    let reason = format!("ended inside an event ({:?})", stream.framing());
+                    if !self.resume(reason).await {
+                        return Some(Err(StreamInterrupted));
+                    }
+                }
                 StreamItem::Interrupted(reason) => match self.resume(reason).await {
                     true => continue,
                     false => return Some(Err(StreamInterrupted)),
@@ -119,8 +136,7 @@
         let stream = self.stream.take()?;
         let partial = self.events.take_partial();
         let bytes = self.bytes_sent + partial.len();
-        let is_inside_event = self.boundaries.is_inside_event();
-        log_response(&self.request, &stream.attempt, 200, bytes, is_inside_event);
+        log_response(&self.request, &stream.attempt, 200, bytes);
         self.relay.record_success(&self.request);
         stream.attempt.complete(&self.relay.pool, Outcome::Good);
         (!partial.is_empty()).then_some(Ok(partial))
