Pass on events whose lines end with CR LF or CR as they come

What callers saw: nothing of a resumable stream until its end, if its endpoint ends lines with CR LF; and after a break the stream began anew. Cause: events were split at two LFs only; the format also allows CR LF and CR. Change: the splitter uses the scanner that tells whether a stream ended inside an event; ids are read from such lines too.

--- a/oxbowbend-core/src/event_stream.rs
+++ b/oxbowbend-core/src/event_stream.rs
@@ -71,3 +71,19 @@
         self.has_field || self.line != Line::Empty
     }
 }
+
+/// Returns the last id in a piece that holds whole events.
+///
+/// ```
+/// use oxbowbend_core::event_stream::last_id;
+/// assert_eq!(last_id(b"id: 3\r\ndata: a\r\n\r\nid:4\r\rdata: b\r\r"), Some(4));
+/// assert_eq!(last_id(b"data: id: 3\n\n"), None);
+/// ```
+pub fn last_id(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let id = |line: &[u8]| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    };
+    lines.rev().find_map(id)
+}
--- a/oxbowbend-core/tests/event_stream.rs
+++ b/oxbowbend-core/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Boundaries of events, for every way in which lines may end and bytes may be cut into pieces.
 
-use oxbowbend_core::event_stream::BoundaryScanner;
+use oxbowbend_core::event_stream::{self, BoundaryScanner};
 
 #[test]
 fn an_event_ends_with_an_empty_line_however_lines_end() {
@@ -55,3 +55,17 @@
         }
     }
 }
+
+#[test]
+fn the_last_id_is_found_however_lines_end() {
+    for (events, id) in [
+        ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Some(2)),
+        ("id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", Some(2)),
+        ("id:1\rdata: a\r\r", Some(1)),
+        ("id: x\ndata: a\n\n", None),
+        ("data: id: 4\n\n", None),
+        ("", None),
+    ] {
+        assert_eq!(event_stream::last_id(events.as_bytes()), id, "{events:?}");
+    }
+}
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -46,6 +46,8 @@
     Cutting,
     /// The same, after so many bytes of the event.
     CuttingAt(usize),
+    /// Ends the lines of its streams with CR LF.
+    CrLf,
     /// Runs requests and answers nothing.
     Hanging,
 }
@@ -230,6 +232,7 @@
                 task::sleep(PAUSE).await;
                 runs.lock().unwrap().made.insert(id.clone(), n);
                 let event = format!("id: {n}\ndata: {id}\n\n");
+                let event = if mode == Mode::CrLf { event.replace('\n', "\r\n") } else { event };
                 if let (Some(at), true) = (mode.cut(), n == EVENTS / 2) {
                     let half = Bytes::copy_from_slice(&event.as_bytes()[..at]);
                     return Some((Ok(Frame::data(half)), all + 1));
--- a/oxbowbend-daemon/tests/soak/unframed.rs
+++ b/oxbowbend-daemon/tests/soak/unframed.rs
@@ -2,13 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use crate::endpoint::{Mode, EVENTS};
-use crate::fleet::{Fleet, ENDPOINTS};
+use http::Request;
+use http_body_util::BodyExt;
+use oxbowbend_http::h1;
+
+use crate::endpoint::{Mode, EVENTS, LEAVES};
+use crate::fleet::{Fleet, ENDPOINTS, KEY};
 use crate::press::{play_in_turn, press, unserved};
 use crate::proxy;
 
 /// Seeds of their own, beside those that are played meanwhile: one of one cell, one of two cells.
 const SEEDS: [u64; 2] = [61, 62];
+/// The same for lines that end with CR LF.
+const CR_LF_SEED: [u64; 1] = [63];
 /// Endpoints that break their streams off.
 const BREAKING: usize = 2;
 /// Time for which streams break off at one place of an event.
@@ -52,3 +58,35 @@
     println!("{} events a stream, took {:?}", EVENTS, now.elapsed());
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Reads the first part of a stream that lasts for seconds; returns whether the endpoint made more events after that.
+async fn first_part_comes_before_the_end(seed: u64) -> Vec<String> {
+    let fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_mode(Mode::CrLf));
+    let id = format!("{LEAVES}crlf");
+    let cfg = h1::PoolConfig { connect: Duration::from_secs(2), idle: Duration::ZERO };
+    let mut conn = h1::Pool::new(cfg).connect(fleet.daemons[0].callers).await.unwrap();
+    let req = Request::post("/stream-on/x")
+        .header("host", "h.example")
+        .header("request-id", &id)
+        .header("authorization", format!("Bearer {KEY}"))
+        .body("some words".into());
+    let mut body = conn.send(req.unwrap()).await.unwrap().into_body();
+    let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
+    let made = || fleet.runs.lock().unwrap().made.get(&id).copied();
+    let before = made();
+    body.frame().await.unwrap().unwrap();
+    let is_early = first.starts_with(b"id: 1\r\n") && made() > before;
+    if is_early {
+        Vec::new()
+    } else {
+        vec![format!("held back until {before:?}: {first:?}")]
+    }
+}
+
+#[test]
+fn events_that_end_with_cr_lf_are_passed_on_as_they_come() {
+    let broken = play_in_turn(CR_LF_SEED.into_iter().map(first_part_comes_before_the_end));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/relay/events.rs
+++ b/oxbowbend-gateway/src/relay/events.rs
@@ -4,10 +4,13 @@
 //! another endpoint can continue after the last one.
 
 use bytes::{Bytes, BytesMut};
+use oxbowbend_core::event_stream::{self, BoundaryScanner};
 
 /// Splits a byte stream at event boundaries.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    scanner: BoundaryScanner,
+    /// The beginning of an event that is not complete.
     partial: BytesMut,
     last_id: Option<u64>,
 }
@@ -15,7 +18,7 @@
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event `last_id`.
     pub(crate) fn resume_after(last_id: Option<u64>) -> EventSplitter {
-        EventSplitter { partial: BytesMut::new(), last_id }
+        EventSplitter { last_id, ..EventSplitter::default() }
     }
 
     /// Returns the id of the last complete event.
@@ -23,36 +26,29 @@
         self.last_id
     }
 
+    /// Reads bytes that are passed on as they are.
+    pub(crate) fn observe(&mut self, bytes: &[u8]) {
+        self.scanner.scan(bytes);
+    }
+
     /// Appends bytes and returns the events that are now complete.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let boundary = self.scanner.scan(bytes).map(|at| self.partial.len() + at);
         self.partial.extend_from_slice(bytes);
-        let end = match self.partial.windows(2).rposition(|w| w == b"\n\n") {
-            Some(at) => at + 2,
-            None => return Bytes::new(),
-        };
-        let complete = self.partial.split_to(end).freeze();
-        if let Some(id) = parse_last_id(&complete) {
-            self.last_id = Some(id);
-        }
+        let Some(boundary) = boundary else { return Bytes::new() };
+        let complete = self.partial.split_to(boundary).freeze();
+        self.last_id = event_stream::last_id(&complete).or(self.last_id);
         complete
     }
 
+    /// Returns whether the bytes so far end inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.scanner.is_inside_event()
+    }
+
     /// Discards an incomplete event.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
+        self.scanner = BoundaryScanner::default();
     }
-
-    /// Returns the bytes after the last complete event, at the regular end of the stream.
-    pub(crate) fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-}
-
-fn parse_last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|b| *b == b'\n');
-    let id = |line: &[u8]| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    };
-    lines.rev().find_map(id)
 }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -8,9 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use oxbowbend_core::cell::Outcome;
-use oxbowbend_core::event_stream::BoundaryScanner;
 use oxbowbend_core::ids::EndpointId;
-use oxbowbend_http::h1;
 use thiserror::Error;
 
 use super::events::EventSplitter;
@@ -43,10 +41,6 @@
     ) -> EndpointStream {
         EndpointStream { attempt, first_frame, body, has_events }
     }
-
-    fn framing(&self) -> h1::Framing {
-        self.attempt.framing
-    }
 }
 
 /// The next item received from the endpoint.
@@ -62,7 +56,6 @@
     request: Arc<AdmittedRequest>,
     stream: Option<Box<EndpointStream>>,
     events: EventSplitter,
-    boundaries: BoundaryScanner,
     excluded_endpoints: Vec<EndpointId>,
     send_count: u32,
     bytes_sent: usize,
@@ -77,7 +70,6 @@
     let state = StreamRelay {
         relay,
         events: EventSplitter::resume_after(request.metadata.after),
-        boundaries: BoundaryScanner::default(),
         request,
         stream: Some(stream),
         excluded_endpoints: Vec::new(),
@@ -97,28 +89,19 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         loop {
             let stream = self.stream.as_mut()?;
-            match receive_item(stream, &self.request).await {
+            let item = receive_item(stream, &self.request).await;
+            match self.check_end(item) {
                 StreamItem::Data(data) => {
-                    self.boundaries.scan(&data);
-                    let data = match self.request.route.resumable {
-                        true => self.events.push(&data),
-                        false => data,
-                    };
+                    let data = self.split(data);
                     if data.is_empty() {
                         continue;
                     }
                     self.bytes_sent += data.len();
                     return Some(Ok(data));
                 }
-                StreamItem::End if !stream.has_events || !self.boundaries.is_inside_event() => {
-                    return self.finish();
-                }
-                // The end of a connection looks the same whether the endpoint closed it or failed.
                 StreamItem::End => {
-                    let reason = format!("ended inside an event ({:?})", stream.framing());
-                    if !self.resume(reason).await {
-                        return Some(Err(StreamInterrupted));
-                    }
+                    self.finish();
+                    return None;
                 }
                 StreamItem::Interrupted(reason) => match self.resume(reason).await {
                     true => continue,
@@ -132,14 +115,36 @@
         }
     }
 
-    fn finish(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
-        let stream = self.stream.take()?;
-        let partial = self.events.take_partial();
-        let bytes = self.bytes_sent + partial.len();
-        log_response(&self.request, &stream.attempt, 200, bytes);
+    /// Returns what may be passed on: whole events, if another endpoint may have to continue.
+    fn split(&mut self, data: Bytes) -> Bytes {
+        if self.request.route.resumable && self.has_events() {
+            return self.events.push(&data);
+        }
+        self.events.observe(&data);
+        data
+    }
+
+    /// Turns an end inside an event into an interruption. The end of a connection looks the same
+    /// whether the endpoint closed it or failed.
+    fn check_end(&self, item: StreamItem) -> StreamItem {
+        match item {
+            StreamItem::End if self.has_events() && self.events.is_inside_event() => {
+                let framing = self.stream.as_ref().map(|stream| stream.attempt.framing);
+                StreamItem::Interrupted(format!("ended inside an event, framing={framing:?}"))
+            }
+            item => item,
+        }
+    }
+
+    fn has_events(&self) -> bool {
+        self.stream.as_ref().is_some_and(|stream| stream.has_events)
+    }
+
+    fn finish(&mut self) {
+        let Some(stream) = self.stream.take() else { return };
+        log_response(&self.request, &stream.attempt, 200, self.bytes_sent);
         self.relay.record_success(&self.request);
         stream.attempt.complete(&self.relay.pool, Outcome::Good);
-        (!partial.is_empty()).then_some(Ok(partial))
     }
 
     fn abandon_attempt(&mut self, reason: &str, outcome: Outcome) {
@@ -165,7 +170,6 @@
             self.relay.check_for_crash(&self.request, &endpoint, false).await;
         }
         self.events.discard_partial();
-        self.boundaries = BoundaryScanner::default();
         let mut unexecuted = 0;
         while self.request.route.resumable
             && self.send_count < self.request.route.max_attempts
