Reset the connection of an HTTP/1.0 caller whose answer breaks off

What callers see: an answer that broke off, ended with its connection like a complete one. HTTP/1.0 has no chunks, so the end of the connection is all that marks the end of a stream, and the server closed it in the ordinary way. Change: a body that breaks off resets such a connection. Those of HTTP/1.1 still close in the ordinary way: the missing last chunk shows the break, and a reset could take events with it that the caller has not read. Evidence: the test failed before (HTTP/1.0: the read ended well after "ab") and passes now; h1: 11 passed.

--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -14,7 +14,7 @@
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 use http::header::{HeaderValue, CONNECTION};
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -121,6 +121,8 @@
         #[pin]
         body: B,
         inside: Inside,
+        // The connection, if its end is all that marks the end of the body.
+        ending: Option<TcpStream>,
     }
 }
 
@@ -132,7 +134,13 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        self.project().body.poll_frame(cx)
+        let this = self.project();
+        let frame = this.body.poll_frame(cx);
+        if let (Poll::Ready(Some(Err(_))), Some(stream)) = (&frame, &this.ending) {
+            // A connection that has failed already needs no reset.
+            let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -182,20 +190,22 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     door.open.fetch_add(1, Ordering::SeqCst);
-    let service = service_fn(|req| {
+    let service = service_fn(|req: Request<Incoming>| {
         let inside = door.enter();
+        // In HTTP/1.0 a body that breaks off looks complete unless its connection is reset.
+        let ending = (req.version() < Version::HTTP_11).then(|| stream.clone());
         let answering = handler(req);
         async move {
             let mut answer = answering.await;
             if inside.door.is_closing() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(answer.map(|body| Counted { body, inside }))
+            Ok::<_, Infallible>(answer.map(|body| Counted { body, inside, ending }))
         }
     });
     let conn = http1::Builder::new()
         .max_buf_size(cfg.head.max(MIN_BUFFER))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(stream.clone()), service);
     pin_mut!(conn);
     let shut = door.shut.1.recv();
     pin_mut!(shut);
--- a/oxbowbend-http/tests/h1.rs
+++ b/oxbowbend-http/tests/h1.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use http::{Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use oxbowbend_http::h1;
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -235,6 +235,39 @@
     });
 }
 
+/// Answers with two parts of a body, after which it breaks off.
+async fn serve_breaking() -> SocketAddr {
+    let (listener, address) = listener().await;
+    let cfg = h1::ServeConfig { connections: 10, head: 16384 };
+    let handler = |_: Request<Incoming>| async {
+        let parts = futures::stream::iter([Ok("a"), Ok("b"), Err("broken off")]);
+        let frames = parts.then(|part| async move {
+            // Time for the part before it to be sent.
+            task::sleep(Duration::from_millis(30)).await;
+            part.map(|part| Frame::data(Bytes::from(part)))
+        });
+        Response::new(StreamBody::new(frames))
+    };
+    task::spawn(h1::serve(listener, cfg, Arc::default(), handler));
+    address
+}
+
+#[test]
+fn an_answer_that_breaks_off_does_not_look_complete_to_callers_of_any_version() {
+    for version in ["1.0", "1.1"] {
+        task::block_on(async {
+            let mut caller =
+                TcpStream::connect(serve_breaking().await).await.expect("a connection");
+            let head = format!("GET / HTTP/{version}\r\nhost: h\r\n\r\n");
+            caller.write_all(head.as_bytes()).await.expect("written");
+            let mut got = Vec::new();
+            let end = caller.read_to_end(&mut got).await;
+            let is_broken = end.is_err() || !got.ends_with(b"0\r\n\r\n") && version == "1.1";
+            assert!(is_broken, "HTTP/{version}: {end:?} after {:?}", String::from_utf8_lossy(&got));
+        });
+    }
+}
+
 /// The service of a caller that leaves is dropped, which is how runs at endpoints end.
 #[test]
 fn a_caller_that_leaves_drops_its_request() {
