Tell whether this instance has lost its path to all endpoints

Cause of this commit: no line could tell an endpoint that is down from an instance that is cut off from it; each send_failed is about one endpoint. Change: core::isolation::IsolationDetector. A failure without recent proof of a working path leads to a round of two connections to other endpoints, which the pool keeps; if none comes about the instance is isolated, until all of a later round do. event=path_changed with what it rests on, oxbow_isolated, oxbow_path_probes_total. Nothing is decided by it yet; a retry after such a failure waits for the round, 0.25 s at most.

--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod fingerprint;
 pub mod ids;
 pub mod ingress;
+pub mod isolation;
 pub mod ledger;
 pub mod membership;
 pub mod message;
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -267,6 +267,7 @@
         };
         restarted.into_iter().for_each(|address| pool.forget(address));
         shared.give_up(now);
+        shared.probe_when_due(&pool);
         shared.apply(now, &news, "time");
         if waiting > 0 {
             shared.place();
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -5,6 +5,7 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use oxbowbend_core::isolation::ProbeRound;
 
 /// Upper bounds of the histograms' buckets in seconds, around the users' objectives of 0.1 to 0.8 s.
 const BUCKETS: [f64; 14] =
@@ -115,6 +116,17 @@
     gauge!("oxbow_quarantined").set(held as f64);
 }
 
+/// Records a round of probes of the path to endpoints.
+pub(crate) fn path_probed(round: ProbeRound) {
+    counter!("oxbow_path_probes_total", "result" => "reached").increment(round.reached as u64);
+    counter!("oxbow_path_probes_total", "result" => "failed").increment(round.failed as u64);
+}
+
+/// Sets whether this instance reaches no endpoint.
+pub(crate) fn isolated(is_isolated: bool) {
+    gauge!("oxbow_isolated").set(if is_isolated { 1.0 } else { 0.0 });
+}
+
 /// Notes the present state.
 pub(crate) fn state(waiting: usize, busy: usize, heard: usize) {
     gauge!("oxbow_waiting").set(waiting as f64);
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome, FIXED_WORK_UNITS};
+use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::rollout::responses::ResponseOutcome;
 use oxbowbend_core::routes::{Endpoint, Route};
 use oxbowbend_core::silence::{self, TimeoutAction};
@@ -92,6 +93,17 @@
         )
     }
 
+    /// Returns how the path to the endpoint may have failed, if it may.
+    fn path_failure(&self) -> Option<PathFailure> {
+        match self {
+            AttemptError::NotSent(_) => Some(PathFailure::Connect),
+            AttemptError::NoValidResponse(_) | AttemptError::Unresponsive => {
+                Some(PathFailure::Response)
+            }
+            _ => None,
+        }
+    }
+
     pub(crate) fn is_deadline_exceeded(&self) -> bool {
         matches!(self, AttemptError::DeadlineExceeded)
     }
@@ -256,6 +268,9 @@
             self.pool.forget(attempt.endpoint.address);
         }
         attempt.finish(outcome);
+        if let Some(failure) = error.path_failure() {
+            self.shared.is_path_lost(&self.pool, attempt.endpoint.address, failure).await;
+        }
         match &error {
             AttemptError::NoValidResponse(_) => {
                 self.check_for_crash(request, &attempt.endpoint, true).await
@@ -305,6 +320,7 @@
         last_event_id: Option<u64>,
     ) -> Result<ResponseStart, AttemptError> {
         let response = self.send_request(request, attempt, last_event_id).await?;
+        self.shared.lock().isolation.record_response(clock::now());
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
@@ -376,6 +392,9 @@
     ) -> Result<Response<Incoming>, AttemptError> {
         let address = attempt.endpoint.address;
         let mut conn = self.pool.get(address).await.map_err(AttemptError::NotSent)?;
+        if !conn.is_reused() {
+            self.shared.lock().isolation.record_connect(clock::now());
+        }
         // Responses that arrived while connecting may have carried new signals of the endpoint.
         if !self.shared.lock().cell.may_send(clock::now(), attempt.endpoint.key()) {
             self.pool.put(conn);
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -16,6 +16,7 @@
 };
 
 use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ZoneId};
+use oxbowbend_core::isolation::IsolationDetector;
 use oxbowbend_core::quarantine::Quarantine;
 use oxbowbend_core::quota::SnapshotAge;
 use oxbowbend_core::retries::RetryLimiter;
@@ -41,6 +42,8 @@
     pub(crate) repeats: RetryLimiter,
     pub(crate) ages: AgeEstimator,
     pub(crate) quarantine: Quarantine,
+    /// Whether this instance reaches endpoints.
+    pub(crate) isolation: IsolationDetector,
     pub(crate) rollouts: Rollouts,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
@@ -239,6 +242,7 @@
             repeats,
             ages: AgeEstimator::default(),
             quarantine: Quarantine::new(&me),
+            isolation: IsolationDetector::default(),
             rollouts,
             shutdown: None,
             waiters: HashMap::new(),
