Test that callers of an instance without a path to the endpoints are served, failing

Cause: some machines may be partitioned from all servers while clients, the store and the other machines reach them; the soak could not cut that, and an instance without a path answers 502, 503 and 504. Change: a proxy learns whose a connection is (its row in /proc/net/tcp, the socket among the files of a daemon), once for each connection and only while a cut is in force or it is counted what passes; paths.rs cuts some daemons from all endpoints: silent, reset, or new connections reset. Not as on the wire: new connections of a silent cut are accepted and what is sent is acknowledged by the kernel, and a refused one is reset after its accept. In a silent cut and one with resets nothing passes from who is cut off (counted at the proxies; asserted).

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::endpoint::{Endpoint, Runs};
 use crate::exchanges::{Exchanges, Excuse};
+use crate::paths::Paths;
 use crate::proxy::{Mode, Proxy};
 use crate::store::{self, Store};
 
@@ -37,6 +38,7 @@
     pub store_proxy: Proxy,
     pub endpoints: Vec<Endpoint>,
     pub proxies: Vec<Proxy>,
+    pub paths: Paths,
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
     pub exchanges: Exchanges,
@@ -61,6 +63,8 @@
     /// Environment of the process.
     env: Vec<(&'static str, String)>,
     excuses: Excuses,
+    paths: Paths,
+    n: usize,
     child: Child,
 }
 
@@ -69,7 +73,9 @@
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_address = store::address(&store_proxy_listener);
-        let store_proxy = Proxy::start(store_proxy_listener, store::address(&store_listener));
+        let (to, paths) = (store::address(&store_listener), Paths::default());
+        // Cuts between daemons and endpoints are none of the store's.
+        let store_proxy = Proxy::start(store_proxy_listener, to, Paths::default());
         let store = Store::start(store_listener).await;
         let (runs, exchanges) = (Runs::default(), Exchanges::default());
         let (mut endpoints, mut proxies, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
@@ -77,12 +83,13 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             addresses.push(store::address(&proxy_listener));
-            proxies.push(Proxy::start(proxy_listener, store::address(&listener)));
+            let to = store::address(&listener);
+            proxies.push(Proxy::start(proxy_listener, to, paths.clone()));
             let (id, runs) = (format!("e-{n}"), runs.clone());
             endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
         let excuses = Excuses::default();
-        let daemon = |n| Daemon::new(n, seed, store_address, excuses.clone());
+        let daemon = |n| Daemon::new(n, seed, store_address, excuses.clone(), paths.clone());
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
         let mut fleet = Fleet {
@@ -90,6 +97,7 @@
             store_proxy,
             endpoints,
             proxies,
+            paths,
             daemons,
             runs,
             exchanges,
@@ -245,7 +253,7 @@
 }
 
 impl Daemon {
-    fn new(n: usize, seed: u64, store: SocketAddr, excuses: Excuses) -> Daemon {
+    fn new(n: usize, seed: u64, store: SocketAddr, excuses: Excuses, paths: Paths) -> Daemon {
         // Every run has loopback addresses of its own, since the ports are the same everywhere.
         let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, seed % 250 + 1, n + 1);
         let net = ip.rsplit_once('.').unwrap().0.to_owned();
@@ -264,7 +272,8 @@
         let readiness = format!("{ip}:27621").parse().unwrap();
         let env = environment(n, seed);
         let child = spawn(&settings, &env);
-        Daemon { callers, readiness, settings, env, excuses, child }
+        paths.set_pid(n, child.id());
+        Daemon { callers, readiness, settings, env, excuses, paths, n, child }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -284,6 +293,7 @@
         };
         self.excuses.lock().unwrap().push((self.callers, Instant::now()));
         self.child = spawn(&self.settings, &self.env);
+        self.paths.set_pid(self.n, self.child.id());
         ended
     }
 
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! are played every time.
 
 mod caller;
+mod cuts;
 mod drills;
 mod endpoint;
 mod ends;
@@ -16,6 +17,8 @@
 mod leavers;
 mod limits;
 mod outages;
+mod owners;
+mod paths;
 mod press;
 mod proxy;
 mod quotas;
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that delays, resets, cuts one way, or goes silent.
+//! A loopback proxy that delays, resets, cuts one way, or goes silent, to all or to some daemons.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -8,6 +8,8 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 
+use crate::paths::{Accepted, Manner, Paths};
+
 /// How often a proxy that holds bytes back looks whether it still should.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -31,11 +33,13 @@
 #[derive(Clone)]
 pub struct Proxy {
     mode: Arc<Mutex<Mode>>,
+    paths: Paths,
 }
 
 impl Proxy {
-    pub fn start(listener: TcpListener, to: SocketAddr) -> Proxy {
-        let proxy = Proxy { mode: Arc::new(Mutex::new(Mode::Pass)) };
+    /// Starts one on the ways that some daemons take.
+    pub fn start(listener: TcpListener, to: SocketAddr, paths: Paths) -> Proxy {
+        let proxy = Proxy { mode: Arc::new(Mutex::new(Mode::Pass)), paths };
         let this = proxy.clone();
         task::spawn(this.listen(listener, to));
         proxy
@@ -67,31 +71,43 @@
         *self.mode.lock().unwrap()
     }
 
-    fn is_off(&self) -> bool {
-        matches!(self.mode(), Mode::Reset | Mode::Down)
+    /// What happens to the bytes of a connection.
+    async fn mode_of(&self, conn: &Accepted) -> Mode {
+        match (self.mode(), self.paths.cut_of(conn).await) {
+            (mode @ (Mode::Reset | Mode::Down), _) => mode,
+            (_, Some(Manner::Reset)) => Mode::Reset,
+            (_, Some(Manner::Silent)) => Mode::Silent,
+            (mode, _) => mode,
+        }
+    }
+
+    async fn is_off(&self, conn: &Accepted) -> bool {
+        matches!(self.mode_of(conn).await, Mode::Reset | Mode::Down)
     }
 
     async fn connection(self, near: TcpStream, to: SocketAddr) {
-        if self.is_off() {
+        let conn = Accepted::new(&near);
+        let is_refused = self.paths.cut_of(&conn).await == Some(Manner::Refuse);
+        if is_refused || self.is_off(&conn).await {
             reset(&near);
             return;
         }
         let Ok(far) = TcpStream::connect(to).await else { return };
-        let there = Box::pin(self.clone().pump(near.clone(), far.clone(), false));
-        let back = Box::pin(self.clone().pump(far.clone(), near.clone(), true));
+        let there = Box::pin(self.clone().pump(&conn, near.clone(), far.clone(), false));
+        let back = Box::pin(self.clone().pump(&conn, far.clone(), near.clone(), true));
         futures::future::select(there, back).await;
-        if self.is_off() || self.mode() == Mode::Strike {
+        if self.is_off(&conn).await || self.mode() == Mode::Strike {
             reset(&near);
         }
         let _ = near.shutdown(std::net::Shutdown::Both);
         let _ = far.shutdown(std::net::Shutdown::Both);
     }
 
-    async fn pump(self, mut from: TcpStream, mut to: TcpStream, is_back: bool) {
+    async fn pump(self, conn: &Accepted, mut from: TcpStream, mut to: TcpStream, is_back: bool) {
         let mut buf = vec![0; 16384];
         loop {
             let read = async_std::future::timeout(LOOK, from.read(&mut buf)).await;
-            if self.is_off() {
+            if self.is_off(conn).await {
                 return;
             }
             let n = match read {
@@ -100,7 +116,7 @@
                 Ok(_) => return,
             };
             loop {
-                match self.mode() {
+                match self.mode_of(conn).await {
                     Mode::Reset | Mode::Down => return,
                     Mode::Strike if is_back => return,
                     Mode::Silent => task::sleep(LOOK).await,
@@ -115,6 +131,9 @@
             if to.write_all(&buf[..n]).await.is_err() {
                 return;
             }
+            if !is_back {
+                self.paths.passed(conn).await;
+            }
         }
     }
 }
