--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -113,6 +113,11 @@
         fleet
     }
 
+    /// Where callers reach the daemons.
+    pub fn callers(&self) -> [SocketAddr; DAEMONS] {
+        std::array::from_fn(|n| self.daemons[n].callers)
+    }
+
     /// Puts the next version of the configuration in force. It has a route of its own.
     pub fn configure(&mut self) {
         self.version += 1;
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod exchanges;
 mod faults;
 mod fleet;
+mod gone;
 mod leavers;
 mod limits;
 mod outages;
