Do not continue a stream that does not consist of events

What callers could see: a body of two runs joined, on a resumable route whose endpoint answers with something other than events and breaks off. Change: only a stream of events is resumed, and only by another one. Evidence: a_text_that_breaks_off_is_not_joined_from_several_runs failed before (2 runs, "...id: 6\ndaid: 1\n...") and passes now.

--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -46,6 +46,10 @@
     Cutting,
     /// The same, after so many bytes of the event.
     CuttingAt(usize),
+    /// Ends streams in the middle of an event as if they were complete, with the last chunk.
+    EndingInside,
+    /// Answers with lines of text instead of events, and breaks off.
+    PlainCut,
     /// Ends the lines of its streams with CR LF.
     CrLf,
     /// Runs requests and answers nothing.
@@ -56,7 +60,7 @@
     /// Bytes of an event after which a stream breaks off.
     fn cut(self) -> Option<usize> {
         match self {
-            Mode::Cutting => Some(8),
+            Mode::Cutting | Mode::EndingInside | Mode::PlainCut => Some(8),
             Mode::CuttingAt(at) => Some(at),
             _ => None,
         }
@@ -202,6 +206,11 @@
         if mode == Mode::Failing && n.is_multiple_of(2) {
             return reply(500, &sealed, Either::Left(h1::Whole::from("failed")));
         }
+        if head.uri.path().starts_with("/stream") && mode == Mode::PlainCut {
+            let plain = [sealed[0], sealed[1], ("content-type", "text/plain")];
+            let body = StreamBody::new(events(id.clone(), 0, mode, self.runs.clone()));
+            return reply(200, &plain, Either::Right(body));
+        }
         if head.uri.path().starts_with("/stream") {
             let after = text("last-event-id").parse().unwrap_or(0);
             return reply(
@@ -254,7 +263,7 @@
     S: futures::Stream<Item = Result<Frame<Bytes>, String>> + Send + 'static,
 {
     fn map_cut(self, mode: Mode) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
-        if mode.cut().is_some() {
+        if mode.cut().is_some() && mode != Mode::EndingInside {
             let cut = async {
                 // Time for the half event to be sent.
                 task::sleep(PAUSE).await;
--- a/oxbowbend-daemon/tests/soak/unframed.rs
+++ b/oxbowbend-daemon/tests/soak/unframed.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use oxbowbend_http::h1;
 
+use crate::caller;
 use crate::endpoint::{Mode, EVENTS, LEAVES};
 use crate::fleet::{Fleet, ENDPOINTS, KEY};
 use crate::press::{play_in_turn, press, unserved};
@@ -15,6 +16,8 @@
 const SEEDS: [u64; 2] = [61, 62];
 /// The same for lines that end with CR LF.
 const CR_LF_SEED: [u64; 1] = [63];
+/// The same for a text.
+const TEXT_SEED: [u64; 1] = [64];
 /// Endpoints that break their streams off.
 const BREAKING: usize = 2;
 /// Time for which streams break off at one place of an event.
@@ -45,6 +48,10 @@
         broken.extend(unserved(&others));
         cut += streams.iter().filter(|seen| !seen.is_whole).count();
     }
+    fleet.proxies.iter().for_each(|proxy| proxy.set_mode(proxy::Mode::Pass));
+    (0..BREAKING).for_each(|n| fleet.endpoints[n].set_mode(Mode::EndingInside));
+    let seen = press(&fleet, "last-chunk", Duration::from_secs(1)).await;
+    broken.extend(seen.iter().flat_map(|seen| seen.check(&fleet.runs)));
     if cut < ENDPOINTS {
         broken.push(format!("only {cut} streams were seen to break off"));
     }
@@ -90,3 +97,24 @@
     let broken = play_in_turn(CR_LF_SEED.into_iter().map(first_part_comes_before_the_end));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Reads what arrives of a text that breaks off at every endpoint.
+async fn text_comes_from_one_run(seed: u64) -> Vec<String> {
+    let fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_mode(Mode::PlainCut));
+    let seen = caller::send(fleet.daemons[0].callers, "stream-on", "text".to_owned()).await;
+    let runs = fleet.runs.lock().unwrap().runs["text"].len();
+    let is_right = runs == 1 && !seen.is_whole && seen.body.starts_with(b"id: 1\n");
+    if is_right {
+        Vec::new()
+    } else {
+        vec![format!("{runs} runs: {seen:?}")]
+    }
+}
+
+#[test]
+fn a_text_that_breaks_off_is_not_joined_from_several_runs() {
+    let broken = play_in_turn(TEXT_SEED.into_iter().map(text_comes_from_one_run));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -258,11 +258,12 @@
         };
         log::warn!(
             "event=send_failed id={} fingerprint={:016x} endpoint={} load={load} after_ms={} \
-             blame={outcome:?} failure=\"{error}\"",
+             blame={outcome:?} framing={:?} failure=\"{error}\"",
             request.metadata.id,
             request.fingerprint,
             attempt.endpoint.id,
-            clock::since(attempt.started_at).as_millis()
+            clock::since(attempt.started_at).as_millis(),
+            attempt.framing
         );
         if matches!(error, AttemptError::NotSent(_)) {
             self.pool.forget(attempt.endpoint.address);
@@ -350,7 +351,7 @@
         // The client's connection has a version of its own. In that of an HTTP/1.0 endpoint the response
         // could not be sent in chunks, whose missing end shows an interruption.
         head.version = Version::HTTP_11;
-        let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(e.to_string());
+        let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(with_source(&e));
         if request.route.stream && head.status.is_success() {
             let first_frame = match body.frame().await {
                 Some(frame) => Some(frame.map_err(no_valid_response)?),
@@ -442,6 +443,14 @@
     Streaming(response::Parts, Option<hyper::body::Frame<Bytes>>, Incoming),
 }
 
+/// Describes an error with its cause, which tells a reset from an early end.
+pub(super) fn with_source(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 /// Returns whether a streamed response consists of events: unless it says otherwise.
 fn has_events(headers: &HeaderMap) -> bool {
     let content_type = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -13,7 +13,7 @@
 
 use super::events::EventSplitter;
 use super::request::AdmittedRequest;
-use super::run::{log_response, Attempt, AttemptError, AttemptResponse};
+use super::run::{log_response, with_source, Attempt, AttemptError, AttemptResponse};
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
 use crate::seam::Wire;
 
@@ -117,7 +117,7 @@
 
     /// Returns what may be passed on: whole events, if another endpoint may have to continue.
     fn split(&mut self, data: Bytes) -> Bytes {
-        if self.request.route.resumable && self.has_events() {
+        if self.is_resumable() {
             return self.events.push(&data);
         }
         self.events.observe(&data);
@@ -129,13 +129,18 @@
     fn check_end(&self, item: StreamItem) -> StreamItem {
         match item {
             StreamItem::End if self.has_events() && self.events.is_inside_event() => {
-                let framing = self.stream.as_ref().map(|stream| stream.attempt.framing);
-                StreamItem::Interrupted(format!("ended inside an event, framing={framing:?}"))
+                StreamItem::Interrupted("ended inside an event".to_owned())
             }
             item => item,
         }
     }
 
+    /// Returns whether another endpoint may continue the stream, which only events allow: the rest
+    /// of any other body could not be told from its beginning.
+    fn is_resumable(&self) -> bool {
+        self.request.route.resumable && self.has_events()
+    }
+
     fn has_events(&self) -> bool {
         self.stream.as_ref().is_some_and(|stream| stream.has_events)
     }
@@ -151,12 +156,13 @@
         let Some(mut stream) = self.stream.take() else { return };
         log::warn!(
             "event=stream_broken id={} fingerprint={:016x} endpoint={} last_event={:?} bytes={} blame={outcome:?} \
-             why=\"{reason}\"",
+             framing={:?} why=\"{reason}\"",
             self.request.metadata.id,
             self.request.fingerprint,
             stream.attempt.endpoint.id,
             self.events.last_id(),
-            self.bytes_sent
+            self.bytes_sent,
+            stream.attempt.framing
         );
         self.excluded_endpoints.push(stream.attempt.endpoint.id.clone());
         stream.attempt.finish(outcome);
@@ -165,13 +171,14 @@
     /// Resumes an interrupted stream at another endpoint if the route and the retry budget allow it.
     async fn resume(&mut self, reason: String) -> bool {
         let endpoint = self.stream.as_ref().map(|s| s.attempt.endpoint.clone());
+        let is_resumable = self.is_resumable();
         self.abandon_attempt(&reason, Outcome::Bad);
         if let Some(endpoint) = endpoint {
             self.relay.check_for_crash(&self.request, &endpoint, false).await;
         }
         self.events.discard_partial();
         let mut unexecuted = 0;
-        while self.request.route.resumable
+        while is_resumable
             && self.send_count < self.request.route.max_attempts
             && unexecuted < MAX_UNEXECUTED_ATTEMPTS
         {
@@ -185,7 +192,7 @@
             let Ok(slot) = self.relay.get_slot(&self.request, &history).await else { return false };
             let endpoint = slot.endpoint.id.clone();
             match self.relay.send_to_endpoint(&self.request, slot, self.events.last_id()).await {
-                Ok(AttemptResponse::Streaming(_, stream)) => {
+                Ok(AttemptResponse::Streaming(_, stream)) if stream.has_events => {
                     self.send_count += 1;
                     log::info!(
                         "event=stream_resumed id={} endpoint={endpoint} after={:?}",
@@ -195,7 +202,8 @@
                     self.stream = Some(stream);
                     return true;
                 }
-                Ok(AttemptResponse::Complete(_)) => self.send_count += 1,
+                // A body that does not consist of events cannot continue the stream.
+                Ok(_) => self.send_count += 1,
                 Err(AttemptError::Quarantined(_)) => return false,
                 Err(error) if error.is_unexecuted() => unexecuted += 1,
                 Err(_) => self.send_count += 1,
@@ -217,6 +225,6 @@
             stream.attempt.record_event();
             StreamItem::Data(frame.into_data().unwrap_or_default())
         }
-        Ok(Some(Err(e))) => StreamItem::Interrupted(e.to_string()),
+        Ok(Some(Err(e))) => StreamItem::Interrupted(with_source(&e)),
     }
 }
