Hand requests over to a peer while a service cannot be reached

Cause: an instance had no way to an endpoint but its own. Each request tried three endpoints, 0.4 s each. Change: an instance that reaches no endpoint of a service hands requests for it over to a peer that does, which treats them like ones that arrived there: quotas, limits, drains and backoffs are judged where the request is sent from. Peers are chosen by what they carry, with a configuration no older than this instance's; one hop at most; only instances whose reports arrive may hand over; a peer that cannot serve rejects and the next one is asked; a hop that breaks after the request was sent is a 502, never a 'not run'. Old versions report no port and are not asked. Nothing is done per request while no path is lost but a look at a map.

--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -293,6 +293,17 @@
         self.live_peers(now).map(|p| &p.report)
     }
 
+    /// Names this process to other instances.
+    pub fn process_id(&self) -> String {
+        process_id(&self.local_id, self.incarnation)
+    }
+
+    /// Returns whether `id` is the [`Cell::process_id`] of an instance whose reports arrive here.
+    pub fn is_live_process(&self, now: Instant, id: &str) -> bool {
+        let mut reports = self.live_reports(now).chain(self.remote_reports(now));
+        reports.any(|report| process_id(&report.instance, report.incarnation) == id)
+    }
+
     /// Last reports of the instances of other cells heard within [`PEER_TTL`].
     pub fn remote_reports(&self, now: Instant) -> impl Iterator<Item = &Report> {
         self.remote_peers.values().filter(move |p| p.is_live(now, PEER_TTL)).map(|p| &p.report)
@@ -308,6 +319,10 @@
     }
 }
 
+fn process_id(instance: &InstanceId, incarnation: u64) -> String {
+    format!("{instance}/{incarnation:016x}")
+}
+
 /// Units admitted within `time`; empty if `time` is unknown.
 fn units_admitted_within(
     recent_units: &[(AccountId, RecentUsage)],
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -131,6 +131,7 @@
         self.report = Report {
             reachable_count: report.reachable_count.or(previous.reachable_count),
             reachable_filter: report.reachable_filter.or(previous.reachable_filter),
+            handover_port: report.handover_port.or(previous.handover_port),
             fleet_summary: report.fleet_summary.clone().or(previous.fleet_summary),
             representative_addresses,
             ..report
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -64,6 +64,13 @@
     /// Whether the sender is shutting down and no longer represents its cell.
     #[serde(rename = "S", default, skip_serializing_if = "is_false")]
     pub is_stopping: bool,
+    /// Services of which the sender reaches no endpoint.
+    #[serde(rename = "I", default, skip_serializing_if = "Vec::is_empty")]
+    pub isolated_services: Vec<ServiceId>,
+    /// Port at which the sender accepts requests of instances that reach no endpoint. Sent with
+    /// heartbeats only; `None` from versions that accept none.
+    #[serde(rename = "H", default, skip_serializing_if = "Option::is_none")]
+    pub handover_port: Option<u16>,
     /// Number of instances of its cell that the sender can reach, including itself. Sent with
     /// heartbeats only.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -1,8 +1,8 @@
-//! Detection that this instance has lost its path to all endpoints.
+//! Detection that this instance has lost its path to all endpoints of a service.
 //!
 //! A failed request looks the same whether its endpoint is down or this instance is partitioned from
 //! it. So a failure without recent proof of a working path leads to probes: connections to other
-//! endpoints. The instance counts as isolated if none of them can be reached either, and as connected
+//! endpoints of the service. The instance counts as isolated if none of them can be reached either, and as connected
 //! again once all probes of a round succeed. New connections are the evidence, since established ones
 //! may live on while new ones are refused.
 //!
@@ -62,7 +62,7 @@
     pub lasted: Duration,
 }
 
-/// Detects the isolation of one instance.
+/// Detects the isolation of one instance from one service.
 ///
 /// # Examples
 ///
@@ -101,6 +101,11 @@
         self.isolated_since.is_some()
     }
 
+    /// Returns the time since when no endpoint can be reached.
+    pub fn isolated_for(&self, now: Instant) -> Option<Duration> {
+        self.isolated_since.map(|since| now.saturating_duration_since(since))
+    }
+
     /// Returns what a failure means.
     pub fn verdict(&self, now: Instant, failure: PathFailure) -> PathVerdict {
         if self.is_isolated() {
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod cell;
 pub mod event_stream;
 pub mod fingerprint;
+pub mod handover;
 pub mod ids;
 pub mod ingress;
 pub mod isolation;
--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -61,6 +61,11 @@
         self.counts(now, service).requests.add(now);
     }
 
+    /// Takes back the last recorded request, which a peer serves and records instead.
+    pub fn forget_request(&mut self, now: Instant, service: &str) {
+        self.counts(now, service).requests.0.pop_back();
+    }
+
     /// Returns whether a request may be retried, and records the retry if so.
     pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> bool {
         let RetryLimit { ratio, fixed, window } = self.limit;
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -62,6 +62,8 @@
     pub readiness: SocketAddr,
     /// Where other instances reach this one, by datagram and connection.
     pub peers: SocketAddr,
+    /// Where this instance accepts requests of instances that reach no endpoint.
+    pub handovers: SocketAddr,
     /// Where the metrics are shown.
     pub metrics: SocketAddr,
     /// Instances that may be there at the start.
@@ -140,6 +142,7 @@
             socket: UdpSocket::bind(cfg.peers).await.map_err(listen(cfg.peers))?,
             name: cfg.instance.clone(),
             address: cfg.peers,
+            handover_port: cfg.handovers.port(),
             audience: Audience { address: cfg.peers, seeds: cfg.seeds.clone() },
             pool: pool.clone(),
             door: door.clone(),
@@ -148,6 +151,11 @@
         });
         let serving = h1::ServeConfig { connections: cfg.connections, head: HEAD };
         let relay = relay::Relay::new(wire.clone(), shared.clone(), pool.clone());
+        let handovers = bind(cfg.handovers).await?;
+        let for_peers = relay.clone();
+        task::spawn(h1::serve(handovers, serving, door.clone(), move |req| {
+            for_peers.clone().serve_handover(req)
+        }));
         let callers = bind(cfg.callers).await?;
         task::spawn(h1::serve(callers, serving, door.clone(), move |req| relay.clone().serve(req)));
         serve_aside(&cfg, serving, &shared, &door, &peers).await?;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -122,9 +122,19 @@
     counter!("oxbow_path_probes_total", "result" => "failed").increment(round.failed as u64);
 }
 
-/// Sets whether this instance reaches no endpoint.
-pub(crate) fn isolated(is_isolated: bool) {
-    gauge!("oxbow_isolated").set(if is_isolated { 1.0 } else { 0.0 });
+/// Sets the number of services of which this instance reaches no endpoint.
+pub(crate) fn isolated(services: usize) {
+    gauge!("oxbow_isolated_services").set(services as f64);
+}
+
+/// Records what came of a request that a peer was asked to serve.
+pub(crate) fn handed_over(result: &'static str) {
+    counter!("oxbow_handovers_total", "result" => result).increment(1);
+}
+
+/// Records a request that another instance handed over, by whether it was accepted.
+pub(crate) fn handover_received(result: &'static str) {
+    counter!("oxbow_handovers_received_total", "result" => result).increment(1);
 }
 
 /// Notes the present state.
--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -1,14 +1,16 @@
 //! Checks of this instance's path to the endpoints.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::{future, task};
 use futures::future::join_all;
 use oxbowbend_clock as clock;
+use oxbowbend_core::ids::ServiceId;
 use oxbowbend_core::isolation::{
-    PathChange, PathFailure, PathVerdict, ProbeRound, PROBES_PER_ROUND,
+    IsolationDetector, PathChange, PathFailure, PathVerdict, ProbeRound, PROBES_PER_ROUND,
 };
+use oxbowbend_core::routes::Endpoint;
 use oxbowbend_http::h1;
 use rand::seq::IteratorRandom;
 
@@ -21,68 +23,126 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Shared {
-    /// Returns whether a failure at `endpoint` is due to this instance's path, after probing other
-    /// endpoints if that is not known.
+    /// Returns whether a failure at an endpoint of a service is due to this instance's path, after
+    /// probing other endpoints if that is not known.
     pub(crate) async fn is_path_lost(
         &self,
         pool: &h1::Pool,
+        service: &ServiceId,
         endpoint: SocketAddr,
         failure: PathFailure,
     ) -> bool {
-        match self.lock().isolation.verdict(clock::now(), failure) {
+        let verdict = self.lock().path(service).verdict(clock::now(), failure);
+        match verdict {
             PathVerdict::Connected => return false,
             PathVerdict::Isolated => return true,
             PathVerdict::Unknown => {}
         }
-        if self.start_round() {
+        if self.start_round(service) {
             // The round goes on if the client of this request disconnects.
-            task::spawn(run_round(self.clone(), pool.clone(), Some(endpoint))).await;
+            let probes = Probes { service: service.clone(), except: Some(endpoint) };
+            task::spawn(probes.run(self.clone(), pool.clone())).await;
         }
-        while self.lock().isolation.is_probing(clock::now()) {
+        while self.lock().path(service).is_probing(clock::now()) {
             task::sleep(POLL_INTERVAL).await;
         }
-        self.lock().isolation.is_isolated()
+        self.lock().path(service).is_isolated()
     }
 
-    /// Looks for the path of an isolated instance from time to time.
+    /// Looks for the path to services that cannot be reached, from time to time.
     pub(crate) fn probe_when_due(&self, pool: &h1::Pool) {
-        if self.lock().isolation.is_probe_due(clock::now()) && self.start_round() {
-            task::spawn(run_round(self.clone(), pool.clone(), None));
+        let services = self.lock().services_to_probe();
+        for service in services {
+            if self.start_round(&service) {
+                let probes = Probes { service, except: None };
+                task::spawn(probes.run(self.clone(), pool.clone()));
+            }
         }
     }
 
     /// Starts a round of probes unless one is in progress.
-    fn start_round(&self) -> bool {
+    fn start_round(&self, service: &ServiceId) -> bool {
         let (now, mut state) = (clock::now(), self.lock());
-        let may_start = !state.isolation.is_probing(now);
+        let path = state.path(service);
+        let may_start = !path.is_probing(now);
         if may_start {
-            state.isolation.start_round(now);
+            path.start_round(now);
         }
         may_start
     }
 }
 
 impl State {
+    /// What is known of the path to a service.
+    pub(crate) fn path(&mut self, service: &ServiceId) -> &mut IsolationDetector {
+        if !self.paths.contains_key(service) {
+            self.paths.insert(service.clone(), IsolationDetector::default());
+        }
+        self.paths.get_mut(service).expect("inserted above")
+    }
+
+    /// Returns the time since when no endpoint of a service can be reached.
+    pub(crate) fn isolated_for(&self, now: Instant, service: &ServiceId) -> Option<Duration> {
+        self.paths.get(service)?.isolated_for(now)
+    }
+
+    /// Services of which no endpoint can be reached.
+    pub(crate) fn isolated_services(&self) -> Vec<ServiceId> {
+        let isolated = self.paths.iter().filter(|(_, path)| path.is_isolated());
+        isolated.map(|(service, _)| service.clone()).collect()
+    }
+
+    fn services_to_probe(&self) -> Vec<ServiceId> {
+        let now = clock::now();
+        let due = self.paths.iter().filter(|(_, path)| path.is_probe_due(now));
+        due.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+/// A round of probes.
+struct Probes {
+    service: ServiceId,
+    /// The endpoint whose failure led to the round.
+    except: Option<SocketAddr>,
+}
+
+impl Probes {
+    async fn run(self, shared: Shared, pool: h1::Pool) {
+        let addresses = self.addresses(&shared.lock());
+        let probes = addresses.iter().map(|address| probe(&pool, *address));
+        let results = join_all(probes).await;
+        let reached = results.iter().filter(|is_reached| **is_reached).count();
+        let round = ProbeRound { reached, failed: results.len() - reached };
+        observe::path_probed(round);
+        let mut state = shared.lock();
+        let change = state.path(&self.service).finish_round(clock::now(), round);
+        let isolated = state.isolated_services().len();
+        drop(state);
+        if let Some(change) = change {
+            self.log(change);
+            observe::isolated(isolated);
+            shared.tell_others();
+        }
+    }
+
     /// Addresses of a few endpoints that accept requests.
-    fn probed_addresses(&self, except: Option<SocketAddr>) -> Vec<SocketAddr> {
-        let open = self.group.endpoints.iter().filter(|endpoint| !endpoint.leaving);
-        let others = open.map(|endpoint| endpoint.address).filter(|a| Some(*a) != except);
+    fn addresses(&self, state: &State) -> Vec<SocketAddr> {
+        let is_open = |e: &&Endpoint| e.service == self.service && !e.leaving;
+        let open = state.world.endpoints().filter(is_open).map(|endpoint| endpoint.address);
+        let others = open.filter(|address| Some(*address) != self.except);
         others.choose_multiple(&mut rand::rng(), PROBES_PER_ROUND)
     }
-}
 
-async fn run_round(shared: Shared, pool: h1::Pool, except: Option<SocketAddr>) {
-    let addresses = shared.lock().probed_addresses(except);
-    let probes = addresses.iter().map(|address| probe(&pool, *address));
-    let results = join_all(probes).await;
-    let reached = results.iter().filter(|is_reached| **is_reached).count();
-    let round = ProbeRound { reached, failed: results.len() - reached };
-    observe::path_probed(round);
-    let change = shared.lock().isolation.finish_round(clock::now(), round);
-    if let Some(change) = change {
-        log_change(change);
-        observe::isolated(change.is_isolated);
-        shared.tell_others();
+    fn log(&self, change: PathChange) {
+        let PathChange { is_isolated, round, lasted } = change;
+        log::warn!(
+            "event=path_changed service={} is_isolated={is_isolated} reached={} failed={} \
+             before_ms={}",
+            self.service,
+            round.reached,
+            round.failed,
+            lasted.as_millis()
+        );
     }
 }
 
@@ -96,13 +156,3 @@
         Ok(Err(_)) | Err(_) => false,
     }
 }
-
-fn log_change(change: PathChange) {
-    let PathChange { is_isolated, round, lasted } = change;
-    log::warn!(
-        "event=path_changed is_isolated={is_isolated} reached={} failed={} before_ms={}",
-        round.reached,
-        round.failed,
-        lasted.as_millis()
-    );
-}
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -57,6 +57,8 @@
     pub(crate) socket: UdpSocket,
     pub(crate) name: InstanceId,
     pub(crate) address: SocketAddr,
+    /// Where this instance accepts requests of others.
+    pub(crate) handover_port: u16,
     /// What the settings tell of addresses.
     pub(crate) audience: Audience,
     pub(crate) pool: h1::Pool,
@@ -134,6 +136,7 @@
         report.endpoints_age_ms = state.list_ms(now);
         if reach != Reach::Cell {
             report.config_age_ms = state.config_ms(now);
+            report.handover_port = Some(self.handover_port);
             report.instances_digest = Some(state.roster());
         }
         report.endpoints_digest = state.world.digest();
@@ -143,6 +146,7 @@
         report.address = Some(self.address);
         report.is_ready = state.world.is_loaded() && state.shutdown.is_none();
         report.is_stopping = state.shutdown.is_some();
+        report.isolated_services = state.isolated_services();
         report.has_store = state.has_store() && !self.door.is_closing();
         let quotas = &state.admission.quotas;
         if reach != Reach::Cell || quotas.is_near_limit() {
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -16,7 +16,7 @@
 
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::Relay;
+use super::{Origin, Relay};
 use crate::seam::{Ask, Wire};
 
 /// Maximum body size while no configuration is known.
@@ -45,6 +45,7 @@
     pub(super) async fn admit(
         &self,
         req: Request<Incoming>,
+        origin: Origin,
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, AdmitError> {
         let (head, body) = req.into_parts();
@@ -60,8 +61,9 @@
             Some(table) => table,
             None => self.wait_for_config(arrived_at).await.map_err(with_id)?,
         };
-        let request =
+        let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
+        request.origin = origin;
         Ok(request)
     }
 
@@ -160,6 +162,7 @@
             deadline: arrived_at + timeout,
             route,
             metadata,
+            origin: Origin::Client,
         })
     }
 }
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod events;
+mod handover;
 mod quarantine;
 mod refusal;
 mod request;
@@ -29,6 +30,7 @@
 use crate::observe;
 use crate::seam::Wire;
 use crate::shared::Shared;
+use handover::{PeerBody, PeerResponse, HANDOVER, REJECTED};
 use refusal::Refusal;
 use request::AdmittedRequest;
 use run::{AttemptError, AttemptResponse};
@@ -44,8 +46,16 @@
 /// Maximum `Retry-After` delay as a fraction of the time left until the request's deadline.
 const MAX_RETRY_DELAY_FRACTION: f64 = 0.33;
 
-/// Response body, either buffered or streamed.
-pub(crate) type Body<S> = Either<h1::Whole, StreamBody<S>>;
+/// Response body: buffered, streamed from an endpoint, or passed on from a peer.
+pub(crate) type Body<S> = Either<h1::Whole, Either<StreamBody<S>, StreamBody<PeerBody>>>;
+
+/// Who sent a request to this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Origin {
+    Client,
+    /// An instance that reaches no endpoint.
+    Peer,
+}
 
 /// Serves client requests. Clones share their state.
 #[derive(Clone)]
@@ -74,9 +84,17 @@
     pub(crate) async fn serve(
         self,
         req: Request<Incoming>,
+    ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
+        self.serve_from(req, Origin::Client).await
+    }
+
+    async fn serve_from(
+        self,
+        req: Request<Incoming>,
+        origin: Origin,
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
         let arrived_at = clock::now();
-        let request = match self.admit(req, arrived_at).await {
+        let request = match self.admit(req, origin, arrived_at).await {
             Ok(request) => Arc::new(request),
             Err((id, refusal)) => {
                 refusal.log(&id, "-", arrived_at);
@@ -90,7 +108,12 @@
             }
             Ok(AttemptResponse::Streaming(head, stream)) => {
                 let body = StreamBody::new(stream::frames(self, request, stream));
-                Response::from_parts(head, Either::Right(body))
+                Response::from_parts(head, Either::Right(Either::Left(body)))
+            }
+            Ok(AttemptResponse::FromPeer(response)) => {
+                let PeerResponse { head, body } = *response;
+                let body = Either::Right(Either::Right(StreamBody::new(body)));
+                Response::from_parts(head, body)
             }
             Err(refusal) => {
                 if refusal.is_unexecuted() {
@@ -98,7 +121,12 @@
                 }
                 refusal.log(&request.metadata.id, &request.route.name, arrived_at);
                 observe::answered(&request.route.name, refusal.outcome(), clock::since(arrived_at));
-                refusal.into_response().map(Either::Left)
+                let is_rejected = refusal == Refusal::NoPath;
+                let mut response = refusal.into_response();
+                if is_rejected {
+                    response.headers_mut().insert(HANDOVER, REJECTED);
+                }
+                response.map(Either::Left)
             }
         }
     }
@@ -110,6 +138,9 @@
     ) -> Result<AttemptResponse, Refusal> {
         let mut history = AttemptHistory::default();
         loop {
+            if let Some(result) = self.hand_over(request, &history).await {
+                return result;
+            }
             let slot = match self
                 .get_slot(request, &history)
                 .await
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -22,6 +22,8 @@
     NotReady { retry_after: Duration },
     /// This instance is shutting down.
     Stopping,
+    /// The request of another instance that reaches no endpoint, and neither does this one.
+    NoPath,
     /// The request head is invalid.
     InvalidHead(String),
     /// No route matches the host and path.
@@ -49,6 +51,7 @@
         match self {
             Refusal::NotReady { .. }
             | Refusal::Stopping
+            | Refusal::NoPath
             | Refusal::Busy { .. }
             | Refusal::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::InvalidHead(_) | Refusal::IncompleteBody => StatusCode::BAD_REQUEST,
@@ -83,6 +86,7 @@
         match self {
             Refusal::NotReady { .. } => "not_ready",
             Refusal::Stopping => "stopping",
+            Refusal::NoPath => "no_path",
             Refusal::InvalidHead(_) => "unreadable",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownAccount => "no_account",
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -10,11 +10,13 @@
 use oxbowbend_core::ids::{AccountId, ServiceId};
 use oxbowbend_core::routes::{Idempotency, Route};
 
+use super::Origin;
 use crate::seam::Ask;
 
 /// A request that passed admission, with everything needed to forward it.
 pub(crate) struct AdmittedRequest {
     pub(crate) metadata: Ask,
+    pub(crate) origin: Origin,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -19,6 +19,7 @@
 use oxbowbend_http::h1;
 use thiserror::Error;
 
+use super::handover::PeerResponse;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
 use super::stream::EndpointStream;
@@ -39,6 +40,8 @@
     Complete(Response<Bytes>),
     /// The head and body of a streamed response whose first event has arrived.
     Streaming(response::Parts, Box<EndpointStream>),
+    /// The response of a peer that serves the request.
+    FromPeer(Box<PeerResponse>),
 }
 
 /// Why an attempt produced no response.
@@ -270,7 +273,8 @@
         }
         attempt.finish(outcome);
         if let Some(failure) = error.path_failure() {
-            self.shared.is_path_lost(&self.pool, attempt.endpoint.address, failure).await;
+            let address = attempt.endpoint.address;
+            self.shared.is_path_lost(&self.pool, &request.service, address, failure).await;
         }
         match &error {
             AttemptError::NoValidResponse(_) => {
@@ -321,7 +325,7 @@
         last_event_id: Option<u64>,
     ) -> Result<ResponseStart, AttemptError> {
         let response = self.send_request(request, attempt, last_event_id).await?;
-        self.shared.lock().isolation.record_response(clock::now());
+        self.shared.lock().path(&request.service).record_response(clock::now());
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
@@ -394,7 +398,7 @@
         let address = attempt.endpoint.address;
         let mut conn = self.pool.get(address).await.map_err(AttemptError::NotSent)?;
         if !conn.is_reused() {
-            self.shared.lock().isolation.record_connect(clock::now());
+            self.shared.lock().path(&request.service).record_connect(clock::now());
         }
         // Responses that arrived while connecting may have carried new signals of the endpoint.
         if !self.shared.lock().cell.may_send(clock::now(), attempt.endpoint.key()) {
@@ -458,7 +462,7 @@
 }
 
 /// Returns the path and query of `uri` without scheme and authority.
-fn path_only(uri: &Uri) -> Uri {
+pub(super) fn path_only(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -107,6 +107,9 @@
     /// Turns a caller's headers into those for an endpoint.
     fn forward(&self, headers: &HeaderMap, onward: Onward<'_>) -> HeaderMap;
 
+    /// Turns a client's headers into those for a peer that serves the request, within `left`.
+    fn hand_over(&self, headers: &HeaderMap, left: Duration) -> HeaderMap;
+
     /// Judges the head of an endpoint's answer to the request of that id.
     fn judge(&self, head: &response::Parts, id: &str) -> Verdict;
 
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -15,7 +15,8 @@
     Ticket, REPORT_DELAY,
 };
 
-use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ZoneId};
+use oxbowbend_core::handover::Handovers;
+use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
 use oxbowbend_core::isolation::IsolationDetector;
 use oxbowbend_core::quarantine::Quarantine;
 use oxbowbend_core::quota::SnapshotAge;
@@ -42,8 +43,10 @@
     pub(crate) repeats: RetryLimiter,
     pub(crate) ages: AgeEstimator,
     pub(crate) quarantine: Quarantine,
-    /// Whether this instance reaches endpoints.
-    pub(crate) isolation: IsolationDetector,
+    /// Whether this instance reaches endpoints, by service.
+    pub(crate) paths: HashMap<ServiceId, IsolationDetector>,
+    /// Requests that peers serve for it.
+    pub(crate) handovers: Handovers,
     pub(crate) rollouts: Rollouts,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
@@ -242,7 +245,8 @@
             repeats,
             ages: AgeEstimator::default(),
             quarantine: Quarantine::new(&me),
-            isolation: IsolationDetector::default(),
+            paths: HashMap::new(),
+            handovers: Handovers::default(),
             rollouts,
             shutdown: None,
             waiters: HashMap::new(),
