Blame no endpoint for failures behind a lost path, and know such a path by requests too

What callers saw: instances that reached the endpoints refused requests as well: within 0.6 s of the cut all seven had set the same sound endpoints aside (endpoint_set_aside on event=send_failed of the others). Cause: an instance's failures are pooled with those of all others, whatever its path; and a refused connection was told to all as the end of the endpoint. Evidence from before the connections broke was taken to prove the path. Change: a failure behind a lost path says nothing of the endpoint: not to health, roll-outs, quarantine or the crash check. A connection that fails at once is judged by evidence of the last 20 ms or by new probes. Three endpoints in a row that accept connections and respond to nothing are a lost path too; there single requests on new connections try the way back. Representatives of other cells take requests where a whole cell has no path.

--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -300,8 +300,8 @@
 
     /// Returns whether `id` is the [`Cell::process_id`] of an instance whose reports arrive here.
     pub fn is_live_process(&self, now: Instant, id: &str) -> bool {
-        let mut reports = self.live_reports(now).chain(self.remote_reports(now));
-        reports.any(|report| process_id(&report.instance, report.incarnation) == id)
+        let mut reports = self.all_reports_with_age(now);
+        reports.any(|(report, _)| process_id(&report.instance, report.incarnation) == id)
     }
 
     /// Last reports of the instances of other cells heard within [`PEER_TTL`].
@@ -314,6 +314,13 @@
         self.live_peers(now).map(move |p| (&p.report, now.saturating_duration_since(p.last_heard)))
     }
 
+    /// Last reports of instances of this cell and of other cells, with their age.
+    pub fn all_reports_with_age(&self, now: Instant) -> impl Iterator<Item = (&Report, Duration)> {
+        let remote = self.remote_peers.values().filter(move |p| p.is_live(now, PEER_TTL));
+        let with_age = move |p: &Peer| now.saturating_duration_since(p.last_heard);
+        self.live_reports_with_age(now).chain(remote.map(move |p| (&p.report, with_age(p))))
+    }
+
     pub(super) fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |p| p.is_live(now, PEER_TTL))
     }
--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -2,33 +2,54 @@
 //!
 //! A failed request looks the same whether its endpoint is down or this instance is partitioned from
 //! it. So a failure without recent proof of a working path leads to probes: connections to other
-//! endpoints of the service. The instance counts as isolated if none of them can be reached either, and as connected
-//! again once all probes of a round succeed. New connections are the evidence, since established ones
-//! may live on while new ones are refused.
+//! endpoints of the service. The instance counts as isolated if none of them can be reached either,
+//! or if several endpoints in a row accept connections and respond to nothing. New connections are
+//! the evidence, since established ones may live on while new ones are refused.
 //!
-//! A wrong verdict is cheap: it sends requests through a peer that reaches the endpoints, for at most
-//! one round. If all endpoints are down, peers are isolated too and nothing changes.
+//! Probes are repeated while an instance is isolated, and it counts as connected again once all of a
+//! round succeed. Where connections are accepted all the same, a request is tried from time to time.
+//!
+//! A wrong verdict is cheap: it sends requests through a peer that reaches the endpoints, until the
+//! next round or trial. If all endpoints are down, peers are isolated too and nothing changes.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::ids::EndpointKey;
+
 /// Endpoints probed in a round, besides the one that failed.
 pub const PROBES_PER_ROUND: usize = 2;
-/// Age up to which a success shows that the path works.
-const EVIDENCE_TTL: Duration = Duration::from_millis(200);
+/// Age up to which a success shows that the path works, though a connection fails at once: a path
+/// that is lost breaks all connections in the same moment.
+const CONNECTION_EVIDENCE_TTL: Duration = Duration::from_millis(20);
+/// The same for a request that has had no response for longer than that.
+const RESPONSE_EVIDENCE_TTL: Duration = Duration::from_millis(200);
 /// Time between two rounds of probes while the path works.
-const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(300);
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two rounds of probes while isolated.
 const ISOLATED_ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a round without a result is taken to be lost.
 const ROUND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Endpoints that must fail without a response from any for the path to be in doubt though they
+/// accept connections; all of them, if the service has fewer.
+const MIN_FAILED_ENDPOINTS: usize = 3;
+/// Time within which they must fail, and that must have passed since the first of these failures.
+const FAILURE_WINDOW: Duration = Duration::from_secs(2);
+const MIN_FAILURE_TIME: Duration = Duration::from_millis(150);
+/// Time between two trials with requests that may be repeated, and with any others.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(400);
+const UNREPEATABLE_TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How a request failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathFailure {
     /// No new connection to the endpoint.
     Connect,
-    /// No valid response on an established connection.
-    Response,
+    /// An established connection failed.
+    Broken,
+    /// No response on an established connection.
+    Unresponsive,
 }
 
 /// Results of a round of probes.
@@ -51,13 +72,24 @@
     Unknown,
 }
 
+/// Why an instance counts as isolated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+    /// Endpoints accept no connections.
+    NoConnection,
+    /// Endpoints accept connections and do not respond.
+    NoResponse,
+}
+
 /// A changed belief, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PathChange {
     /// Whether the instance is isolated now.
     pub is_isolated: bool,
-    /// The round that changed it.
+    /// The round that changed it; zeros if requests did.
     pub round: ProbeRound,
+    /// Endpoints that failed without a response from any.
+    pub failed_endpoints: usize,
     /// Time for which the previous belief held, or since the last new connection if it is not known.
     pub lasted: Duration,
 }
@@ -83,6 +115,10 @@
     round_started_at: Option<Instant>,
     round_finished_at: Option<Instant>,
     isolated_since: Option<Instant>,
+    cause: Option<Cause>,
+    /// Endpoints that have failed since the last response on a new connection, and when first.
+    failures: BTreeMap<EndpointKey, Instant>,
+    tried_at: Option<Instant>,
 }
 
 impl IsolationDetector {
@@ -96,6 +132,53 @@
         self.responded_at = Some(now);
     }
 
+    /// Records a response on a new connection, which proves the path.
+    pub fn record_fresh_response(&mut self, now: Instant) -> Option<PathChange> {
+        self.record_response(now);
+        self.failures.clear();
+        self.is_isolated().then(|| self.change(now, None, ProbeRound::default()))
+    }
+
+    /// Records a failure at one of the `endpoint_count` endpoints of the service.
+    pub fn record_failure(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointKey,
+        endpoint_count: usize,
+    ) -> Option<PathChange> {
+        self.failures.retain(|_, at| now.saturating_duration_since(*at) < FAILURE_WINDOW);
+        self.failures.entry(endpoint).or_insert(now);
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= MIN_FAILURE_TIME;
+        let is_in_doubt = endpoint_count > 1
+            && self.failures.len() >= MIN_FAILED_ENDPOINTS.min(endpoint_count)
+            && self.failures.values().any(is_old);
+        let is_changed = is_in_doubt && !self.is_isolated();
+        is_changed.then(|| self.change(now, Some(Cause::NoResponse), ProbeRound::default()))
+    }
+
+    /// Returns whether to try the path with a request, and records the trial if so. Such a trial is
+    /// needed only where endpoints accept connections.
+    pub fn start_trial(&mut self, now: Instant, is_repeatable: bool) -> bool {
+        let interval = if is_repeatable { TRIAL_INTERVAL } else { UNREPEATABLE_TRIAL_INTERVAL };
+        let last = self.tried_at.max(self.isolated_since);
+        let is_due = last.is_some_and(|at| now.saturating_duration_since(at) >= interval);
+        let is_trial = self.cause == Some(Cause::NoResponse) && is_due;
+        if is_trial {
+            self.tried_at = Some(now);
+        }
+        is_trial
+    }
+
+    fn change(&mut self, now: Instant, cause: Option<Cause>, round: ProbeRound) -> PathChange {
+        let before = self.isolated_since.or(self.connected_at);
+        let is_isolated = cause.is_some();
+        let failed_endpoints = self.failures.len();
+        self.failures.clear();
+        (self.cause, self.isolated_since) = (cause, is_isolated.then_some(now));
+        let lasted = before.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        PathChange { is_isolated, round, failed_endpoints, lasted }
+    }
+
     /// Returns whether no endpoint can be reached.
     pub fn is_isolated(&self) -> bool {
         self.isolated_since.is_some()
@@ -113,8 +196,12 @@
         }
         let is_recent =
             |at: Option<Instant>, ttl| at.is_some_and(|at| now.saturating_duration_since(at) < ttl);
-        let is_proved = is_recent(self.connected_at, EVIDENCE_TTL)
-            || failure == PathFailure::Response && is_recent(self.responded_at, EVIDENCE_TTL)
+        let ttl = match failure {
+            PathFailure::Connect | PathFailure::Broken => CONNECTION_EVIDENCE_TTL,
+            PathFailure::Unresponsive => RESPONSE_EVIDENCE_TTL,
+        };
+        let is_proved = is_recent(self.connected_at, ttl)
+            || failure != PathFailure::Connect && is_recent(self.responded_at, ttl)
             || is_recent(self.round_finished_at, MIN_ROUND_INTERVAL);
         if is_proved {
             PathVerdict::Connected
@@ -148,18 +235,16 @@
         if round.reached > 0 {
             self.connected_at = Some(now);
         }
-        let lasted =
-            |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        match (self.isolated_since, round) {
+        match (self.cause, round) {
             (None, ProbeRound { reached: 0, failed: 1.. }) => {
-                self.isolated_since = Some(now);
-                let lasted = lasted(self.connected_at);
-                Some(PathChange { is_isolated: true, round, lasted })
+                Some(self.change(now, Some(Cause::NoConnection), round))
+            }
+            (Some(Cause::NoResponse), ProbeRound { reached: 0, failed: 1.. }) => {
+                self.cause = Some(Cause::NoConnection);
+                None
             }
-            (Some(since), ProbeRound { reached: 1.., failed: 0 }) => {
-                self.isolated_since = None;
-                let lasted = lasted(Some(since));
-                Some(PathChange { is_isolated: false, round, lasted })
+            (Some(Cause::NoConnection), ProbeRound { reached: 1.., failed: 0 }) => {
+                Some(self.change(now, None, round))
             }
             _ => None,
         }
--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -29,10 +29,10 @@
         &self,
         pool: &h1::Pool,
         service: &ServiceId,
-        endpoint: SocketAddr,
+        endpoint: &Endpoint,
         failure: PathFailure,
     ) -> bool {
-        let verdict = self.lock().path(service).verdict(clock::now(), failure);
+        let verdict = self.record_failure(service, endpoint, failure);
         match verdict {
             PathVerdict::Connected => return false,
             PathVerdict::Isolated => return true,
@@ -40,7 +40,7 @@
         }
         if self.start_round(service) {
             // The round goes on if the client of this request disconnects.
-            let probes = Probes { service: service.clone(), except: Some(endpoint) };
+            let probes = Probes { service: service.clone(), except: Some(endpoint.address) };
             task::spawn(probes.run(self.clone(), pool.clone())).await;
         }
         while self.lock().path(service).is_probing(clock::now()) {
@@ -49,6 +49,44 @@
         self.lock().path(service).is_isolated()
     }
 
+    fn record_failure(
+        &self,
+        service: &ServiceId,
+        endpoint: &Endpoint,
+        failure: PathFailure,
+    ) -> PathVerdict {
+        let (now, mut state) = (clock::now(), self.lock());
+        let of_service = state.world.endpoints().filter(|e| e.service == *service);
+        let count = of_service.count();
+        let path = state.path(service);
+        let change = path.record_failure(now, endpoint.key(), count);
+        let verdict = path.verdict(now, failure);
+        drop(state);
+        self.report_change(service, change);
+        verdict
+    }
+
+    /// Records a response on a new connection.
+    pub(crate) fn record_fresh_response(&self, service: &ServiceId) {
+        let change = self.lock().path(service).record_fresh_response(clock::now());
+        self.report_change(service, change);
+    }
+
+    fn report_change(&self, service: &ServiceId, change: Option<PathChange>) {
+        let Some(PathChange { is_isolated, round, failed_endpoints, lasted }) = change else {
+            return;
+        };
+        log::warn!(
+            "event=path_changed service={service} is_isolated={is_isolated} reached={} failed={} \
+             failed_endpoints={failed_endpoints} before_ms={}",
+            round.reached,
+            round.failed,
+            lasted.as_millis()
+        );
+        observe::isolated(self.lock().isolated_services().len());
+        self.tell_others();
+    }
+
     /// Looks for the path to services that cannot be reached, from time to time.
     pub(crate) fn probe_when_due(&self, pool: &h1::Pool) {
         let services = self.lock().services_to_probe();
@@ -114,15 +152,8 @@
         let reached = results.iter().filter(|is_reached| **is_reached).count();
         let round = ProbeRound { reached, failed: results.len() - reached };
         observe::path_probed(round);
-        let mut state = shared.lock();
-        let change = state.path(&self.service).finish_round(clock::now(), round);
-        let isolated = state.isolated_services().len();
-        drop(state);
-        if let Some(change) = change {
-            self.log(change);
-            observe::isolated(isolated);
-            shared.tell_others();
-        }
+        let change = shared.lock().path(&self.service).finish_round(clock::now(), round);
+        shared.report_change(&self.service, change);
     }
 
     /// Addresses of a few endpoints that accept requests.
@@ -132,18 +163,6 @@
         let others = open.filter(|address| Some(*address) != self.except);
         others.choose_multiple(&mut rand::rng(), PROBES_PER_ROUND)
     }
-
-    fn log(&self, change: PathChange) {
-        let PathChange { is_isolated, round, lasted } = change;
-        log::warn!(
-            "event=path_changed service={} is_isolated={is_isolated} reached={} failed={} \
-             before_ms={}",
-            self.service,
-            round.reached,
-            round.failed,
-            lasted.as_millis()
-        );
-    }
 }
 
 /// Opens a connection, which the pool keeps.
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -210,6 +210,8 @@
             has_store: near.has_store,
             is_ready: near.is_ready,
             is_stopping: near.is_stopping,
+            isolated_services: near.isolated_services.clone(),
+            handover_port: near.handover_port,
             reachable_count: near.reachable_count,
             cell_ready: state.near_ready(now) as u32 + u32::from(near.is_ready),
             is_representative,
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -101,6 +101,10 @@
         if request.origin == Origin::Peer {
             return self.is_isolated(request).then_some(Err(Refusal::NoPath));
         }
+        let is_repeatable = request.is_retryable();
+        if self.shared.lock().path(&request.service).start_trial(clock::now(), is_repeatable) {
+            return None;
+        }
         let mut excluded = Vec::new();
         while excluded.len() < MAX_PEERS_TRIED {
             let (peer, isolated_for) = self.choose_peer(request, &excluded)?;
@@ -145,7 +149,7 @@
         let min_config_version = state.world.table().map_or(0, |table| table.version());
         let criteria =
             Criteria { zone: &state.zone, min_config_version, service: &request.service, excluded };
-        let reports = state.cell.live_reports_with_age(now);
+        let reports = state.cell.all_reports_with_age(now);
         let peer = state.handovers.choose(reports, criteria, &mut rand::rng())?;
         Some((peer, isolated_for))
     }
@@ -240,7 +244,10 @@
     fn check_handover(&self, sender: Option<&str>) -> Result<(), &'static str> {
         let (now, state) = (clock::now(), self.shared.lock());
         let sender = sender.ok_or("no_sender")?;
-        if !state.cell.is_live_process(now, sender) {
+        // Most instances of other cells send no reports here, but have entered themselves in the store.
+        let instance = sender.rsplit_once('/').map_or(sender, |(instance, _)| instance);
+        let is_entered = state.world.instances().contains_key(instance);
+        if !is_entered && !state.cell.is_live_process(now, sender) {
             return Err("unknown_sender");
         }
         if state.shutdown.is_some() || !state.world.is_loaded() {
--- a/oxbowbend-gateway/src/relay/quarantine.rs
+++ b/oxbowbend-gateway/src/relay/quarantine.rs
@@ -1,9 +1,11 @@
 //! Quarantine checks before each send, and reports of successes and crashes to the quarantine.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::{future, task};
 use oxbowbend_clock as clock;
+use oxbowbend_core::ids::ServiceId;
+use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::quarantine::{InterruptedAttempt, SendPermission};
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_http::h1;
@@ -64,12 +66,13 @@
             InterruptedAttempt { fingerprint: request.fingerprint, awaiting_response: is_quiet };
         if self.shared.run_broke_off(endpoint, run) {
             let (shared, pool) = (self.shared.clone(), self.pool.clone());
-            task::spawn(probe_endpoint(shared, pool, endpoint.clone())).await;
+            let service = request.service.clone();
+            task::spawn(probe_endpoint(shared, pool, service, endpoint.clone())).await;
         }
     }
 }
 
-async fn probe_endpoint(shared: Shared, pool: h1::Pool, endpoint: Endpoint) {
+async fn probe_endpoint(shared: Shared, pool: h1::Pool, service: ServiceId, endpoint: Endpoint) {
     let started_at = clock::now();
     let verdict = match future::timeout(PROBE_TIMEOUT, pool.connect(endpoint.address)).await {
         Ok(Ok(conn)) => {
@@ -77,6 +80,10 @@
             "accepted"
         }
         Ok(Err(e)) if e.is_refused() => {
+            let failure = PathFailure::Connect;
+            if shared.is_path_lost(&pool, &service, &endpoint, failure).await {
+                return log_checked(&endpoint, "path_lost", started_at);
+            }
             pool.forget(endpoint.address);
             shared.endpoint_ended(&endpoint);
             "refused"
@@ -84,6 +91,10 @@
         Ok(Err(_)) => "failed",
         Err(_) => "silent",
     };
+    log_checked(&endpoint, verdict, started_at);
+}
+
+fn log_checked(endpoint: &Endpoint, verdict: &str, started_at: Instant) {
     log::info!(
         "event=endpoint_checked endpoint={} start={:08x} verdict={verdict} took_ms={}",
         endpoint.id,
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_std::future;
+use async_std::{future, task};
 use bytes::Bytes;
 use futures::pin_mut;
 use http::header::{self, HeaderMap};
@@ -100,9 +100,8 @@
     fn path_failure(&self) -> Option<PathFailure> {
         match self {
             AttemptError::NotSent(_) => Some(PathFailure::Connect),
-            AttemptError::NoValidResponse(_) | AttemptError::Unresponsive => {
-                Some(PathFailure::Response)
-            }
+            AttemptError::NoValidResponse(_) => Some(PathFailure::Broken),
+            AttemptError::Unresponsive => Some(PathFailure::Unresponsive),
             _ => None,
         }
     }
@@ -250,7 +249,16 @@
             }
             Err(error) => error,
         };
+        let is_path_lost = match error.path_failure() {
+            Some(failure) => {
+                let (pool, service) = (&self.pool, &request.service);
+                self.shared.is_path_lost(pool, service, &attempt.endpoint, failure).await
+            }
+            None => false,
+        };
         let outcome = match &error {
+            // It says nothing about the endpoint, which others may reach.
+            _ if is_path_lost => Outcome::Neutral,
             AttemptError::NotExecuted(Verdict::NotThere) => Outcome::Absent,
             AttemptError::DeadlineExceeded
             | AttemptError::Quarantined(_)
@@ -272,11 +280,8 @@
             self.pool.forget(attempt.endpoint.address);
         }
         attempt.finish(outcome);
-        if let Some(failure) = error.path_failure() {
-            let address = attempt.endpoint.address;
-            self.shared.is_path_lost(&self.pool, &request.service, address, failure).await;
-        }
         match &error {
+            _ if is_path_lost => {}
             AttemptError::NoValidResponse(_) => {
                 self.check_for_crash(request, &attempt.endpoint, true).await
             }
@@ -297,7 +302,7 @@
     ) -> Result<ResponseStart, AttemptError> {
         let suspect_after = silence::delay(expected, request.route.objective);
         let time_left = time_until(request.deadline);
-        let (endpoint, started_at) = (attempt.endpoint.key(), attempt.started_at);
+        let (endpoint, started_at) = (attempt.endpoint.clone(), attempt.started_at);
         let response_start = self.await_response_start(request, attempt, last_event_id);
         pin_mut!(response_start);
         if let Ok(result) = future::timeout(suspect_after.min(time_left), &mut response_start).await
@@ -308,7 +313,14 @@
             TimeoutAction::Fail => return Err(AttemptError::DeadlineExceeded),
             TimeoutAction::Retry => return Err(AttemptError::Unresponsive),
             TimeoutAction::MarkSuspect => {
-                self.shared.lock().cell.record_slow_response(clock::now(), endpoint, started_at);
+                let (shared, pool) = (self.shared.clone(), self.pool.clone());
+                let (service, failure) = (request.service.clone(), PathFailure::Unresponsive);
+                task::spawn(async move {
+                    if !shared.is_path_lost(&pool, &service, &endpoint, failure).await {
+                        let (now, key) = (clock::now(), endpoint.key());
+                        shared.lock().cell.record_slow_response(now, key, started_at);
+                    }
+                });
             }
         }
         match future::timeout(time_until(request.deadline), response_start).await {
@@ -325,7 +337,10 @@
         last_event_id: Option<u64>,
     ) -> Result<ResponseStart, AttemptError> {
         let response = self.send_request(request, attempt, last_event_id).await?;
-        self.shared.lock().path(&request.service).record_response(clock::now());
+        match attempt.conn.as_ref().is_some_and(|conn| !conn.is_reused()) {
+            true => self.shared.record_fresh_response(&request.service),
+            false => self.shared.lock().path(&request.service).record_response(clock::now()),
+        }
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
@@ -396,7 +411,13 @@
         last_event_id: Option<u64>,
     ) -> Result<Response<Incoming>, AttemptError> {
         let address = attempt.endpoint.address;
-        let mut conn = self.pool.get(address).await.map_err(AttemptError::NotSent)?;
+        // Established connections do not show that a lost path is back.
+        let is_isolated = self.shared.lock().path(&request.service).is_isolated();
+        let conn = match is_isolated {
+            true => self.pool.connect(address).await,
+            false => self.pool.get(address).await,
+        };
+        let mut conn = conn.map_err(AttemptError::NotSent)?;
         if !conn.is_reused() {
             self.shared.lock().path(&request.service).record_connect(clock::now());
         }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Frame, Incoming};
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::isolation::PathFailure;
 use thiserror::Error;
 
 use super::events::EventSplitter;
@@ -172,7 +173,20 @@
     async fn resume(&mut self, reason: String) -> bool {
         let endpoint = self.stream.as_ref().map(|s| s.attempt.endpoint.clone());
         let is_resumable = self.is_resumable();
-        self.abandon_attempt(&reason, Outcome::Bad);
+        let is_path_lost = match &endpoint {
+            Some(endpoint) => {
+                let (shared, pool) = (&self.relay.shared, &self.relay.pool);
+                let service = &self.request.service;
+                shared.is_path_lost(pool, service, endpoint, PathFailure::Broken).await
+            }
+            None => false,
+        };
+        let outcome = if is_path_lost { Outcome::Neutral } else { Outcome::Bad };
+        self.abandon_attempt(&reason, outcome);
+        if is_path_lost {
+            // The client resumes it through an instance that reaches endpoints.
+            return false;
+        }
         if let Some(endpoint) = endpoint {
             self.relay.check_for_crash(&self.request, &endpoint, false).await;
         }
