Let an endpoint be silent for 2 s without ending its connections

Callers: an endpoint that was silent for little over a second could cost them answers that may not be asked for again, and streams in progress. Cause: connections to endpoints had TCP_USER_TIMEOUT 1.5 s and probes each second. On Linux the user timeout decides for probes whatever their count: the check that follows the first lost probe, 2 s after the last segment, ended the connection. Two retries were set and meant nothing. Change: the options are a value, h1::SilenceLimits, set for each pool.

--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -77,7 +77,8 @@
         is_whole: false,
         is_sent: false,
     };
-    let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
+    let silence = h1::SilenceLimits::PATIENT;
+    let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO, silence };
     let Ok(mut conn) = h1::Pool::new(cfg).connect(daemon).await else { return seen };
     let req = Request::post(format!("/{prefix}/x"))
         .header("host", "h.example")
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -8,9 +8,11 @@
 mod outgoing;
 mod pool;
 mod server;
+mod silence;
 
 pub use pool::{CallError, Conn, Pool, PoolConfig};
 pub use server::{serve, Door, ServeConfig};
+pub use silence::SilenceLimits;
 
 /// A body that has been read whole.
 pub type Whole = http_body_util::Full<bytes::Bytes>;
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -21,12 +22,8 @@
 use thiserror::Error;
 
 use super::outgoing::Outgoing;
+use super::silence::SilenceLimits;
 
-/// Time after which an unanswered packet or probe ends a connection. A machine that lost power
-/// answers nothing, and nothing else would tell.
-const PEER_SILENT: Duration = Duration::from_millis(1500);
-/// Interval of the probes of an idle connection, in the system's smallest unit.
-const PROBE: Duration = Duration::from_secs(1);
 /// Time that a connection may take to become ready after its answer has ended. It is a matter of
 /// one turn of its task.
 const SETTLE: Duration = Duration::from_millis(20);
@@ -41,6 +38,8 @@
     pub connect: Duration,
     /// Time for which an idle connection is kept if the endpoint names none.
     pub idle: Duration,
+    /// Limits on an endpoint's silence.
+    pub silence: SilenceLimits,
 }
 
 /// Why a call has no answer.
@@ -105,6 +104,12 @@
     }
 }
 
+impl AsFd for Conn {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl Conn {
     /// Whether the connection has carried a request before.
     pub fn is_reused(&self) -> bool {
@@ -204,7 +209,8 @@
             .await
             .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
-        watch_peer(&stream).map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        self.cfg.silence.apply(&stream).map_err(failed)?;
         let handshake = http1::handshake(FuturesIo::new(stream.clone())).await;
         let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let (conn, task) = futures::future::abortable(conn);
@@ -313,13 +319,3 @@
         self.pool.forget(self.address);
     }
 }
-
-/// Lets the system notice a machine that has gone silent.
-fn watch_peer(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(PEER_SILENT))?;
-    socket.set_tcp_keepalive(
-        &socket2::TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2),
-    )
-}
--- a/oxbowbend-http/tests/h1.rs
+++ b/oxbowbend-http/tests/h1.rs
@@ -17,7 +17,8 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 fn pool() -> h1::Pool {
-    h1::Pool::new(h1::PoolConfig { connect: LIMIT, idle: LIMIT })
+    let silence = h1::SilenceLimits::PATIENT;
+    h1::Pool::new(h1::PoolConfig { connect: LIMIT, idle: LIMIT, silence })
 }
 
 fn request(body: &'static [u8]) -> Request<Bytes> {
