Refuse an answer whose encoding is not known

Callers of oxbowd's own interface: an engine's or a service's answer with `Transfer-Encoding: gzip`, or any that does not end in chunks, passed for a whole one with an empty body. Cause: async-h1 gives such an answer an empty body; the client took any Transfer-Encoding for chunks. Change: only chunks count as a known encoding; any other is a broken answer, as one without framing is.

--- a/oxbowbend-http/src/client.rs
+++ b/oxbowbend-http/src/client.rs
@@ -268,9 +268,11 @@
         return Ok((Body::empty(), None));
     }
     let length = head.header("Content-Length").and_then(|v| v.as_str().parse().ok());
-    let chunked = head.header("Transfer-Encoding").is_some();
-    if length.is_none() && !chunked {
-        let reason = "the answer states neither its length nor its encoding".to_owned();
+    let is_chunked =
+        head.header("Transfer-Encoding").is_some_and(|v| v.last().as_str() == "chunked");
+    if length.is_none() && !is_chunked {
+        let reason =
+            "the answer states neither its length nor an encoding that is known".to_owned();
         return Err(CallError::Broken { address, reason });
     }
     Ok((head.take_body(), length))
