Read answers that end with their connection

Callers of oxbowd's own interface: an answer of an engine or a service with neither Content-Length nor Transfer-Encoding was lost, though RFC 9112 6.3 lets it end with its connection. Cause: async-h1 gives it an empty body, so the client refused it. Change: the client reads the head itself, hands it to async-h1, and reads the body of such an answer to the connection's end, with the limits of any other (time for each piece, the reader's bound on its length); the connection isn't used again. A reset on the way is an error, an interim answer still is one. A stream of events that ends inside an event is broken, however its end is marked (BodyError::InsideEvent). A server that dies closes its connection too: so a plain answer of an engine that ends so counts as whole only if it is JSON, and is fetched by run id otherwise. A streamed run counts as complete with its last event, as before.

--- a/oxbowbend-endpoint/src/run.rs
+++ b/oxbowbend-endpoint/src/run.rs
@@ -7,6 +7,7 @@
 use http_types::{Method, Request, StatusCode};
 use oxbowbend_clock as clock;
 use oxbowbend_http::client;
+use serde::de::IgnoredAny;
 use serde_json::Value;
 use thiserror::Error;
 
@@ -258,7 +259,7 @@
     body: Value,
 ) -> Result<Whole, StartError> {
     let answer = match start(client, target, body).await {
-        Ok(mut answer) => answer.read_to_end(MAX_ANSWER).await.map_err(|e| e.to_string()),
+        Ok(answer) => read_whole(answer).await,
         Err(StartError::InDoubt(reason)) => Err(reason),
         Err(e) => return Err(e),
     };
@@ -271,6 +272,15 @@
     }
 }
 
+/// Reads an answer that is JSON. One that ends with its connection is whole if it can be parsed.
+async fn read_whole(mut answer: client::Answer) -> Result<Vec<u8>, String> {
+    let body = answer.read_to_end(MAX_ANSWER).await.map_err(|e| e.to_string())?;
+    if answer.ends_with_connection() {
+        serde_json::from_slice::<IgnoredAny>(&body).map_err(|e| e.to_string())?;
+    }
+    Ok(body)
+}
+
 fn whole(body: Vec<u8>, resumes: u32) -> Whole {
     let value: Option<Value> = serde_json::from_slice(&body).ok();
     let usage = value.as_ref().and_then(events::Usage::find);
--- a/oxbowbend-http/src/body.rs
+++ b/oxbowbend-http/src/body.rs
@@ -29,6 +29,9 @@
         /// Bytes announced.
         announced: u64,
     },
+    /// It is a stream of events and ended inside one.
+    #[error("the stream ended inside an event")]
+    InsideEvent,
     /// It did not come in time.
     #[error("the body did not come within {0:?}")]
     TooSlow(Duration),
@@ -43,7 +46,9 @@
         let status = match self {
             BodyError::TooLarge { .. } => StatusCode::PayloadTooLarge,
             BodyError::TooSlow(_) => StatusCode::RequestTimeout,
-            BodyError::CutShort { .. } | BodyError::Broken(_) => StatusCode::BadRequest,
+            BodyError::CutShort { .. } | BodyError::InsideEvent | BodyError::Broken(_) => {
+                StatusCode::BadRequest
+            }
         };
         problem::Problem::new(status, "the request body cannot be used").detail(self.to_string())
     }
--- a/oxbowbend-http/src/client.rs
+++ b/oxbowbend-http/src/client.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::future;
-use async_std::io::{ReadExt, WriteExt};
+use async_std::io::{BufReader, Cursor, ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
@@ -17,12 +17,16 @@
 use thiserror::Error;
 
 use crate::body;
+use crate::event_end::EventEnd;
 
 /// Idle connections kept for one server.
 const MAX_IDLE: usize = 64;
 /// Time after which an idle connection is not used again; servers close theirs later than this.
 const REUSE_WITHIN: Duration = Duration::from_secs(2);
 
+/// Bytes of a head after which its end is not looked for.
+const MAX_HEAD: usize = 16 * 1024;
+
 /// Why a call failed.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -126,13 +130,27 @@
     }
 }
 
+/// What ends an answer's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    /// There is none.
+    None,
+    /// Its length in bytes.
+    Length(u64),
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
 /// An answer whose body has not been read yet.
 pub struct Answer {
     /// Status and headers; the body has been taken out.
     pub head: Response,
     body: Body,
-    announced: Option<u64>,
+    framing: Framing,
     read: u64,
+    events: Option<EventEnd>,
     limits: Limits,
     address: SocketAddr,
     stream: Option<TcpStream>,
@@ -164,14 +182,26 @@
         // Boxed, to keep the futures of callers small.
         let call = Box::pin(exchange(stream.clone(), req));
         let broken = |e: http_types::Error| CallError::Broken { address, reason: e.to_string() };
-        let mut head = match future::timeout(limits.head, call).await {
+        let (mut head, read_on) = match future::timeout(limits.head, call).await {
             Ok(result) => result.map_err(broken)?,
             Err(_) => return Err(CallError::TimedOut { address, time: limits.head }),
         };
-        let (body, announced) = take_body(&mut head, method, address)?;
+        let framing = framing(&head, method).map_err(|reason| {
+            let reason = reason.to_owned();
+            CallError::Broken { address, reason }
+        })?;
+        let body = match framing {
+            Framing::None => Body::empty(),
+            Framing::Length(_) | Framing::Chunks => head.take_body(),
+            Framing::Connection => {
+                Body::from_reader(BufReader::new(Cursor::new(read_on).chain(stream.clone())), None)
+            }
+        };
         let pool = self.pool.clone();
-        let stream = (!says_close(&head)).then_some(stream);
-        Ok(Answer { head, body, announced, read: 0, limits, address, stream, pool })
+        let is_kept = framing != Framing::Connection && !says_close(&head);
+        let stream = is_kept.then_some(stream);
+        let events = EventEnd::of(&head);
+        Ok(Answer { head, body, framing, read: 0, events, limits, address, stream, pool })
     }
 
     /// Sends a request and reads the answer whole.
@@ -193,11 +223,17 @@
 }
 
 impl Answer {
+    /// Whether the body ends with its connection. Then a server that ends early shows only by what the
+    /// body holds.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Connection
+    }
+
     /// Reads the next piece of the body; `None` once the whole body has been read.
     ///
     /// # Errors
     ///
-    /// Fails if the body is broken, stalls, or ends before its announced length.
+    /// Fails if the body is broken, stalls, or ends before its announced length or inside an event.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, body::BodyError> {
         let mut buf = vec![0; body::CHUNK];
         let time = self.limits.piece;
@@ -207,9 +243,15 @@
         self.read += n as u64;
         if n > 0 {
             buf.truncate(n);
+            self.events.iter_mut().for_each(|events| events.note(&buf));
             return Ok(Some(buf));
         }
-        body::check_length(self.read, self.announced)?;
+        if let Framing::Length(announced) = self.framing {
+            body::check_length(self.read, Some(announced))?;
+        }
+        if self.events.as_ref().is_some_and(EventEnd::is_inside) {
+            return Err(body::BodyError::InsideEvent);
+        }
         if let Some(stream) = self.stream.take() {
             self.pool.put(self.address, stream);
         }
@@ -242,7 +284,8 @@
     Ok(stream)
 }
 
-async fn exchange(mut stream: TcpStream, req: Request) -> http_types::Result<Response> {
+/// Sends a request. Returns the answer and what was read behind its head.
+async fn exchange(mut stream: TcpStream, req: Request) -> http_types::Result<(Response, Vec<u8>)> {
     let mut encoder = async_h1::client::Encoder::new(req);
     let mut buf = vec![0; body::CHUNK];
     loop {
@@ -252,30 +295,52 @@
         }
         stream.write_all(&buf[..n]).await?;
     }
-    async_h1::client::decode(stream).await
+    let (head, read_on) = read_head(&mut stream).await?;
+    let read = Cursor::new([&head[..], &read_on].concat());
+    Ok((async_h1::client::decode(read.chain(stream)).await?, read_on))
 }
 
-/// Takes the body out of an answer. `async-h1` gives an empty body where neither its length nor
-/// its encoding is stated, which would pass for a whole answer.
-fn take_body(
-    head: &mut Response,
-    method: Method,
-    address: SocketAddr,
-) -> Result<(Body, Option<u64>), CallError> {
-    let no_body = method == Method::Head
-        || matches!(head.status(), StatusCode::NoContent | StatusCode::NotModified);
-    if no_body {
-        return Ok((Body::empty(), None));
+/// Reads up to the end of a head, or to where there is none. Returns the head and what was read behind it.
+async fn read_head(stream: &mut TcpStream) -> std::io::Result<(Vec<u8>, Vec<u8>)> {
+    let (mut head, mut buf) = (Vec::new(), vec![0; body::CHUNK]);
+    while head.len() < MAX_HEAD {
+        let n = stream.read(&mut buf).await?;
+        head.extend_from_slice(&buf[..n]);
+        let is_end = |end: &usize| {
+            let head = &head[..*end];
+            head.ends_with(b"\r\n\r\n") || head.ends_with(b"\n\n")
+        };
+        if let Some(end) = (1..=head.len()).find(is_end) {
+            let read_on = head.split_off(end);
+            return Ok((head, read_on));
+        }
+        if n == 0 {
+            break;
+        }
+    }
+    Ok((head, Vec::new()))
+}
+
+/// Finds what ends an answer's body. `async-h1` gives an empty body where it knows neither length nor
+/// encoding, which would pass for a whole one.
+fn framing(head: &Response, method: Method) -> Result<Framing, &'static str> {
+    let status = head.status();
+    if status.is_informational() {
+        return Err("the answer is an interim one");
+    }
+    if method == Method::Head || matches!(status, StatusCode::NoContent | StatusCode::NotModified) {
+        return Ok(Framing::None);
+    }
+    if let Some(encoding) = head.header("Transfer-Encoding") {
+        let is_known = encoding.last().as_str() == "chunked";
+        return is_known.then_some(Framing::Chunks).ok_or("the answer's encoding is not known");
     }
-    let length = head.header("Content-Length").and_then(|v| v.as_str().parse().ok());
-    let is_chunked =
-        head.header("Transfer-Encoding").is_some_and(|v| v.last().as_str() == "chunked");
-    if length.is_none() && !is_chunked {
-        let reason =
-            "the answer states neither its length nor an encoding that is known".to_owned();
-        return Err(CallError::Broken { address, reason });
+    let length = head.header("Content-Length").map(|v| v.last().as_str().parse());
+    match length {
+        Some(Ok(length)) => Ok(Framing::Length(length)),
+        Some(Err(_)) => Err("the answer's length is not a number"),
+        None => Ok(Framing::Connection),
     }
-    Ok((head.take_body(), length))
 }
 
 fn says_close(head: &Response) -> bool {
--- a/oxbowbend-http/src/lib.rs
+++ b/oxbowbend-http/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod body;
 pub mod client;
+mod event_end;
 pub mod h1;
 pub mod problem;
 pub mod server;
--- a/oxbowbend-http/tests/client.rs
+++ b/oxbowbend-http/tests/client.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
     Closed,
+    Reset,
     /// Not at all.
     Open,
 }
@@ -44,6 +45,10 @@
             }
             match end {
                 End::Closed => {}
+                End::Reset => {
+                    let linger = Some(Duration::ZERO);
+                    socket2::SockRef::from(&stream).set_linger(linger).expect("an option");
+                }
                 End::Open => {
                     task::spawn(async move {
                         task::sleep(TIME * 10).await;
@@ -73,7 +78,10 @@
     body: Option<&'static str>,
 }
 
-const CASES: [Case; 7] = {
+const OPEN: &str = "HTTP/1.1 200 OK\r\n\r\n";
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n";
+
+const CASES: [Case; 21] = {
     const fn case(
         name: &'static str,
         pieces: &'static [&'static str],
@@ -85,19 +93,55 @@
     const LENGTH: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
     const CHUNKS: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const COMPRESSED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n";
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const BARE: &str = "HTTP/1.1 200 OK\n\n";
     [
         case("length", &[LENGTH, "whole"], End::Open, Some("whole")),
         case("cut length", &[LENGTH, "wh"], End::Closed, None),
         case("chunks", &[CHUNKS, "5\r\nwhole\r\n0\r\n\r\n"], End::Open, Some("whole")),
         case("no last chunk", &[CHUNKS, "5\r\nwhole\r\n"], End::Closed, None),
+        case("ends with its connection", &[OPEN, "wh", "ole"], End::Closed, Some("whole")),
+        case("all at once", &["HTTP/1.1 200 OK\r\n\r\nwhole"], End::Closed, Some("whole")),
+        case(
+            "head in pieces",
+            &["HTTP/1.1 200 OK\r", "\n\r", "\nwhole"],
+            End::Closed,
+            Some("whole"),
+        ),
+        case("bare line ends", &[BARE, "whole"], End::Closed, Some("whole")),
+        case("empty", &[OPEN], End::Closed, Some("")),
+        case(
+            "blank lines in the body",
+            &[OPEN, "\r\n\r\n", "\n\n"],
+            End::Closed,
+            Some("\r\n\r\n\n\n"),
+        ),
+        case("reset instead of an end", &[OPEN, "whole"], End::Reset, None),
+        case("stalled", &[OPEN, "whole"], End::Open, None),
         case("encoding that is not known", &[COMPRESSED, "whole"], End::Closed, None),
+        case("interim answer", &[INTERIM, "whole"], End::Closed, None),
         case("head cut off", &["HTTP/1.1 200 OK\r\n"], End::Closed, None),
         case("no answer", &[], End::Closed, None),
+        case(
+            "events",
+            &[EVENTS, "data: 1\n\nda", "ta: 2\n", "\n"],
+            End::Closed,
+            Some("data: 1\n\ndata: 2\n\n"),
+        ),
+        case(
+            "events with CR LF",
+            &[EVENTS, "data: 1\r\n\r", "\n"],
+            End::Closed,
+            Some("data: 1\r\n\r\n"),
+        ),
+        case("events with CR", &[EVENTS, "data: 1\r\r"], End::Closed, Some("data: 1\r\r")),
+        case("cut inside an event", &[EVENTS, "data: 1\n\ndata: 2\n"], End::Closed, None),
+        case("cut inside an event with CR LF", &[EVENTS, "data: 1\r\n"], End::Closed, None),
     ]
 };
 
 #[test]
-fn answers_of_every_shape() {
+fn an_answer_may_end_with_its_connection() {
     task::block_on(async {
         let mut wrong = Vec::new();
         for case in &CASES {
@@ -110,3 +154,39 @@
         assert!(wrong.is_empty(), "{}", wrong.join("\n"));
     });
 }
+
+/// Nothing may follow such an answer, so its length is bounded only by the reader.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_bounded() {
+    task::block_on(async {
+        let piece = vec![b'x'; MOST / 2];
+        let pieces = vec![OPEN.as_bytes().to_vec(), piece.clone(), piece, vec![b'x']];
+        let address = server(pieces, End::Closed).await;
+        let req = client::request(Method::Get, address, "/x").expect("a request");
+        let got = Client::new().call(address, req, Limits::all(TIME), MOST).await;
+        let e = got.expect_err("too long").to_string();
+        assert!(e.contains("longer than"), "{e}");
+    });
+}
+
+#[test]
+fn an_answer_to_head_has_no_body() {
+    task::block_on(async {
+        let got = call(Method::Head, &[OPEN], End::Open).await;
+        assert_eq!(got, Ok((200, String::new())));
+    });
+}
+
+/// The connection of such an answer is not used again.
+#[test]
+fn each_answer_that_ends_with_its_connection_has_its_own() {
+    task::block_on(async {
+        let address = server(vec![b"HTTP/1.1 200 OK\r\n\r\nwhole".to_vec()], End::Closed).await;
+        let client = Client::new();
+        for _ in 0..3 {
+            let req = client::request(Method::Get, address, "/x").expect("a request");
+            let got = client.call(address, req, Limits::all(TIME), MOST).await;
+            assert_eq!(got.expect("whole").1, b"whole");
+        }
+    });
+}
