Do not count failures during an ejection for the next one

Callers: an endpoint that was silent for a second was set aside for three: 1 s, and 2 s more as soon as that ended, with no new request sent there. Cause: failures during the ejection, of requests sent before it, here or at other instances, stayed in the window, and on probation two are enough. The same silence counted twice. Change: failures during an ejection are not counted. Two that come after it still eject for 2 s. Test: cell.rs, a_silence_of_a_second_ejects_an_endpoint_once; before the fix: "left: 2, right: 1" ejections at 1.4 s.

--- a/oxbowbend-core/src/cell/health.rs
+++ b/oxbowbend-core/src/cell/health.rs
@@ -33,8 +33,10 @@
 }
 
 impl Health {
-    /// Records outcomes.
+    /// Records outcomes. Failures during an ejection are of requests sent before it and say nothing
+    /// about the endpoint after it.
     pub fn record(&mut self, now: Instant, successes: u32, failures: u32) {
+        let failures = if self.is_ejected(now) { 0 } else { failures };
         if successes + failures == 0 {
             return;
         }
--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -173,6 +173,31 @@
     assert_eq!(cell.assign(later).len(), 4);
 }
 
+/// Requests that were sent before an ejection and fail during it tell nothing new.
+#[test]
+fn a_silence_of_a_second_ejects_an_endpoint_once() {
+    let start = Instant::now();
+    let endpoints = [endpoint(0, 8), endpoint(2, 8)];
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    b.receive_report(start, a.report(start, ReportDetail::Full), true);
+    a.receive_report(start, b.report(start, ReportDetail::Full), true);
+    let mut fail = |cell: &mut oxbowbend_core::cell::Cell, ms: u32| {
+        cell.finish(start + ms * MS, key("e0"), 0, Outcome::Bad);
+    };
+    (0..4).for_each(|_| fail(&mut a, 300));
+    a.assign(start + 300 * MS);
+    // Of its own requests and of those of another instance.
+    (0..4).for_each(|_| fail(&mut a, 900));
+    (0..4).for_each(|_| fail(&mut b, 900));
+    a.receive_report(start + 950 * MS, b.report(start + 950 * MS, ReportDetail::Full), true);
+    a.assign(start + 1400 * MS);
+    assert_eq!(a.take_ejections().len(), 1);
+    // It is on probation, and two requests that are sent now and fail set it aside again.
+    (0..2).for_each(|_| fail(&mut a, 1700));
+    a.assign(start + 1700 * MS);
+    assert_eq!(a.take_ejections().len(), 1);
+}
+
 #[test]
 fn background_failure_rate_does_not_eject_an_endpoint() {
     let now = Instant::now();
