--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -7,15 +7,19 @@
 //! are played every time.
 
 mod caller;
+mod cuts;
 mod drills;
 mod endpoint;
 mod ends;
 mod exchanges;
 mod faults;
 mod fleet;
+mod gone;
 mod leavers;
 mod limits;
 mod outages;
+mod owners;
+mod paths;
 mod press;
 mod proxy;
 mod quotas;
@@ -24,6 +28,7 @@
 mod signals;
 mod starts;
 mod store;
+mod unframed;
 
 use std::time::Duration;
 
