Give pools their limits on silence by with_silence

Change: Pool::new takes the patient limits, with_silence others; a variable and a vector in tests that clippy refuses. No behaviour changes.

--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -181,7 +181,7 @@
     let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
     b.receive_report(start, a.report(start, ReportDetail::Full), true);
     a.receive_report(start, b.report(start, ReportDetail::Full), true);
-    let mut fail = |cell: &mut oxbowbend_core::cell::Cell, ms: u32| {
+    let fail = |cell: &mut oxbowbend_core::cell::Cell, ms: u32| {
         cell.finish(start + ms * MS, key("e0"), 0, Outcome::Bad);
     };
     (0..4).for_each(|_| fail(&mut a, 300));
--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -77,8 +77,7 @@
         is_whole: false,
         is_sent: false,
     };
-    let silence = h1::SilenceLimits::PATIENT;
-    let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO, silence };
+    let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
     let Ok(mut conn) = h1::Pool::new(cfg).connect(daemon).await else { return seen };
     let req = Request::post(format!("/{prefix}/x"))
         .header("host", "h.example")
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -303,9 +303,7 @@
     }
 
     pub async fn is_ready(&self) -> bool {
-        let silence = h1::SilenceLimits::PATIENT;
-        let cfg =
-            h1::PoolConfig { connect: Duration::from_millis(200), idle: Duration::ZERO, silence };
+        let cfg = h1::PoolConfig { connect: Duration::from_millis(200), idle: Duration::ZERO };
         let req = http::Request::get("/ready").header("host", "r").body(Default::default());
         let limit = Duration::from_millis(300);
         let answer = h1::Pool::new(cfg).call(self.readiness, req.unwrap(), limit).await;
--- a/oxbowbend-endpoint/tests/run.rs
+++ b/oxbowbend-endpoint/tests/run.rs
@@ -56,7 +56,7 @@
         let body = r#"{"status":"completed","text":"whole"}"#;
         let cut = &body[..body.len() - 3];
         for (first, asked_for) in [(body, 1), (cut, 2), ("", 2)] {
-            let answers = vec![format!("{JSON}{first}"), format!("{JSON}{body}")];
+            let answers = [format!("{JSON}{first}"), format!("{JSON}{body}")];
             let (address, asked) = engine(answers[..asked_for].to_vec()).await;
             let target = target(address, Api::Responses);
             let got = run::run_whole(&Client::new(), &target, json!({})).await;
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -133,8 +133,7 @@
             Rollouts::new(cfg.rollouts),
         );
         let door = Arc::new(h1::Door::default());
-        let silence = h1::SilenceLimits::PATIENT;
-        let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP, silence });
+        let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
         let peers = Arc::new(peers::Peers {
             shared: shared.clone(),
             wire: wire.clone(),
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -38,8 +38,6 @@
     pub connect: Duration,
     /// Time for which an idle connection is kept if the endpoint names none.
     pub idle: Duration,
-    /// Limits on an endpoint's silence.
-    pub silence: SilenceLimits,
 }
 
 /// Why a call has no answer.
@@ -162,15 +160,24 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     cfg: PoolConfig,
+    silence: SilenceLimits,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Conn>>>>,
     /// Idle connections that may be kept to one address.
     bound: Arc<AtomicUsize>,
 }
 
 impl Pool {
-    /// Starts empty.
+    /// Starts empty, with [`SilenceLimits::PATIENT`].
     pub fn new(cfg: PoolConfig) -> Pool {
-        Pool { cfg, idle: Arc::default(), bound: Arc::new(AtomicUsize::new(usize::MAX)) }
+        let (idle, bound) = (Arc::default(), Arc::new(AtomicUsize::new(usize::MAX)));
+        Pool { cfg, silence: SilenceLimits::PATIENT, idle, bound }
+    }
+
+    /// Sets the limits on the silence of peers, for connections that are opened from now on.
+    #[must_use]
+    pub fn with_silence(mut self, silence: SilenceLimits) -> Pool {
+        self.silence = silence;
+        self
     }
 
     /// A connection: the one used last, or a new one.
@@ -210,7 +217,7 @@
             .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
-        self.cfg.silence.apply(&stream).map_err(failed)?;
+        self.silence.apply(&stream).map_err(failed)?;
         let handshake = http1::handshake(FuturesIo::new(stream.clone())).await;
         let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let (conn, task) = futures::future::abortable(conn);
--- a/oxbowbend-http/tests/h1.rs
+++ b/oxbowbend-http/tests/h1.rs
@@ -17,8 +17,7 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 fn pool() -> h1::Pool {
-    let silence = h1::SilenceLimits::PATIENT;
-    h1::Pool::new(h1::PoolConfig { connect: LIMIT, idle: LIMIT, silence })
+    h1::Pool::new(h1::PoolConfig { connect: LIMIT, idle: LIMIT })
 }
 
 fn request(body: &'static [u8]) -> Request<Bytes> {
--- a/oxbowbend-http/tests/silence.rs
+++ b/oxbowbend-http/tests/silence.rs
@@ -56,8 +56,7 @@
     task::block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
-        let silence = h1::SilenceLimits::PATIENT;
-        let cfg = h1::PoolConfig { connect: NOTICED, idle: NOTICED, silence };
+        let cfg = h1::PoolConfig { connect: NOTICED, idle: NOTICED };
         let conn = h1::Pool::new(cfg).connect(address).await.expect("a connection");
         let socket = socket2::SockRef::from(&conn);
         assert!(socket.keepalive().expect("an option"), "no probes");
