--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -16,6 +16,7 @@
 use oxbowbend_http::h1;
 
 use crate::exchanges::{Exchanges, Says};
+use crate::room::{self, Place, Room};
 
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
@@ -26,6 +27,9 @@
 /// Time that a plain request takes.
 const WORK: Duration = Duration::from_millis(5);
 
+/// Time for which an endpoint is down that fell since it turned too many requests away.
+pub const DOWN: Duration = Duration::from_secs(2);
+
 /// Beginning of the ids of requests whose callers leave.
 pub const LEAVES: &str = "leaves-";
 
@@ -71,6 +75,9 @@
     says: Arc<Mutex<Says>>,
     runs: Runs,
     exchanges: Exchanges,
+    pub room: Room,
+    /// Time that a plain request takes.
+    work: Arc<Mutex<Duration>>,
     /// Requests that were meant for it.
     arrived: Arc<AtomicU64>,
     /// Told when a request ends it.
@@ -90,6 +97,8 @@
             says: Arc::default(),
             runs,
             exchanges,
+            room: Room::default(),
+            work: Arc::new(Mutex::new(WORK)),
             arrived: Arc::default(),
             ended: channel::unbounded(),
             lives: Arc::default(),
@@ -106,9 +115,17 @@
 
     /// What it says of itself from now on.
     pub fn set_says(&self, says: Says) {
+        if self.says.lock().unwrap().brittle != says.brittle {
+            self.room.set_brittle(says.brittle);
+        }
         *self.says.lock().unwrap() = says;
     }
 
+    /// Sets the time that a plain request takes from now on.
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().unwrap() = work;
+    }
+
     /// Requests that have been sent to it.
     pub fn arrived(&self) -> u64 {
         self.arrived.load(Ordering::SeqCst)
@@ -168,6 +185,17 @@
         if mode == Mode::Full {
             return reply(503, &[("not-executed", "1")], Either::Left(h1::Whole::default()));
         }
+        let place = match self.room.enter(DOWN).await {
+            room::Entry::Place(place) => place,
+            room::Entry::TurnedAway => {
+                return reply(503, &[("not-executed", "1")], Either::Left(h1::Whole::default()));
+            }
+            room::Entry::Fell => {
+                let _ = self.ended.0.send(()).await;
+                return std::future::pending().await;
+            }
+            room::Entry::Down => return std::future::pending().await,
+        };
         let n = {
             let runs = &mut self.runs.lock().unwrap().runs;
             runs.entry(id.clone()).or_default().push(text("tenant"));
@@ -188,10 +216,17 @@
             return reply(
                 200,
                 &sealed,
-                Either::Right(StreamBody::new(events(id.clone(), after, mode, self.runs.clone()))),
+                Either::Right(StreamBody::new(events(
+                    id.clone(),
+                    after,
+                    mode,
+                    self.runs.clone(),
+                    place,
+                ))),
             );
         }
-        task::sleep(WORK).await;
+        let work = *self.work.lock().unwrap();
+        task::sleep(work).await;
         reply(200, &sealed, Either::Left(h1::Whole::from(format!("answer of {id}"))))
     }
 }
@@ -201,11 +236,14 @@
     after: u64,
     mode: Mode,
     runs: Runs,
+    place: Place,
 ) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
     let all = if id.starts_with(LEAVES) { LONG } else { EVENTS };
     Box::pin(
         stream::unfold(after + 1, move |n| {
             let (id, runs) = (id.clone(), runs.clone());
+            // The place is in use until the stream ends or is dropped.
+            let _ = &place;
             async move {
                 if n > all {
                     return None;
--- a/oxbowbend-daemon/tests/soak/exchanges.rs
+++ b/oxbowbend-daemon/tests/soak/exchanges.rs
@@ -19,6 +19,8 @@
     pub leaves: bool,
     /// Seconds of rest for which it turns requests away.
     pub rest_s: Option<f64>,
+    /// Requests a second that it bears to turn away.
+    pub brittle: Option<f64>,
 }
 
 impl Says {
@@ -28,6 +30,7 @@
             value.map(|value| headers.insert(name, value.parse().unwrap()))
         };
         set("server-limit", self.limit.map(|limit| limit.to_string()));
+        set("server-brittle", self.brittle.map(|n| n.to_string()));
         set("server-leaving", self.leaves.then(|| "1".to_owned()));
         set("retry-after", self.rest_s.map(|rest| rest.to_string()));
     }
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -23,6 +23,8 @@
 const SMALL_CELL: usize = 2;
 /// Endpoints.
 pub const ENDPOINTS: usize = 5;
+/// Requests that an endpoint runs at once, by its entry.
+const SLOTS: u32 = 8;
 /// Start of all endpoints.
 const FIRST_START: u64 = 1_700_000_000_000;
 /// Key of the client account that callers use.
@@ -46,6 +48,7 @@
     pub versions: [&'static str; ENDPOINTS],
     addresses: Vec<SocketAddr>,
     born: Born,
+    slots: u32,
 }
 
 /// Restarts and freezes of instances so far.
@@ -66,6 +69,11 @@
 
 impl Fleet {
     pub async fn start(seed: u64) -> Fleet {
+        Fleet::start_with_slots(seed, SLOTS).await
+    }
+
+    /// The same, of endpoints that run so many requests at once by their entries.
+    pub async fn start_with_slots(seed: u64, slots: u32) -> Fleet {
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_address = store::address(&store_proxy_listener);
@@ -98,6 +106,7 @@
             versions: ["v1"; ENDPOINTS],
             addresses,
             born,
+            slots,
         };
         fleet.configure();
         fleet.enter_others();
@@ -139,7 +148,7 @@
 
     /// Enters an endpoint.
     pub fn enter(&self, n: usize) {
-        let mut entry = entry(self.addresses[n], self.born.lock().unwrap()[n]);
+        let mut entry = entry(self.addresses[n], self.born.lock().unwrap()[n], self.slots);
         entry["version"] = self.versions[n].into();
         self.store.put(&format!("servers/{}", self.endpoints[n].id), &entry);
     }
@@ -173,6 +182,7 @@
             version: self.versions[n],
             exchanges: self.exchanges.clone(),
             born: self.born.clone(),
+            slots: self.slots,
             n,
         }
     }
@@ -221,6 +231,7 @@
     version: &'static str,
     exchanges: Exchanges,
     born: Born,
+    slots: u32,
     n: usize,
 }
 
@@ -238,7 +249,7 @@
             born[self.n]
         };
         self.proxy.set_mode(Mode::Pass);
-        let mut entry = entry(self.address, born);
+        let mut entry = entry(self.address, born, self.slots);
         entry["version"] = self.version.into();
         self.store.put(&format!("servers/{}", self.endpoint.id), &entry);
     }
@@ -305,9 +316,9 @@
 }
 
 /// An endpoint's entry in the store.
-fn entry(address: SocketAddr, born: u64) -> serde_json::Value {
+fn entry(address: SocketAddr, born: u64, slots: u32) -> serde_json::Value {
     json!({
-        "service": "s", "address": address.to_string(), "zone": "z", "slots": 8,
+        "service": "s", "address": address.to_string(), "zone": "z", "slots": slots,
         "state": "ready", "born": born,
     })
 }
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! `OXBOW_SOAK=FROM-TO` plays others, one after the other. Seeds that have failed are in [`CASES`] and
 //! are played every time.
 
+mod brittle;
 mod caller;
 mod drills;
 mod endpoint;
@@ -21,6 +22,7 @@
 mod quotas;
 mod rests;
 mod rollouts;
+mod room;
 mod signals;
 mod starts;
 mod store;
--- a/oxbowbend-daemon/tests/soak/press.rs
+++ b/oxbowbend-daemon/tests/soak/press.rs
@@ -52,6 +52,30 @@
     futures::future::join_all(sent).await
 }
 
+/// Sends one request to every instance at the same moment, again and again with `pace` between, and waits for all
+/// answers.
+pub async fn press_at_once(
+    fleet: &Fleet,
+    part: &str,
+    pace: Duration,
+    length: Duration,
+) -> Vec<Seen> {
+    let until = Instant::now() + length;
+    let mut sent = Vec::new();
+    for n in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        for (d, daemon) in fleet.daemons.iter().enumerate() {
+            let kind = KINDS[(n + d) % KINDS.len()];
+            let id = format!("p-{part}-{n}-{d}");
+            sent.push(task::spawn(caller::send(daemon.callers, kind, id)));
+        }
+        task::sleep(pace).await;
+    }
+    futures::future::join_all(sent).await
+}
+
 /// The first of these that was not served.
 pub fn unserved(seen: &[Seen]) -> Option<String> {
     let failed = seen.iter().filter(|seen| !seen.is_served());
