Core: announced limits and the instances that share them get modules of their own

What endpoints announce, how a stricter or looser word is believed and how it goes to other instances is the same for every number that they may name; the token buckets of rate limits are one use of it.

--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use super::announced::LimitChange;
 use super::leaving::DrainNotice;
-use super::limits::{LimitChange, Scope};
 use super::report::EndpointNotices;
+use super::sharing::Scope;
 use super::signals::{Audience, Origin, SignalValue, Signals};
 use super::{Cell, EndpointState};
 use crate::ids::{EndpointKey, InstanceId, ServiceId};
@@ -26,7 +27,7 @@
         fleet: impl Iterator<Item = &'a InstanceId>,
         shared: BTreeSet<ServiceId>,
     ) {
-        self.limits.set_instances(cell, fleet);
+        self.instances.set(cell, fleet);
         self.shared_services = shared;
     }
 
@@ -161,7 +162,7 @@
         }
         let available_in = |(key, scope)| {
             let available_in = [
-                self.limits.time_to_next_request(now, key, scope),
+                self.limits.time_to_next_request(now, key, &self.instances, scope),
                 self.backoffs.remaining(now, key),
             ];
             available_in.into_iter().flatten().max()
@@ -175,7 +176,9 @@
         for key in self.limits.limited_endpoints() {
             let Some(scope) = self.endpoints.get(&key).map(|s| self.scope(s)) else { continue };
             allowances.extend(
-                self.limits.available_requests(now, key, scope).map(|allowance| (key, allowance)),
+                self.limits
+                    .available_requests(now, key, &self.instances, scope)
+                    .map(|allowance| (key, allowance)),
             );
         }
         allowances.extend(self.backoffs.active(now).map(|key| (key, 0)));
@@ -185,7 +188,7 @@
     /// Counts a request against the rate limit of its endpoint.
     pub(super) fn record_dispatch(&mut self, now: Instant, endpoint: EndpointKey) {
         let Some(scope) = self.endpoints.get(&endpoint).map(|s| self.scope(s)) else { return };
-        self.limits.take(now, endpoint, scope);
+        self.limits.take(now, endpoint, &self.instances, scope);
     }
 
     /// Whether an assigned request may still be sent. The endpoint may have started draining or
--- a/oxbowbend-core/src/cell/limits.rs
+++ b/oxbowbend-core/src/cell/limits.rs
@@ -19,10 +19,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
+use super::announced::{AnnouncedLimits, LimitChange, ReportedLimit, UNLISTED_TTL};
+use super::sharing::{Scope, SharingInstances};
 use super::signals::{Audience, Origin, SignalValue};
-use crate::ids::{EndpointKey, InstanceId};
+use crate::ids::EndpointKey;
 
 /// Window in which the bound holds.
 const WINDOW_SECS: f64 = 4.0;
@@ -35,60 +35,6 @@
 const BURST_MARGIN: (f64, f64) = (0.25, 1.0);
 /// Minimum rate, even for a limit of 0, so that a response can signal that the limit has ended.
 const MIN_RATE_PER_S: f64 = 0.2;
-/// Time for which the removal of a limit is reported.
-const REPORT_REMOVAL_FOR: Duration = Duration::from_secs(3);
-/// Time for which the limit of an unlisted endpoint is kept after its last response.
-const UNLISTED_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of limits in a report, the latest first.
-const MAX_REPORTED: usize = 16;
-
-/// Set of instances that share the limit of an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Scope {
-    /// The instances of this cell.
-    Cell,
-    /// All instances of the fleet.
-    Fleet,
-}
-
-/// A limit in a report. Serialized as an array of its fields in this order.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(from = "(EndpointKey, Option<f64>, u32)", into = "(EndpointKey, Option<f64>, u32)")]
-pub struct ReportedLimit {
-    /// Key of the endpoint.
-    pub endpoint: EndpointKey,
-    /// Requests per second; `None` if the limit has been removed.
-    pub per_s: Option<f64>,
-    /// Milliseconds since the response that set it.
-    pub age_ms: u32,
-}
-
-impl From<(EndpointKey, Option<f64>, u32)> for ReportedLimit {
-    fn from((endpoint, per_s, age_ms): (EndpointKey, Option<f64>, u32)) -> ReportedLimit {
-        ReportedLimit { endpoint, per_s, age_ms }
-    }
-}
-
-impl From<ReportedLimit> for (EndpointKey, Option<f64>, u32) {
-    fn from(reported: ReportedLimit) -> (EndpointKey, Option<f64>, u32) {
-        (reported.endpoint, reported.per_s, reported.age_ms)
-    }
-}
-
-/// A change of an endpoint's limit as known to this instance.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitChange {
-    /// Key of the endpoint.
-    pub endpoint: EndpointKey,
-    /// Requests per second; `None` if the limit has been removed.
-    pub per_s: Option<f64>,
-    /// Previous value of `per_s`.
-    pub previous: Option<f64>,
-    /// Where the change was learned from.
-    pub origin: Origin,
-    /// Time since the response that made the change.
-    pub age: Duration,
-}
 
 /// Token bucket with this instance's share of a limit.
 #[derive(Clone, Copy, Debug)]
@@ -103,55 +49,16 @@
     updated_at: Instant,
 }
 
-#[derive(Clone, Debug)]
-struct KnownLimit {
-    per_s: Option<f64>,
-    /// Time of the response that set the limit.
-    answered_at: Instant,
-    origin: Origin,
-    share: Option<LimitShare>,
-}
-
 /// Known limits of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RateLimits {
-    own_hash: u64,
-    /// Hashes of the names of all instances of the cell and of the fleet.
-    cell_hashes: Vec<u64>,
-    fleet_hashes: Vec<u64>,
-    /// Incremented whenever the instances change.
-    generation: u64,
-    known_limits: HashMap<EndpointKey, KnownLimit>,
-    changes: Vec<LimitChange>,
+    announced: AnnouncedLimits,
+    /// Shares of endpoints that have a limit.
+    shares: HashMap<EndpointKey, LimitShare>,
 }
 
 impl RateLimits {
-    pub(super) fn new(me: &InstanceId) -> RateLimits {
-        let own_hash = xxh3_64(me.as_bytes());
-        RateLimits {
-            own_hash,
-            cell_hashes: vec![own_hash],
-            fleet_hashes: vec![own_hash],
-            ..RateLimits::default()
-        }
-    }
-
-    /// Sets the instances that share the limits.
-    pub(super) fn set_instances<'a>(
-        &mut self,
-        cell: impl Iterator<Item = &'a InstanceId>,
-        fleet: impl Iterator<Item = &'a InstanceId>,
-    ) {
-        let hash = |name: &InstanceId| xxh3_64(name.as_bytes());
-        (self.cell_hashes, self.fleet_hashes) =
-            (cell.map(hash).collect(), fleet.map(hash).collect());
-        self.generation += 1;
-    }
-
     /// Applies the signal in a response to a request that was sent at `sent_at`.
-    ///
-    /// Responses may arrive out of order, so a stricter limit takes effect at once, but a looser
-    /// one only if its request was sent after the stricter one became known.
     pub(super) fn record_response(
         &mut self,
         now: Instant,
@@ -159,20 +66,8 @@
         sent_at: Instant,
         signal: SignalValue<f64>,
     ) {
-        let per_s = match signal {
-            SignalValue::Nothing => None,
-            SignalValue::Value(per_s) => Some(per_s),
-            SignalValue::Unreadable => return,
-        };
-        let known = self.known_limits.get(&endpoint);
-        let is_looser =
-            |known: &KnownLimit| rate_or_infinity(per_s) > rate_or_infinity(known.per_s);
-        if known.is_none() && per_s.is_none()
-            || known.is_some_and(|known| is_looser(known) && sent_at <= known.answered_at)
-        {
-            return;
-        }
-        self.set_limit(now, endpoint, per_s, now, Origin::Answer);
+        self.announced.record_response(now, endpoint, sent_at, signal);
+        self.drop_ended_shares();
     }
 
     /// Merges limits reported by another instance.
@@ -182,38 +77,14 @@
         reported: &[ReportedLimit],
         origin: Origin,
     ) {
-        for ReportedLimit { endpoint, per_s, age_ms } in reported.iter().copied() {
-            let Some(answered_at) = now.checked_sub(Duration::from_millis(age_ms.into())) else {
-                continue;
-            };
-            let is_newer = match self.known_limits.get(&endpoint) {
-                // An unchanged limit is not refreshed, or instances would keep each other's copies
-                // alive.
-                Some(known) => known.per_s != per_s && answered_at > known.answered_at,
-                None => per_s.is_some(),
-            };
-            if is_newer && per_s.is_none_or(|n| n.is_finite() && n >= 0.0) {
-                self.set_limit(now, endpoint, per_s, answered_at, origin);
-            }
-        }
+        self.announced.merge_reported(now, reported, origin);
+        self.drop_ended_shares();
     }
 
-    fn set_limit(
-        &mut self,
-        now: Instant,
-        endpoint: EndpointKey,
-        per_s: Option<f64>,
-        answered_at: Instant,
-        origin: Origin,
-    ) {
-        let known = self.known_limits.remove(&endpoint);
-        let (previous, share) = known.map_or((None, None), |known| (known.per_s, known.share));
-        if previous != per_s {
-            let age = now.saturating_duration_since(answered_at);
-            self.changes.push(LimitChange { endpoint, per_s, previous, origin, age });
-        }
-        let share = share.filter(|_| per_s.is_some());
-        self.known_limits.insert(endpoint, KnownLimit { per_s, answered_at, origin, share });
+    /// Drops the shares of limits that have ended, so that a later limit starts with a new one.
+    fn drop_ended_shares(&mut self) {
+        let announced = &self.announced;
+        self.shares.retain(|key, _| announced.get(*key).is_some());
     }
 
     /// Returns the relevant limits to report.
@@ -223,20 +94,7 @@
         audience: Audience,
         is_relevant: impl Fn(&EndpointKey) -> bool,
     ) -> Vec<ReportedLimit> {
-        let age = |known: &KnownLimit| now.saturating_duration_since(known.answered_at);
-        let should_report = |(key, known): &(&EndpointKey, &KnownLimit)| {
-            audience.receives(known.origin)
-                && (known.per_s.is_some() || age(known) < REPORT_REMOVAL_FOR)
-                && is_relevant(key)
-        };
-        let mut reported: Vec<_> = self.known_limits.iter().filter(should_report).collect();
-        reported.sort_by_key(|(key, known)| (age(known), **key));
-        let to_reported = |(key, known): (&EndpointKey, &KnownLimit)| ReportedLimit {
-            endpoint: *key,
-            per_s: known.per_s,
-            age_ms: age(known).as_millis().min(u128::from(u32::MAX)) as u32,
-        };
-        reported.into_iter().take(MAX_REPORTED).map(to_reported).collect()
+        self.announced.to_report(now, audience, is_relevant)
     }
 
     /// Returns the number of requests that this instance may send to an endpoint now; `None` if it
@@ -245,14 +103,21 @@
         &mut self,
         now: Instant,
         endpoint: EndpointKey,
+        instances: &SharingInstances,
         scope: Scope,
     ) -> Option<u32> {
-        self.share(now, endpoint, scope).map(|share| share.tokens as u32)
+        self.share(now, endpoint, instances, scope).map(|share| share.tokens as u32)
     }
 
     /// Takes the token of one request from this instance's share.
-    pub(super) fn take(&mut self, now: Instant, endpoint: EndpointKey, scope: Scope) {
-        if let Some(share) = self.share(now, endpoint, scope) {
+    pub(super) fn take(
+        &mut self,
+        now: Instant,
+        endpoint: EndpointKey,
+        instances: &SharingInstances,
+        scope: Scope,
+    ) {
+        if let Some(share) = self.share(now, endpoint, instances, scope) {
             share.tokens -= 1.0;
         }
     }
@@ -263,9 +128,10 @@
         &mut self,
         now: Instant,
         endpoint: EndpointKey,
+        instances: &SharingInstances,
         scope: Scope,
     ) -> Option<Duration> {
-        let share = self.share(now, endpoint, scope)?;
+        let share = self.share(now, endpoint, instances, scope)?;
         let seconds = match share.refill_per_s > 0.0 {
             true => (1.0 - share.tokens).max(0.0) / share.refill_per_s,
             false => 1.0 / share.limit.max(MIN_RATE_PER_S),
@@ -278,78 +144,36 @@
         &mut self,
         now: Instant,
         endpoint: EndpointKey,
+        instances: &SharingInstances,
         scope: Scope,
     ) -> Option<&mut LimitShare> {
-        let limit = self.known_limits.get(&endpoint)?.per_s?;
-        let previous = self.known_limits.get(&endpoint)?.share;
+        let limit = self.announced.get(endpoint)?;
+        let previous = self.shares.get(&endpoint).copied();
+        let generation = instances.generation();
         let is_current = |share: &LimitShare| {
-            (share.limit, share.generation, share.scope) == (limit, self.generation, scope)
+            (share.limit, share.generation, share.scope) == (limit, generation, scope)
         };
         let share = match previous.filter(is_current) {
             Some(share) => share.refilled(now),
-            None => self.compute_share(now, endpoint, limit, scope, previous),
+            None => compute_share(now, endpoint, limit, (instances, scope), previous),
         };
-        let known = self.known_limits.get_mut(&endpoint)?;
-        Some(known.share.insert(share))
-    }
-
-    fn compute_share(
-        &self,
-        now: Instant,
-        endpoint: EndpointKey,
-        limit: f64,
-        scope: Scope,
-        previous: Option<LimitShare>,
-    ) -> LimitShare {
-        let instances = match scope {
-            Scope::Cell => &self.cell_hashes,
-            Scope::Fleet => &self.fleet_hashes,
-        };
-        let per_s = limit.max(MIN_RATE_PER_S);
-        let burst = BURST_FRACTION * WINDOW_SECS * per_s * (1.0 - BURST_MARGIN.0) + BURST_REQUESTS
-            - BURST_MARGIN.1;
-        let shares = burst.floor().min(instances.len() as f64);
-        let order = |name: &u64| xxh3_64_with_seed(&name.to_le_bytes(), endpoint.into());
-        let own_order = order(&self.own_hash);
-        let rank = instances.iter().filter(|name| order(name) < own_order).count();
-        let (refill_per_s, capacity) = match (rank as f64) < shares {
-            true => (per_s / shares, burst / shares),
-            false => (0.0, 0.0),
-        };
-        let tokens = match previous {
-            Some(previous) => previous.refilled(now).tokens.min(capacity),
-            // Starts at a level that depends on the instance, so that not all send at the same
-            // time.
-            None => (own_order >> 11) as f64 / (1_u64 << 53) as f64 * capacity.min(1.0),
-        };
-        LimitShare {
-            limit,
-            generation: self.generation,
-            scope,
-            refill_per_s,
-            capacity,
-            tokens,
-            updated_at: now,
-        }
+        Some(self.shares.entry(endpoint).insert_entry(share).into_mut())
     }
 
     /// Returns the endpoints that have a limit.
     pub(super) fn limited_endpoints(&self) -> Vec<EndpointKey> {
-        let limited = self.known_limits.iter().filter(|(_, known)| known.per_s.is_some());
-        limited.map(|(key, _)| *key).collect()
+        self.announced.endpoints().collect()
     }
 
-    /// Drops removed limits and limits of unlisted endpoints after [`UNLISTED_TTL`].
+    /// Drops limits that have ended and those of unlisted endpoints.
     pub(super) fn prune(&mut self, now: Instant, is_listed: impl Fn(&EndpointKey) -> bool) {
-        let is_expired =
-            |known: &KnownLimit| now.saturating_duration_since(known.answered_at) > UNLISTED_TTL;
-        self.known_limits
-            .retain(|key, known| !is_expired(known) || known.per_s.is_some() && is_listed(key));
+        self.announced.prune(now, is_listed);
+        self.drop_ended_shares();
     }
 
     /// Returns the changes since the last call.
     pub(super) fn take_changes(&mut self) -> Vec<LimitChange> {
-        std::mem::take(&mut self.changes)
+        self.announced.take_changes()
     }
 }
 
@@ -361,6 +185,36 @@
     }
 }
 
-fn rate_or_infinity(per_s: Option<f64>) -> f64 {
-    per_s.unwrap_or(f64::INFINITY)
+fn compute_share(
+    now: Instant,
+    endpoint: EndpointKey,
+    limit: f64,
+    (instances, scope): (&SharingInstances, Scope),
+    previous: Option<LimitShare>,
+) -> LimitShare {
+    let per_s = limit.max(MIN_RATE_PER_S);
+    let burst = BURST_FRACTION * WINDOW_SECS * per_s * (1.0 - BURST_MARGIN.0) + BURST_REQUESTS
+        - BURST_MARGIN.1;
+    let shares = burst.floor().min(instances.count(scope) as f64);
+    let own_order = instances.own_order(endpoint);
+    let rank = instances.rank(endpoint, scope);
+    let (refill_per_s, capacity) = match (rank as f64) < shares {
+        true => (per_s / shares, burst / shares),
+        false => (0.0, 0.0),
+    };
+    let tokens = match previous {
+        Some(previous) => previous.refilled(now).tokens.min(capacity),
+        // Starts at a level that depends on the instance, so that not all send at the same
+        // time.
+        None => (own_order >> 11) as f64 / (1_u64 << 53) as f64 * capacity.min(1.0),
+    };
+    LimitShare {
+        limit,
+        generation: instances.generation(),
+        scope,
+        refill_per_s,
+        capacity,
+        tokens,
+        updated_at: now,
+    }
 }
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -11,6 +11,7 @@
 //! This module is used in place of a pool's [`crate::scheduler`] where an endpoint does not
 //! guarantee its slots.
 
+mod announced;
 mod assign;
 mod fleet;
 mod gate;
@@ -24,18 +25,19 @@
 mod reach;
 mod report;
 mod rests;
+mod sharing;
 mod shedding;
 mod signals;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+pub use announced::{LimitChange, ReportedLimit};
 pub use assign::{Assignment, REPORT_DELAY};
 pub use fleet::{FleetSummary, RemoteInstances};
 pub use groups::{CellLayout, DEFAULT_MAX_CELL_SIZE};
 pub use hear::{CounterDeltas, ReportDeltas};
 pub use leaving::DrainNotice;
-pub use limits::{LimitChange, ReportedLimit};
 pub use pace::FIXED_WORK_UNITS;
 pub use reach::{InstanceFilter, Reachability};
 pub use report::{EndpointLoad, EndpointNotices, EndpointStats, Report, WaitingRequest};
@@ -178,6 +180,8 @@
     /// When the totals of each other cell, and of all other cells together, were last received.
     cell_totals_at: BTreeMap<u32, Instant>,
     fleet_totals_at: Option<Instant>,
+    /// The instances that share what endpoints allow.
+    instances: sharing::SharingInstances,
     /// Rate limits announced by endpoints.
     limits: limits::RateLimits,
     /// Endpoints that are draining.
@@ -195,7 +199,8 @@
     /// distinguishes this process from earlier ones with the same id.
     pub fn new(local_id: InstanceId, zone: ZoneId, incarnation: u64) -> Cell {
         Cell {
-            limits: limits::RateLimits::new(&local_id),
+            instances: sharing::SharingInstances::new(&local_id),
+            limits: limits::RateLimits::default(),
             draining: leaving::DrainingEndpoints::default(),
             backoffs: rests::Backoffs::default(),
             shared_services: BTreeSet::new(),
