Keep what brittle endpoints turn away within what they bear

Callers saw endpoints of a service fall over one after the other while these said Server-Brittle = N in all answers, and their requests with them. Cause: nobody read the header. Instances that decide within the 3 to 10 ms in which they do not know of each other's sends take the same free place, what one endpoint turns away goes to the next one, and the load of one that fell to the others.

Each instance now has a part of N, and never more requests at an endpoint that may still be turned away, or were in the last second, than its part; so the sum holds whatever is late or lost. Where N is lower than the number of instances those without a part send only where they know of room; that is not proved. The word is believed and passed on as a limit is.

--- a/oxbowbend-core/src/cell/announced.rs
+++ b/oxbowbend-core/src/cell/announced.rs
@@ -139,6 +139,11 @@
         self.known.get(&endpoint)?.per_s
     }
 
+    /// Whether an endpoint has, or had, a limit.
+    pub(super) fn is_known(&self, endpoint: EndpointKey) -> bool {
+        self.known.contains_key(&endpoint)
+    }
+
     /// Returns the endpoints that have a limit.
     pub(super) fn endpoints(&self) -> impl Iterator<Item = EndpointKey> + '_ {
         self.known.iter().filter(|(_, known)| known.per_s.is_some()).map(|(key, _)| *key)
--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -3,11 +3,12 @@
 //! Every instance of a cell runs the same deterministic computation over its own waiting requests
 //! and those that its peers report, and dispatches only its own share of the result.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::brittle::Admission;
 use super::gate::Allowances;
 use super::{Cell, PrefillStall, QueuedRequest, Ticket, FIXED_WORK_UNITS, WAITING_TTL};
 use crate::ids::{EndpointId, EndpointKey, ServiceId, ZoneId};
@@ -150,6 +151,32 @@
     is_unmeasured: bool,
     /// Number of requests that this instance may send now; `None` if the endpoint is not throttled.
     allowance: Option<u32>,
+    /// Who may send to the endpoint, if it is brittle.
+    admission: Option<Admission>,
+}
+
+impl Target<'_> {
+    /// Whether the endpoint takes a request as far as it has limits.
+    fn admits(&self, candidate: &Candidate<'_>) -> bool {
+        let is_own = candidate.ticket.is_some();
+        let is_admitted = |admission: &Admission| match is_own {
+            true => admission.admits_own(self.free_slots, self.load),
+            false => admission.admits_peer(candidate.instance_hash),
+        };
+        (self.allowance.is_none() || is_own) && self.admission.as_ref().is_none_or(is_admitted)
+    }
+
+    /// Records that a request is assigned to the endpoint.
+    fn record(&mut self, candidate: &Candidate<'_>) {
+        self.free_slots -= 1;
+        self.load += 1;
+        self.pending_tokens = self.pending_tokens.saturating_add(candidate.prompt_tokens);
+        match &mut self.admission {
+            Some(admission) if candidate.ticket.is_some() => admission.record_own(),
+            Some(admission) => admission.record_peer(candidate.instance_hash),
+            None => {}
+        }
+    }
 }
 
 impl Cell {
@@ -162,7 +189,8 @@
         }
         self.refresh_latency_cache(now);
         let allowances = self.allowances(now);
-        let assignments = self.compute_assignments(now, &allowances);
+        let admissions = self.brittle_admissions(now);
+        let assignments = self.compute_assignments(now, &allowances, admissions);
         for a in &assignments {
             self.record_dispatch(now, a.endpoint.key());
             if let Some(want) = self.waiting.remove(&a.ticket) {
@@ -176,8 +204,13 @@
         assignments
     }
 
-    fn compute_assignments(&self, now: Instant, allowances: &Allowances) -> Vec<Assignment> {
-        let mut targets = self.targets(now, allowances);
+    fn compute_assignments(
+        &self,
+        now: Instant,
+        allowances: &Allowances,
+        admissions: HashMap<EndpointKey, Admission>,
+    ) -> Vec<Assignment> {
+        let mut targets = self.targets(now, allowances, admissions);
         let throttled_by_service = throttled_by_service(&targets);
         targets.retain(|t| t.allowance != Some(0));
         targets
@@ -189,19 +222,20 @@
             return assignments;
         }
         let free_slots_by_service = free_slots_by_service(&targets);
+        let brittle = brittle_services(&targets);
         let is_alone = self.live_peer_count(now) == 0;
         for candidate in self.candidates(now) {
             let free_slots = free_slots_by_service.get(candidate.service).copied().unwrap_or(0);
             if free_slots == 0
-                || !is_alone && free_slots <= CONTENDED_SLOTS && candidate.is_unreported(now)
+                || !is_alone
+                    && (free_slots <= CONTENDED_SLOTS || brittle.contains(candidate.service))
+                    && candidate.is_unreported(now)
             {
                 continue;
             }
             let Some((target, expected)) = choose(&mut targets, &candidate, now) else { continue };
-            target.free_slots -= 1;
-            target.load += 1;
             let (prompt_tokens, backlog_tokens) = (candidate.prompt_tokens, target.pending_tokens);
-            target.pending_tokens = target.pending_tokens.saturating_add(prompt_tokens);
+            target.record(&candidate);
             if let Some(ticket) = candidate.ticket {
                 let (endpoint, load) = (target.endpoint.clone(), target.load);
                 let expected_total = (candidate.output_tokens > 0)
@@ -278,7 +312,12 @@
         all
     }
 
-    fn targets(&self, now: Instant, allowances: &Allowances) -> Vec<Target<'_>> {
+    fn targets(
+        &self,
+        now: Instant,
+        allowances: &Allowances,
+        mut admissions: HashMap<EndpointKey, Admission>,
+    ) -> Vec<Target<'_>> {
         let mut loads: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
         for reported in self.live_reports(now).flat_map(|r| &r.loads) {
             let load = loads.entry(reported.endpoint).or_default();
@@ -314,6 +353,7 @@
                     median_ns: *median_ns,
                     is_unmeasured,
                     allowance: allowances.get(key).copied(),
+                    admission: admissions.remove(key),
                 }
             })
             .collect()
@@ -375,7 +415,7 @@
     let fits = |t: &Target<'_>| {
         t.endpoint.service == *candidate.service
             && !candidate.avoid.contains(&t.endpoint.id)
-            && (t.allowance.is_none() || candidate.ticket.is_some())
+            && t.admits(candidate)
     };
     let can_meet_deadline =
         targets.iter().any(|t| fits(t) && time_to_first_event(t, candidate) <= time_left);
@@ -425,6 +465,11 @@
     throttled_by_service
 }
 
+/// Services that have brittle endpoints.
+fn brittle_services<'a>(targets: &[Target<'a>]) -> HashSet<&'a ServiceId> {
+    targets.iter().filter(|t| t.admission.is_some()).map(|t| &t.endpoint.service).collect()
+}
+
 /// Slowdown of an endpoint by the requests running there.
 fn load_factor(target: &Target<'_>) -> f64 {
     1.0 + LOAD_SLOWDOWN * f64::from(target.load) / f64::from(target.endpoint.slots.max(1))
--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -1,4 +1,4 @@
-//! Backpressure from endpoints: rate limits, draining and backoff.
+//! Backpressure from endpoints: rate limits, draining, backoff and brittleness.
 //!
 //! Every dispatch is checked here, including retries, resumed streams and probes of ejected
 //! endpoints.
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::announced::LimitChange;
+use super::brittle::{Admission, CURRENT_REPORT_AGE};
 use super::leaving::DrainNotice;
 use super::report::EndpointNotices;
 use super::sharing::Scope;
@@ -48,6 +49,12 @@
         if signals.is_draining {
             self.draining.record(now, endpoint, Origin::Answer);
         }
+        let service = self.endpoints.get(&endpoint).map(|s| &s.endpoint.service);
+        let tolerance = signals.rejection_tolerance;
+        self.brittle.record_response(now, (endpoint, service), sent_at, tolerance);
+        if signals.is_rejection {
+            self.brittle.record_rejected(now, endpoint, sent_at);
+        }
         if let SignalValue::Value(backoff) = signals.backoff {
             self.backoffs.extend(now, endpoint, backoff);
         }
@@ -69,6 +76,9 @@
     ) {
         let origin = if is_same_cell { Origin::Cell } else { Origin::Fleet };
         self.limits.merge_reported(now, &reported.limits, origin);
+        let endpoints = &self.endpoints;
+        let service = |key| endpoints.get(&key).map(|s| &s.endpoint.service);
+        self.brittle.merge_reported(now, &reported.brittle, origin, service);
         reported.leaving.iter().for_each(|key| self.draining.record(now, *key, origin));
     }
 
@@ -82,7 +92,7 @@
     ) {
         let listed = reported.leaving.iter().filter(|key| self.is_listed(**key));
         let leaving = listed.copied().collect();
-        let listed = EndpointNotices { leaving, limits: reported.limits.clone() };
+        let listed = EndpointNotices { leaving, ..reported.clone() };
         self.merge_endpoint_signals(now, &listed, is_same_cell);
     }
 
@@ -117,9 +127,10 @@
         audience: Audience,
         is_relevant: impl Fn(&EndpointKey) -> bool,
     ) -> EndpointNotices {
-        let limits = self.limits.to_report(now, audience, is_relevant);
+        let limits = self.limits.to_report(now, audience, &is_relevant);
         let leaving = self.draining.to_report(now, audience, |key| self.is_listed(*key));
-        EndpointNotices { limits, leaving }
+        let brittle = self.brittle.to_report(now, audience, is_relevant);
+        EndpointNotices { limits, leaving, brittle }
     }
 
     /// Returns the changes of limits since the last call.
@@ -127,6 +138,11 @@
         self.limits.take_changes()
     }
 
+    /// Returns the changes of the rejections that endpoints tolerate since the last call.
+    pub fn take_brittle_changes(&mut self) -> Vec<LimitChange> {
+        self.brittle.take_changes()
+    }
+
     /// Returns the endpoints that have started draining since the last call.
     pub fn take_drain_notices(&mut self) -> Vec<DrainNotice> {
         self.draining.take_notices()
@@ -147,6 +163,11 @@
         self.limits.limited_endpoints().len()
     }
 
+    /// Number of endpoints known to be brittle.
+    pub fn brittle_count(&self) -> usize {
+        self.brittle.count()
+    }
+
     /// Returns the time until an endpoint of a service accepts a request again, or `None` unless
     /// all available endpoints of the service are throttled.
     pub fn available_in(&mut self, now: Instant, service: &ServiceId) -> Option<Duration> {
@@ -185,10 +206,41 @@
         allowances
     }
 
+    /// Returns who may send how much to brittle endpoints.
+    pub(super) fn brittle_admissions(&mut self, now: Instant) -> HashMap<EndpointKey, Admission> {
+        if self.brittle.is_empty() {
+            return HashMap::new();
+        }
+        let tolerance = |(key, site): (&EndpointKey, &EndpointState)| {
+            Some((*key, self.rejection_tolerance(now, *key, site)?, self.scope(site)))
+        };
+        let brittle: Vec<_> = self.endpoints.iter().filter_map(tolerance).collect();
+        let knows_loads = self.live_peers(now).all(|p| p.is_live(now, CURRENT_REPORT_AGE));
+        let mut admission = |(key, per_s, scope)| {
+            let sharing = (&self.instances, scope);
+            (key, self.brittle.admission(now, (key, per_s), sharing, knows_loads))
+        };
+        brittle.into_iter().map(&mut admission).collect()
+    }
+
+    fn rejection_tolerance(
+        &self,
+        now: Instant,
+        key: EndpointKey,
+        site: &EndpointState,
+    ) -> Option<f64> {
+        let has_answered = site.last_answer.is_some();
+        self.brittle.tolerance(now, key, &site.endpoint.service, has_answered)
+    }
+
     /// Counts a request against the rate limit of its endpoint.
     pub(super) fn record_dispatch(&mut self, now: Instant, endpoint: EndpointKey) {
         let Some(scope) = self.endpoints.get(&endpoint).map(|s| self.scope(s)) else { return };
         self.limits.take(now, endpoint, &self.instances, scope);
+        let site = self.endpoints.get(&endpoint);
+        if site.and_then(|site| self.rejection_tolerance(now, endpoint, site)).is_some() {
+            self.brittle.record_dispatch(now, endpoint);
+        }
     }
 
     /// Whether an assigned request may still be sent. The endpoint may have started draining or
@@ -202,6 +254,7 @@
         let (sites, listed) = (&self.endpoints, &self.listed_endpoints);
         let is_listed = |key: &EndpointKey| sites.contains_key(key) || listed.contains(key);
         self.limits.prune(now, is_listed);
+        self.brittle.prune(now, is_listed);
         self.backoffs.prune(now);
         self.draining.prune(now, is_listed);
     }
--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -4,6 +4,8 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::peer::{advance_counters, CounterBaselines, Peer};
 use super::report::Report;
 use super::{pace, Cell, PEER_TTL};
@@ -114,6 +116,8 @@
         let mut peer = previous.unwrap_or_else(|| Peer::new(now));
         if is_same_cell {
             self.apply_endpoint_stats(now, &mut peer, &report);
+            let instance_hash = xxh3_64(report.instance.as_bytes());
+            self.brittle.record_peer_rejections(now, instance_hash, &report.rejections);
         }
         let deltas = self.counter_deltas(now, &mut peer, &report, is_same_cell);
         self.merge_reported_signals(now, &report.endpoint_notices, is_same_cell);
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -13,6 +13,7 @@
 
 mod announced;
 mod assign;
+mod brittle;
 mod fleet;
 mod gate;
 mod groups;
@@ -184,6 +185,8 @@
     instances: sharing::SharingInstances,
     /// Rate limits announced by endpoints.
     limits: limits::RateLimits,
+    /// Endpoints that fall over if they reject too many requests.
+    brittle: brittle::BrittleEndpoints,
     /// Endpoints that are draining.
     draining: leaving::DrainingEndpoints,
     /// Endpoints that asked this instance to back off.
@@ -201,6 +204,7 @@
         Cell {
             instances: sharing::SharingInstances::new(&local_id),
             limits: limits::RateLimits::default(),
+            brittle: brittle::BrittleEndpoints::default(),
             draining: leaving::DrainingEndpoints::default(),
             backoffs: rests::Backoffs::default(),
             shared_services: BTreeSet::new(),
@@ -313,6 +317,7 @@
             loads,
             endpoint_stats,
             waiting: reported.collect(),
+            rejections: self.brittle.rejections_to_report(now),
             ..Report::default()
         };
         if is_heartbeat {
@@ -397,6 +402,9 @@
             state.pace.record(prompt_tokens.saturating_add(backlog), time_to_first_event);
             (state.last_used, state.last_answer) = (Some(now), Some(now));
         }
+        if let Some(sent_at) = now.checked_sub(time_to_first_event) {
+            self.brittle.record_accepted(endpoint, sent_at);
+        }
     }
 
     /// Records that a request sent at `since` is overdue. It counts as a failure of the endpoint
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -124,6 +124,10 @@
     /// Notices from endpoints. Sent with heartbeats only.
     #[serde(rename = "B", default, skip_serializing_if = "EndpointNotices::is_empty")]
     pub endpoint_notices: EndpointNotices,
+    /// Brittle endpoints that have rejected requests of the sender, with the milliseconds since
+    /// then.
+    #[serde(rename = "J", default, skip_serializing_if = "Vec::is_empty")]
+    pub rejections: Vec<(EndpointKey, u32)>,
     /// State of the quarantine of requests that crash endpoints.
     #[serde(rename = "Q", default, skip_serializing_if = "QuarantineUpdate::is_empty")]
     pub quarantine: QuarantineUpdate,
@@ -142,12 +146,15 @@
     /// Endpoints that are draining.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<EndpointKey>,
+    /// Rejections per second that brittle endpoints tolerate.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub brittle: Vec<super::ReportedLimit>,
 }
 
 impl EndpointNotices {
     /// Whether there are no notices.
     pub fn is_empty(&self) -> bool {
-        self.limits.is_empty() && self.leaving.is_empty()
+        self.limits.is_empty() && self.leaving.is_empty() && self.brittle.is_empty()
     }
 }
 
--- a/oxbowbend-core/src/cell/signals.rs
+++ b/oxbowbend-core/src/cell/signals.rs
@@ -39,6 +39,10 @@
     pub is_draining: bool,
     /// Time for which this instance should send no requests.
     pub backoff: SignalValue<Duration>,
+    /// Requests per second that the endpoint may reject before it falls over.
+    pub rejection_tolerance: SignalValue<f64>,
+    /// Whether the endpoint has rejected the request because it is full.
+    pub is_rejection: bool,
 }
 
 /// How a signal became known.
--- a/oxbowbend-core/tests/draining.rs
+++ b/oxbowbend-core/tests/draining.rs
@@ -12,6 +12,8 @@
     rate_limit: oxbowbend_core::cell::SignalValue::Nothing,
     is_draining: true,
     backoff: oxbowbend_core::cell::SignalValue::Nothing,
+    rejection_tolerance: oxbowbend_core::cell::SignalValue::Nothing,
+    is_rejection: false,
 };
 
 fn deliver_report(to: &mut Cell, from: &mut Cell, now: Instant) {
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -59,6 +59,16 @@
     gauge!("oxbow_endpoints_limited").set(n as f64);
 }
 
+/// Sets the number of endpoints that have said that they are brittle.
+pub(crate) fn brittle(n: usize) {
+    gauge!("oxbow_endpoints_brittle").set(n as f64);
+}
+
+/// Notes a request that a brittle endpoint turned away.
+pub(crate) fn turned_away_by_brittle() {
+    counter!("oxbow_brittle_rejections_total").increment(1);
+}
+
 /// Notes the time from a request's arrival to the first event of its answer.
 pub(crate) fn began(route: &str, took: Duration) {
     histogram!("oxbow_first_event_seconds", "route" => route.to_owned()).record(took);
--- a/oxbowbend-gateway/src/signals.rs
+++ b/oxbowbend-gateway/src/signals.rs
@@ -21,6 +21,7 @@
     ) {
         if signals.rate_limit == SignalValue::Unreadable
             || signals.backoff == SignalValue::Unreadable
+            || signals.rejection_tolerance == SignalValue::Unreadable
         {
             log::warn!(
                 "event=endpoint_said_unreadable endpoint={} id={id} {signals:?}",
@@ -37,7 +38,11 @@
         }
         let mut state = self.lock();
         state.cell.apply_signals(clock::now(), endpoint.key(), sent, signals);
-        if state.log_said() {
+        let is_brittle = signals.rejection_tolerance.value().is_some();
+        if is_brittle && signals.is_rejection {
+            observe::turned_away_by_brittle();
+        }
+        if state.log_said() || is_brittle && signals.is_rejection {
             drop(state);
             self.tell_others();
         }
@@ -54,8 +59,13 @@
         for notice in &notices {
             self.log_drain_notice(notice);
         }
-        let is_news = !limits.is_empty() || !notices.is_empty();
+        let brittle = self.cell.take_brittle_changes();
+        for change in &brittle {
+            self.log_brittle(change);
+        }
+        let is_news = !limits.is_empty() || !notices.is_empty() || !brittle.is_empty();
         if is_news {
+            observe::brittle(self.cell.brittle_count());
             observe::limited(self.cell.limited_count());
             observe::leaving(self.cell.draining_count());
         }
@@ -72,6 +82,16 @@
         );
     }
 
+    fn log_brittle(&self, change: &LimitChange) {
+        let LimitChange { endpoint, per_s, previous, origin, age } = change;
+        log::info!(
+            "event=endpoint_brittle endpoint={} start={endpoint:08x} bears_per_s={per_s:?} before={previous:?} \
+             from={origin:?} age_ms={}",
+            self.name_of(*endpoint),
+            age.as_millis()
+        );
+    }
+
     fn log_drain_notice(&self, notice: &DrainNotice) {
         let DrainNotice { endpoint, origin } = notice;
         let name = self.name_of(*endpoint);
