--- a/oxbowbend-daemon/tests/soak/brittle.rs
+++ b/oxbowbend-daemon/tests/soak/brittle.rs
@@ -11,7 +11,7 @@
 
 /// Seeds of their own, beside those that are played meanwhile, of one cell and of two cells, and the requests a second that
 /// endpoints bear to turn away: more and fewer than there are instances.
-const SEEDS: [(u64, f64); 4] = [(231, 5.0), (232, 5.0), (233, 3.0), (234, 3.0)];
+const SEEDS: [(u64, f64); 4] = [(151, 5.0), (152, 5.0), (153, 3.0), (154, 3.0)];
 /// Requests that an endpoint runs at once, and the time that a plain one takes; a stream takes about as long.
 const SLOTS: u32 = 3;
 const WORK: Duration = Duration::from_millis(180);
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -9,8 +9,8 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use bytes::Bytes;
-use futures::stream;
-use http::{HeaderMap, Request, Response};
+use futures::stream::{self, StreamExt};
+use http::{HeaderMap, Request, Response, Version};
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use oxbowbend_http::h1;
@@ -48,10 +48,29 @@
     Failing,
     /// Breaks streams off in the middle of an event.
     Cutting,
+    /// The same, after so many bytes of the event.
+    CuttingAt(usize),
+    /// Ends streams in the middle of an event as if they were complete, with the last chunk.
+    EndingInside,
+    /// Answers with lines of text instead of events, and breaks off.
+    PlainCut,
+    /// Ends the lines of its streams with CR LF.
+    CrLf,
     /// Runs requests and answers nothing.
     Hanging,
 }
 
+impl Mode {
+    /// Bytes of an event after which a stream breaks off.
+    fn cut(self) -> Option<usize> {
+        match self {
+            Mode::Cutting | Mode::EndingInside | Mode::PlainCut => Some(8),
+            Mode::CuttingAt(at) => Some(at),
+            _ => None,
+        }
+    }
+}
+
 /// What endpoints have done.
 #[derive(Default)]
 pub struct Records {
@@ -152,6 +171,7 @@
     /// Answers a request; all answers say what the endpoint says of itself.
     async fn answer(self, req: Request<Incoming>) -> Response<Body> {
         let is_meant = text(req.headers(), "expect-instance") == self.id;
+        let is_old = req.version() == Version::HTTP_10;
         let arrived = match is_meant {
             true => self.exchanges.arrived(&self.id, req.headers()),
             false => None,
@@ -166,7 +186,10 @@
             says.write(answer.headers_mut());
         }
         self.exchanges.answered(arrived, says);
-        answer
+        match is_old {
+            true => answer.map(unframed),
+            false => answer,
+        }
     }
 
     async fn run(self, req: Request<Incoming>) -> Response<Body> {
@@ -211,6 +234,11 @@
         if mode == Mode::Failing && n.is_multiple_of(2) {
             return reply(500, &sealed, Either::Left(h1::Whole::from("failed")));
         }
+        if head.uri.path().starts_with("/stream") && mode == Mode::PlainCut {
+            let plain = [sealed[0], sealed[1], ("content-type", "text/plain")];
+            let body = StreamBody::new(events(id.clone(), 0, mode, self.runs.clone(), place));
+            return reply(200, &plain, Either::Right(body));
+        }
         if head.uri.path().starts_with("/stream") {
             let after = text("last-event-id").parse().unwrap_or(0);
             return reply(
@@ -251,8 +279,9 @@
                 task::sleep(PAUSE).await;
                 runs.lock().unwrap().made.insert(id.clone(), n);
                 let event = format!("id: {n}\ndata: {id}\n\n");
-                if mode == Mode::Cutting && n == EVENTS / 2 {
-                    let half = Bytes::copy_from_slice(&event.as_bytes()[..8]);
+                let event = if mode == Mode::CrLf { event.replace('\n', "\r\n") } else { event };
+                if let (Some(at), true) = (mode.cut(), n == EVENTS / 2) {
+                    let half = Bytes::copy_from_slice(&event.as_bytes()[..at]);
                     return Some((Ok(Frame::data(half)), all + 1));
                 }
                 Some((Ok(Frame::data(Bytes::from(event))), n + 1))
@@ -272,15 +301,30 @@
     S: futures::Stream<Item = Result<Frame<Bytes>, String>> + Send + 'static,
 {
     fn map_cut(self, mode: Mode) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
-        use futures::StreamExt;
-        if mode == Mode::Cutting {
-            self.chain(stream::once(async { Err("cut".to_owned()) })).boxed()
+        if mode.cut().is_some() && mode != Mode::EndingInside {
+            let cut = async {
+                // Time for the half event to be sent.
+                task::sleep(PAUSE).await;
+                Err("cut".to_owned())
+            };
+            self.chain(stream::once(cut)).boxed()
         } else {
             self.boxed()
         }
     }
 }
 
+/// A body of no stated length.
+fn unframed(body: Body) -> Body {
+    match body {
+        Either::Left(whole) => {
+            let frames = whole.into_data_stream().map(|data| Ok(Frame::data(data.unwrap())));
+            Either::Right(StreamBody::new(frames.boxed()))
+        }
+        right => right,
+    }
+}
+
 fn text(headers: &HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -8,15 +8,19 @@
 
 mod brittle;
 mod caller;
+mod cuts;
 mod drills;
 mod endpoint;
 mod ends;
 mod exchanges;
 mod faults;
 mod fleet;
+mod gone;
 mod leavers;
 mod limits;
 mod outages;
+mod owners;
+mod paths;
 mod press;
 mod proxy;
 mod quotas;
@@ -26,6 +30,7 @@
 mod signals;
 mod starts;
 mod store;
+mod unframed;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/oxbowbend-gateway/src/path.rs
@@ -0,0 +1,158 @@
+//! Checks of this instance's path to the endpoints.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::{future, task};
+use futures::future::join_all;
+use oxbowbend_clock as clock;
+use oxbowbend_core::ids::ServiceId;
+use oxbowbend_core::isolation::{
+    IsolationDetector, PathChange, PathFailure, PathVerdict, ProbeRound, PROBES_PER_ROUND,
+};
+use oxbowbend_core::routes::Endpoint;
+use oxbowbend_http::h1;
+use rand::seq::IteratorRandom;
+
+use crate::observe;
+use crate::shared::{Shared, State};
+
+/// Time that a probe may take. A connection takes a few milliseconds, some tens under load.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between two looks at a round of probes that another request has started.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+impl Shared {
+    /// Returns whether a failure at an endpoint of a service is due to this instance's path, after
+    /// probing other endpoints if that is not known.
+    pub(crate) async fn is_path_lost(
+        &self,
+        pool: &h1::Pool,
+        service: &ServiceId,
+        endpoint: SocketAddr,
+        failure: PathFailure,
+    ) -> bool {
+        let verdict = self.lock().path(service).verdict(clock::now(), failure);
+        match verdict {
+            PathVerdict::Connected => return false,
+            PathVerdict::Isolated => return true,
+            PathVerdict::Unknown => {}
+        }
+        if self.start_round(service) {
+            // The round goes on if the client of this request disconnects.
+            let probes = Probes { service: service.clone(), except: Some(endpoint) };
+            task::spawn(probes.run(self.clone(), pool.clone())).await;
+        }
+        while self.lock().path(service).is_probing(clock::now()) {
+            task::sleep(POLL_INTERVAL).await;
+        }
+        self.lock().path(service).is_isolated()
+    }
+
+    /// Looks for the path to services that cannot be reached, from time to time.
+    pub(crate) fn probe_when_due(&self, pool: &h1::Pool) {
+        let services = self.lock().services_to_probe();
+        for service in services {
+            if self.start_round(&service) {
+                let probes = Probes { service, except: None };
+                task::spawn(probes.run(self.clone(), pool.clone()));
+            }
+        }
+    }
+
+    /// Starts a round of probes unless one is in progress.
+    fn start_round(&self, service: &ServiceId) -> bool {
+        let (now, mut state) = (clock::now(), self.lock());
+        let path = state.path(service);
+        let may_start = !path.is_probing(now);
+        if may_start {
+            path.start_round(now);
+        }
+        may_start
+    }
+}
+
+impl State {
+    /// What is known of the path to a service.
+    pub(crate) fn path(&mut self, service: &ServiceId) -> &mut IsolationDetector {
+        if !self.paths.contains_key(service) {
+            self.paths.insert(service.clone(), IsolationDetector::default());
+        }
+        self.paths.get_mut(service).expect("inserted above")
+    }
+
+    /// Returns the time since when no endpoint of a service can be reached.
+    pub(crate) fn isolated_for(&self, now: Instant, service: &ServiceId) -> Option<Duration> {
+        self.paths.get(service)?.isolated_for(now)
+    }
+
+    /// Services of which no endpoint can be reached.
+    pub(crate) fn isolated_services(&self) -> Vec<ServiceId> {
+        let isolated = self.paths.iter().filter(|(_, path)| path.is_isolated());
+        isolated.map(|(service, _)| service.clone()).collect()
+    }
+
+    fn services_to_probe(&self) -> Vec<ServiceId> {
+        let now = clock::now();
+        let due = self.paths.iter().filter(|(_, path)| path.is_probe_due(now));
+        due.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+/// A round of probes.
+struct Probes {
+    service: ServiceId,
+    /// The endpoint whose failure led to the round.
+    except: Option<SocketAddr>,
+}
+
+impl Probes {
+    async fn run(self, shared: Shared, pool: h1::Pool) {
+        let addresses = self.addresses(&shared.lock());
+        let probes = addresses.iter().map(|address| probe(&pool, *address));
+        let results = join_all(probes).await;
+        let reached = results.iter().filter(|is_reached| **is_reached).count();
+        let round = ProbeRound { reached, failed: results.len() - reached };
+        observe::path_probed(round);
+        let mut state = shared.lock();
+        let change = state.path(&self.service).finish_round(clock::now(), round);
+        let isolated = state.isolated_services().len();
+        drop(state);
+        if let Some(change) = change {
+            self.log(change);
+            observe::isolated(isolated);
+            shared.tell_others();
+        }
+    }
+
+    /// Addresses of a few endpoints that accept requests.
+    fn addresses(&self, state: &State) -> Vec<SocketAddr> {
+        let is_open = |e: &&Endpoint| e.service == self.service && !e.leaving;
+        let open = state.world.endpoints().filter(is_open).map(|endpoint| endpoint.address);
+        let others = open.filter(|address| Some(*address) != self.except);
+        others.choose_multiple(&mut rand::rng(), PROBES_PER_ROUND)
+    }
+
+    fn log(&self, change: PathChange) {
+        let PathChange { is_isolated, round, lasted } = change;
+        log::warn!(
+            "event=path_changed service={} is_isolated={is_isolated} reached={} failed={} \
+             before_ms={}",
+            self.service,
+            round.reached,
+            round.failed,
+            lasted.as_millis()
+        );
+    }
+}
+
+/// Opens a connection, which the pool keeps.
+async fn probe(pool: &h1::Pool, address: SocketAddr) -> bool {
+    match future::timeout(PROBE_TIMEOUT, pool.connect(address)).await {
+        Ok(Ok(conn)) => {
+            pool.put(conn);
+            true
+        }
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -15,7 +15,9 @@
     Ticket, REPORT_DELAY,
 };
 
-use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ZoneId};
+use oxbowbend_core::handover::Handovers;
+use oxbowbend_core::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
+use oxbowbend_core::isolation::IsolationDetector;
 use oxbowbend_core::quarantine::Quarantine;
 use oxbowbend_core::quota::SnapshotAge;
 use oxbowbend_core::retries::RetryLimiter;
@@ -41,6 +43,10 @@
     pub(crate) repeats: RetryLimiter,
     pub(crate) ages: AgeEstimator,
     pub(crate) quarantine: Quarantine,
+    /// Whether this instance reaches endpoints, by service.
+    pub(crate) paths: HashMap<ServiceId, IsolationDetector>,
+    /// Requests that peers serve for it.
+    pub(crate) handovers: Handovers,
     pub(crate) rollouts: Rollouts,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
@@ -239,6 +245,8 @@
             repeats,
             ages: AgeEstimator::default(),
             quarantine: Quarantine::new(&me),
+            paths: HashMap::new(),
+            handovers: Handovers::default(),
             rollouts,
             shutdown: None,
             waiters: HashMap::new(),
