--- a/oxbowbend-core/tests/brittle_exploration.rs
+++ b/oxbowbend-core/tests/brittle_exploration.rs
@@ -40,6 +40,8 @@
     /// Whether instances hear of it.
     is_told: bool,
     has_instance_restarts: bool,
+    /// Number of plays, each with a seed of its own.
+    plays: u64,
 }
 
 enum Event {
@@ -288,7 +290,7 @@
 /// were served in a second.
 fn play(setting: Setting) -> (usize, f64) {
     // Without a bound, requests that are sent again and again make plays slow.
-    let seeds = if setting.is_told { 12 } else { 3 };
+    let seeds = if setting.is_told { setting.plays } else { 3 };
     let (mut most, mut served) = (0, 0);
     for seed in 0..seeds {
         let mut play = Play::new(setting, seed);
@@ -301,8 +303,13 @@
     (most, per_s)
 }
 
-const TOLD: Setting =
-    Setting { instances: 4, tolerance: 4.0, is_told: true, has_instance_restarts: false };
+const TOLD: Setting = Setting {
+    instances: 4,
+    tolerance: 4.0,
+    is_told: true,
+    has_instance_restarts: false,
+    plays: 12,
+};
 
 /// Checks that no play exceeds the tolerance, and that the endpoint is used: one that gets nothing
 /// rejects nothing.
@@ -347,6 +354,17 @@
     check(&settings.map(|(instances, tolerance)| Setting { instances, tolerance, ..TOLD }));
 }
 
+#[test]
+fn rejections_stay_within_a_tolerance_of_fewer_than_instances_in_many_plays() {
+    let settings = [(4, 3.0), (12, 4.0)];
+    check(&settings.map(|(instances, tolerance)| Setting {
+        instances,
+        tolerance,
+        plays: 60,
+        ..TOLD
+    }));
+}
+
 #[test]
 fn these_plays_exceed_a_tolerance_that_nobody_knows() {
     let (most, _) = play(Setting { is_told: false, ..TOLD });
