--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -11,7 +11,9 @@
 //! This module is used in place of a pool's [`crate::scheduler`] where an endpoint does not
 //! guarantee its slots.
 
+mod announced;
 mod assign;
+mod brittle;
 mod fleet;
 mod gate;
 mod groups;
@@ -24,18 +26,19 @@
 mod reach;
 mod report;
 mod rests;
+mod sharing;
 mod shedding;
 mod signals;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+pub use announced::{LimitChange, ReportedLimit};
 pub use assign::{Assignment, REPORT_DELAY};
 pub use fleet::{FleetSummary, RemoteInstances};
 pub use groups::{CellLayout, DEFAULT_MAX_CELL_SIZE};
 pub use hear::{CounterDeltas, ReportDeltas};
 pub use leaving::DrainNotice;
-pub use limits::{LimitChange, ReportedLimit};
 pub use pace::FIXED_WORK_UNITS;
 pub use reach::{InstanceFilter, Reachability};
 pub use report::{EndpointLoad, EndpointNotices, EndpointStats, Report, WaitingRequest};
@@ -178,8 +181,12 @@
     /// When the totals of each other cell, and of all other cells together, were last received.
     cell_totals_at: BTreeMap<u32, Instant>,
     fleet_totals_at: Option<Instant>,
+    /// The instances that share what endpoints allow.
+    instances: sharing::SharingInstances,
     /// Rate limits announced by endpoints.
     limits: limits::RateLimits,
+    /// Endpoints that fall over if they reject too many requests.
+    brittle: brittle::BrittleEndpoints,
     /// Endpoints that are draining.
     draining: leaving::DrainingEndpoints,
     /// Endpoints that asked this instance to back off.
@@ -195,7 +202,9 @@
     /// distinguishes this process from earlier ones with the same id.
     pub fn new(local_id: InstanceId, zone: ZoneId, incarnation: u64) -> Cell {
         Cell {
-            limits: limits::RateLimits::new(&local_id),
+            instances: sharing::SharingInstances::new(&local_id),
+            limits: limits::RateLimits::default(),
+            brittle: brittle::BrittleEndpoints::default(),
             draining: leaving::DrainingEndpoints::default(),
             backoffs: rests::Backoffs::default(),
             shared_services: BTreeSet::new(),
@@ -308,6 +317,7 @@
             loads,
             endpoint_stats,
             waiting: reported.collect(),
+            rejections: self.brittle.rejections_to_report(now),
             ..Report::default()
         };
         if is_heartbeat {
@@ -392,6 +402,9 @@
             state.pace.record(prompt_tokens.saturating_add(backlog), time_to_first_event);
             (state.last_used, state.last_answer) = (Some(now), Some(now));
         }
+        if let Some(sent_at) = now.checked_sub(time_to_first_event) {
+            self.brittle.record_accepted(endpoint, sent_at);
+        }
     }
 
     /// Records that a request sent at `since` is overdue. It counts as a failure of the endpoint
