Soak: cuts of one or two instances and endpoints silent for a second, beside all other faults

Kinds 22 and 23 of the seeded play cut one or two daemons from all endpoints for 0.6 to 6 s in one of the three manners, and check the users' rule for tries from 3 s after the cut on; what an endpoint told before a cut or half a second into it excuses its instance, since it may not arrive. Kind 24 pauses an endpoint for 1.0 to 1.3 s at its proxy, after which everything goes on. The listed case 35 plays what it played.

--- a/oxbowbend-daemon/tests/soak/cuts.rs
+++ b/oxbowbend-daemon/tests/soak/cuts.rs
@@ -4,10 +4,13 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use rand::Rng;
+use rand_pcg::Pcg64;
 use rustix::process::Signal;
 
-use crate::caller::Seen;
+use crate::caller::{is_leaving, Seen};
 use crate::exchanges::{Episode, Excuse, Says};
+use crate::faults::All;
 use crate::fleet::{Fleet, DAEMONS};
 use crate::gone::Leavers;
 use crate::paths::{Cut, Manner, Paths};
@@ -31,6 +34,8 @@
     [(219, Manner::Reset, &[0, 2]), (220, Manner::Silent, &[3])];
 /// Time for which requests are sent in a cut.
 const LENGTH: Duration = Duration::from_secs(9);
+/// The same of cuts in the midst of other faults, in milliseconds.
+const LENGTHS_MS: std::ops::Range<u64> = 600..6000;
 /// Time after a cut began from which callers are owed answers: the users' `contact_ms`.
 const CONTACT: Duration = Duration::from_millis(3000);
 /// Least part of the requests that are served at the instances that are not cut off.
@@ -210,6 +215,38 @@
     broken.into_iter().map(|b| format!("seed {seed}, {cut:?}, {beside:?}: {b}")).collect()
 }
 
+/// A seeded cut of one or two daemons in the midst of other faults; returns whether callers there are let down.
+pub async fn play_one(fleet: &Fleet, rng: &mut Pcg64, daemon: usize, all: &All) -> Vec<String> {
+    let manner = [Manner::Silent, Manner::Reset, Manner::Refuse][rng.random_range(0..3)];
+    let mut daemons = vec![daemon];
+    if rng.random_bool(0.5) {
+        daemons.push((daemon + rng.random_range(1..DAEMONS)) % DAEMONS);
+    }
+    let (length, from) = (Duration::from_millis(rng.random_range(LENGTHS_MS)), Instant::now());
+    let cut_off: Vec<_> = daemons.iter().map(|n| fleet.daemons[*n].callers).collect();
+    let cut = Cut { manner, daemons };
+    println!("{cut:?} for {length:?}");
+    fleet.paths.set_cut(Some(cut.clone()));
+    // Answers that were under way when the cut began do not arrive.
+    for time in [Duration::ZERO, UNDERWAY] {
+        task::sleep(time).await;
+        let excuses = cut_off.iter().map(|daemon| (*daemon, Instant::now()));
+        fleet.excuses.lock().unwrap().extend(excuses);
+    }
+    task::sleep(length - UNDERWAY).await;
+    fleet.paths.set_cut(None);
+    let until = Instant::now();
+    // Callers who wait have their answers by then.
+    task::sleep(RECOVERY).await;
+    let all = all.lock().unwrap();
+    let is_owed = |seen: &&Seen| seen.at >= from + CONTACT && seen.at < until;
+    let owed = all.iter().filter(is_owed).filter(|seen| !is_leaving(&seen.id));
+    let (there, others) = split(&owed.collect::<Vec<_>>(), &cut_off);
+    let about = format!("{cut:?}: cut off, served {}, others {}", there.about(), others.about());
+    println!("{about}");
+    are_let_down(&there, &others).then_some(about).into_iter().collect()
+}
+
 /// Plays cuts one after the other.
 fn play_all(cuts: &[(u64, Manner, &[usize])], beside: Beside) {
     let plays = cuts.iter().map(|(seed, manner, daemons)| {
--- a/oxbowbend-daemon/tests/soak/faults.rs
+++ b/oxbowbend-daemon/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 
 use crate::caller::{self, Seen, KINDS};
+use crate::cuts;
 use crate::drills;
 use crate::endpoint;
 use crate::ends;
@@ -33,13 +34,16 @@
 /// would have made more events. The whole stream would take 6 s.
 const STOPPED: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(300));
 /// Kinds of faults.
-const FAULTS: usize = 22;
-/// The same before there were returns from a copy: seeds that failed then play what they played then.
+const FAULTS: usize = 25;
+/// The same before there were returns from a copy and cuts of instances: seeds that failed then play what they played then.
 const FAULTS_BEFORE: usize = 20;
+/// Times for which a sound endpoint falls silent, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 1000..1300;
 /// Time within which a configuration must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
 
-type All = Arc<Mutex<Vec<Seen>>>;
+/// What callers have seen so far.
+pub type All = Arc<Mutex<Vec<Seen>>>;
 
 /// Plays a seed; returns the promises that were broken.
 pub async fn play(seed: u64, length: Duration) -> Vec<String> {
@@ -163,6 +167,14 @@
             task::sleep(time).await;
             fleet.enter(endpoint);
         }
+        24 => {
+            let time = Duration::from_millis(rng.random_range(SILENCE_MS));
+            let id = &fleet.endpoints[endpoint].id;
+            fleet.exchanges.set_unheard(id, true);
+            fleet.proxies[endpoint].pause(time).await;
+            fleet.exchanges.set_unheard(id, false);
+        }
+        22 | 23 => return cuts::play_one(fleet, rng, daemon, all).await,
         20 | 21 => return drills::play_one(fleet, rng, endpoint).await,
         18 | 19 => ends::press_once(fleet, rng, time).await,
         13 => {
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -71,6 +71,13 @@
         *self.mode.lock().unwrap()
     }
 
+    /// Lets nothing pass for a while; what came meanwhile goes on then, and nothing is lost.
+    pub async fn pause(&self, time: Duration) {
+        self.set_mode(Mode::Silent);
+        task::sleep(time).await;
+        self.set_mode(Mode::Pass);
+    }
+
     /// What happens to the bytes of a connection.
     async fn mode_of(&self, conn: &Accepted) -> Mode {
         match (self.mode(), self.paths.cut_of(conn).await) {
