--- /dev/null
+++ b/oxbowbend-daemon/tests/soak/unframed.rs
@@ -0,0 +1,92 @@
+//! An answer without a length and chunks that breaks off inside an event must not look complete to its caller.
+
+use std::time::{Duration, Instant};
+
+use http::Request;
+use http_body_util::BodyExt;
+use oxbowbend_http::h1;
+
+use crate::endpoint::{Mode, EVENTS, LEAVES};
+use crate::fleet::{Fleet, ENDPOINTS, KEY};
+use crate::press::{play_in_turn, press, unserved};
+use crate::proxy;
+
+/// Seeds of their own, beside those that are played meanwhile: one of one cell, one of two cells.
+const SEEDS: [u64; 2] = [61, 62];
+/// The same for lines that end with CR LF.
+const CR_LF_SEED: [u64; 1] = [63];
+/// Endpoints that break their streams off.
+const BREAKING: usize = 2;
+/// Time for which streams break off at one place of an event.
+const PART: Duration = Duration::from_millis(350);
+/// Bytes of the event at which streams break off, `id: 6` and the data: all but its last byte.
+const PLACES: std::ops::Range<usize> = 1..20;
+
+async fn play(seed: u64) -> Vec<String> {
+    let fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    fleet.proxies.iter().for_each(|proxy| proxy.set_mode(proxy::Mode::Unframed));
+    let whole = press(&fleet, "whole", Duration::from_secs(1)).await;
+    let mut broken: Vec<_> = unserved(&whole).into_iter().collect();
+    let repeated = fleet.runs.lock().unwrap().runs.values().filter(|runs| runs.len() > 1).count();
+    if repeated > 0 {
+        broken.push(format!("{repeated} whole answers were asked for again"));
+    }
+    let mut cut = 0;
+    for at in PLACES {
+        let set = |mode| (0..BREAKING).for_each(|n| fleet.endpoints[n].set_mode(mode));
+        set(Mode::CuttingAt(at));
+        let seen = press(&fleet, &format!("at-{at}"), PART).await;
+        set(Mode::Good);
+        broken.extend(seen.iter().flat_map(|seen| seen.check(&fleet.runs)));
+        let (streams, others): (Vec<_>, Vec<_>) =
+            seen.into_iter().partition(|seen| seen.kind == "stream");
+        // What may be repeated or resumed is served by the other endpoints.
+        broken.extend(unserved(&others));
+        cut += streams.iter().filter(|seen| !seen.is_whole).count();
+    }
+    if cut < ENDPOINTS {
+        broken.push(format!("only {cut} streams were seen to break off"));
+    }
+    broken.into_iter().map(|b| format!("seed {seed}: {b}")).collect()
+}
+
+#[test]
+fn a_stream_without_framing_that_breaks_off_does_not_look_complete() {
+    let now = Instant::now();
+    let broken = play_in_turn(SEEDS.into_iter().map(play));
+    println!("{} events a stream, took {:?}", EVENTS, now.elapsed());
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Reads the first part of a stream that lasts for seconds; returns whether the endpoint made more events after that.
+async fn first_part_comes_before_the_end(seed: u64) -> Vec<String> {
+    let fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_mode(Mode::CrLf));
+    let id = format!("{LEAVES}crlf");
+    let cfg = h1::PoolConfig { connect: Duration::from_secs(2), idle: Duration::ZERO };
+    let mut conn = h1::Pool::new(cfg).connect(fleet.daemons[0].callers).await.unwrap();
+    let req = Request::post("/stream-on/x")
+        .header("host", "h.example")
+        .header("request-id", &id)
+        .header("authorization", format!("Bearer {KEY}"))
+        .body("some words".into());
+    let mut body = conn.send(req.unwrap()).await.unwrap().into_body();
+    let first = body.frame().await.unwrap().unwrap().into_data().unwrap();
+    let made = || fleet.runs.lock().unwrap().made.get(&id).copied();
+    let before = made();
+    body.frame().await.unwrap().unwrap();
+    let is_early = first.starts_with(b"id: 1\r\n") && made() > before;
+    if is_early {
+        Vec::new()
+    } else {
+        vec![format!("held back until {before:?}: {first:?}")]
+    }
+}
+
+#[test]
+fn events_that_end_with_cr_lf_are_passed_on_as_they_come() {
+    let broken = play_in_turn(CR_LF_SEED.into_iter().map(first_part_comes_before_the_end));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -28,6 +28,8 @@
     attempt: Attempt,
     first_frame: Option<Frame<Bytes>>,
     body: Incoming,
+    /// Whether the body consists of events, whose boundaries show whether it is complete.
+    has_events: bool,
 }
 
 impl EndpointStream {
@@ -35,8 +37,9 @@
         attempt: Attempt,
         first_frame: Option<Frame<Bytes>>,
         body: Incoming,
+        has_events: bool,
     ) -> EndpointStream {
-        EndpointStream { attempt, first_frame, body }
+        EndpointStream { attempt, first_frame, body, has_events }
     }
 }
 
@@ -86,19 +89,20 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         loop {
             let stream = self.stream.as_mut()?;
-            match receive_item(stream, &self.request).await {
+            let item = receive_item(stream, &self.request).await;
+            match self.check_end(item) {
                 StreamItem::Data(data) => {
-                    let data = match self.request.route.resumable {
-                        true => self.events.push(&data),
-                        false => data,
-                    };
+                    let data = self.split(data);
                     if data.is_empty() {
                         continue;
                     }
                     self.bytes_sent += data.len();
                     return Some(Ok(data));
                 }
-                StreamItem::End => return self.finish(),
+                StreamItem::End => {
+                    self.finish();
+                    return None;
+                }
                 StreamItem::Interrupted(reason) => match self.resume(reason).await {
                     true => continue,
                     false => return Some(Err(StreamInterrupted)),
@@ -111,13 +115,36 @@
         }
     }
 
-    fn finish(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
-        let stream = self.stream.take()?;
-        let partial = self.events.take_partial();
+    /// Returns what may be passed on: whole events, if another endpoint may have to continue.
+    fn split(&mut self, data: Bytes) -> Bytes {
+        if self.request.route.resumable && self.has_events() {
+            return self.events.push(&data);
+        }
+        self.events.observe(&data);
+        data
+    }
+
+    /// Turns an end inside an event into an interruption. The end of a connection looks the same
+    /// whether the endpoint closed it or failed.
+    fn check_end(&self, item: StreamItem) -> StreamItem {
+        match item {
+            StreamItem::End if self.has_events() && self.events.is_inside_event() => {
+                let framing = self.stream.as_ref().map(|stream| stream.attempt.framing);
+                StreamItem::Interrupted(format!("ended inside an event, framing={framing:?}"))
+            }
+            item => item,
+        }
+    }
+
+    fn has_events(&self) -> bool {
+        self.stream.as_ref().is_some_and(|stream| stream.has_events)
+    }
+
+    fn finish(&mut self) {
+        let Some(stream) = self.stream.take() else { return };
         log_response(&self.request, &stream.attempt, 200, self.bytes_sent);
         self.relay.record_success(&self.request);
         stream.attempt.complete(&self.relay.pool, Outcome::Good);
-        (!partial.is_empty()).then_some(Ok(partial))
     }
 
     fn abandon_attempt(&mut self, reason: &str, outcome: Outcome) {
