Soak: cuts of three of four instances, and of one that starts in the cut, failing

A machine may be cut off with most or all of its zone, and one that starts during a cut has never had a path.

--- a/oxbowbend-daemon/tests/soak/cuts.rs
+++ b/oxbowbend-daemon/tests/soak/cuts.rs
@@ -30,6 +30,10 @@
     [(215, Manner::Silent, &[1]), (216, Manner::Reset, &[0, 3])];
 const BESIDE_RELEASE: [(u64, Manner, &[usize]); 2] =
     [(217, Manner::Refuse, &[2]), (218, Manner::Silent, &[1])];
+const BESIDE_START: [(u64, Manner, &[usize]); 2] =
+    [(205, Manner::Silent, &[1]), (206, Manner::Refuse, &[0, 2])];
+const MOST: [(u64, Manner, &[usize]); 2] =
+    [(207, Manner::Silent, &[0, 1, 3]), (208, Manner::Reset, &[1, 2, 3])];
 const BESIDE_OUTAGE: [(u64, Manner, &[usize]); 2] =
     [(219, Manner::Reset, &[0, 2]), (220, Manner::Silent, &[3])];
 /// Time for which requests are sent in a cut.
@@ -46,7 +50,7 @@
 const LOOKED: Duration = Duration::from_secs(2);
 /// Time between two things that happen in a cut.
 const HAPPENS: Duration = Duration::from_millis(1500);
-/// Time for which a request is under way at most; what ends with its instance is not counted.
+/// Time for which a request is under way; what ends with its instance is not counted.
 const UNDERWAY: Duration = Duration::from_millis(500);
 /// The endpoint that leaves, and the time for which it is gone.
 const LEAVER: usize = 2;
@@ -60,6 +64,8 @@
     Nothing,
     /// One of the others is killed and started again, another one is stopped and started again.
     Restarts,
+    /// One that is cut off is killed at once and started again.
+    Start,
     /// An endpoint says that it leaves, and starts again.
     Release,
     /// The store answers nobody.
@@ -122,23 +128,23 @@
 
 /// Lets something happen in a cut; returns what was not as it must be.
 async fn happen(fleet: &mut Fleet, cut: &Cut, beside: Beside) -> Vec<String> {
-    let mut others = (0..DAEMONS).filter(|n| !cut.daemons.contains(n));
-    let (killed, stopped) = (others.next().unwrap(), others.next().unwrap());
-    if beside == Beside::Outage {
-        fleet.store.set_mode(store::Mode::Mute);
+    match beside {
+        Beside::Outage => fleet.store.set_mode(store::Mode::Mute),
+        Beside::Start => fleet.daemons[cut.daemons[0]].restart_by(Signal::KILL).await,
+        _ => {}
     }
     task::sleep(CONTACT + HAPPENS).await;
     match beside {
         Beside::Restarts => {
-            fleet.daemons[killed].signal(Signal::KILL);
-            fleet.daemons[killed].restart().await;
+            let mut others = (0..DAEMONS).filter(|n| !cut.daemons.contains(n));
+            let (killed, stopped) = (others.next().unwrap(), others.next().unwrap());
+            fleet.daemons[killed].restart_by(Signal::KILL).await;
             task::sleep(HAPPENS).await;
-            fleet.daemons[stopped].signal(Signal::TERM);
-            fleet.daemons[stopped].restart().await;
+            fleet.daemons[stopped].restart_by(Signal::TERM).await;
             Vec::new()
         }
         Beside::Release => release(fleet).await,
-        Beside::Nothing | Beside::Outage => Vec::new(),
+        Beside::Nothing | Beside::Start | Beside::Outage => Vec::new(),
     }
 }
 
@@ -170,9 +176,10 @@
     broken
 }
 
-/// Whether nobody has restarted the instance of a try shortly before its end or earlier.
+/// Whether the instance of a try was not restarted shortly before it or beside it.
 fn is_in_touch(seen: &Seen, excuses: &[Excuse]) -> bool {
-    !excuses.iter().any(|(daemon, at)| *daemon == seen.daemon && seen.at + UNDERWAY > *at)
+    let is_beside = |at: Instant| seen.at + UNDERWAY > at && seen.at < at + CONTACT;
+    !excuses.iter().any(|(daemon, at)| *daemon == seen.daemon && is_beside(*at))
 }
 
 /// Plays one cut; returns what was not as it must be.
@@ -266,6 +273,16 @@
     play_all(&BESIDE_RESTARTS, Beside::Restarts);
 }
 
+#[test]
+fn callers_are_served_where_most_instances_have_no_path_to_the_endpoints() {
+    play_all(&MOST, Beside::Nothing);
+}
+
+#[test]
+fn an_instance_that_starts_without_a_path_to_the_endpoints_serves() {
+    play_all(&BESIDE_START, Beside::Start);
+}
+
 #[test]
 fn a_cut_beside_a_leaving_endpoint_lets_nobody_down() {
     play_all(&BESIDE_RELEASE, Beside::Release);
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -288,6 +288,12 @@
         let _ = kill_process(pid, signal);
     }
 
+    /// Ends the process in a way and starts it again.
+    pub async fn restart_by(&mut self, signal: Signal) {
+        self.signal(signal);
+        self.restart().await;
+    }
+
     /// Waits for the process to end and starts it again; returns whether it ended well.
     pub async fn restart(&mut self) -> bool {
         let ended = loop {
