--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -19,6 +19,7 @@
 use oxbowbend_http::h1;
 use thiserror::Error;
 
+use super::handover::PeerResponse;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
 use super::stream::EndpointStream;
@@ -39,6 +40,8 @@
     Complete(Response<Bytes>),
     /// The head and body of a streamed response whose first event has arrived.
     Streaming(response::Parts, Box<EndpointStream>),
+    /// The response of a peer that serves the request.
+    FromPeer(Box<PeerResponse>),
 }
 
 /// Why an attempt produced no response.
@@ -258,18 +261,20 @@
         };
         log::warn!(
             "event=send_failed id={} fingerprint={:016x} endpoint={} load={load} after_ms={} \
-             blame={outcome:?} failure=\"{error}\"",
+             blame={outcome:?} framing={:?} failure=\"{error}\"",
             request.metadata.id,
             request.fingerprint,
             attempt.endpoint.id,
-            clock::since(attempt.started_at).as_millis()
+            clock::since(attempt.started_at).as_millis(),
+            attempt.framing
         );
         if matches!(error, AttemptError::NotSent(_)) {
             self.pool.forget(attempt.endpoint.address);
         }
         attempt.finish(outcome);
         if let Some(failure) = error.path_failure() {
-            self.shared.is_path_lost(&self.pool, attempt.endpoint.address, failure).await;
+            let address = attempt.endpoint.address;
+            self.shared.is_path_lost(&self.pool, &request.service, address, failure).await;
         }
         match &error {
             AttemptError::NoValidResponse(_) => {
@@ -320,7 +325,7 @@
         last_event_id: Option<u64>,
     ) -> Result<ResponseStart, AttemptError> {
         let response = self.send_request(request, attempt, last_event_id).await?;
-        self.shared.lock().isolation.record_response(clock::now());
+        self.shared.lock().path(&request.service).record_response(clock::now());
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
@@ -350,7 +355,7 @@
         // The client's connection has a version of its own. In that of an HTTP/1.0 endpoint the response
         // could not be sent in chunks, whose missing end shows an interruption.
         head.version = Version::HTTP_11;
-        let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(e.to_string());
+        let no_valid_response = |e: hyper::Error| AttemptError::NoValidResponse(with_source(&e));
         if request.route.stream && head.status.is_success() {
             let first_frame = match body.frame().await {
                 Some(frame) => Some(frame.map_err(no_valid_response)?),
@@ -393,7 +398,7 @@
         let address = attempt.endpoint.address;
         let mut conn = self.pool.get(address).await.map_err(AttemptError::NotSent)?;
         if !conn.is_reused() {
-            self.shared.lock().isolation.record_connect(clock::now());
+            self.shared.lock().path(&request.service).record_connect(clock::now());
         }
         // Responses that arrived while connecting may have carried new signals of the endpoint.
         if !self.shared.lock().cell.may_send(clock::now(), attempt.endpoint.key()) {
@@ -442,6 +447,14 @@
     Streaming(response::Parts, Option<hyper::body::Frame<Bytes>>, Incoming),
 }
 
+/// Describes an error with its cause, which tells a reset from an early end.
+pub(super) fn with_source(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 /// Returns whether a streamed response consists of events: unless it says otherwise.
 fn has_events(headers: &HeaderMap) -> bool {
     let content_type = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
@@ -449,7 +462,7 @@
 }
 
 /// Returns the path and query of `uri` without scheme and authority.
-fn path_only(uri: &Uri) -> Uri {
+pub(super) fn path_only(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
