--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -3,7 +3,7 @@
 //! A failed request looks the same whether its endpoint is down or this instance is partitioned from
 //! it. So a failure without recent proof of a working path leads to probes: connections to other
 //! endpoints of the service. The instance counts as isolated if none of them can be reached either,
-//! or if several endpoints in a row accept connections and respond to nothing. New connections are
+//! or if several endpoints accept connections and none of these gets a response. New connections are
 //! the evidence, since established ones may live on while new ones are refused.
 //!
 //! Probes are repeated while an instance is isolated, and it counts as connected again once all of a
@@ -93,6 +93,15 @@
     pub lasted: Duration,
 }
 
+/// The first failure at an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct FirstFailure {
+    at: Instant,
+    /// Whether its connection had never carried a response. Established connections prove nothing
+    /// about new ones.
+    is_new_connection: bool,
+}
+
 /// Detects the isolation of one instance from one service.
 ///
 /// # Examples
@@ -115,8 +124,8 @@
     round_finished_at: Option<Instant>,
     isolated_since: Option<Instant>,
     cause: Option<Cause>,
-    /// Endpoints that have failed since the last response on a new connection, and when first.
-    failures: BTreeMap<EndpointKey, Instant>,
+    /// Endpoints that have failed since the last response that proves otherwise.
+    failures: BTreeMap<EndpointKey, FirstFailure>,
     tried_at: Option<Instant>,
 }
 
@@ -129,6 +138,7 @@
     /// Records a response of an endpoint.
     pub fn record_response(&mut self, now: Instant) {
         self.responded_at = Some(now);
+        self.failures.retain(|_, failure| failure.is_new_connection);
     }
 
     /// Records a response on a new connection, which proves the path.
@@ -138,16 +148,19 @@
         self.is_isolated().then(|| self.change(now, None, ProbeRound::default()))
     }
 
-    /// Records a failure at one of the `endpoint_count` endpoints of the service.
+    /// Records a failure without any response at one of the `endpoint_count` endpoints of the
+    /// service, on a connection that had never carried one or on another.
     pub fn record_failure(
         &mut self,
         now: Instant,
         endpoint: EndpointKey,
         endpoint_count: usize,
+        is_new_connection: bool,
     ) -> Option<PathChange> {
-        self.failures.retain(|_, at| now.saturating_duration_since(*at) < FAILURE_WINDOW);
-        self.failures.entry(endpoint).or_insert(now);
-        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= MIN_FAILURE_TIME;
+        let age = |failure: &FirstFailure| now.saturating_duration_since(failure.at);
+        self.failures.retain(|_, failure| age(failure) < FAILURE_WINDOW);
+        self.failures.entry(endpoint).or_insert(FirstFailure { at: now, is_new_connection });
+        let is_old = |failure: &FirstFailure| age(failure) >= MIN_FAILURE_TIME;
         let is_in_doubt = endpoint_count > 1
             && self.failures.len() >= MIN_FAILED_ENDPOINTS.min(endpoint_count)
             && self.failures.values().any(is_old);
@@ -230,7 +243,10 @@
     /// Ends a round of probes. A round without results, for lack of endpoints, changes nothing.
     pub fn finish_round(&mut self, now: Instant, round: ProbeRound) -> Option<PathChange> {
         self.round_started_at = None;
-        self.round_finished_at = Some(now);
+        // A round without probes proves nothing.
+        if round != ProbeRound::default() {
+            self.round_finished_at = Some(now);
+        }
         if round.reached > 0 {
             self.connected_at = Some(now);
         }
@@ -245,6 +261,11 @@
             (Some(Cause::NoConnection), ProbeRound { reached: 1.., failed: 0 }) => {
                 Some(self.change(now, None, round))
             }
+            // Some endpoints may be down for good, so requests must show whether the path is back.
+            (Some(Cause::NoConnection), ProbeRound { reached: 1.., failed: 1.. }) => {
+                self.cause = Some(Cause::NoResponse);
+                None
+            }
             _ => None,
         }
     }
--- a/oxbowbend-core/tests/isolation.rs
+++ b/oxbowbend-core/tests/isolation.rs
@@ -109,7 +109,7 @@
     ] {
         let (start, mut detector) = (Instant::now(), IsolationDetector::default());
         for (endpoint, ms) in failures {
-            detector.record_failure(start + *ms * MS, *endpoint, endpoints);
+            detector.record_failure(start + *ms * MS, *endpoint, endpoints, false);
         }
         assert_eq!(detector.is_isolated(), is_isolated, "{endpoints} {failures:?}");
         if is_isolated {
@@ -129,9 +129,39 @@
 #[test]
 fn a_response_on_a_new_connection_clears_the_endpoints_that_failed() {
     let (start, mut detector) = (Instant::now(), IsolationDetector::default());
-    detector.record_failure(start, 1, 9);
-    detector.record_failure(start + 100 * MS, 2, 9);
+    detector.record_failure(start, 1, 9, true);
+    detector.record_failure(start + 100 * MS, 2, 9, true);
     detector.record_fresh_response(start + 150 * MS);
-    assert_eq!(detector.record_failure(start + 200 * MS, 3, 9), None);
+    assert_eq!(detector.record_failure(start + 200 * MS, 3, 9, true), None);
     assert!(!detector.is_isolated());
 }
+
+/// Endpoints fail one after the other while the rest respond on connections that are kept.
+#[test]
+fn endpoints_that_fail_while_others_respond_are_no_lost_path() {
+    // Whether the failures were on new connections, whether the path is lost.
+    for (is_new_connection, is_isolated) in [(false, false), (true, true)] {
+        let (start, mut detector) = (Instant::now(), IsolationDetector::default());
+        for ms in 0..400 {
+            detector.record_response(start + ms * MS);
+            if matches!(ms, 50 | 130 | 210) {
+                detector.record_failure(start + ms * MS, ms, 9, is_new_connection);
+            }
+        }
+        assert_eq!(detector.is_isolated(), is_isolated, "{is_new_connection}");
+    }
+}
+
+/// One of the endpoints that are probed stays down.
+#[test]
+fn requests_find_the_path_again_where_probes_cannot() {
+    let (now, mut detector) = (Instant::now(), IsolationDetector::default());
+    detector.start_round(now);
+    detector.finish_round(now, NONE);
+    assert!(!detector.start_trial(now + 400 * MS, true), "no endpoint accepts connections");
+    detector.start_round(now + 400 * MS);
+    detector.finish_round(now + 400 * MS, PART);
+    assert!(detector.start_trial(now + 401 * MS, true));
+    let change = detector.record_fresh_response(now + 410 * MS);
+    assert_eq!(change.map(|c| c.is_isolated), Some(false));
+}
--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -32,7 +32,7 @@
         endpoint: &Endpoint,
         failure: PathFailure,
     ) -> bool {
-        let verdict = self.record_failure(service, endpoint, failure);
+        let verdict = self.lock().path(service).verdict(clock::now(), failure);
         match verdict {
             PathVerdict::Connected => return false,
             PathVerdict::Isolated => return true,
@@ -49,21 +49,19 @@
         self.lock().path(service).is_isolated()
     }
 
-    fn record_failure(
+    /// Records that a request was sent to an endpoint and got no response at all.
+    pub(crate) fn record_no_response(
         &self,
         service: &ServiceId,
         endpoint: &Endpoint,
-        failure: PathFailure,
-    ) -> PathVerdict {
+        is_new_connection: bool,
+    ) {
         let (now, mut state) = (clock::now(), self.lock());
         let of_service = state.world.endpoints().filter(|e| e.service == *service);
-        let count = of_service.count();
-        let path = state.path(service);
-        let change = path.record_failure(now, endpoint.key(), count);
-        let verdict = path.verdict(now, failure);
+        let (count, key) = (of_service.count(), endpoint.key());
+        let change = state.path(service).record_failure(now, key, count, is_new_connection);
         drop(state);
         self.report_change(service, change);
-        verdict
     }
 
     /// Records a response on a new connection.
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::header::HeaderValue;
 use http::{response, Request, Response, StatusCode};
-use http_body_util::Either;
+use http_body_util::{BodyExt, Either, Limited};
 use hyper::body::{Body as _, Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::handover::{ChosenPeer, Criteria, MAX_PEERS_TRIED};
@@ -33,6 +33,9 @@
 pub(super) const HANDOVER: &str = "oxbowbend-handover";
 pub(super) const REJECTED: HeaderValue = HeaderValue::from_static("rejected");
 
+/// Longest body that is read before a request is rejected.
+const MAX_REJECTED_BODY_BYTES: usize = 4 << 20;
+
 /// A response that a peer is sending.
 pub(crate) struct PeerResponse {
     pub(crate) head: response::Parts,
@@ -96,15 +99,15 @@
     pub(super) async fn hand_over(
         &self,
         request: &AdmittedRequest,
-        history: &AttemptHistory,
+        history: &mut AttemptHistory,
     ) -> Option<Result<AttemptResponse, Refusal>> {
-        if request.origin == Origin::Peer {
-            return self.is_isolated(request).then_some(Err(Refusal::NoPath));
-        }
         let is_repeatable = request.is_retryable();
         if self.shared.lock().path(&request.service).start_trial(clock::now(), is_repeatable) {
             return None;
         }
+        if request.origin == Origin::Peer {
+            return self.is_isolated(request).then(|| history.final_result(Refusal::NoPath));
+        }
         let mut excluded = Vec::new();
         while excluded.len() < MAX_PEERS_TRIED {
             let (peer, isolated_for) = self.choose_peer(request, &excluded)?;
@@ -121,7 +124,15 @@
                 Offer::NotAccepted(reason) => reason,
                 Offer::Unknown(refusal) => {
                     observe::handed_over("unknown");
-                    return Some(Err(refusal));
+                    history.possibly_executed += 1;
+                    let can_retry = refusal == Refusal::Failed
+                        && request.is_retryable()
+                        && history.possibly_executed < request.route.max_attempts
+                        && self.acquire_retry(request, "handover");
+                    if !can_retry {
+                        return Some(history.final_result(refusal));
+                    }
+                    "broken"
                 }
             };
             observe::handed_over(result);
@@ -173,7 +184,7 @@
             Err(_) => return Offer::Unknown(Refusal::TimedOut),
         };
         let (head, body) = response.into_parts();
-        if head.headers.contains_key(HANDOVER) {
+        if head.headers.get(HANDOVER) == Some(&REJECTED) {
             return Offer::NotAccepted("rejected");
         }
         let pool = self.pool.clone();
@@ -234,6 +245,8 @@
                 self.serve_from(req, Origin::Peer).await
             }
             Err(reason) => {
+                // A response before the end of the body could be lost to a reset.
+                let _ = Limited::new(req.into_body(), MAX_REJECTED_BODY_BYTES).collect().await;
                 observe::handover_received(reason);
                 log::warn!("event=handover_rejected from={sender:?} why={reason}");
                 rejection(reason).map(Either::Left)
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -121,7 +121,8 @@
                 }
                 refusal.log(&request.metadata.id, &request.route.name, arrived_at);
                 observe::answered(&request.route.name, refusal.outcome(), clock::since(arrived_at));
-                let is_rejected = refusal == Refusal::NoPath;
+                let is_rejected = origin == Origin::Peer
+                    && matches!(refusal, Refusal::NoPath | Refusal::Stopping);
                 let mut response = refusal.into_response();
                 if is_rejected {
                     response.headers_mut().insert(HANDOVER, REJECTED);
@@ -138,7 +139,7 @@
     ) -> Result<AttemptResponse, Refusal> {
         let mut history = AttemptHistory::default();
         loop {
-            if let Some(result) = self.hand_over(request, &history).await {
+            if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
             }
             let slot = match self
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -19,7 +19,7 @@
 use oxbowbend_http::h1;
 use thiserror::Error;
 
-use super::handover::PeerResponse;
+use super::handover::{PeerResponse, HANDOVER};
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
 use super::stream::EndpointStream;
@@ -97,9 +97,12 @@
     }
 
     /// Returns how the path to the endpoint may have failed, if it may.
-    fn path_failure(&self) -> Option<PathFailure> {
+    fn path_failure(&self, progress: Progress) -> Option<PathFailure> {
         match self {
             AttemptError::NotSent(_) => Some(PathFailure::Connect),
+            AttemptError::Unresponsive if progress == Progress::Connecting => {
+                Some(PathFailure::Connect)
+            }
             AttemptError::NoValidResponse(_) => Some(PathFailure::Broken),
             AttemptError::Unresponsive => Some(PathFailure::Unresponsive),
             _ => None,
@@ -119,6 +122,14 @@
     }
 }
 
+/// How far an attempt has got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    Connecting,
+    Sent { is_new_connection: bool },
+    HeadArrived,
+}
+
 /// A request being executed by an endpoint. Dropping it closes the connection, which cancels the
 /// execution.
 pub(crate) struct Attempt {
@@ -135,6 +146,7 @@
     max_event_gap: Duration,
     last_event_at: Instant,
     event_count: u32,
+    progress: Progress,
     /// What marks the end of the response; [`h1::Framing::Bodyless`] until its head has arrived.
     pub(crate) framing: h1::Framing,
     route: Arc<Route>,
@@ -157,6 +169,7 @@
             max_event_gap: Duration::ZERO,
             last_event_at: clock::now(),
             event_count: 0,
+            progress: Progress::Connecting,
             framing: h1::Framing::Bodyless,
             route: request.route.clone(),
             is_finished: false,
@@ -249,9 +262,14 @@
             }
             Err(error) => error,
         };
-        let is_path_lost = match error.path_failure() {
+        let failure = error.path_failure(attempt.progress);
+        let is_path_lost = match failure {
             Some(failure) => {
                 let (pool, service) = (&self.pool, &request.service);
+                if let Progress::Sent { is_new_connection } = attempt.progress {
+                    let endpoint = &attempt.endpoint;
+                    self.shared.record_no_response(service, endpoint, is_new_connection);
+                }
                 self.shared.is_path_lost(pool, service, &attempt.endpoint, failure).await
             }
             None => false,
@@ -281,7 +299,7 @@
         }
         attempt.finish(outcome);
         match &error {
-            _ if is_path_lost => {}
+            AttemptError::NotSent(_) if is_path_lost => {}
             AttemptError::NoValidResponse(_) => {
                 self.check_for_crash(request, &attempt.endpoint, true).await
             }
@@ -337,10 +355,11 @@
         last_event_id: Option<u64>,
     ) -> Result<ResponseStart, AttemptError> {
         let response = self.send_request(request, attempt, last_event_id).await?;
-        match attempt.conn.as_ref().is_some_and(|conn| !conn.is_reused()) {
-            true => self.shared.record_fresh_response(&request.service),
-            false => self.shared.lock().path(&request.service).record_response(clock::now()),
+        if attempt.progress == (Progress::Sent { is_new_connection: true }) {
+            self.shared.record_fresh_response(&request.service);
         }
+        self.shared.lock().path(&request.service).record_response(clock::now());
+        attempt.progress = Progress::HeadArrived;
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
@@ -367,6 +386,7 @@
         }
         attempt.framing = h1::Framing::of(&request.method, head.status, &head.headers);
         self.wire.back(&mut head.headers);
+        head.headers.remove(HANDOVER);
         // The client's connection has a version of its own. In that of an HTTP/1.0 endpoint the response
         // could not be sent in chunks, whose missing end shows an interruption.
         head.version = Version::HTTP_11;
@@ -427,12 +447,14 @@
             return Err(AttemptError::NotAccepting);
         }
         let is_trial = self.check_send_permission(request)?;
+        attempt.progress = Progress::Sent { is_new_connection: !conn.has_answered() };
         let mut result = conn.send(self.build_request(request, attempt, last_event_id)).await;
         if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
             conn = self.pool.connect(address).await.map_err(AttemptError::NotSent)?;
             if !is_trial {
                 self.check_send_permission(request)?;
             }
+            attempt.progress = Progress::Sent { is_new_connection: true };
             result = conn.send(self.build_request(request, attempt, last_event_id)).await;
         }
         attempt.conn = Some(conn);
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -183,13 +183,13 @@
         };
         let outcome = if is_path_lost { Outcome::Neutral } else { Outcome::Bad };
         self.abandon_attempt(&reason, outcome);
+        if let Some(endpoint) = endpoint {
+            self.relay.check_for_crash(&self.request, &endpoint, false).await;
+        }
         if is_path_lost {
             // The client resumes it through an instance that reaches endpoints.
             return false;
         }
-        if let Some(endpoint) = endpoint {
-            self.relay.check_for_crash(&self.request, &endpoint, false).await;
-        }
         self.events.discard_partial();
         let mut unexecuted = 0;
         while is_resumable
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -87,6 +87,7 @@
     idle_for: Duration,
     idle_since: Instant,
     is_reused: bool,
+    has_answered: bool,
     /// Whether the answer came before the whole request was sent.
     is_early: bool,
 }
@@ -114,6 +115,11 @@
         self.is_reused
     }
 
+    /// Whether an answer has come on the connection, which shows that it leads to the endpoint.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -128,6 +134,7 @@
             Ok(answer) => {
                 self.is_early = !is_out.load(Ordering::SeqCst);
                 self.note_idle_time(&answer);
+                self.has_answered = true;
                 Ok(answer)
             }
             Err(mut e) if e.message().is_some() => {
@@ -236,6 +243,7 @@
             idle_for,
             idle_since,
             is_reused: false,
+            has_answered: false,
             is_early: false,
         })
     }
