Count a request where it is served, not also where it came in

What callers could see: accounts well below their quota refused (429) while others' instances were cut off. Change: quota and retry budget are counted after the hand-over was tried, at the instance that sends to endpoints. event=admitted comes with it; a request that a peer serves has event=handed_over instead.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -1,6 +1,7 @@
 //! Admission: reading the body, matching a route, authenticating the client account, and checking
 //! the quarantine and the quota.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use http::{request, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use oxbowbend_clock as clock;
 use oxbowbend_core::cell::PrefillStall;
 use oxbowbend_core::fingerprint::{fingerprint, Fingerprint};
 use oxbowbend_core::routes::{Account, Route, RoutingTable};
@@ -111,34 +113,11 @@
         if let Some(remaining) = state.quarantine.blocked_for(arrived_at, fingerprint) {
             return Err(Refusal::Quarantined { fingerprint, retry_after: remaining });
         }
-        let admitted = match account {
-            Some(account) => {
-                state.admission.admit(arrived_at, &account.name, quota_units, route.tier)
-            }
-            None => Ok(()),
-        };
-        admitted.map_err(|exceeded| {
-            let account = account.map(|a| a.name.clone()).unwrap_or_default();
-            Refusal::OverQuota { account, exceeded, quota_units }
-        })?;
-        state.repeats.record_request(arrived_at, &service);
         let age = state.ages.estimate(&route.name, metadata.patience, route.timeout);
         drop(state);
         let timeout = metadata.patience.unwrap_or(Duration::MAX).min(route.timeout);
         let tier = account.and_then(|a| a.tier).map_or(0, u16::from);
         let rank = tier * ROUTE_TIERS + u16::from(route.tier);
-        log::info!(
-            "event=admitted id={} fingerprint={fingerprint:016x} route={} service={service} account={} \
-             version={} units={quota_units} prompt={} output={} patience_ms={} age_ms={} rank={rank}",
-            metadata.id,
-            route.name,
-            account.map_or("-", |a| &a.name),
-            table.version(),
-            metadata.prompt,
-            metadata.output.map_or(-1, i64::from),
-            timeout.as_millis(),
-            age.as_millis()
-        );
         let tokens_per_event = table.service(&service).map_or(0, |s| s.tokens_per_event);
         let prefill_stall = PrefillStall {
             chunk_tokens: metadata
@@ -163,8 +142,48 @@
             route,
             metadata,
             origin: Origin::Client,
+            config_version: table.version(),
+            is_counted: AtomicBool::new(false),
         })
     }
+
+    /// Counts a request that this instance serves itself: in its account's quota and in the retry
+    /// budget. One that a peer serves is counted there, since what others have been told of a
+    /// quota cannot be taken back.
+    pub(super) fn count(&self, request: &AdmittedRequest) -> Result<(), Refusal> {
+        if request.is_counted.swap(true, Ordering::SeqCst) {
+            return Ok(());
+        }
+        let (now, mut state) = (clock::now(), self.shared.lock());
+        if let Some(account) = &request.account {
+            let (units, tier) = (request.quota_units, request.route.tier);
+            let admitted = state.admission.admit(now, account, units, tier);
+            if let Err(exceeded) = admitted {
+                request.is_counted.store(false, Ordering::SeqCst);
+                let account = account.clone();
+                return Err(Refusal::OverQuota { account, exceeded, quota_units: units });
+            }
+        }
+        state.repeats.record_request(now, &request.service);
+        drop(state);
+        log::info!(
+            "event=admitted id={} fingerprint={:016x} route={} service={} account={} version={} \
+             units={} prompt={} output={} patience_ms={} age_ms={} rank={}",
+            request.metadata.id,
+            request.fingerprint,
+            request.route.name,
+            request.service,
+            request.account.as_deref().unwrap_or("-"),
+            request.config_version,
+            request.quota_units,
+            request.metadata.prompt,
+            request.metadata.output.map_or(-1, i64::from),
+            request.deadline.duration_since(request.arrived_at).as_millis(),
+            request.age.as_millis(),
+            request.rank
+        );
+        Ok(())
+    }
 }
 
 fn authenticate<'a>(
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -5,6 +5,7 @@
 //! is then offered to another one. Only instances whose reports arrive at the peer may send any.
 
 use std::pin::Pin;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -221,9 +222,10 @@
             status.as_u16(),
             clock::since(request.arrived_at).as_millis()
         );
-        self.refund_quota(request);
-        let now = clock::now();
-        self.shared.lock().repeats.forget_request(now, &request.service);
+        if request.is_counted.load(Ordering::SeqCst) {
+            self.refund_quota(request);
+            self.shared.lock().repeats.forget_request(clock::now(), &request.service);
+        }
         // The peer speaks for its own attempts only.
         if history.possibly_executed > 0 && claims_not_executed(status) {
             return Err(Refusal::Failed);
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod run;
 mod stream;
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -142,6 +143,9 @@
             if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
             }
+            if let Err(refusal) = self.count(request) {
+                return history.final_result(refusal);
+            }
             let slot = match self
                 .get_slot(request, &history)
                 .await
@@ -327,6 +331,9 @@
     }
 
     fn refund_quota(&self, request: &AdmittedRequest) {
+        if !request.is_counted.swap(false, Ordering::SeqCst) {
+            return;
+        }
         if let Some(account) = &request.account {
             self.shared.lock().admission.refund(account, request.quota_units);
         }
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -1,5 +1,6 @@
 //! Admitted requests.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,10 @@
     pub(crate) service: ServiceId,
     pub(crate) account: Option<AccountId>,
     pub(crate) quota_units: u64,
+    /// Version of the configuration that the request was admitted by.
+    pub(crate) config_version: u64,
+    /// Whether the request counts in its account's quota and the retry budget of this instance.
+    pub(crate) is_counted: AtomicBool,
     pub(crate) rank: u16,
     pub(crate) prefill_stall: PrefillStall,
     /// Estimated time since the client first sent the request, counting attempts that were refused.
