--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -57,8 +57,12 @@
         is_new_connection: bool,
     ) {
         let (now, mut state) = (clock::now(), self.lock());
-        let of_service = state.world.endpoints().filter(|e| e.service == *service);
-        let (count, key) = (of_service.count(), endpoint.key());
+        // Requests go to the endpoints of this cell only.
+        let is_of_service = |e: &&Endpoint| {
+            state.world.endpoint(&e.id).is_some_and(|listed| listed.service == *service)
+        };
+        let count = state.group.endpoints.iter().filter(is_of_service).count();
+        let key = endpoint.key();
         let change = state.path(service).record_failure(now, key, count, is_new_connection);
         drop(state);
         self.report_change(service, change);
