--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! running count, so cancellation needs no separate signal.
 
 mod admit;
+mod attempt;
 mod events;
 mod handover;
 mod quarantine;
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -12,9 +12,10 @@
 use oxbowbend_core::isolation::PathFailure;
 use thiserror::Error;
 
+use super::attempt::{log_response, Attempt};
 use super::events::EventSplitter;
 use super::request::AdmittedRequest;
-use super::run::{log_response, with_source, Attempt, AttemptError, AttemptResponse};
+use super::run::{with_source, AttemptError, AttemptResponse};
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
 use crate::seam::Wire;
 
