Log the version of an endpoint's software, and which streams are taken up

No line named a version, and a stream that a client takes up looked like a new one: the hypotheses of the incident could not be told apart after 20 s of logs. `placed`, `stream_broken` and `stream_resumed` name the version of the software, `admitted` the last event and the attempt that `Resumes` names.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -168,7 +168,7 @@
         drop(state);
         log::info!(
             "event=admitted id={} fingerprint={:016x} route={} service={} account={} version={} \
-             units={} prompt={} output={} patience_ms={} age_ms={} rank={}",
+             units={} prompt={} output={} patience_ms={} age_ms={} rank={} after={} resumes={}",
             request.metadata.id,
             request.fingerprint,
             request.route.name,
@@ -180,7 +180,9 @@
             request.metadata.output.map_or(-1, i64::from),
             request.deadline.duration_since(request.arrived_at).as_millis(),
             request.age.as_millis(),
-            request.rank
+            request.rank,
+            request.metadata.after.map_or(-1, |id| id as i64),
+            request.metadata.resumes.as_deref().unwrap_or("-")
         );
         Ok(())
     }
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -276,7 +276,7 @@
         observe::placed(&request.route.name, waited, assignment.throttled_endpoints > 0);
         log::info!(
             "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
-             waited_ms={} withheld={}",
+             waited_ms={} withheld={} software={}",
             request.metadata.id,
             assignment.endpoint.id,
             assignment.load,
@@ -284,7 +284,8 @@
             assignment.backlog_tokens,
             assignment.expected_first_event.as_millis(),
             waited.as_millis(),
-            assignment.throttled_endpoints
+            assignment.throttled_endpoints,
+            assignment.endpoint.version
         );
         Ok(assignment)
     }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -158,13 +158,14 @@
         let Some(mut stream) = self.stream.take() else { return };
         log::warn!(
             "event=stream_broken id={} fingerprint={:016x} endpoint={} last_event={:?} bytes={} blame={outcome:?} \
-             framing={:?} why=\"{reason}\"",
+             framing={:?} software={} why=\"{reason}\"",
             self.request.metadata.id,
             self.request.fingerprint,
             stream.attempt.endpoint.id,
             self.events.last_id(),
             self.bytes_sent,
-            stream.attempt.framing
+            stream.attempt.framing,
+            stream.attempt.endpoint.version
         );
         self.excluded_endpoints.push(stream.attempt.endpoint.id.clone());
         stream.attempt.finish(outcome);
@@ -173,6 +174,7 @@
     /// Resumes an interrupted stream at another endpoint if the route and the retry budget allow it.
     async fn resume(&mut self, reason: String) -> bool {
         let endpoint = self.stream.as_ref().map(|s| s.attempt.endpoint.clone());
+        let software_before = endpoint.as_ref().map_or_else(|| "".into(), |e| e.version.clone());
         let is_resumable = self.is_resumable();
         let is_path_lost = match &endpoint {
             Some(endpoint) => {
@@ -210,9 +212,12 @@
                 Ok(AttemptResponse::Streaming(_, stream)) if stream.has_events => {
                     self.send_count += 1;
                     log::info!(
-                        "event=stream_resumed id={} endpoint={endpoint} after={:?}",
+                        "event=stream_resumed id={} endpoint={endpoint} after={:?} software={} \
+                         software_before={}",
                         self.request.metadata.id,
-                        self.events.last_id()
+                        self.events.last_id(),
+                        stream.attempt.endpoint.version,
+                        software_before
                     );
                     self.stream = Some(stream);
                     return true;
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -62,6 +62,9 @@
     pub output: Option<u32>,
     /// Last event that the caller has, if it continues a stream.
     pub after: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller continues, if it
+    /// tells that.
+    pub resumes: Option<String>,
 }
 
 /// What a request is given on its way to an endpoint.
