Failing tests: streams hold events of two versions of an endpoint's software

Endpoints of the soak have versions that their events name: two of two endpoints, one of one, in no order. Callers take broken streams up with Resumes, at another instance.

--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -22,6 +22,8 @@
 pub const EVENTS: u64 = 12;
 /// Events of a stream whose caller is to leave before its end.
 pub const LONG: u64 = 400;
+/// Events of a stream whose caller takes it up again when it breaks off.
+pub const TAKEN_EVENTS: u64 = 60;
 /// Time between two events.
 const PAUSE: Duration = Duration::from_millis(15);
 /// Time that a plain request takes.
@@ -33,6 +35,9 @@
 /// Beginning of the ids of requests whose callers leave.
 pub const LEAVES: &str = "leaves-";
 
+/// Beginning of the ids of requests whose callers take their streams up again.
+const TAKEN: &str = "taken-";
+
 /// Beginning of the bodies of requests that end the endpoints that run them.
 pub const ENDS: &str = "ends ";
 /// Time for which an endpoint runs such a request before it ends.
@@ -92,6 +97,8 @@
     pub id: String,
     mode: Arc<Mutex<Mode>>,
     says: Arc<Mutex<Says>>,
+    /// Version of its software, which its events say if there is one.
+    software: Arc<Mutex<Option<&'static str>>>,
     runs: Runs,
     exchanges: Exchanges,
     pub room: Room,
@@ -114,6 +121,7 @@
             id: id.to_owned(),
             mode,
             says: Arc::default(),
+            software: Arc::default(),
             runs,
             exchanges,
             room: Room::default(),
@@ -132,6 +140,11 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// Its events say from now on which software writes them.
+    pub fn set_software(&self, software: &'static str) {
+        *self.software.lock().unwrap() = Some(software);
+    }
+
     /// What it says of itself from now on.
     pub fn set_says(&self, says: Says) {
         if self.says.lock().unwrap().brittle != says.brittle {
@@ -236,22 +249,16 @@
         }
         if head.uri.path().starts_with("/stream") && mode == Mode::PlainCut {
             let plain = [sealed[0], sealed[1], ("content-type", "text/plain")];
-            let body = StreamBody::new(events(id.clone(), 0, mode, self.runs.clone(), place));
+            let stream = Run { id: id.clone(), after: 0, mode, software: None };
+            let body = StreamBody::new(events(stream, self.runs.clone(), place));
             return reply(200, &plain, Either::Right(body));
         }
         if head.uri.path().starts_with("/stream") {
             let after = text("last-event-id").parse().unwrap_or(0);
-            return reply(
-                200,
-                &sealed,
-                Either::Right(StreamBody::new(events(
-                    id.clone(),
-                    after,
-                    mode,
-                    self.runs.clone(),
-                    place,
-                ))),
-            );
+            let software = *self.software.lock().unwrap();
+            let stream = Run { id: id.clone(), after, mode, software };
+            let body = StreamBody::new(events(stream, self.runs.clone(), place));
+            return reply(200, &sealed, Either::Right(body));
         }
         let work = *self.work.lock().unwrap();
         task::sleep(work).await;
@@ -259,17 +266,43 @@
     }
 }
 
-fn events(
+/// A stream that an endpoint makes.
+struct Run {
     id: String,
     after: u64,
     mode: Mode,
+    software: Option<&'static str>,
+}
+
+impl Run {
+    fn length(&self) -> u64 {
+        match &self.id {
+            id if id.starts_with(LEAVES) => LONG,
+            id if id.starts_with(TAKEN) => TAKEN_EVENTS,
+            _ => EVENTS,
+        }
+    }
+
+    fn event(&self, n: u64) -> String {
+        let (id, by) = (&self.id, self.software.map_or_else(String::new, |s| format!(" {s}")));
+        let event = format!("id: {n}\ndata: {id}{by}\n\n");
+        if self.mode == Mode::CrLf {
+            event.replace('\n', "\r\n")
+        } else {
+            event
+        }
+    }
+}
+
+fn events(
+    run: Run,
     runs: Runs,
     place: Place,
 ) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
-    let all = if id.starts_with(LEAVES) { LONG } else { EVENTS };
+    let (mode, after, all, run) = (run.mode, run.after, run.length(), Arc::new(run));
     Box::pin(
         stream::unfold(after + 1, move |n| {
-            let (id, runs) = (id.clone(), runs.clone());
+            let (run, runs) = (run.clone(), runs.clone());
             // The place is in use until the stream ends or is dropped.
             let _ = &place;
             async move {
@@ -277,9 +310,8 @@
                     return None;
                 }
                 task::sleep(PAUSE).await;
-                runs.lock().unwrap().made.insert(id.clone(), n);
-                let event = format!("id: {n}\ndata: {id}\n\n");
-                let event = if mode == Mode::CrLf { event.replace('\n', "\r\n") } else { event };
+                runs.lock().unwrap().made.insert(run.id.clone(), n);
+                let event = run.event(n);
                 if let (Some(at), true) = (mode.cut(), n == EVENTS / 2) {
                     let half = Bytes::copy_from_slice(&event.as_bytes()[..at]);
                     return Some((Ok(Frame::data(half)), all + 1));
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -166,6 +166,13 @@
         self.store.put(&format!("servers/{}", self.endpoints[n].id), &entry);
     }
 
+    /// Sets the version of an endpoint's software, in its entry and in its events.
+    pub fn set_software(&mut self, n: usize, software: &'static str) {
+        self.versions[n] = software;
+        self.endpoints[n].set_software(software);
+        self.enter(n);
+    }
+
     /// Leaves entries of other writers among the endpoints.
     fn enter_others(&self) {
         let address = self.addresses[0].to_string();
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -30,7 +30,9 @@
 mod signals;
 mod starts;
 mod store;
+mod taken_up;
 mod unframed;
+mod versions;
 
 use std::time::Duration;
 
