A stream that breaks goes on at the version that began it, within one answer

What callers saw: streams that held events of two versions of an endpoint's software, in one answer. Cause: after a break the relay asked for a slot at any endpoint of the service but those that had failed; a version was only a label. Ruled out: a roll-out (none was ordered), and that the endpoints' entries were wrong (each change agrees with the operators' log).

A request may now need a version: the cell's assignment skips endpoints of others, for this instance's requests and for those that peers report, and an endpoint of another cell is used where its own cell has none of that version. A resumed stream needs the version that wrote its events; a head without an event binds it to nothing. Where no endpoint of the version is left, the caller's connection breaks off, as it does without resumption.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -11,7 +11,7 @@
 use super::brittle::Admission;
 use super::gate::Allowances;
 use super::{Cell, PrefillStall, QueuedRequest, Ticket, FIXED_WORK_UNITS, WAITING_TTL};
-use crate::ids::{EndpointId, EndpointKey, ServiceId, ZoneId};
+use crate::ids::{EndpointId, EndpointKey, ServiceId, VersionId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Relative slowdown of the first event at a fully loaded endpoint, since larger batches run
@@ -132,6 +132,7 @@
     output_tokens: u32,
     stall: PrefillStall,
     avoid: &'a [EndpointId],
+    version: Option<&'a VersionId>,
 }
 
 impl Candidate<'_> {
@@ -283,6 +284,7 @@
             output_tokens: want.output_tokens,
             stall: want.stall,
             avoid: &want.excluded_endpoints,
+            version: want.version.as_ref(),
         });
         let reported = self.peers.values().filter(|p| p.is_live(now, WAITING_TTL)).flat_map(|p| {
             let instance_hash = xxh3_64(p.report.instance.as_bytes());
@@ -309,6 +311,7 @@
                     output_tokens: claim.output_tokens,
                     stall: claim.stall,
                     avoid: &[],
+                    version: claim.version.as_ref(),
                 })
             })
         });
@@ -421,6 +424,7 @@
     let fits = |t: &Target<'_>| {
         t.endpoint.service == *candidate.service
             && !candidate.avoid.contains(&t.endpoint.id)
+            && candidate.version.is_none_or(|version| t.endpoint.version == *version)
             && t.admits(candidate)
     };
     let can_meet_deadline =
--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -250,6 +250,14 @@
         !self.draining.contains(endpoint) && self.backoffs.remaining(now, endpoint).is_none()
     }
 
+    /// Whether a request may be sent to an endpoint of another cell: only if the endpoint has no
+    /// limit, since that is shared out among the instances of its own cell.
+    pub fn may_send_beyond(&self, now: Instant, endpoint: EndpointKey) -> bool {
+        self.may_send(now, endpoint)
+            && self.brittle.is_empty()
+            && !self.limits.limited_endpoints().contains(&endpoint)
+    }
+
     /// Drops signals of endpoints that are no longer listed, and backoffs that have ended.
     pub(super) fn prune_endpoint_signals(&mut self, now: Instant) {
         let (sites, listed) = (&self.endpoints, &self.listed_endpoints);
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -47,7 +47,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{EndpointId, EndpointKey, InstanceId, ServiceId, ZoneId};
+use crate::ids::{EndpointId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId};
 use crate::routes::Endpoint;
 
 /// Age of a report after which its waiting requests are ignored.
@@ -89,6 +89,9 @@
     pub objective: Duration,
     /// Endpoints that the request was already sent to.
     pub excluded_endpoints: Vec<EndpointId>,
+    /// Software version that must execute the request, since it goes on with a stream of that
+    /// version; any if `None`.
+    pub version: Option<VersionId>,
 }
 
 /// How long the prefill of a request stalls streams on the same endpoint, and how long a stall they
@@ -305,6 +308,7 @@
             prompt_tokens: w.prompt_tokens,
             output_tokens: w.output_tokens,
             stall: w.stall,
+            version: w.version.clone(),
         });
         let mut report = Report {
             instance: self.local_id.clone(),
@@ -353,6 +357,16 @@
         self.endpoints.iter().any(is_open)
     }
 
+    /// Whether the cell has an endpoint of `service` with a software version that accepts requests.
+    pub fn serves_version(&self, service: &ServiceId, version: &VersionId) -> bool {
+        let is_open = |(key, s): (&EndpointKey, &EndpointState)| {
+            s.endpoint.service == *service
+                && s.endpoint.version == *version
+                && !self.is_draining(*key, s)
+        };
+        self.endpoints.iter().any(is_open)
+    }
+
     /// Removes a request from the queue. Returns `false` if it was already placed.
     pub fn dequeue(&mut self, ticket: Ticket) -> bool {
         self.waiting.remove(&ticket).is_some()
--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{AccountId, EndpointKey, InstanceId, ServiceId, ZoneId};
+use crate::ids::{AccountId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId};
 use crate::quarantine::QuarantineUpdate;
 use crate::quota::{RecentUsage, WindowUsage};
 use crate::rollout::responses::ResponseCounterKey;
@@ -247,6 +247,9 @@
     /// How its prefill stalls concurrent streams.
     #[serde(rename = "h")]
     pub stall: super::PrefillStall,
+    /// Software version that must execute the request; any if `None`.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<VersionId>,
 }
 
 fn is_zero_epoch(n: &u64) -> bool {
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod shutdown;
 pub mod silence;
 pub mod speed;
+pub mod streams;
 pub mod subscription;
 pub mod token_bucket;
 pub mod topology;
--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -260,6 +260,12 @@
         routes.map(|route| route.timeout).max().unwrap_or(Duration::ZERO)
     }
 
+    /// Returns the longest timeout of the routes whose streams may be resumed.
+    pub fn max_resumable_timeout(&self) -> Duration {
+        let routes = self.routes_by_host.values().flatten().filter(|route| route.resumable);
+        routes.map(|route| route.timeout).max().unwrap_or(Duration::ZERO)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes_by_host.values().map(Vec::len).sum()
--- a/oxbowbend-core/tests/cells/mod.rs
+++ b/oxbowbend-core/tests/cells/mod.rs
@@ -45,6 +45,7 @@
         arrived_at: arrived,
         objective: 500 * MS,
         excluded_endpoints: Vec::new(),
+        version: None,
     }
 }
 
--- a/oxbowbend-core/tests/shedding.rs
+++ b/oxbowbend-core/tests/shedding.rs
@@ -37,6 +37,7 @@
         arrived_at: arrived,
         objective: OBJECTIVE,
         excluded_endpoints: Vec::new(),
+        version: None,
     }
 }
 
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -37,5 +37,6 @@
 mod shared;
 mod signals;
 mod stop;
+mod streams;
 mod waiting;
 mod watches;
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -26,12 +26,15 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome, QueuedRequest, RetryPolicy};
 use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::shutdown::Shutdown;
+use oxbowbend_core::streams::StreamOrigin;
 use oxbowbend_http::h1;
 
 use crate::observe;
 use crate::seam::Wire;
 use crate::shared::Shared;
+use crate::streams::shown;
 use handover::{PeerBody, PeerResponse, HANDOVER, REJECTED};
 use refusal::Refusal;
 use request::AdmittedRequest;
@@ -71,6 +74,8 @@
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
     excluded_endpoints: Vec<EndpointId>,
+    /// Where the stream began that the request goes on with.
+    bound_to: Option<StreamOrigin>,
     unexecuted: u32,
     possibly_executed: u32,
     /// A server error returned by an endpoint, preferred over an error of the gateway.
@@ -245,8 +250,18 @@
         // During a shutdown, stop waiting early enough to report that the request was not executed.
         let shutdown = self.shared.lock().shutdown;
         let queue_timeout = shutdown.map_or(queue_timeout, |s| s.cap_wait(now, queue_timeout));
-        let service =
-            self.shared.lock().deal(&request.service, history.excluded_endpoints.is_empty());
+        let service = match &history.bound_to {
+            None => {
+                self.shared.lock().deal(&request.service, history.excluded_endpoints.is_empty())
+            }
+            Some(origin) => {
+                let service = self.shared.lock().service_of_version(origin);
+                let Some(service) = service else {
+                    return self.slot_of_other_cell(request, history, origin);
+                };
+                service
+            }
+        };
         // No endpoint accepts requests before the queue timeout.
         if self
             .shared
@@ -266,6 +281,7 @@
             arrived_at: request.arrived_at,
             objective: request.route.objective.saturating_sub(request.age),
             excluded_endpoints: history.excluded_endpoints.clone(),
+            version: history.bound_to.as_ref().map(|origin| origin.version.clone()),
         });
         if waiting.should_shed() {
             return Err(self.busy_refusal(request, true));
@@ -273,20 +289,32 @@
         let assignment =
             waiting.place(queue_timeout).await.ok_or_else(|| self.busy_refusal(request, false))?;
         let waited = clock::since(now);
-        observe::placed(&request.route.name, waited, assignment.throttled_endpoints > 0);
-        log::info!(
-            "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
-             waited_ms={} withheld={} software={}",
-            request.metadata.id,
-            assignment.endpoint.id,
-            assignment.load,
-            assignment.endpoint.slots,
-            assignment.backlog_tokens,
-            assignment.expected_first_event.as_millis(),
-            waited.as_millis(),
-            assignment.throttled_endpoints,
-            assignment.endpoint.version
-        );
+        log_placed(request, &assignment, waited);
+        Ok(assignment)
+    }
+
+    /// Assigns a request whose version no endpoint of this cell has to one of another cell.
+    fn slot_of_other_cell(
+        &self,
+        request: &AdmittedRequest,
+        history: &AttemptHistory,
+        origin: &StreamOrigin,
+    ) -> Result<Assignment, Refusal> {
+        let now = clock::now();
+        let is_excluded = |e: &Endpoint| history.excluded_endpoints.contains(&e.id);
+        let endpoint = self.shared.lock().endpoint_of_other_cell(now, origin, is_excluded);
+        let endpoint = endpoint.ok_or_else(|| self.busy_refusal(request, true))?;
+        let assignment = Assignment {
+            ticket: 0,
+            endpoint,
+            load: 1,
+            prompt_tokens: request.metadata.prompt,
+            backlog_tokens: 0,
+            expected_first_event: request.route.objective,
+            expected_total: None,
+            throttled_endpoints: 0,
+        };
+        log_placed(request, &assignment, Duration::ZERO);
         Ok(assignment)
     }
 
@@ -361,3 +389,20 @@
 pub(crate) fn time_until(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(clock::now())
 }
+
+fn log_placed(request: &AdmittedRequest, assignment: &Assignment, waited: Duration) {
+    observe::placed(&request.route.name, waited, assignment.throttled_endpoints > 0);
+    log::info!(
+        "event=placed id={} endpoint={} load={} slots={} backlog={} expected_ms={} \
+         waited_ms={} withheld={} software={}",
+        request.metadata.id,
+        assignment.endpoint.id,
+        assignment.load,
+        assignment.endpoint.slots,
+        assignment.backlog_tokens,
+        assignment.expected_first_event.as_millis(),
+        waited.as_millis(),
+        assignment.throttled_endpoints,
+        shown(&assignment.endpoint.version)
+    );
+}
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -10,6 +10,8 @@
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_core::isolation::PathFailure;
+use oxbowbend_core::routes::Endpoint;
+use oxbowbend_core::streams::StreamOrigin;
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt};
@@ -18,6 +20,7 @@
 use super::run::{with_source, AttemptError, AttemptResponse};
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
 use crate::seam::Wire;
+use crate::streams::shown;
 
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
 /// response does not appear complete.
@@ -165,15 +168,26 @@
             self.events.last_id(),
             self.bytes_sent,
             stream.attempt.framing,
-            stream.attempt.endpoint.version
+            shown(&stream.attempt.endpoint.version)
         );
         self.excluded_endpoints.push(stream.attempt.endpoint.id.clone());
         stream.attempt.finish(outcome);
     }
 
+    /// Where the stream must go on. A head without an event binds it to nothing.
+    fn bound_to(&self, endpoint: &Endpoint) -> Option<StreamOrigin> {
+        let has_begun = self.bytes_sent > 0;
+        let here = || StreamOrigin {
+            service: self.request.service.clone(),
+            version: endpoint.version.clone(),
+        };
+        has_begun.then(here)
+    }
+
     /// Resumes an interrupted stream at another endpoint if the route and the retry budget allow it.
     async fn resume(&mut self, reason: String) -> bool {
         let endpoint = self.stream.as_ref().map(|s| s.attempt.endpoint.clone());
+        let bound_to = endpoint.as_ref().and_then(|endpoint| self.bound_to(endpoint));
         let software_before = endpoint.as_ref().map_or_else(|| "".into(), |e| e.version.clone());
         let is_resumable = self.is_resumable();
         let is_path_lost = match &endpoint {
@@ -204,6 +218,7 @@
             }
             let history = AttemptHistory {
                 excluded_endpoints: self.excluded_endpoints.clone(),
+                bound_to: bound_to.clone(),
                 ..AttemptHistory::default()
             };
             let Ok(slot) = self.relay.get_slot(&self.request, &history).await else { return false };
@@ -216,8 +231,8 @@
                          software_before={}",
                         self.request.metadata.id,
                         self.events.last_id(),
-                        stream.attempt.endpoint.version,
-                        software_before
+                        shown(&stream.attempt.endpoint.version),
+                        shown(&software_before)
                     );
                     self.stream = Some(stream);
                     return true;
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -107,6 +107,11 @@
         (self.members, self.endpoints, self.group) = (members, endpoints, group);
     }
 
+    /// The endpoints of all cells, by the services under which they are sent requests.
+    pub(crate) fn listed_endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
     /// Digest of the fleet's instances as this one knows them.
     pub(crate) fn roster(&self) -> u64 {
         self.world.roster((&self.me, &self.zone))
