A stream that a client takes up goes on at the version that began it, or nowhere

What callers saw: streams that held events of two versions over their attempts, once an instance or an endpoint had failed. Cause: a request with Last-Event-Id was a new request that begins at an event; `Resumes` was unread, and nothing that instances share named a stream.

The version of a stream is recorded when the request is sent, before its first event. While a service has several versions the record goes to the cell with the reports of each placement and each heartbeat, and the records in use are noted in the store with what is noted there already, once a cell. An instance without a record asks the peers of its cell and one instance of each other cell, once, 150 ms at most. A service that has had one version for twice the longest timeout of its streams needs no record: this history is kept without gaps, noted in the store, and told to peers that ask. Where none of these tells the version the request is refused with 503, not run; so is it where no endpoint of the version is left. Records are bounded, by account.

--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -10,6 +10,7 @@
 use crate::quota::{RecentUsage, WindowUsage};
 use crate::rollout::responses::ResponseCounterKey;
 use crate::rollout::RolloutRecord;
+use crate::streams::StreamGroup;
 
 /// State of one instance.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -138,6 +139,9 @@
     /// State of the quarantine of requests that crash endpoints.
     #[serde(rename = "Q", default, skip_serializing_if = "QuarantineUpdate::is_empty")]
     pub quarantine: QuarantineUpdate,
+    /// Streams that the sender has sent to endpoints of services with several versions.
+    #[serde(rename = "T", default, skip_serializing_if = "Vec::is_empty")]
+    pub streams: Vec<StreamGroup>,
     /// Addresses of representatives of other cells, or of all known instances at the first start of
     /// a fleet.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
--- a/oxbowbend-core/src/ids.rs
+++ b/oxbowbend-core/src/ids.rs
@@ -18,6 +18,8 @@
 pub type ServiceId = Arc<str>;
 /// The software version of an endpoint.
 pub type VersionId = Arc<str>;
+/// A stream, named by the client's attempt that began it: a hash of client account and request id.
+pub type StreamKey = u64;
 /// A pool: the endpoints that serve one model or service at one location.
 pub type PoolId = Arc<str>;
 /// A location declared in the configuration.
--- /dev/null
+++ b/oxbowbend-core/tests/streams.rs
@@ -0,0 +1,280 @@
+//! Which version a stream that is taken up goes on at, as tables.
+
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::ids::StreamKey;
+use oxbowbend_core::routes::Endpoint;
+use oxbowbend_core::streams::{
+    resolve, Basis, LocalKnowledge, Lookup, PeerAnswer, ServiceVersions, StreamOrigin,
+    StreamRegistry, StreamSend, Unresolved, VersionHistory,
+};
+
+const RETENTION: Duration = Duration::from_secs(30);
+const KEY: StreamKey = 7;
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "s".into(), version: version.into() }
+}
+
+fn send(key: StreamKey, version: &str) -> StreamSend {
+    StreamSend { key, account: 1, origin: origin(version), is_handed_over: false }
+}
+
+fn handed_over(version: &str) -> StreamSend {
+    StreamSend { is_handed_over: true, ..send(KEY, version) }
+}
+
+fn known(version: &str) -> Lookup {
+    Lookup::Known(origin(version))
+}
+
+fn endpoint(id: &str, version: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z".into(),
+        slots: 1,
+        leaving: false,
+        started_at_ms: 0,
+        version: version.into(),
+    }
+}
+
+/// Passes everything that one instance would report to another.
+fn report(from: &StreamRegistry, to: &mut StreamRegistry, now: Instant) {
+    to.receive(now, &from.to_report(now, true, |_| true), RETENTION);
+}
+
+#[test]
+fn a_stream_goes_on_only_where_it_is_known_to_have_begun() {
+    let answer = |record: Lookup, sole: Option<&str>, is_mixed: bool| PeerAnswer {
+        record,
+        sole: sole.map(Into::into),
+        is_mixed,
+    };
+    let unknown = || answer(Lookup::Unknown, None, false);
+    let local = |record: Lookup, sole: Option<&str>, only_seen: Option<&str>| LocalKnowledge {
+        targets: vec!["s".into()],
+        record,
+        sole: sole.map(Into::into),
+        only_seen: only_seen.map(Into::into),
+    };
+    let nothing = || local(Lookup::Unknown, None, None);
+    let seen = || local(Lookup::Unknown, None, Some("v1"));
+    let bound = |version, basis| Ok((origin(version), basis));
+    for (known, answers, expected) in [
+        (local(known("v1"), None, None), vec![], bound("v1", Basis::Record)),
+        // A record goes before what the endpoints show.
+        (local(known("v1"), Some("v2"), Some("v2")), vec![], bound("v1", Basis::Record)),
+        (local(Lookup::Ambiguous, Some("v1"), None), vec![], Err(Unresolved::Ambiguous)),
+        (nothing(), vec![], Err(Unresolved::Unknown)),
+        (nothing(), vec![unknown()], Err(Unresolved::Unknown)),
+        (
+            nothing(),
+            vec![unknown(), answer(known("v2"), None, true)],
+            bound("v2", Basis::PeerRecord),
+        ),
+        (
+            nothing(),
+            vec![answer(known("v1"), None, true), answer(known("v2"), None, true)],
+            Err(Unresolved::Ambiguous),
+        ),
+        (nothing(), vec![answer(Lookup::Ambiguous, None, true)], Err(Unresolved::Ambiguous)),
+        (local(Lookup::Unknown, Some("v1"), Some("v1")), vec![], bound("v1", Basis::SoleVersion)),
+        // That all endpoints show one version now proves nothing.
+        (seen(), vec![], Err(Unresolved::Unknown)),
+        (seen(), vec![unknown()], Err(Unresolved::Unknown)),
+        (
+            seen(),
+            vec![unknown(), answer(Lookup::Unknown, Some("v1"), false)],
+            bound("v1", Basis::PeerSoleVersion),
+        ),
+        (seen(), vec![answer(Lookup::Unknown, Some("v2"), false)], Err(Unresolved::Unknown)),
+        (
+            seen(),
+            vec![answer(Lookup::Unknown, Some("v1"), false), answer(Lookup::Unknown, None, true)],
+            Err(Unresolved::Unknown),
+        ),
+        (nothing(), vec![answer(Lookup::Unknown, Some("v1"), false)], Err(Unresolved::Unknown)),
+    ] {
+        let decided = resolve(&known, &answers).map(|binding| (binding.origin, binding.basis));
+        assert_eq!(decided, expected, "{known:?} {answers:?}");
+    }
+}
+
+#[test]
+fn a_stream_of_a_route_that_leads_elsewhere_goes_on_nowhere() {
+    let targets = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    for (names, record, expected) in [
+        (&["t"][..], known("v1"), Err(Unresolved::Moved)),
+        (&["t", "s"], known("v1"), Ok("s")),
+        // Of several services it may have begun at any.
+        (&["t", "s"], Lookup::Unknown, Err(Unresolved::Unknown)),
+    ] {
+        let sole = Some("v1".into());
+        let known = LocalKnowledge { targets: targets(names), record, sole, only_seen: None };
+        let service = resolve(&known, &[]).map(|binding| binding.origin.service);
+        assert_eq!(service, expected.map(Into::into), "{known:?}");
+    }
+}
+
+#[test]
+fn the_last_send_before_the_first_event_counts_at_all_instances() {
+    let now = Instant::now();
+    let (mut a, mut b) = (StreamRegistry::new(1), StreamRegistry::new(2));
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    let first = a.to_report(now, true, |_| true);
+    a.record_ended(now, KEY);
+    a.record_sent(now, send(KEY, "v2"), RETENTION);
+    report(&a, &mut b, now);
+    // The earlier report arrives late.
+    b.receive(now, &first, RETENTION);
+    assert_eq!((a.lookup(now, KEY), b.lookup(now, KEY)), (known("v2"), known("v2")));
+}
+
+#[test]
+fn a_request_that_was_handed_over_was_sent_last_by_the_peer() {
+    let now = Instant::now();
+    let (mut a, mut b, mut c) =
+        (StreamRegistry::new(1), StreamRegistry::new(2), StreamRegistry::new(3));
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    a.record_ended(now, KEY);
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    b.record_sent(now, handed_over("v2"), RETENTION);
+    for (first, second) in [(&a, &b), (&b, &a)] {
+        report(first, &mut c, now);
+        report(second, &mut c, now);
+        assert_eq!(c.lookup(now, KEY), known("v2"));
+    }
+}
+
+#[test]
+fn one_id_at_two_instances_and_versions_names_no_stream() {
+    let now = Instant::now();
+    let (mut a, mut b, mut c) =
+        (StreamRegistry::new(1), StreamRegistry::new(2), StreamRegistry::new(3));
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    b.record_sent(now, send(KEY, "v2"), RETENTION);
+    report(&a, &mut c, now);
+    report(&b, &mut c, now);
+    assert_eq!(c.lookup(now, KEY), Lookup::Ambiguous);
+    report(&a, &mut b, now);
+    assert_eq!(b.lookup(now, KEY), Lookup::Ambiguous);
+    let mut d = StreamRegistry::new(4);
+    report(&a, &mut d, now);
+    d.record_sent(now, send(KEY, "v2"), RETENTION);
+    assert_eq!(d.lookup(now, KEY), Lookup::Ambiguous);
+}
+
+#[test]
+fn a_stream_that_goes_on_keeps_its_record_for_as_long_again() {
+    let now = Instant::now();
+    let (mut a, mut b) = (StreamRegistry::new(1), StreamRegistry::new(2));
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    report(&a, &mut b, now);
+    let later = now + RETENTION - Duration::from_millis(1);
+    b.record_sent(later, send(KEY, "v1"), RETENTION);
+    b.record_ended(later, KEY);
+    a.record_ended(later, KEY);
+    let end = later + RETENTION;
+    assert_eq!(b.lookup(end - Duration::from_millis(1), KEY), known("v1"));
+    assert_eq!((a.lookup(end, KEY), b.lookup(end, KEY)), (Lookup::Unknown, Lookup::Unknown));
+    b.sweep(end);
+    assert!(b.is_empty());
+}
+
+#[test]
+fn streams_are_reported_and_noted_while_they_run_and_a_little_longer() {
+    let now = Instant::now();
+    let (mut a, mut b) = (StreamRegistry::new(1), StreamRegistry::new(2));
+    a.record_sent(now, send(KEY, "v1"), RETENTION);
+    let reported = |a: &StreamRegistry, at, is_heartbeat| a.to_report(at, is_heartbeat, |_| true);
+    let after = |ms| now + Duration::from_millis(ms);
+    assert_eq!(reported(&a, after(100), false).len(), 1);
+    assert_eq!(reported(&a, after(200), false).len(), 0);
+    assert_eq!(reported(&a, after(20_000), true).len(), 1);
+    assert!(a.to_report(now, true, |origin| &*origin.version != "v1").is_empty());
+    report(&a, &mut b, after(20_000));
+    // Each instance reports its own streams; any of them notes all.
+    assert!(reported(&b, after(20_000), true).is_empty());
+    assert_eq!(b.to_note(after(22_000), |_| true).len(), 1);
+    assert!(b.to_note(after(23_000), |_| true).is_empty());
+    a.record_ended(after(20_000), KEY);
+    assert_eq!(reported(&a, after(20_900), true).len(), 1);
+    assert!(reported(&a, after(21_000), true).is_empty());
+}
+
+#[test]
+fn an_account_with_very_many_streams_pushes_out_only_its_own() {
+    let now = Instant::now();
+    let mut registry = StreamRegistry::new(1);
+    registry.record_sent(now, StreamSend { account: 2, ..send(KEY, "v1") }, RETENTION);
+    registry.record_ended(now, KEY);
+    for key in 1000..60_000 {
+        registry.record_sent(now, send(key, "v1"), RETENTION);
+        registry.record_ended(now, key);
+    }
+    assert!(registry.len() <= 16_384, "{} records", registry.len());
+    assert_eq!(registry.lookup(now, KEY), known("v1"));
+    assert_eq!(registry.lookup(now, 59_999), known("v1"));
+}
+
+#[test]
+fn one_version_is_claimed_only_after_a_history_without_gaps() {
+    let now = Instant::now();
+    let after = |s| now + Duration::from_secs(s);
+    let sole = |history: &VersionHistory, at| history.sole_version(at, "s", RETENTION);
+    let (one, two) = (vec![endpoint("a", "v1")], vec![endpoint("a", "v1"), endpoint("b", "v2")]);
+
+    let mut history = VersionHistory::default();
+    history.set_endpoints(now, one.iter());
+    assert_eq!(sole(&history, now), None, "nothing is known of the past");
+    history.resume(now);
+    assert_eq!(sole(&history, after(29)), None);
+    assert_eq!(sole(&history, after(30)).as_deref(), Some("v1"));
+
+    // Another version was there a moment ago.
+    history.set_endpoints(after(31), two.iter());
+    history.set_endpoints(after(32), one.iter());
+    assert!(history.is_mixed(after(33), "s", RETENTION));
+    assert_eq!(sole(&history, after(61)), None);
+    assert_eq!(sole(&history, after(62)).as_deref(), Some("v1"));
+
+    // One that only a peer has seen counts too.
+    history.record_heard(after(63), &"s".into(), &"v3".into());
+    assert_eq!(sole(&history, after(64)), None);
+
+    history.interrupt();
+    history.resume(after(100));
+    assert_eq!(sole(&history, after(129)), None, "unseen for a while");
+    assert_eq!(sole(&history, after(130)).as_deref(), Some("v1"));
+    assert_eq!(history.sole_version(after(130), "t", RETENTION), None);
+}
+
+#[test]
+fn an_instance_goes_on_from_what_an_earlier_one_noted() {
+    let now = Instant::now();
+    let endpoints = [endpoint("a", "v1")];
+    let note = |versions: &[&str]| ServiceVersions {
+        service: "s".into(),
+        versions: versions.iter().map(|version| (*version).into()).collect(),
+    };
+    for (noted, expected) in [
+        (vec![note(&["v1"])], Some("v1")),
+        (vec![note(&["v1", "v2"])], None),
+        // Of notes of two instances one is older.
+        (vec![note(&["v1"]), note(&["v2"])], None),
+    ] {
+        let mut history = VersionHistory::default();
+        history.set_endpoints(now, endpoints.iter());
+        history.restore(now, &noted);
+        history.trust_past();
+        let sole = history.sole_version(now, "s", RETENTION);
+        assert_eq!(sole.as_deref(), expected, "{noted:?}");
+        let versions: Vec<_> = history.to_note(now, RETENTION).remove(0).versions;
+        assert_eq!(versions.len(), if expected.is_some() { 1 } else { 2 });
+    }
+    let unknown = VersionHistory::default();
+    assert!(unknown.to_note(now, RETENTION).is_empty(), "a note is a claim");
+}
--- a/oxbowbend-gateway/src/entry.rs
+++ b/oxbowbend-gateway/src/entry.rs
@@ -110,6 +110,8 @@
             used: Vec::new(),
             quarantined: Vec::new(),
             rollouts: Vec::new(),
+            streams: Vec::new(),
+            versions: Vec::new(),
             ..told.clone()
         };
         (*told != entry).then_some((lease, entry))
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -350,7 +350,13 @@
     let quarantined = state.quarantine.decisions_to_store(now, is_first);
     let epoch = state.world.epoch();
     let rollouts = if is_first { state.rollout_notes(now) } else { Vec::new() };
-    Entry { zone: zone.clone(), address, paces, used, epoch, quarantined, rollouts }
+    let (mut streams, mut versions) = (Vec::new(), Vec::new());
+    // Streams are known to the cell only.
+    if state.has_store() && !state.cell.live_reports(now).any(is_before) {
+        (streams, versions) = (state.streams_to_note(now), state.versions_to_note(now));
+    }
+    let zone = zone.clone();
+    Entry { zone, address, paces, used, epoch, quarantined, rollouts, streams, versions }
 }
 
 /// Reads now and then which instances there are. Who copies from another one is told by that.
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -268,6 +268,7 @@
             state.choose_source(now);
             state.judge_ends(now);
             state.settle_rollouts(now);
+            state.keep_streams(now);
             state.set_shares(now);
             waiting = state.cell.waiting_count();
             let restarted = std::mem::take(&mut state.restarted);
--- a/oxbowbend-gateway/src/knowledge.rs
+++ b/oxbowbend-gateway/src/knowledge.rs
@@ -9,6 +9,7 @@
 use oxbowbend_core::ids::{EndpointId, InstanceId};
 use oxbowbend_core::routes::Endpoint;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::link::Link;
 use crate::seam::{Entry, Position, Record, Snapshot};
@@ -49,7 +50,7 @@
     pub(crate) id: u64,
     pub(crate) method: String,
     #[serde(default)]
-    pub(crate) params: Known,
+    pub(crate) params: Value,
 }
 
 /// What the one who asks knows and need not be told.
@@ -65,10 +66,10 @@
 }
 
 #[derive(Debug, Deserialize, Serialize)]
-pub(crate) struct Answer {
+pub(crate) struct Answer<T> {
     pub(crate) jsonrpc: String,
     pub(crate) id: u64,
-    pub(crate) result: Knowledge,
+    pub(crate) result: T,
 }
 
 impl Knowledge {
@@ -87,7 +88,10 @@
         let position = if world.is_loaded() { world.position() } else { Position::default() };
         let Position { epoch, revision } = position;
         let rollouts = state.rollout_notes(clock::now());
-        let mine = Entry { zone, address, paces, used, epoch, quarantined, rollouts };
+        let streams = state.streams_to_note(clock::now());
+        let versions = state.versions_to_note(clock::now());
+        let mine =
+            Entry { zone, address, paces, used, epoch, quarantined, rollouts, streams, versions };
         instances.push((me.clone(), mine));
         Knowledge {
             epoch,
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -147,6 +147,18 @@
     counter!("oxbow_handovers_received_total", "result" => result).increment(1);
 }
 
+/// Records a stream that a client takes up, by what its version is known from or why it goes on
+/// nowhere.
+pub(crate) fn stream_taken_up(result: &'static str) {
+    counter!("oxbow_streams_taken_up_total", "result" => result).increment(1);
+}
+
+/// Records a question to peers for a stream, and how many answered.
+pub(crate) fn stream_asked(answers: usize) {
+    counter!("oxbow_stream_questions_total").increment(1);
+    counter!("oxbow_stream_answers_total").increment(answers as u64);
+}
+
 /// Notes the present state.
 pub(crate) fn state(waiting: usize, busy: usize, heard: usize) {
     gauge!("oxbow_waiting").set(waiting as f64);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -32,6 +32,7 @@
 use crate::observe;
 use crate::seam::{Position, Wire};
 use crate::shared::{Shared, State};
+use crate::streams::{StreamQuestion, STREAM};
 use crate::world;
 
 /// Method of a report.
@@ -166,6 +167,7 @@
         if reach != Reach::Cell && state.cell.has_newcomer(now) {
             report.usage_windows = state.admission.quotas.window_usage(now);
         }
+        report.streams = state.streams_to_report(now, reach != Reach::Cell);
         let passes_on = state.group.cell_count <= 1 || report.is_representative;
         report.quarantine = state.quarantine.make_update(now, reach.extent(), passes_on);
         if reach.is_full() {
@@ -340,6 +342,7 @@
         limit: Duration,
     ) -> Option<Knowledge> {
         let (jsonrpc, method) = ("2.0".to_owned(), SNAPSHOT.to_owned());
+        let params = serde_json::to_value(params).ok()?;
         let question = Question { jsonrpc, id: 1, method, params };
         let body = serde_json::to_vec(&question).ok()?;
         let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
@@ -351,7 +354,7 @@
                 return None;
             }
         };
-        match serde_json::from_slice::<Answer>(answer.body()) {
+        match serde_json::from_slice::<Answer<Knowledge>>(answer.body()) {
             Ok(answer) => Some(answer.result),
             Err(e) => {
                 log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\"");
@@ -412,15 +415,26 @@
             }
         };
         let body = match question {
-            Ok(question) if question.method == SNAPSHOT => {
-                let result = Knowledge::of(&self.shared, &self.name, self.address);
-                let digest = self.shared.lock().world.digest();
-                let result = result.without(question.params, digest, &self.link);
-                let id = question.id;
-                serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result })
-            }
-            _ => Ok(METHOD_NOT_FOUND.to_vec()),
+            Ok(question) if question.method == SNAPSHOT => self.answer_snapshot(question),
+            Ok(question) if question.method == STREAM => self.answer_stream(question),
+            _ => None,
         };
-        Response::new(h1::Whole::from(body.unwrap_or_else(|_| METHOD_NOT_FOUND.to_vec())))
+        Response::new(h1::Whole::from(body.unwrap_or_else(|| METHOD_NOT_FOUND.to_vec())))
+    }
+
+    fn answer_snapshot(&self, question: Question) -> Option<Vec<u8>> {
+        let known: Known = serde_json::from_value(question.params).ok()?;
+        let result = Knowledge::of(&self.shared, &self.name, self.address);
+        let digest = self.shared.lock().world.digest();
+        let result = result.without(known, digest, &self.link);
+        let id = question.id;
+        serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
+    }
+
+    fn answer_stream(&self, question: Question) -> Option<Vec<u8>> {
+        let id = question.id;
+        let question: StreamQuestion = serde_json::from_value(question.params).ok()?;
+        let result = self.shared.lock().answer_for_stream(clock::now(), &question);
+        serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
     }
 }
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -66,6 +66,7 @@
         let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
         request.origin = origin;
+        self.bind_stream(&mut request).await.map_err(with_id)?;
         Ok(request)
     }
 
@@ -144,6 +145,8 @@
             origin: Origin::Client,
             config_version: table.version(),
             is_counted: AtomicBool::new(false),
+            stream_key: None,
+            bound_to: None,
         })
     }
 
--- a/oxbowbend-gateway/src/relay/attempt.rs
+++ b/oxbowbend-gateway/src/relay/attempt.rs
@@ -5,11 +5,14 @@
 
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome, FIXED_WORK_UNITS};
+use oxbowbend_core::ids::StreamKey;
 use oxbowbend_core::rollout::responses::ResponseOutcome;
 use oxbowbend_core::routes::{Endpoint, Route};
 use oxbowbend_http::h1;
 
 use super::request::AdmittedRequest;
+use super::take_up::account;
+use super::Origin;
 use crate::observe;
 use crate::shared::Shared;
 
@@ -45,6 +48,8 @@
     /// What marks the end of the response; [`h1::Framing::Bodyless`] until its head has arrived.
     pub(crate) framing: h1::Framing,
     pub(super) route: Arc<Route>,
+    /// The stream that the attempt begins or continues.
+    stream_key: Option<StreamKey>,
     pub(super) is_finished: bool,
 }
 
@@ -56,6 +61,10 @@
     ) -> Attempt {
         let (shared, request_id) = (shared.clone(), request.metadata.id.clone());
         shared.run_began(&assignment.endpoint);
+        if let Some(key) = request.stream_key {
+            let is_handed_over = request.origin == Origin::Peer;
+            shared.stream_sent(key, account(request), &assignment.endpoint, is_handed_over);
+        }
         Attempt {
             shared,
             request_id,
@@ -71,6 +80,7 @@
             progress: Progress::Connecting,
             framing: h1::Framing::Bodyless,
             route: request.route.clone(),
+            stream_key: request.stream_key,
             is_finished: false,
         }
     }
@@ -97,6 +107,9 @@
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         self.is_finished = true;
         self.conn = None;
+        if let Some(key) = self.stream_key {
+            self.shared.stream_ended(key);
+        }
         let unread_tokens = if self.time_to_first_event.is_zero() { self.prompt_tokens } else { 0 };
         let answer = match outcome {
             Outcome::Good => Some(self.timed_answer()),
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod request;
 mod run;
 mod stream;
+mod take_up;
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -144,7 +145,8 @@
         self,
         request: &Arc<AdmittedRequest>,
     ) -> Result<AttemptResponse, Refusal> {
-        let mut history = AttemptHistory::default();
+        let mut history =
+            AttemptHistory { bound_to: request.bound_to.clone(), ..AttemptHistory::default() };
         loop {
             if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
@@ -303,7 +305,7 @@
         let now = clock::now();
         let is_excluded = |e: &Endpoint| history.excluded_endpoints.contains(&e.id);
         let endpoint = self.shared.lock().endpoint_of_other_cell(now, origin, is_excluded);
-        let endpoint = endpoint.ok_or_else(|| self.busy_refusal(request, true))?;
+        let endpoint = endpoint.ok_or_else(|| self.version_gone(origin))?;
         let assignment = Assignment {
             ticket: 0,
             endpoint,
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -12,6 +12,8 @@
 use oxbowbend_core::ids::AccountId;
 use oxbowbend_http::h1;
 
+use super::take_up::NotTakenUp;
+
 /// `Retry-After` delay while this instance shuts down; the retry reaches another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -40,6 +42,8 @@
     Busy { retry_after: RetryAfter, on_arrival: bool },
     /// The request crashed the endpoints that executed it.
     Quarantined { fingerprint: Fingerprint, retry_after: Duration },
+    /// The stream that the client takes up cannot go on here.
+    StreamNotTakenUp { reason: NotTakenUp, retry_after: Option<Duration> },
     /// The request was sent to an endpoint, which returned no valid response.
     Failed,
     /// The request was sent to an endpoint, which did not respond in time.
@@ -53,7 +57,8 @@
             | Refusal::Stopping
             | Refusal::NoPath
             | Refusal::Busy { .. }
-            | Refusal::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::Quarantined { .. }
+            | Refusal::StreamNotTakenUp { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::InvalidHead(_) | Refusal::IncompleteBody => StatusCode::BAD_REQUEST,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownAccount => StatusCode::UNAUTHORIZED,
@@ -77,6 +82,7 @@
             }
             Refusal::OverQuota { exceeded, .. } => Some(exceeded.retry_after),
             Refusal::Busy { retry_after, .. } => Some(retry_after.delay),
+            Refusal::StreamNotTakenUp { retry_after, .. } => *retry_after,
             _ => None,
         }
     }
@@ -95,6 +101,7 @@
             Refusal::OverQuota { .. } => "over_quota",
             Refusal::Busy { .. } => "busy",
             Refusal::Quarantined { .. } => "quarantined",
+            Refusal::StreamNotTakenUp { reason, .. } => reason.name(),
             Refusal::Failed => "failed",
             Refusal::TimedOut => "timed_out",
         }
@@ -115,6 +122,9 @@
                 )
             }
             Refusal::Quarantined { fingerprint, .. } => format!("fingerprint={fingerprint:016x}"),
+            Refusal::StreamNotTakenUp { reason: NotTakenUp::VersionGone(origin), .. } => {
+                format!("service={} software={}", origin.service, origin.version)
+            }
             _ => String::new(),
         }
     }
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -8,8 +8,9 @@
 use http::{HeaderMap, Method, Uri};
 use oxbowbend_core::cell::PrefillStall;
 use oxbowbend_core::fingerprint::Fingerprint;
-use oxbowbend_core::ids::{AccountId, ServiceId};
+use oxbowbend_core::ids::{AccountId, ServiceId, StreamKey};
 use oxbowbend_core::routes::{Idempotency, Route};
+use oxbowbend_core::streams::StreamOrigin;
 
 use super::Origin;
 use crate::seam::Ask;
@@ -31,6 +32,10 @@
     pub(crate) config_version: u64,
     /// Whether the request counts in its account's quota and the retry budget of this instance.
     pub(crate) is_counted: AtomicBool,
+    /// The stream that the request begins or continues, if another endpoint may continue it.
+    pub(crate) stream_key: Option<StreamKey>,
+    /// Where the stream began that the request continues.
+    pub(crate) bound_to: Option<StreamOrigin>,
     pub(crate) rank: u16,
     pub(crate) prefill_stall: PrefillStall,
     /// Estimated time since the client first sent the request, counting attempts that were refused.
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -181,7 +181,7 @@
             service: self.request.service.clone(),
             version: endpoint.version.clone(),
         };
-        has_begun.then(here)
+        self.request.bound_to.clone().or_else(|| has_begun.then(here))
     }
 
     /// Resumes an interrupted stream at another endpoint if the route and the retry budget allow it.
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -14,6 +14,7 @@
 use oxbowbend_core::quota::WindowUsage;
 use oxbowbend_core::rollout::{RolloutRecord, RolloutSpec, Status};
 use oxbowbend_core::routes::{Endpoint, RoutingTable};
+use oxbowbend_core::streams::{ServiceVersions, StreamGroup};
 use oxbowbend_core::subscription::WatchParams;
 use thiserror::Error;
 
@@ -153,6 +154,12 @@
     /// Roll-outs in progress, if it is on this instance to note them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutRecord>,
+    /// Streams of services with several versions of their software that run at its cell, likewise.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub streams: Vec<StreamGroup>,
+    /// Versions that each service has had lately, likewise.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<ServiceVersions>,
 }
 
 /// What the store says of a service's roll-out.
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -28,6 +28,7 @@
 
 use crate::quarantine::log_changes;
 use crate::source::Sources;
+use crate::streams::Streams;
 use crate::waiting::Waiting;
 use crate::watches::Subscriptions;
 use crate::world::{News, World};
@@ -48,6 +49,8 @@
     /// Requests that peers serve for it.
     pub(crate) handovers: Handovers,
     pub(crate) rollouts: Rollouts,
+    /// Versions of endpoints that began streams.
+    pub(crate) streams: Streams,
     /// The stop that is in progress.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) waiters: HashMap<Ticket, oneshot::Sender<Assignment>>,
@@ -81,6 +84,7 @@
         members.extend(entered.map(|(name, e)| (name.clone(), e.zone.clone())));
         let heard = self.cell.live_reports(now).chain(self.cell.remote_reports(now));
         members.extend(heard.map(|r| (r.instance.clone(), r.zone.clone())));
+        self.note_versions(now);
         let endpoints = self.endpoints_by_version(now);
         if members == self.members && endpoints == self.endpoints {
             return;
@@ -193,7 +197,12 @@
 impl State {
     /// Whether this instance has just started, and does not know yet what accounts have used.
     fn is_new(&self, now: Instant) -> bool {
-        self.loaded_at.is_some_and(|at| now.saturating_duration_since(at) < NEW)
+        self.loaded_at.is_some() && self.is_younger_than(now, NEW)
+    }
+
+    /// Whether requests could first be served less than `time` ago.
+    pub(crate) fn is_younger_than(&self, now: Instant, time: Duration) -> bool {
+        self.loaded_at.is_none_or(|at| now.saturating_duration_since(at) < time)
     }
 
     /// Notes what others have admitted.
@@ -243,7 +252,9 @@
         rollouts: Rollouts,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
+        let streams = Streams::new(&cell.process_id());
         let state = State {
+            streams,
             world: World::default(),
             cell,
             admission,
@@ -298,8 +309,9 @@
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
-        let State { world, admission, ages, is_restored, loaded_at, quarantine, cell, .. } =
-            &mut *state;
+        let State {
+            world, admission, ages, is_restored, loaded_at, quarantine, cell, streams, ..
+        } = &mut *state;
         let revision = world.revision();
         for item in news {
             item.log(revision, source);
@@ -308,6 +320,7 @@
             if let Some(table) = world.table() {
                 let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
                 admission.configure(limited);
+                streams.configure(table);
                 ages.clear();
             }
         }
@@ -353,6 +366,7 @@
             if is_start {
                 state.set_shares(now);
                 state.restore_rollouts(now);
+                state.restore_streams(now);
                 state.restore_paces();
             }
         }
@@ -370,6 +384,7 @@
         let is_near = state.group.cell_count <= 1 || state.group.peers.contains(&report.instance);
         let windows = std::mem::take(&mut report.usage_windows);
         state.hear_of_rollouts(now, &report, is_near);
+        state.hear_of_streams(now, &report);
         let Some(heard) = state.cell.receive_report(now, report, is_near) else { return };
         state.log_said();
         if is_near && state.is_new(now) {
--- a/oxbowbend-gateway/tests/entry.rs
+++ b/oxbowbend-gateway/tests/entry.rs
@@ -16,6 +16,8 @@
         epoch: 1,
         quarantined: Vec::new(),
         rollouts: Vec::new(),
+        streams: Vec::new(),
+        versions: Vec::new(),
     }
 }
 
