Soak: streams of several versions under kills of all, changes of software, cuts and outages

Two faults were the test's own and showed first: versions that changed under one id and start, which no entry tells in time, and a share that counted attempts instead of streams.

--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -99,6 +99,8 @@
     says: Arc<Mutex<Says>>,
     /// Version of its software, which its events say if there is one.
     software: Arc<Mutex<Option<&'static str>>>,
+    /// Times that it has got other software, and with it another id.
+    releases: Arc<AtomicU64>,
     runs: Runs,
     exchanges: Exchanges,
     pub room: Room,
@@ -122,6 +124,7 @@
             mode,
             says: Arc::default(),
             software: Arc::default(),
+            releases: Arc::default(),
             runs,
             exchanges,
             room: Room::default(),
@@ -145,6 +148,20 @@
         *self.software.lock().unwrap() = Some(software);
     }
 
+    /// Starts anew with other software and another id.
+    pub fn release(&self, software: &'static str) {
+        self.set_software(software);
+        self.releases.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Its id at present, as its entry says it.
+    pub fn entry_id(&self) -> String {
+        match self.releases.load(Ordering::SeqCst) {
+            0 => self.id.clone(),
+            n => format!("{}.{n}", self.id),
+        }
+    }
+
     /// What it says of itself from now on.
     pub fn set_says(&self, says: Says) {
         if self.says.lock().unwrap().brittle != says.brittle {
@@ -183,7 +200,7 @@
 
     /// Answers a request; all answers say what the endpoint says of itself.
     async fn answer(self, req: Request<Incoming>) -> Response<Body> {
-        let is_meant = text(req.headers(), "expect-instance") == self.id;
+        let is_meant = text(req.headers(), "expect-instance") == self.entry_id();
         let is_old = req.version() == Version::HTTP_10;
         let arrived = match is_meant {
             true => self.exchanges.arrived(&self.id, req.headers()),
@@ -209,7 +226,7 @@
         let (head, body) = req.into_parts();
         let text = |name: &str| text(&head.headers, name);
         let id = text("request-id");
-        if text("expect-instance") != self.id {
+        if text("expect-instance") != self.entry_id() {
             return reply(421, &[], Either::Left(h1::Whole::default()));
         }
         self.arrived.fetch_add(1, Ordering::SeqCst);
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -76,8 +76,20 @@
         Fleet::start_with_slots(seed, SLOTS).await
     }
 
+    /// The same, of endpoints with versions of their software, which their events say.
+    pub async fn start_with_software(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
+        let fleet = Fleet::start_with(seed, SLOTS, versions).await;
+        let endpoints = fleet.endpoints.iter().zip(versions);
+        endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
+        fleet
+    }
+
     /// The same, of endpoints that run so many requests at once by their entries.
     pub async fn start_with_slots(seed: u64, slots: u32) -> Fleet {
+        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS]).await
+    }
+
+    async fn start_with(seed: u64, slots: u32, versions: [&'static str; ENDPOINTS]) -> Fleet {
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_address = store::address(&store_proxy_listener);
@@ -111,7 +123,7 @@
             exchanges,
             excuses,
             version,
-            versions: ["v1"; ENDPOINTS],
+            versions,
             addresses,
             born,
             slots,
@@ -163,14 +175,20 @@
     pub fn enter(&self, n: usize) {
         let mut entry = entry(self.addresses[n], self.born.lock().unwrap()[n], self.slots);
         entry["version"] = self.versions[n].into();
-        self.store.put(&format!("servers/{}", self.endpoints[n].id), &entry);
+        self.store.put(&format!("servers/{}", self.endpoints[n].entry_id()), &entry);
     }
 
-    /// Sets the version of an endpoint's software, in its entry and in its events.
-    pub fn set_software(&mut self, n: usize, software: &'static str) {
+    /// An endpoint ends with all its connections, and another one with other software is at its address after a while.
+    pub fn change_software(&mut self, n: usize, software: &'static str, time: Duration) {
         self.versions[n] = software;
-        self.endpoints[n].set_software(software);
-        self.enter(n);
+        let (starter, old) = (self.starter(n), self.endpoints[n].entry_id());
+        task::spawn(async move {
+            starter.proxy.set_mode(Mode::Down);
+            task::sleep(time).await;
+            starter.store.remove(&format!("servers/{old}"));
+            starter.endpoint.release(software);
+            starter.start_again(Mode::Down, Duration::from_millis(1)).await;
+        });
     }
 
     /// Leaves entries of other writers among the endpoints.
@@ -221,7 +239,7 @@
 
     /// Removes an endpoint's entry.
     pub fn leave(&self, n: usize) {
-        self.store.remove(&format!("servers/{}", self.endpoints[n].id));
+        self.store.remove(&format!("servers/{}", self.endpoints[n].entry_id()));
     }
 
     /// Waits until all daemons say that they are ready.
@@ -271,7 +289,7 @@
         self.proxy.set_mode(Mode::Pass);
         let mut entry = entry(self.address, born, self.slots);
         entry["version"] = self.version.into();
-        self.store.put(&format!("servers/{}", self.endpoint.id), &entry);
+        self.store.put(&format!("servers/{}", self.endpoint.entry_id()), &entry);
     }
 }
 
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -45,10 +45,15 @@
 const LENGTH: Duration = Duration::from_secs(9);
 
 fn seeds() -> Vec<u64> {
-    let range = std::env::var("OXBOW_SOAK").unwrap_or_else(|_| FIRST.to_owned());
-    let (from, to) = range.split_once('-').expect("OXBOW_SOAK is FROM-TO");
-    let number = |text: &str| text.parse::<u64>().expect("OXBOW_SOAK is FROM-TO");
-    CASES.into_iter().chain(number(from)..=number(to)).collect()
+    let seeds = std::env::var("OXBOW_SOAK").unwrap_or_else(|_| FIRST.to_owned());
+    CASES.into_iter().chain(range(&seeds)).collect()
+}
+
+/// The seeds FROM-TO.
+fn range(text: &str) -> std::ops::RangeInclusive<u64> {
+    let (from, to) = text.split_once('-').expect("FROM-TO");
+    let number = |text: &str| text.parse::<u64>().expect("FROM-TO");
+    number(from)..=number(to)
 }
 
 #[test]
--- a/oxbowbend-daemon/tests/soak/taken_up.rs
+++ b/oxbowbend-daemon/tests/soak/taken_up.rs
@@ -179,7 +179,16 @@
     }
 }
 
-/// Of so many attempts so many brought events.
+/// Tells whether an attempt met an instance that was ended, frozen or started around that time.
+pub fn excused(excuses: &Excuses) -> impl Fn(&Attempt) -> bool {
+    let excuses = excuses.lock().unwrap().clone();
+    move |attempt| {
+        let mut there = excuses.iter().filter(|(daemon, _)| *daemon == attempt.daemon);
+        there.any(|(_, at)| attempt.at + CONTACT > *at && attempt.at < *at + CONTACT)
+    }
+}
+
+/// Of so many streams so many brought events.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Share {
     pub all: usize,
@@ -187,9 +196,11 @@
 }
 
 impl Share {
-    fn count(&mut self, attempt: &Attempt) {
-        self.all += 1;
-        self.served += usize::from(attempt.events > 0);
+    /// Counts a stream by those of its attempts that count.
+    fn count<'a>(&mut self, attempts: impl Iterator<Item = &'a Attempt>) {
+        let events: Vec<_> = attempts.map(|attempt| attempt.events).collect();
+        self.all += usize::from(!events.is_empty());
+        self.served += usize::from(events.iter().any(|events| *events > 0));
     }
 
     pub fn get(self) -> f64 {
@@ -205,20 +216,18 @@
 }
 
 impl Shares {
-    /// Counts the attempts; streams of versions that `is_owed` rules out may end.
-    pub fn of(streams: &[Stream], excuses: &Excuses, is_owed: impl Fn(&str) -> bool) -> Shares {
-        let excuses = excuses.lock().unwrap();
-        let is_excused = |attempt: &Attempt| {
-            let mut there = excuses.iter().filter(|(daemon, _)| *daemon == attempt.daemon);
-            there.any(|(_, at)| attempt.at + CONTACT > *at && attempt.at < *at + CONTACT)
-        };
+    /// Counts the attempts that are not excused; streams of versions that `is_owed` rules out may end.
+    pub fn of(
+        streams: &[Stream],
+        is_excused: impl Fn(&Attempt) -> bool,
+        is_owed: impl Fn(&str) -> bool,
+    ) -> Shares {
         let mut shares = Shares::default();
-        for attempt in streams.iter().flat_map(|s| &s.attempts).filter(|a| !is_excused(a)) {
-            match &attempt.takes_up {
-                None => shares.new.count(attempt),
-                Some(software) if is_owed(software) => shares.taken_up.count(attempt),
-                Some(_) => {}
-            }
+        for stream in streams {
+            let attempts = || stream.attempts.iter().filter(|attempt| !is_excused(attempt));
+            shares.new.count(attempts().filter(|attempt| attempt.takes_up.is_none()));
+            let is_taken_up = |a: &&Attempt| a.takes_up.as_deref().is_some_and(&is_owed);
+            shares.taken_up.count(attempts().filter(is_taken_up));
         }
         shares
     }
--- a/oxbowbend-daemon/tests/soak/versions.rs
+++ b/oxbowbend-daemon/tests/soak/versions.rs
@@ -1,22 +1,29 @@
 //! Endpoints of several versions of their software side by side, in no order: a stream is of one version over all
 //! attempts of its caller, and goes on.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task::{self, JoinHandle};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use rustix::process::Signal;
 
 use crate::endpoint::Mode;
-use crate::fleet::{Fleet, DAEMONS};
+use crate::fleet::{Fleet, DAEMONS, ENDPOINTS};
+use crate::paths::{Cut, Manner};
 use crate::press::play_in_turn;
+use crate::store;
 use crate::taken_up::{self, Says, Shares, Stream};
 
 /// Seeds of their own, beside those that are played meanwhile: of one cell and of two cells.
 const BREAKS: [u64; 2] = [171, 172];
 const KILLS: [u64; 2] = [173, 174];
 const UNTOLD: [u64; 2] = [175, 176];
+const KILLS_OF_ALL: [u64; 2] = [177, 178];
+const FAULTS: [u64; 2] = [179, 180];
+const ONE_VERSION: [u64; 2] = [181, 182];
 /// Versions of the endpoints' software: two of which two serve, and one with a single endpoint.
-const SOFTWARE: [&str; 5] = ["v1", "v1", "v2", "v2", "v3"];
+const SOFTWARE: [&str; ENDPOINTS] = ["v1", "v1", "v2", "v2", "v3"];
 /// Of which a stream need not go on.
 const SINGLE: &str = "v3";
 /// Endpoints that break their streams off in the midst of an event.
@@ -27,12 +34,26 @@
 const PAUSES: [Duration; 2] = [Duration::from_millis(1), Duration::from_millis(300)];
 /// Time for which streams begin.
 const LENGTH: Duration = Duration::from_secs(3);
+/// The same under faults, of which the last part is without any.
+const FAULTS_LENGTH: Duration = Duration::from_secs(11);
+const RECOVERY: Duration = Duration::from_millis(4500);
+/// Milliseconds between two faults.
+const GAPS_MS: std::ops::Range<u64> = 30..700;
+/// Time for which an instance is suspended or cut off.
+const SUSPENDED: Duration = Duration::from_millis(600);
+/// Time for which an endpoint is down that gets other software.
+const DOWN: Duration = Duration::from_millis(250);
+/// Versions that endpoints change to.
+const SOFTWARE_AFTER: [&str; 4] = ["v1", "v2", "v3", "v4"];
+/// What an answer of a slow store takes.
+const SLOW: Duration = Duration::from_millis(150);
 
 async fn start(seed: u64) -> Fleet {
-    let mut fleet = Fleet::start(seed).await;
-    for (n, software) in SOFTWARE.into_iter().enumerate() {
-        fleet.set_software(n, software);
-    }
+    start_with(seed, SOFTWARE).await
+}
+
+async fn start_with(seed: u64, software: [&'static str; ENDPOINTS]) -> Fleet {
+    let fleet = Fleet::start_with_software(seed, software).await;
     assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
     fleet
 }
@@ -55,8 +76,10 @@
 
 /// What was not as it must be; prints the shares that go on and that begin.
 fn judge(seed: u64, fleet: &Fleet, streams: &[Stream]) -> Vec<String> {
-    let shares = Shares::of(streams, &fleet.excuses, |software| software != SINGLE);
-    println!("seed {seed}: {} streams, {shares:?}", streams.len());
+    let is_owed = |software: &str| software != SINGLE;
+    let shares = Shares::of(streams, taken_up::excused(&fleet.excuses), is_owed);
+    let all = Shares::of(streams, |_| false, is_owed);
+    println!("seed {seed}: {} streams, {shares:?}, at all instances {all:?}", streams.len());
     let broken = streams.iter().flat_map(|stream| stream.check(&fleet.runs));
     broken.chain(shares.check()).map(|b| format!("seed {seed}: {b}")).collect()
 }
@@ -95,6 +118,90 @@
     broken.map(|b| format!("seed {seed}: {b}")).collect()
 }
 
+/// All instances are killed at once while their streams are open, and start again at once.
+async fn kills_of_all(seed: u64) -> Vec<String> {
+    let mut fleet = start(seed).await;
+    let streams = press(&fleet, "all", LENGTH, Says::Resumes);
+    task::sleep(LENGTH / 2).await;
+    kill_all(&mut fleet).await;
+    let streams = streams.await;
+    // No instance has been in touch for long; what is owed later is asked of them at once.
+    let shares = Shares::of(&streams, |_| false, |software| software != SINGLE);
+    let broken = shares.check().into_iter().map(|b| format!("seed {seed}: {b}"));
+    judge(seed, &fleet, &streams).into_iter().chain(broken).collect()
+}
+
+async fn kill_all(fleet: &mut Fleet) {
+    fleet.daemons.iter().for_each(|daemon| daemon.signal(Signal::KILL));
+    for daemon in &mut fleet.daemons {
+        daemon.restart().await;
+    }
+}
+
+/// All endpoints have one version, and callers do not say which attempt began their streams.
+async fn one_version(seed: u64) -> Vec<String> {
+    let mut fleet = start_with(seed, ["v1"; ENDPOINTS]).await;
+    let streams = press(&fleet, "one", LENGTH, Says::Nothing);
+    task::sleep(LENGTH / 3).await;
+    fleet.daemons[1].restart_by(Signal::KILL).await;
+    task::sleep(LENGTH / 3).await;
+    kill_all(&mut fleet).await;
+    let streams = streams.await;
+    let shares = Shares::of(&streams, |_| false, |_| true);
+    let broken = shares.check().into_iter().map(|b| format!("seed {seed}: {b}"));
+    judge(seed, &fleet, &streams).into_iter().chain(broken).collect()
+}
+
+/// Faults one after the other and at once, drawn by the seed.
+pub async fn under_faults(seed: u64) -> Vec<String> {
+    let (mut fleet, mut rng) = (start(seed).await, Pcg64::seed_from_u64(seed));
+    let streams = press(&fleet, "faults", FAULTS_LENGTH, Says::Resumes);
+    let until = Instant::now() + FAULTS_LENGTH - RECOVERY;
+    while Instant::now() < until {
+        task::sleep(Duration::from_millis(rng.random_range(GAPS_MS))).await;
+        let n = rng.random_range(0..DAEMONS);
+        match rng.random_range(0..10) {
+            0..2 => fleet.daemons[n].restart_by(Signal::KILL).await,
+            2 => kill_all(&mut fleet).await,
+            3 => fleet.daemons[n].restart_by(Signal::TERM).await,
+            4 => {
+                fleet.daemons[n].signal(Signal::STOP);
+                task::sleep(SUSPENDED).await;
+                fleet.daemons[n].signal(Signal::CONT);
+            }
+            5..7 => {
+                // The first two always serve one version.
+                let (e, software) = (rng.random_range(2..5), rng.random_range(1..4));
+                fleet.change_software(e, SOFTWARE_AFTER[software], DOWN);
+            }
+            7 => {
+                let mode = [Mode::Cutting, Mode::Good][rng.random_range(0..2)];
+                fleet.endpoints[rng.random_range(0..4)].set_mode(mode);
+            }
+            8 => {
+                let modes = [store::Mode::Refusing, store::Mode::Slow(SLOW), store::Mode::Up];
+                fleet.store.set_mode(modes[rng.random_range(0..3)]);
+            }
+            _ => {
+                let manners = [Manner::Silent, Manner::Reset, Manner::Refuse];
+                let manner = manners[rng.random_range(0..3)];
+                fleet.paths.set_cut(Some(Cut { manner, daemons: vec![n] }));
+                task::sleep(SUSPENDED).await;
+                fleet.paths.set_cut(None);
+            }
+        }
+    }
+    fleet.store.set_mode(store::Mode::Up);
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_mode(Mode::Good));
+    let streams = streams.await;
+    let is_owed = |software: &str| software == SOFTWARE[0];
+    let shares = Shares::of(&streams, taken_up::excused(&fleet.excuses), is_owed);
+    let all = Shares::of(&streams, |_| false, is_owed);
+    println!("seed {seed}: {} streams, {shares:?}, at all instances {all:?}", streams.len());
+    let broken = streams.iter().flat_map(|stream| stream.check(&fleet.runs));
+    broken.chain(shares.check()).map(|b| format!("seed {seed}: {b}")).collect()
+}
+
 #[test]
 fn a_stream_that_breaks_goes_on_at_the_version_that_began_it() {
     let broken = play_in_turn(BREAKS.into_iter().map(breaks));
@@ -112,3 +219,26 @@
     let broken = play_in_turn(UNTOLD.into_iter().map(untold));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+#[test]
+fn streams_go_on_after_all_instances_were_killed() {
+    let broken = play_in_turn(KILLS_OF_ALL.into_iter().map(kills_of_all));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn streams_of_a_service_of_one_version_go_on_without_a_word_on_their_beginning() {
+    let broken = play_in_turn(ONE_VERSION.into_iter().map(one_version));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// `OXBOW_SOAK_VERSIONS=FROM-TO` plays other seeds.
+#[test]
+fn no_stream_holds_two_versions_under_faults() {
+    let seeds: Vec<u64> = match std::env::var("OXBOW_SOAK_VERSIONS") {
+        Ok(range) => crate::range(&range).collect(),
+        Err(_) => FAULTS.to_vec(),
+    };
+    let broken = play_in_turn(seeds.into_iter().map(under_faults));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -296,7 +296,8 @@
             log::warn!("event=entry_lost instance={name} epoch={}", entry.epoch);
             upkeep.lost();
         }
-        let is_urgent = shared.lock().admission.quotas.is_near_limit();
+        // Streams last for seconds, and a restart of all instances loses those that are not noted.
+        let is_urgent = !entry.streams.is_empty() || shared.lock().admission.quotas.is_near_limit();
         let Some(step) = upkeep.due(began, &entry, is_urgent) else { continue };
         let result = match step {
             Step::Enroll => store.enroll(&name, &entry, TTL).await.map(Done::Enrolled),
