--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -1,9 +1,11 @@
 //! A single attempt to have an endpoint execute a request.
 
+use std::pin::pin;
 use std::time::Duration;
 
-use async_std::{future, task};
+use async_std::future;
 use bytes::Bytes;
+use futures::future::{select, Either};
 use futures::pin_mut;
 use http::header::{self, HeaderMap};
 use http::{response, Request, Response, Uri, Version};
@@ -218,14 +220,21 @@
             TimeoutAction::Fail => return Err(AttemptError::DeadlineExceeded),
             TimeoutAction::Retry => return Err(AttemptError::Unresponsive),
             TimeoutAction::MarkSuspect => {
-                let (shared, pool) = (self.shared.clone(), self.pool.clone());
-                let (service, failure) = (request.service.clone(), PathFailure::Unresponsive);
-                task::spawn(async move {
-                    if !shared.is_path_lost(&pool, &service, &endpoint, failure).await {
+                let (service, failure) = (&request.service, PathFailure::Unresponsive);
+                let is_path_lost =
+                    pin!(self.shared.is_path_lost(&self.pool, service, &endpoint, failure));
+                match select(&mut response_start, is_path_lost).await {
+                    Either::Left((result, _)) => return result,
+                    // No response can arrive, and the slot would stay in use until the deadline.
+                    Either::Right((true, _)) if request.is_retryable() => {
+                        return Err(AttemptError::Unresponsive)
+                    }
+                    Either::Right((true, _)) => {}
+                    Either::Right((false, _)) => {
                         let (now, key) = (clock::now(), endpoint.key());
-                        shared.lock().cell.record_slow_response(now, key, started_at);
+                        self.shared.lock().cell.record_slow_response(now, key, started_at);
                     }
-                });
+                }
             }
         }
         match future::timeout(time_until(request.deadline), response_start).await {
