--- a/oxbowbend-core/tests/cell.rs
+++ b/oxbowbend-core/tests/cell.rs
@@ -124,6 +124,30 @@
     assert_eq!(cell.assign(now).len(), 0);
 }
 
+#[test]
+fn a_request_that_needs_a_version_waits_for_it_and_holds_up_nobody() {
+    let now = Instant::now();
+    let of = |n, version: &str| Endpoint { version: version.into(), ..endpoint(n, 1) };
+    let endpoints = [of(0, "v1"), of(2, "v2")];
+    let needs = |version: &str| QueuedRequest {
+        version: Some(version.into()),
+        ..want(0, 100, now - 2 * REPORT_DELAY)
+    };
+    let (mut a, mut b) = (cell("a", &endpoints), cell("b", &endpoints));
+    let first = a.enqueue(needs("v1"));
+    assert_eq!(placed(&mut a, now), [(first, "e0".to_owned())]);
+    let bound = a.enqueue(needs("v1"));
+    // A peer knows that the request is none for the other version.
+    b.receive_report(now, a.report(now, ReportDetail::Full), true);
+    let later = b.enqueue(want(0, 100, now - REPORT_DELAY));
+    assert_eq!(placed(&mut b, now), [(later, "e2".to_owned())]);
+    assert_eq!(placed(&mut a, now), []);
+    a.finish(now, key("e0"), 0, Outcome::Good);
+    assert_eq!(placed(&mut a, now), [(bound, "e0".to_owned())]);
+    assert!(a.serves_version(&"s".into(), &"v1".into()));
+    assert!(!a.serves_version(&"s".into(), &"v3".into()));
+}
+
 #[test]
 fn failures_reported_by_a_peer_eject_an_endpoint() {
     let now = Instant::now();
