--- a/oxbowbend-daemon/tests/soak/versions.rs
+++ b/oxbowbend-daemon/tests/soak/versions.rs
@@ -22,6 +22,7 @@
 const KILLS_OF_ALL: [u64; 2] = [177, 178];
 const FAULTS: [u64; 2] = [179, 180];
 const ONE_VERSION: [u64; 2] = [181, 182];
+const UNDER_ITS_ID: [u64; 2] = [184, 185];
 /// Versions of the endpoints' software: two of which two serve, and one with a single endpoint.
 const SOFTWARE: [&str; ENDPOINTS] = ["v1", "v1", "v2", "v2", "v3"];
 /// Of which a stream need not go on.
@@ -152,6 +153,22 @@
     judge(seed, &fleet, &streams).into_iter().chain(broken).collect()
 }
 
+/// An endpoint starts again under its id with other software, while the store answers nobody.
+async fn under_its_id(seed: u64) -> Vec<String> {
+    let mut fleet = start(seed).await;
+    let streams = press(&fleet, "its-id", LENGTH, Says::Resumes);
+    task::sleep(LENGTH / 3).await;
+    fleet.store.set_mode(store::Mode::Refusing);
+    fleet.store.cut_watches();
+    fleet.change_software_under_its_id(BREAKING[1], SOFTWARE_AFTER[3], DOWN).await;
+    // Streams of the other endpoint of that version have only this one to go on at.
+    fleet.endpoints[BREAKING[1] + 1].set_mode(Mode::Cutting);
+    let streams = streams.await;
+    fleet.store.set_mode(store::Mode::Up);
+    let broken = streams.iter().flat_map(|stream| stream.check(&fleet.runs));
+    broken.map(|b| format!("seed {seed}: {b}")).collect()
+}
+
 /// Faults one after the other and at once, drawn by the seed.
 pub async fn under_faults(seed: u64) -> Vec<String> {
     let (mut fleet, mut rng) = (start(seed).await, Pcg64::seed_from_u64(seed));
@@ -242,3 +259,9 @@
     let broken = play_in_turn(seeds.into_iter().map(under_faults));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+#[test]
+fn no_stream_goes_on_at_an_endpoint_that_has_other_software_under_its_id() {
+    let broken = play_in_turn(UNDER_ITS_ID.into_iter().map(under_its_id));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
