--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -1,8 +1,9 @@
 //! The daemons as real processes, with all that they talk to.
 
+use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -63,6 +64,8 @@
     pub callers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
+    /// What its processes have logged.
+    pub log: PathBuf,
     /// Environment of the process.
     env: Vec<(&'static str, String)>,
     excuses: Excuses,
@@ -325,9 +328,10 @@
         let callers = format!("{ip}:27620").parse().unwrap();
         let readiness = format!("{ip}:27621").parse().unwrap();
         let env = environment(n, seed);
-        let child = spawn(&settings, &env);
+        let log = logs().join(format!("oxbow-soak-{}-{seed}-d{n}.log", std::process::id()));
+        let child = spawn(&settings, &log, &env);
         paths.set_pid(n, child.id());
-        Daemon { callers, readiness, settings, env, excuses, paths, n, child }
+        Daemon { callers, readiness, settings, log, env, excuses, paths, n, child }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -352,7 +356,7 @@
             task::sleep(Duration::from_millis(20)).await;
         };
         self.excuses.lock().unwrap().push((self.callers, Instant::now()));
-        self.child = spawn(&self.settings, &self.env);
+        self.child = spawn(&self.settings, &self.log, &self.env);
         self.paths.set_pid(self.n, self.child.id());
         ended
     }
@@ -371,9 +375,21 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        if kept_logs().is_none() {
+            let _ = std::fs::remove_file(&self.log);
+        }
     }
 }
 
+/// Where logs are kept after a play, if they are.
+fn kept_logs() -> Option<PathBuf> {
+    std::env::var_os("OXBOW_TEST_LOG").map(PathBuf::from)
+}
+
+fn logs() -> PathBuf {
+    kept_logs().unwrap_or_else(std::env::temp_dir)
+}
+
 /// An endpoint's entry in the store.
 fn entry(address: SocketAddr, born: u64, slots: u32) -> serde_json::Value {
     json!({
@@ -400,11 +416,8 @@
     env
 }
 
-fn spawn(settings: &PathBuf, env: &[(&'static str, String)]) -> Child {
-    let log = match std::env::var_os("OXBOW_TEST_LOG") {
-        Some(_) => Stdio::inherit(),
-        None => Stdio::null(),
-    };
+fn spawn(settings: &Path, log: &Path, env: &[(&'static str, String)]) -> Child {
+    let log = File::options().create(true).append(true).open(log).unwrap();
     Command::new(env!("CARGO_BIN_EXE_oxbowd"))
         .args(["--wire", "platform"])
         .env("OXBOWBEND_BOOT", settings)
