Record a stream's version when its first event goes to the client, not when it is sent

Cause: the version was recorded, reported and noted when the request was sent. A request that fails before its first event may be sent again to another version; whoever the later record does not reach believes the earlier one. Sends were counted so that an earlier report would not win, which does not help where the later one never comes: the note in the store lags by 0.4 s, and all instances were killed within it.

A record is made just before the first event goes to the client. A send leaves none, so what others know is right or nothing. Ruled out: keeping resends at the recorded version (a version with one endpoint could not be retried), and flags on records of sends (a peer could believe none of them).

A stream whose instance is killed within 5 ms after its first event may now be unknown: refused, not joined.

--- a/oxbowbend-core/src/streams/mod.rs
+++ b/oxbowbend-core/src/streams/mod.rs
@@ -4,7 +4,7 @@
 //! that began it, and an endpoint does not check that. A client takes a stream up because its
 //! instance or endpoint failed, so the knowledge must outlive the instance that had it:
 //!
-//! - [`StreamRegistry`] records the version of every stream that is sent to an endpoint. Instances
+//! - [`StreamRegistry`] records the version of every stream when its first event arrives. Instances
 //!   report their records while a service has several versions, and the records that are in use are
 //!   noted in the store, for a restart of all instances.
 //! - [`VersionHistory`] tells whether a service has had only one version for as long as a stream
@@ -17,7 +17,7 @@
 mod resolve;
 
 pub use history::{ServiceVersions, VersionHistory};
-pub use registry::{Lookup, ReportedStream, StreamGroup, StreamRegistry, StreamSend};
+pub use registry::{Lookup, ReportedStream, StreamGroup, StreamRegistry};
 pub use resolve::{resolve, Basis, Binding, LocalKnowledge, PeerAnswer, Unresolved};
 
 use crate::fingerprint::fingerprint;
--- a/oxbowbend-core/src/streams/resolve.rs
+++ b/oxbowbend-core/src/streams/resolve.rs
@@ -57,7 +57,7 @@
 pub enum Unresolved {
     /// Nobody who answered knows where it began.
     Unknown,
-    /// It was sent to different versions, and it is not known which one began it.
+    /// Its id names streams that began at different versions.
     Ambiguous,
     /// Its route does not lead to the service any more that began it.
     Moved,
--- a/oxbowbend-daemon/tests/soak/versions.rs
+++ b/oxbowbend-daemon/tests/soak/versions.rs
@@ -23,6 +23,8 @@
 const FAULTS: [u64; 2] = [179, 180];
 const ONE_VERSION: [u64; 2] = [181, 182];
 const UNDER_ITS_ID: [u64; 2] = [184, 185];
+const RESENT: [u64; 2] = [186, 187];
+const HANDED_OVER: [u64; 2] = [188, 189];
 /// Versions of the endpoints' software: two of which two serve, and one with a single endpoint.
 const SOFTWARE: [&str; ENDPOINTS] = ["v1", "v1", "v2", "v2", "v3"];
 /// Of which a stream need not go on.
@@ -139,6 +141,33 @@
     }
 }
 
+/// Endpoints of one version take requests and answer nothing, so that these are sent again to others, until all instances
+/// are killed at once.
+async fn resent(seed: u64) -> Vec<String> {
+    let mut fleet = start(seed).await;
+    fleet.endpoints[..2].iter().for_each(|endpoint| endpoint.set_mode(Mode::Hanging));
+    let streams = press(&fleet, "resent", LENGTH, Says::Resumes);
+    task::sleep(LENGTH / 2).await;
+    fleet.endpoints[..2].iter().for_each(|endpoint| endpoint.set_mode(Mode::Good));
+    kill_all(&mut fleet).await;
+    let streams = streams.await;
+    judge(seed, &fleet, &streams)
+}
+
+/// The same where an instance reaches no endpoint, so that a peer sends its requests again.
+async fn handed_over(seed: u64) -> Vec<String> {
+    let mut fleet = start(seed).await;
+    fleet.endpoints[..2].iter().for_each(|endpoint| endpoint.set_mode(Mode::Hanging));
+    fleet.paths.set_cut(Some(Cut { manner: Manner::Reset, daemons: vec![1] }));
+    let streams = press(&fleet, "handed-over", LENGTH, Says::Resumes);
+    task::sleep(LENGTH * 2 / 3).await;
+    fleet.endpoints[..2].iter().for_each(|endpoint| endpoint.set_mode(Mode::Good));
+    fleet.paths.set_cut(None);
+    kill_all(&mut fleet).await;
+    let streams = streams.await;
+    judge(seed, &fleet, &streams)
+}
+
 /// All endpoints have one version, and callers do not say which attempt began their streams.
 async fn one_version(seed: u64) -> Vec<String> {
     let mut fleet = start_with(seed, ["v1"; ENDPOINTS]).await;
@@ -243,6 +272,18 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+#[test]
+fn a_stream_that_began_at_its_second_endpoint_goes_on_at_the_version_of_that() {
+    let broken = play_in_turn(RESENT.into_iter().map(resent));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn a_stream_that_began_at_a_peer_goes_on_at_the_version_of_that() {
+    let broken = play_in_turn(HANDED_OVER.into_iter().map(handed_over));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 #[test]
 fn streams_of_a_service_of_one_version_go_on_without_a_word_on_their_beginning() {
     let broken = play_in_turn(ONE_VERSION.into_iter().map(one_version));
--- a/oxbowbend-gateway/src/relay/attempt.rs
+++ b/oxbowbend-gateway/src/relay/attempt.rs
@@ -11,8 +11,6 @@
 use oxbowbend_http::h1;
 
 use super::request::AdmittedRequest;
-use super::take_up::account;
-use super::Origin;
 use crate::observe;
 use crate::shared::Shared;
 
@@ -50,6 +48,8 @@
     pub(super) route: Arc<Route>,
     /// The stream that the attempt begins or continues.
     stream_key: Option<StreamKey>,
+    /// Whether the client was given an event of it by this attempt.
+    has_begun_stream: bool,
     pub(super) is_finished: bool,
 }
 
@@ -61,10 +61,6 @@
     ) -> Attempt {
         let (shared, request_id) = (shared.clone(), request.metadata.id.clone());
         shared.run_began(&assignment.endpoint);
-        if let Some(key) = request.stream_key {
-            let is_handed_over = request.origin == Origin::Peer;
-            shared.stream_sent(key, account(request), &assignment.endpoint, is_handed_over);
-        }
         Attempt {
             shared,
             request_id,
@@ -81,6 +77,7 @@
             framing: h1::Framing::Bodyless,
             route: request.route.clone(),
             stream_key: request.stream_key,
+            has_begun_stream: false,
             is_finished: false,
         }
     }
@@ -95,6 +92,14 @@
         self.event_count += 1;
     }
 
+    /// Records before the first event goes to the client at which version its stream runs.
+    pub(super) fn begin_stream(&mut self, account: &str) {
+        if let (Some(key), false) = (self.stream_key, self.has_begun_stream) {
+            self.has_begun_stream = true;
+            self.shared.stream_began(key, account, &self.endpoint);
+        }
+    }
+
     /// Finishes the attempt after a complete response and returns the connection to the pool.
     pub(crate) fn complete(mut self, pool: &h1::Pool, outcome: Outcome) {
         if let Some(conn) = self.conn.take() {
@@ -107,7 +112,7 @@
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         self.is_finished = true;
         self.conn = None;
-        if let Some(key) = self.stream_key {
+        if let (Some(key), true) = (self.stream_key, self.has_begun_stream) {
             self.shared.stream_ended(key);
         }
         let unread_tokens = if self.time_to_first_event.is_zero() { self.prompt_tokens } else { 0 };
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -18,6 +18,7 @@
 use super::events::EventSplitter;
 use super::request::AdmittedRequest;
 use super::run::{with_source, AttemptError, AttemptResponse};
+use super::take_up::account;
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
 use crate::seam::Wire;
 use crate::streams::shown;
@@ -101,6 +102,9 @@
                     if data.is_empty() {
                         continue;
                     }
+                    if let Some(stream) = &mut self.stream {
+                        stream.attempt.begin_stream(account(&self.request));
+                    }
                     self.bytes_sent += data.len();
                     return Some(Ok(data));
                 }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -252,7 +252,7 @@
         rollouts: Rollouts,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
-        let streams = Streams::new(&cell.process_id());
+        let streams = Streams::new();
         let state = State {
             streams,
             world: World::default(),
--- a/oxbowbend-gateway/src/streams.rs
+++ b/oxbowbend-gateway/src/streams.rs
@@ -14,8 +14,8 @@
 use oxbowbend_core::ids::{ServiceId, StreamKey, VersionId};
 use oxbowbend_core::routes::{Endpoint, Route, RoutingTable};
 use oxbowbend_core::streams::{
-    LocalKnowledge, Lookup, PeerAnswer, ServiceVersions, StreamGroup, StreamOrigin, StreamRegistry,
-    StreamSend, VersionHistory,
+    LocalKnowledge, Lookup, PeerAnswer, ReportedStream, ServiceVersions, StreamGroup, StreamOrigin,
+    StreamRegistry, VersionHistory,
 };
 use oxbowbend_http::h1;
 use rand::seq::IteratorRandom;
@@ -57,10 +57,10 @@
 }
 
 impl Streams {
-    /// Starts without knowledge; `process_id` names this run of this instance.
-    pub(crate) fn new(process_id: &str) -> Streams {
+    /// Starts without knowledge.
+    pub(crate) fn new() -> Streams {
         Streams {
-            registry: StreamRegistry::new(tag(process_id)),
+            registry: StreamRegistry::default(),
             history: VersionHistory::default(),
             retention: MIN_RETENTION,
         }
@@ -77,7 +77,7 @@
     }
 }
 
-/// A short hash, to tell accounts and instances apart.
+/// A short hash, to tell accounts apart.
 fn tag(name: &str) -> u16 {
     xxh3_64(name.as_bytes()) as u16
 }
@@ -245,22 +245,16 @@
 }
 
 impl Shared {
-    /// Records that a request for a stream is about to be sent to an endpoint.
-    pub(crate) fn stream_sent(
-        &self,
-        key: StreamKey,
-        account: &str,
-        endpoint: &Endpoint,
-        is_handed_over: bool,
-    ) {
+    /// Records that the first event of a stream is about to go to the client.
+    pub(crate) fn stream_began(&self, key: StreamKey, account: &str, endpoint: &Endpoint) {
         let now = clock::now();
         let mut state = self.lock();
         let service = state.base_service_of(endpoint);
         let origin = StreamOrigin { service, version: endpoint.version.clone() };
         let is_mixed = state.streams.is_mixed(now, &origin.service);
         let Streams { registry, retention, .. } = &mut state.streams;
-        let send = StreamSend { key, account: tag(account), origin, is_handed_over };
-        registry.record_sent(now, send, *retention);
+        let stream = ReportedStream { key, account: tag(account) };
+        registry.record_began(now, stream, &origin, *retention);
         drop(state);
         if is_mixed {
             self.tell_others();
@@ -307,7 +301,8 @@
         let now = clock::now();
         let mut state = self.lock();
         let Streams { registry, retention, .. } = &mut state.streams;
-        registry.adopt(now, key, tag(account), origin, *retention);
+        let stream = ReportedStream { key, account: tag(account) };
+        registry.adopt(now, stream, origin, *retention);
     }
 }
 
