Soak: look up whose a connection is without parsing the whole table

Cause: the harness. So nothing reached the endpoint, and daemons saw what they would see of a network that holds connections back for seconds.

The table is kept as text and searched for the one row; processes' sockets are read as before. Nothing is checked less.

--- a/oxbowbend-daemon/tests/soak/paths.rs
+++ b/oxbowbend-daemon/tests/soak/paths.rs
@@ -3,7 +3,6 @@
 //! All daemons reach the endpoints through the same proxies, so a proxy asks here whose a connection is: once for each
 //! connection, and only while a cut is in force or it is counted what passes.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
@@ -11,7 +10,7 @@
 use async_std::task;
 
 use crate::fleet::DAEMONS;
-use crate::owners::{self, Ends};
+use crate::owners::{Ends, Snapshot};
 
 /// How daemons are cut off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,7 +43,7 @@
 /// The daemons' connections at a moment.
 struct Table {
     at: Instant,
-    owners: HashMap<Ends, usize>,
+    snapshot: Snapshot,
 }
 
 /// The ways of all daemons to all endpoints.
@@ -127,13 +126,13 @@
     async fn look_up(&self, ends: Ends, since: Instant) -> Option<usize> {
         let mut table = self.table.lock().await;
         if let Some(table) = table.as_ref().filter(|table| table.at >= since) {
-            return table.owners.get(&ends).copied();
+            return table.snapshot.owner(ends);
         }
         let at = Instant::now();
         let pids = self.state.lock().unwrap().pids;
-        let owners = task::spawn_blocking(move || owners::connections(&pids)).await;
-        let owner = owners.get(&ends).copied();
-        *table = Some(Table { at, owners });
+        let snapshot = task::spawn_blocking(move || Snapshot::take(&pids)).await;
+        let owner = snapshot.owner(ends);
+        *table = Some(Table { at, snapshot });
         owner
     }
 }
