Send a rejected request to an endpoint that has not just rejected others

A request that one endpoint has rejected now goes, where there is a choice, to one that has accepted a request since its backoff ended; new requests may still find out, so nothing stays unused. Ruled out: more attempts (each draws on the shared retry budget), one probe at a time (the next request would wait).

The table test failed before (e4 instead of e1).

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -159,6 +159,8 @@
     allowance: Option<u32>,
     /// Who may send to the endpoint, if it is brittle.
     admission: Option<Admission>,
+    /// Whether it may still reject requests: its backoff has ended, but it has accepted none since.
+    is_unproven: bool,
 }
 
 impl Target<'_> {
@@ -362,6 +364,7 @@
                     is_unmeasured,
                     allowance: allowances.get(key).copied(),
                     admission: admissions.remove(key),
+                    is_unproven: self.backoffs.is_unproven(now, *key),
                 }
             })
             .collect()
@@ -432,8 +435,11 @@
     let can_wait = time_left > candidate.objective.mul_f64(STALL_WAIT_MIN_SHARE)
         && targets.iter().any(|t| fits(t) && !would_stall(t, candidate, 1));
     let free = targets.iter_mut().filter(|t| t.free_slots > 0 && fits(t));
-    let best =
-        free.min_by_key(|t| (would_stall(t, candidate, t.load), cost(t, candidate, time_left)))?;
+    // A request that one endpoint rejected leaves it to others to find out whether the next one does.
+    let may_reject = |t: &Target<'_>| t.is_unproven && !candidate.avoid.is_empty();
+    let best = free.min_by_key(|t| {
+        (would_stall(t, candidate, t.load), may_reject(t), cost(t, candidate, time_left))
+    })?;
     let expected_first_event = time_to_first_event(best, candidate);
     if expected_first_event > time_left && can_meet_deadline
         || can_wait && would_stall(best, candidate, best.load)
--- a/oxbowbend-core/src/cell/gate.rs
+++ b/oxbowbend-core/src/cell/gate.rs
@@ -57,6 +57,8 @@
         }
         if let SignalValue::Value(backoff) = signals.backoff {
             self.backoffs.extend(now, endpoint, backoff);
+        } else if !signals.is_rejection {
+            self.backoffs.record_accepted(sent_at, endpoint);
         }
     }
 
@@ -258,7 +260,7 @@
             && !self.limits.limited_endpoints().contains(&endpoint)
     }
 
-    /// Drops signals of endpoints that are no longer listed, and backoffs that have ended.
+    /// Drops signals of endpoints that are no longer listed, and backoffs that ended long ago.
     pub(super) fn prune_endpoint_signals(&mut self, now: Instant) {
         let (sites, listed) = (&self.endpoints, &self.listed_endpoints);
         let is_listed = |key: &EndpointKey| sites.contains_key(key) || listed.contains(key);
--- a/oxbowbend-core/src/cell/rests.rs
+++ b/oxbowbend-core/src/cell/rests.rs
@@ -8,9 +8,14 @@
 
 use crate::ids::EndpointKey;
 
+/// Time after a backoff in which an endpoint that has not accepted a request since may reject the
+/// next one too.
+const UNPROVEN_TTL: Duration = Duration::from_secs(10);
+
 /// Backoffs of this instance, by endpoint.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Backoffs {
+    /// Their ends. Those that have ended are kept until the endpoint accepts a request.
     until: HashMap<EndpointKey, Instant>,
 }
 
@@ -32,8 +37,20 @@
         self.until.iter().filter(move |(_, until)| **until > now).map(|(key, _)| *key)
     }
 
-    /// Drops backoffs that have ended.
+    /// Records that an endpoint accepted a request that was sent at `sent_at`.
+    pub(super) fn record_accepted(&mut self, sent_at: Instant, endpoint: EndpointKey) {
+        if self.until.get(&endpoint).is_some_and(|until| *until <= sent_at) {
+            self.until.remove(&endpoint);
+        }
+    }
+
+    /// Returns whether an endpoint's backoff has ended and it has not accepted a request since.
+    pub(super) fn is_unproven(&self, now: Instant, endpoint: EndpointKey) -> bool {
+        self.until.get(&endpoint).is_some_and(|until| *until <= now)
+    }
+
+    /// Drops backoffs that ended long ago.
     pub(super) fn prune(&mut self, now: Instant) {
-        self.until.retain(|_, until| *until > now);
+        self.until.retain(|_, until| *until + UNPROVEN_TTL > now);
     }
 }
--- a/oxbowbend-core/tests/backoff.rs
+++ b/oxbowbend-core/tests/backoff.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use cells::{cell, endpoint, key, placed, want, MS};
-use oxbowbend_core::cell::{Cell, Outcome, ReportDetail, RetryPolicy, SignalValue, Signals};
+use oxbowbend_core::cell::{
+    Cell, Outcome, QueuedRequest, ReportDetail, RetryPolicy, SignalValue, Signals,
+};
 
 fn request_backoff(cell: &mut Cell, now: Instant, name: &str, ms: u64) {
     let backoff = SignalValue::Value(Duration::from_millis(ms));
@@ -60,3 +62,29 @@
     assert_eq!((refused.delay, refused.is_throttled), (600 * MS, true));
     assert!(!b.refuse(now + 400 * MS, &"s".into(), 0, policy).is_throttled);
 }
+
+/// Places a request that may not go to some endpoints any more.
+fn place(cell: &mut Cell, now: Instant, excluded: &[&str]) -> String {
+    let excluded_endpoints = excluded.iter().map(|name| (*name).into()).collect();
+    cell.enqueue(QueuedRequest { excluded_endpoints, ..want(0, 1, now - 20 * MS) });
+    placed(cell, now).remove(0).1
+}
+
+/// Guards against a request that is rejected by one endpoint after the other, whose backoffs have all
+/// just ended, and refused while others have free slots.
+#[test]
+fn a_rejected_request_goes_to_an_endpoint_that_has_not_just_rejected_others() {
+    let now = Instant::now();
+    // The first endpoint is in another availability zone, so that the others are preferred.
+    let mut cell = cell("a", &[endpoint(1, 8), endpoint(2, 8), endpoint(4, 8)]);
+    for name in ["e2", "e4"] {
+        request_backoff(&mut cell, now, name, 1000);
+    }
+    let later = now + 1001 * MS;
+    assert_ne!(place(&mut cell, later, &[]), "e1", "a new request may find out");
+    assert_eq!(place(&mut cell, later, &["e2"]), "e1");
+    assert_ne!(place(&mut cell, later, &["e1"]), "e1", "they are better than none");
+    // An endpoint that accepts a request again is like any other.
+    cell.apply_signals(later, key("e4"), later, Signals::default());
+    assert_eq!(place(&mut cell, later, &["e2"]), "e4");
+}
