--- a/oxbowbend-daemon/tests/soak/press.rs
+++ b/oxbowbend-daemon/tests/soak/press.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,16 +16,19 @@
 /// The same where it is looked which endpoints get any.
 const FAST: Duration = Duration::from_millis(7);
 
-/// Held by the test that presses.
-static TURN: Mutex<()> = Mutex::new(());
+/// Held by the tests that press, two at a time.
+static TURNS: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
+/// Tests that have asked for a turn.
+static TESTS: AtomicUsize = AtomicUsize::new(0);
 
-/// Plays fleets one after the other, while no other test presses; returns what was not as it must be.
+/// Plays fleets one after the other, while one other test presses at most; returns what was not as it must be.
 pub fn play_in_turn<F>(plays: impl Iterator<Item = F>) -> Vec<String>
 where
     F: Future<Output = Vec<String>>,
 {
     // A test that failed while it held the turn has nothing to do with the next one.
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let turn = &TURNS[TESTS.fetch_add(1, Ordering::SeqCst) % TURNS.len()];
+    let _turn = turn.lock().unwrap_or_else(PoisonError::into_inner);
     plays.flat_map(task::block_on).collect()
 }
 
