--- a/oxbowbend-core/src/cell/report.rs
+++ b/oxbowbend-core/src/cell/report.rs
@@ -139,7 +139,7 @@
     /// State of the quarantine of requests that crash endpoints.
     #[serde(rename = "Q", default, skip_serializing_if = "QuarantineUpdate::is_empty")]
     pub quarantine: QuarantineUpdate,
-    /// Streams that the sender has sent to endpoints of services with several versions.
+    /// Streams that began at the sender, of services with several versions.
     #[serde(rename = "T", default, skip_serializing_if = "Vec::is_empty")]
     pub streams: Vec<StreamGroup>,
     /// Addresses of representatives of other cells, or of all known instances at the first start of
