--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -370,7 +370,7 @@
 
 /// Where logs are kept after a play, if they are.
 fn kept_logs() -> Option<PathBuf> {
-    std::env::var_os("OXBOW_TEST_LOG").map(PathBuf::from)
+    std::env::var_os("OXBOW_SOAK_LOGS").map(PathBuf::from)
 }
 
 fn logs() -> PathBuf {
