Log what a decision on a retry follows from

The lines told only whether a retry was allowed, so neither a fixed part granted anew nor a ratio of too many requests could be seen in them. They tell the retries, the requests and the fixed part now; a metric counts those that are denied. The decision is unchanged: quotas.rs passes, with the decision's type in its calls.

--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -33,6 +33,19 @@
     pub window: Duration,
 }
 
+/// Whether a request may be retried, and what that follows from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether it may be retried.
+    pub is_allowed: bool,
+    /// Retries of the last window, without this one.
+    pub retries: usize,
+    /// Requests to which the ratio applies.
+    pub requests: usize,
+    /// Part of the fixed number that this instance may use.
+    pub fixed_part: f64,
+}
+
 /// Times of requests, oldest first.
 #[derive(Debug, Default)]
 struct Times(VecDeque<Instant>);
@@ -66,17 +79,17 @@
         self.counts(now, service).requests.0.pop_back();
     }
 
-    /// Returns whether a request may be retried, and records the retry if so.
-    pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> bool {
+    /// Decides whether a request may be retried, and records the retry if so.
+    pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> RetryDecision {
         let RetryLimit { ratio, fixed, window } = self.limit;
         let counts = self.counts(now, service);
-        let fixed = fixed * FIXED_SHARE / instances.max(1) as f64;
-        let allowed = counts.min_window_requests(now, window) as f64 * ratio + fixed;
-        if (counts.retries.len() + 1) as f64 > allowed {
-            return false;
+        let fixed_part = fixed * FIXED_SHARE / instances.max(1) as f64;
+        let (retries, requests) = (counts.retries.len(), counts.min_window_requests(now, window));
+        let is_allowed = (retries + 1) as f64 <= requests as f64 * ratio + fixed_part;
+        if is_allowed {
+            counts.retries.add(now);
         }
-        counts.retries.add(now);
-        true
+        RetryDecision { is_allowed, retries, requests, fixed_part }
     }
 
     fn counts(&mut self, now: Instant, service: &str) -> &mut Counts {
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -135,10 +135,11 @@
     for (requests, instances, allowed) in [(0, 1, 35), (0, 7, 5), (100, 7, 25), (10, 700, 2)] {
         let mut retry_limiter = RetryLimiter::new(limit);
         (0..requests).for_each(|_| retry_limiter.record_request(now, "s"));
-        let n = (0..500).filter(|_| retry_limiter.try_retry(now, "s", instances)).count();
+        let n =
+            (0..500).filter(|_| retry_limiter.try_retry(now, "s", instances).is_allowed).count();
         assert_eq!(n, allowed, "{requests} requests, {instances} instances");
-        assert!(!retry_limiter.try_retry(now + 9 * S, "s", instances));
-        assert!(retry_limiter.try_retry(now + 11 * S, "s", instances.min(30)));
+        assert!(!retry_limiter.try_retry(now + 9 * S, "s", instances).is_allowed);
+        assert!(retry_limiter.try_retry(now + 11 * S, "s", instances.min(30)).is_allowed);
     }
 }
 
@@ -168,7 +169,7 @@
                 requests_sent.push(ms);
             }
             // From the middle of the peak on, more retries are attempted than allowed.
-            if ms >= 25_000 && retry_limiter.try_retry(now, "s", 1) {
+            if ms >= 25_000 && retry_limiter.try_retry(now, "s", 1).is_allowed {
                 retries.push(ms);
             }
         }
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -75,9 +75,10 @@
     histogram!("oxbow_first_event_seconds", "route" => route.to_owned()).record(took);
 }
 
-/// Notes a request that was sent to a further endpoint.
-pub(crate) fn sent_again(why: &'static str) {
-    counter!("oxbow_sent_again_total", "why" => why).increment(1);
+/// Counts a decision on a retry.
+pub(crate) fn retry_decided(why: &'static str, is_allowed: bool) {
+    let name = if is_allowed { "oxbow_sent_again_total" } else { "oxbow_retries_denied_total" };
+    counter!(name, "why" => why).increment(1);
 }
 
 /// Notes a report to or from another instance.
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -27,6 +27,7 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome, QueuedRequest, RetryPolicy};
 use oxbowbend_core::ids::EndpointId;
+use oxbowbend_core::retries::RetryDecision;
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::streams::StreamOrigin;
@@ -222,17 +223,17 @@
     fn acquire_retry(&self, request: &AdmittedRequest, reason: &'static str) -> bool {
         let mut state = self.shared.lock();
         let instances = state.instances;
-        let allowed = state.repeats.try_retry(clock::now(), &request.service, instances);
+        let decision = state.repeats.try_retry(clock::now(), &request.service, instances);
         drop(state);
-        if allowed {
-            observe::sent_again(reason);
-        }
+        let RetryDecision { is_allowed, retries, requests, fixed_part } = decision;
+        observe::retry_decided(reason, is_allowed);
         log::info!(
-            "event=repeat id={} service={} why={reason} allowed={allowed} instances={instances}",
+            "event=repeat id={} service={} why={reason} allowed={is_allowed} instances={instances} \
+             retries={retries} requests={requests} fixed_part={fixed_part:.2}",
             request.metadata.id,
             request.service
         );
-        allowed
+        is_allowed
     }
 
     /// Waits in the queue for a free slot at an endpoint.
