Retries: what an instance may use after a start adds up with its predecessor's

Cause: an instance that starts had its part of the fixed number again, in the window in which its predecessor had used it; and it applied the ratio as if no window had begun before its start, though those that had contain its retries too. Weighed: the predecessor's use by report, by note or by its last word (lost with a kill, a write a second); one window of requests half a length earlier (nothing in the first 5 s after a start, or not sound); a bucket (36 retries in all after a crash). Change: no fixed part for one window after a start; the ratio applies to the mean of the retries' window and the one before. Both are sums over instances, so the rule follows; a start has retries with its first requests, a crash finds half a window's. quotas.rs: a new limiter's expectations were the fault; the limiter is a window old there now, a test of a young one is added, and requests of one moment pay for half, since they are in one of the two windows only.

--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -5,10 +5,16 @@
 //! half a length or a whole length earlier, whichever are most.
 //!
 //! Each instance applies the ratio to its own requests and uses an equal part of the fixed number,
-//! so the instances need no coordination. This holds for their sum only if all apply the ratio to
-//! the same window: where requests move from some instances to others, each has its most requests
-//! in another one. All therefore take the window that starts half a length earlier. It ends in the
-//! middle of the retries' window, so that retries are available both at once and later.
+//! so the instances need no coordination. Their sum keeps the limit because of two properties:
+//!
+//! - All apply the ratio to the same windows. Where requests move from some instances to others,
+//!   each has its most requests in another window, and the sum of these is more than any window of
+//!   all instances has. The ratio is therefore applied to the mean of the retries' window and the
+//!   one before it, which is never more than the better of the two. An instance that starts has
+//!   retries as soon as it has requests, and a sudden failure finds half a window's retries unused.
+//! - An instance's part of the fixed number is used once in a window, however often it starts. An
+//!   instance can't know what its predecessor has used, and has no part for one window after its
+//!   start.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -20,9 +26,9 @@
 
 /// Number of slices into which a window is divided.
 const SLICES: u64 = 40;
-/// Number of slices that are kept. The window of requests for the oldest window of retries that
-/// contains the current slice begins one and a half lengths ago.
-const KEPT_SLICES: usize = 64;
+/// Number of slices that are kept: those of the oldest window that contains the current slice, and
+/// of the window before it.
+const KEPT_SLICES: usize = 2 * SLICES as usize + 1;
 
 /// Limit on retries over all instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,7 +48,7 @@
     pub is_allowed: bool,
     /// Retries in the window that allows the fewest more, without this one.
     pub retries: u64,
-    /// Requests to which the ratio applies in that window.
+    /// Requests in that window and in the one before it; the ratio applies to half of them.
     pub requests: u64,
     /// Part of the fixed number that this instance may use.
     pub fixed_part: f64,
@@ -89,22 +95,32 @@
 
     /// Decides whether a request may be retried, and records the retry if so.
     pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> RetryDecision {
-        let RetryLimit { ratio, fixed, .. } = self.limit;
-        let fixed_part = fixed * FIXED_SHARE / instances.max(1) as f64;
+        let ratio = self.limit.ratio;
+        let fixed_part = self.fixed_part(now, instances);
         let slice = self.slice(now);
         let counts = self.counts(service);
         let (requests, retries) = counts.tightest_window(slice, ratio);
-        let is_allowed = (retries + 1) as f64 <= requests as f64 * ratio + fixed_part;
+        let is_allowed = (retries + 1) as f64 <= requests as f64 / 2.0 * ratio + fixed_part;
         if is_allowed {
             counts.retries.add(slice);
         }
         RetryDecision { is_allowed, retries, requests, fixed_part }
     }
 
-    /// Returns the number of the slice that contains `now`.
+    /// Returns the part of the fixed number that this instance may use.
+    fn fixed_part(&self, now: Instant, instances: usize) -> f64 {
+        if now.saturating_duration_since(self.started_at) < self.limit.window {
+            return 0.0;
+        }
+        self.limit.fixed * FIXED_SHARE / instances.max(1) as f64
+    }
+
+    /// Returns the number of the slice that contains `now`. Those of the two windows before the start
+    /// have numbers, too.
     fn slice(&self, now: Instant) -> u64 {
         let age = now.saturating_duration_since(self.started_at);
-        (age.as_nanos() * u128::from(SLICES) / self.limit.window.as_nanos().max(1)) as u64
+        let slices = age.as_nanos() * u128::from(SLICES) / self.limit.window.as_nanos().max(1);
+        2 * SLICES + slices as u64
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
@@ -122,14 +138,16 @@
     /// Windows that start in the same slice are taken together: with the retries of the whole slice,
     /// and with the requests that all of them count.
     fn tightest_window(&self, now: u64, ratio: f64) -> (u64, u64) {
-        let starts = now.saturating_sub(SLICES)..=now;
-        let windows = starts.map(|start| {
-            let first_request = (start + 1).saturating_sub(SLICES / 2);
-            let last_request = (start + SLICES / 2 - 1).min(now);
-            let requests = self.requests.sum(first_request, last_request);
-            (requests, self.retries.sum(start, now))
+        let newest = now + 2 - SLICES..=now;
+        let mut requests: u64 = newest.map(|slice| self.requests.get(slice)).sum();
+        let mut retries = 0;
+        let windows = (now - SLICES..=now).rev().map(|start| {
+            requests += self.requests.get(start + 1 - SLICES);
+            retries += self.retries.get(start);
+            (requests, retries)
         });
-        let allowed = |(requests, retries): &(u64, u64)| *requests as f64 * ratio - *retries as f64;
+        let allowed =
+            |(requests, retries): &(u64, u64)| *requests as f64 / 2.0 * ratio - *retries as f64;
         let tightest = windows.min_by(|a, b| allowed(a).total_cmp(&allowed(b)));
         tightest.unwrap_or_default()
     }
@@ -154,11 +172,12 @@
         last.map(|i| self.counts[i] -= 1).unwrap_or_default()
     }
 
-    /// Returns the number of events in the slices from `first` to `last`.
-    fn sum(&self, first: u64, last: u64) -> u64 {
-        let kept = self.kept();
-        let slices = first.max(*kept.start())..=last.min(*kept.end());
-        slices.map(|slice| u64::from(self.counts[index(slice)])).sum()
+    /// Returns the number of events in a slice.
+    fn get(&self, slice: u64) -> u64 {
+        match self.kept().contains(&slice) {
+            true => u64::from(self.counts[index(slice)]),
+            false => 0,
+        }
     }
 
     fn kept(&self) -> std::ops::RangeInclusive<u64> {
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -130,10 +130,12 @@
 #[test]
 fn retries_stay_within_the_ratio_and_the_fixed_share() {
     let limit = RetryLimit { ratio: 0.2, fixed: 50.0, window: 10 * S };
-    let now = Instant::now();
-    // Requests, instances, allowed retries: 0.2 x requests + 0.7 x 50 / instances.
-    for (requests, instances, allowed) in [(0, 1, 35), (0, 7, 5), (100, 7, 25), (10, 700, 2)] {
-        let mut retry_limiter = RetryLimiter::new(limit, now);
+    let start = Instant::now();
+    let now = start + limit.window;
+    // Requests, instances, allowed retries: 0.2 x requests / 2 + 0.7 x 50 / instances. Requests of a
+    // moment are in one of the two windows whose mean counts.
+    for (requests, instances, allowed) in [(0, 1, 35), (0, 7, 5), (100, 7, 15), (10, 700, 1)] {
+        let mut retry_limiter = RetryLimiter::new(limit, start);
         (0..requests).for_each(|_| retry_limiter.record_request(now, "s"));
         let n =
             (0..500).filter(|_| retry_limiter.try_retry(now, "s", instances).is_allowed).count();
@@ -143,6 +145,21 @@
     }
 }
 
+#[test]
+fn retries_after_a_start_stay_within_the_ratio() {
+    let limit = RetryLimit { ratio: 0.2, fixed: 50.0, window: 10 * S };
+    let start = Instant::now();
+    // Requests, instances, allowed retries: 0.2 x requests / 2.
+    for (requests, instances, allowed) in [(0, 1, 0), (100, 7, 10), (10, 700, 1)] {
+        let mut retry_limiter = RetryLimiter::new(limit, start);
+        (0..requests).for_each(|_| retry_limiter.record_request(start, "s"));
+        let mut is_allowed = |now| retry_limiter.try_retry(now, "s", instances).is_allowed;
+        let n = (0..500).filter(|_| is_allowed(start)).count();
+        assert_eq!(n, allowed, "{requests} requests, {instances} instances");
+        assert!(!is_allowed(start + 9 * S));
+    }
+}
+
 /// Guards against exceeding the limit in later windows, which contain the same burst of retries but
 /// fewer requests.
 #[test]
--- a/oxbowbend-core/tests/retries.rs
+++ b/oxbowbend-core/tests/retries.rs
@@ -99,10 +99,10 @@
         let mut fleet = Fleet::new(instances);
         for ms in (0..40_000).step_by(STEP_MS as usize) {
             for instance in 0..instances {
-                if ms > 0 && (ms + instance as u64 * STEP_MS) % life_ms == 0 {
+                if ms > 0 && (ms + instance as u64 * STEP_MS).is_multiple_of(life_ms) {
                     fleet.restart(ms, instance);
                 }
-                fleet.add_requests(ms, instance, usize::from(ms % 200 == 0));
+                fleet.add_requests(ms, instance, usize::from(ms.is_multiple_of(200)));
                 fleet.demand_retries(ms, instance);
             }
         }
