Retries: one that waits for an endpoint counts until it is sent

A retry was counted when it was decided, and arrived up to 0.8 of its route's objective later: windows by arrivals held what two windows by decisions hold. Evidence: the test failed before: 8,280 retries of 8,052 allowed where those of 640 ms are sent at once (40 instances, 4,000 requests a second). Change: a retry is pending from its decision until it is sent, and counts in every window meanwhile; one that is not sent is given back. quotas.rs: its calls send what is allowed at once; the expectations are the same.

--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -46,7 +46,7 @@
 pub struct RetryDecision {
     /// Whether it may be retried.
     pub is_allowed: bool,
-    /// Retries in the window that allows the fewest more, without this one.
+    /// Retries in the window that allows the fewest more, and pending ones, without this one.
     pub retries: u64,
     /// Requests in that window and in the one before it; the ratio applies to half of them.
     pub requests: u64,
@@ -66,6 +66,8 @@
 struct Counts {
     requests: SliceCounts,
     retries: SliceCounts,
+    /// Retries that are allowed and neither sent nor cancelled yet.
+    pending: u64,
 }
 
 /// Limits the retries that one instance sends, by service.
@@ -93,7 +95,8 @@
         self.counts(service).requests.remove_last();
     }
 
-    /// Decides whether a request may be retried, and records the retry if so.
+    /// Decides whether a request may be retried. If so, the retry is pending until it is sent or
+    /// cancelled. It may wait for an endpoint meanwhile, so it counts in every window until then.
     pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> RetryDecision {
         let ratio = self.limit.ratio;
         let fixed_part = self.fixed_part(now, instances);
@@ -102,11 +105,25 @@
         let (requests, retries) = counts.tightest_window(slice, ratio);
         let is_allowed = (retries + 1) as f64 <= requests as f64 / 2.0 * ratio + fixed_part;
         if is_allowed {
-            counts.retries.add(slice);
+            counts.pending += 1;
         }
         RetryDecision { is_allowed, retries, requests, fixed_part }
     }
 
+    /// Records that a pending retry is sent.
+    pub fn retry_sent(&mut self, now: Instant, service: &str) {
+        let slice = self.slice(now);
+        let counts = self.counts(service);
+        counts.pending = counts.pending.saturating_sub(1);
+        counts.retries.add(slice);
+    }
+
+    /// Gives back a pending retry that is not sent.
+    pub fn retry_cancelled(&mut self, service: &str) {
+        let counts = self.counts(service);
+        counts.pending = counts.pending.saturating_sub(1);
+    }
+
     /// Returns the part of the fixed number that this instance may use.
     fn fixed_part(&self, now: Instant, instances: usize) -> f64 {
         if now.saturating_duration_since(self.started_at) < self.limit.window {
@@ -132,7 +149,7 @@
 }
 
 impl Counts {
-    /// Returns the requests and the retries of the window that allows the fewest more retries, of
+    /// Returns the requests and the retries, pending ones included, of the window that allows the fewest more retries, of
     /// all windows that contain the slice `now`.
     ///
     /// Windows that start in the same slice are taken together: with the retries of the whole slice,
@@ -140,7 +157,7 @@
     fn tightest_window(&self, now: u64, ratio: f64) -> (u64, u64) {
         let newest = now + 2 - SLICES..=now;
         let mut requests: u64 = newest.map(|slice| self.requests.get(slice)).sum();
-        let mut retries = 0;
+        let mut retries = self.pending;
         let windows = (now - SLICES..=now).rev().map(|start| {
             requests += self.requests.get(start + 1 - SLICES);
             retries += self.retries.get(start);
--- a/oxbowbend-core/tests/quotas.rs
+++ b/oxbowbend-core/tests/quotas.rs
@@ -18,6 +18,15 @@
     quotas
 }
 
+/// Sends a retry at once if it is allowed.
+fn retry(retry_limiter: &mut RetryLimiter, now: Instant, instances: usize) -> bool {
+    let is_allowed = retry_limiter.try_retry(now, "s", instances).is_allowed;
+    if is_allowed {
+        retry_limiter.retry_sent(now, "s");
+    }
+    is_allowed
+}
+
 fn admitted(quotas: &mut Quotas, now: Instant) -> u32 {
     (0..2000).filter(|_| quotas.admit(now, "a", 1).is_ok()).count() as u32
 }
@@ -137,11 +146,10 @@
     for (requests, instances, allowed) in [(0, 1, 35), (0, 7, 5), (100, 7, 15), (10, 700, 1)] {
         let mut retry_limiter = RetryLimiter::new(limit, start);
         (0..requests).for_each(|_| retry_limiter.record_request(now, "s"));
-        let n =
-            (0..500).filter(|_| retry_limiter.try_retry(now, "s", instances).is_allowed).count();
+        let n = (0..500).filter(|_| retry(&mut retry_limiter, now, instances)).count();
         assert_eq!(n, allowed, "{requests} requests, {instances} instances");
-        assert!(!retry_limiter.try_retry(now + 9 * S, "s", instances).is_allowed);
-        assert!(retry_limiter.try_retry(now + 11 * S, "s", instances.min(30)).is_allowed);
+        assert!(!retry(&mut retry_limiter, now + 9 * S, instances));
+        assert!(retry(&mut retry_limiter, now + 11 * S, instances.min(30)));
     }
 }
 
@@ -153,7 +161,7 @@
     for (requests, instances, allowed) in [(0, 1, 0), (100, 7, 10), (10, 700, 1)] {
         let mut retry_limiter = RetryLimiter::new(limit, start);
         (0..requests).for_each(|_| retry_limiter.record_request(start, "s"));
-        let mut is_allowed = |now| retry_limiter.try_retry(now, "s", instances).is_allowed;
+        let mut is_allowed = |now| retry(&mut retry_limiter, now, instances);
         let n = (0..500).filter(|_| is_allowed(start)).count();
         assert_eq!(n, allowed, "{requests} requests, {instances} instances");
         assert!(!is_allowed(start + 9 * S));
@@ -186,7 +194,7 @@
                 requests_sent.push(ms);
             }
             // From the middle of the peak on, more retries are attempted than allowed.
-            if ms >= 25_000 && retry_limiter.try_retry(now, "s", 1).is_allowed {
+            if ms >= 25_000 && retry(&mut retry_limiter, now, 1) {
                 retries.push(ms);
             }
         }
--- a/oxbowbend-core/tests/retries.rs
+++ b/oxbowbend-core/tests/retries.rs
@@ -18,13 +18,19 @@
     /// Times of requests and of retries over all instances, in milliseconds.
     requests: Vec<u64>,
     retries: Vec<u64>,
+    pending: Vec<PendingRetry>,
+}
+
+struct PendingRetry {
+    instance: usize,
+    sent_at_ms: u64,
 }
 
 impl Fleet {
     fn new(instances: usize) -> Fleet {
         let start = Instant::now();
         let limiters = (0..instances).map(|_| RetryLimiter::new(LIMIT, start)).collect();
-        Fleet { start, limiters, requests: Vec::new(), retries: Vec::new() }
+        Fleet { start, limiters, requests: Vec::new(), retries: Vec::new(), pending: Vec::new() }
     }
 
     fn add_requests(&mut self, ms: u64, instance: usize, requests: usize) {
@@ -37,8 +43,22 @@
 
     /// Lets an instance send as many retries as it may.
     fn demand_retries(&mut self, ms: u64, instance: usize) {
+        self.demand_retries_for(ms, instance, ms);
+    }
+
+    /// Lets an instance decide on as many retries as it may, which are sent at `sent_at_ms`.
+    fn demand_retries_for(&mut self, ms: u64, instance: usize, sent_at_ms: u64) {
         let (now, instances) = (self.start + Duration::from_millis(ms), self.limiters.len());
         while self.limiters[instance].try_retry(now, "s", instances).is_allowed {
+            self.pending.push(PendingRetry { instance, sent_at_ms });
+        }
+        self.send_due_retries(ms);
+    }
+
+    fn send_due_retries(&mut self, ms: u64) {
+        let now = self.start + Duration::from_millis(ms);
+        for retry in self.pending.extract_if(.., |retry| retry.sent_at_ms <= ms) {
+            self.limiters[retry.instance].retry_sent(now, "s");
             self.retries.push(ms);
         }
     }
@@ -110,6 +130,24 @@
     }
 }
 
+/// A retry that waits for an endpoint arrives in a later window than the one that it was allowed in.
+#[test]
+fn retries_that_wait_before_they_are_sent_stay_within_the_limit() {
+    const MAX_WAIT_MS: u64 = 640;
+    for (instances, wait_until_ms) in [(40, 20_000), (40, 30_500), (12, 25_000)] {
+        let mut fleet = Fleet::new(instances);
+        for ms in (0..50_000).step_by(STEP_MS as usize) {
+            let waits = (wait_until_ms - MAX_WAIT_MS..wait_until_ms).contains(&ms);
+            let sent_at_ms = if waits { wait_until_ms } else { ms };
+            for instance in 0..instances {
+                fleet.add_requests(ms, instance, 2);
+                fleet.demand_retries_for(ms, instance, sent_at_ms);
+            }
+        }
+        fleet.check(&format!("{instances} instances, retries wait until {wait_until_ms} ms"));
+    }
+}
+
 /// Plays random bursts, moves of requests, pauses and starts.
 #[test]
 fn retries_stay_within_the_limit_in_random_histories() {
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -120,6 +120,7 @@
                 peer.report_age.as_millis(),
                 time_until(request.deadline).as_millis()
             );
+            history.start_retry();
             let result = match self.offer(request, &peer).await {
                 Offer::Response(response) => return Some(self.accept(request, history, response)),
                 Offer::NotAccepted(reason) => reason,
@@ -129,7 +130,7 @@
                     let can_retry = refusal == Refusal::Failed
                         && request.is_retryable()
                         && history.possibly_executed < request.route.max_attempts
-                        && self.acquire_retry(request, "handover");
+                        && self.acquire_retry(request, "handover", history);
                     if !can_retry {
                         return Some(history.final_result(refusal));
                     }
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod refusal;
 mod request;
+mod retry;
 mod run;
 mod stream;
 mod take_up;
@@ -27,7 +28,6 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome, QueuedRequest, RetryPolicy};
 use oxbowbend_core::ids::EndpointId;
-use oxbowbend_core::retries::RetryDecision;
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::streams::StreamOrigin;
@@ -40,6 +40,7 @@
 use handover::{PeerBody, PeerResponse, HANDOVER, REJECTED};
 use refusal::Refusal;
 use request::AdmittedRequest;
+use retry::RetryPermit;
 use run::{AttemptError, AttemptResponse};
 
 /// Maximum number of attempts at one request that end without executing it. Retries of those that
@@ -82,6 +83,8 @@
     possibly_executed: u32,
     /// A server error returned by an endpoint, preferred over an error of the gateway.
     endpoint_error: Option<Response<Bytes>>,
+    /// The retry that is allowed next.
+    retry: Option<RetryPermit>,
 }
 
 impl<W: Wire> Relay<W> {
@@ -163,6 +166,7 @@
                 Ok(slot) => slot,
                 Err(refusal) => return history.final_result(refusal),
             };
+            history.start_retry();
             let endpoint = slot.endpoint.id.clone();
             let is_last = history.possibly_executed + 1 >= request.route.max_attempts;
             match self.send_to_endpoint(request, slot, request.metadata.after, is_last).await {
@@ -180,7 +184,8 @@
                 Err(error) if error.is_unexecuted() => {
                     history.unexecuted += 1;
                     let can_retry = history.unexecuted < MAX_UNEXECUTED_ATTEMPTS
-                        && (!error.reached_endpoint() || self.acquire_retry(request, "not_run"));
+                        && (!error.reached_endpoint()
+                            || self.acquire_retry(request, "not_run", &mut history));
                     if !can_retry {
                         return history.final_result(self.busy_refusal(request, false));
                     }
@@ -190,7 +195,7 @@
                     let can_retry = request.is_retryable()
                         && !error.is_deadline_exceeded()
                         && history.possibly_executed < request.route.max_attempts
-                        && self.acquire_retry(request, "failed");
+                        && self.acquire_retry(request, "failed", &mut history);
                     if !can_retry {
                         return history.final_result(error.into_refusal());
                     }
@@ -216,24 +221,7 @@
         }
         history.possibly_executed += 1;
         history.possibly_executed < request.route.max_attempts
-            && self.acquire_retry(request, "error")
-    }
-
-    /// Takes one retry from the retry budget and returns whether there was one left.
-    fn acquire_retry(&self, request: &AdmittedRequest, reason: &'static str) -> bool {
-        let mut state = self.shared.lock();
-        let instances = state.instances;
-        let decision = state.repeats.try_retry(clock::now(), &request.service, instances);
-        drop(state);
-        let RetryDecision { is_allowed, retries, requests, fixed_part } = decision;
-        observe::retry_decided(reason, is_allowed);
-        log::info!(
-            "event=repeat id={} service={} why={reason} allowed={is_allowed} instances={instances} \
-             retries={retries} requests={requests} fixed_part={fixed_part:.2}",
-            request.metadata.id,
-            request.service
-        );
-        is_allowed
+            && self.acquire_retry(request, "error", history)
     }
 
     /// Waits in the queue for a free slot at an endpoint.
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -217,15 +217,16 @@
             && self.send_count < self.request.route.max_attempts
             && unexecuted < MAX_UNEXECUTED_ATTEMPTS
         {
-            if !self.relay.acquire_retry(&self.request, "stream_broken") {
-                return false;
-            }
-            let history = AttemptHistory {
+            let mut history = AttemptHistory {
                 excluded_endpoints: self.excluded_endpoints.clone(),
                 bound_to: bound_to.clone(),
                 ..AttemptHistory::default()
             };
+            if !self.relay.acquire_retry(&self.request, "stream_broken", &mut history) {
+                return false;
+            }
             let Ok(slot) = self.relay.get_slot(&self.request, &history).await else { return false };
+            history.start_retry();
             let endpoint = slot.endpoint.id.clone();
             let is_last = self.send_count + 1 >= self.request.route.max_attempts;
             let (request, last_event_id) = (&self.request, self.events.last_id());
