Read the parts of a prompt and log them with the request

Nothing knew which parts a prompt has, so that one is common to all requests that crash endpoints could not be seen in the logs. A request's line at admission tells the first eight, shortened.

--- a/oxbowbend-core/src/fingerprint.rs
+++ b/oxbowbend-core/src/fingerprint.rs
@@ -1,6 +1,7 @@
-//! Fingerprints that identify retries of a request across request ids and instances.
+//! Fingerprints that identify retries of a request, and parts that requests share, across request
+//! ids and instances.
 //!
-//! A fingerprint is the first 64 bits of the SHA-256 hash of the client account, method, path with
+//! The fingerprint of a request is the first 64 bits of the SHA-256 hash of the client account, method, path with
 //! query, and body, each prefixed with its length. It is the same on all instances and builds, and
 //! a caller can't forge that of another account. SHA-256 costs about 10 µs per request, ten times
 //! as much as a faster hash without this property. No part of the body is stored or logged.
@@ -9,9 +10,12 @@
 
 use crate::ids::AccountId;
 
-/// The identity of a request, independent of its id.
+/// The identity of a request, independent of its id, or of a part of requests.
 pub type Fingerprint = u64;
 
+/// First byte of what is hashed of a part; that of a request is 0 or 1.
+const PART: u8 = 2;
+
 /// Returns the fingerprint of a request, from a client account or anonymous.
 ///
 /// # Examples
@@ -37,6 +41,28 @@
         hash.update((part.len() as u64).to_be_bytes());
         hash.update(part);
     }
+    first_64_bits(hash)
+}
+
+/// Returns the fingerprint of a part that requests share, by the id that callers give it. The case
+/// of the id does not matter.
+///
+/// # Examples
+///
+/// ```
+/// use oxbowbend_core::fingerprint::part_fingerprint;
+///
+/// assert_eq!(part_fingerprint("5c1e07a2"), part_fingerprint("5C1E07A2"));
+/// assert_ne!(part_fingerprint("5c1e07a2"), part_fingerprint("05c1e07a2"));
+/// ```
+pub fn part_fingerprint(id: &str) -> Fingerprint {
+    let mut hash = Sha256::new();
+    hash.update([PART]);
+    hash.update(id.to_ascii_lowercase());
+    first_64_bits(hash)
+}
+
+fn first_64_bits(hash: Sha256) -> Fingerprint {
     let digest = hash.finalize();
     digest.iter().take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte))
 }
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -23,6 +23,8 @@
 
 /// Maximum body size while no configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Most parts of a prompt that are logged.
+const MAX_PARTS_LOGGED: usize = 8;
 /// Number of route tiers within each account tier of a rank.
 const ROUTE_TIERS: u16 = 256;
 
@@ -171,7 +173,8 @@
         drop(state);
         log::info!(
             "event=admitted id={} fingerprint={:016x} route={} service={} account={} version={} \
-             units={} prompt={} output={} patience_ms={} age_ms={} rank={} after={} resumes={}",
+             units={} prompt={} output={} patience_ms={} age_ms={} rank={} after={} resumes={} \
+             parts={:08x?}",
             request.metadata.id,
             request.fingerprint,
             request.route.name,
@@ -185,12 +188,18 @@
             request.age.as_millis(),
             request.rank,
             request.metadata.after.map_or(-1, |id| id as i64),
-            request.metadata.resumes.as_deref().unwrap_or("-")
+            request.metadata.resumes.as_deref().unwrap_or("-"),
+            shown_parts(&request.metadata.shared_parts)
         );
         Ok(())
     }
 }
 
+/// Returns the first parts of a prompt, shortened, for the log.
+fn shown_parts(parts: &[Fingerprint]) -> Vec<u32> {
+    parts.iter().take(MAX_PARTS_LOGGED).map(|part| (part >> 32) as u32).collect()
+}
+
 fn authenticate<'a>(
     table: &'a RoutingTable,
     route: &Route,
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{request, response, HeaderMap};
 use oxbowbend_core::cell::Signals;
+use oxbowbend_core::fingerprint::Fingerprint;
 use oxbowbend_core::ids::{
     AccountId, EndpointId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId,
 };
@@ -66,6 +67,8 @@
     /// Id of the attempt that brought the first event of the stream that the caller continues, if it
     /// tells that.
     pub resumes: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<Fingerprint>,
 }
 
 /// What a request is given on its way to an endpoint.
