A failing test: a part of prompts crashes endpoints, under requests no two alike

Four daemons, five endpoints that crash as they begin to write on the part; sound requests beside have the same key, first part and other parts. Alone, two such parts at once, with a kill of all instances, an outage of the store, a request that crashes endpoints as a whole, endpoints that crash by themselves.

--- a/oxbowbend-daemon/tests/soak/caller.rs
+++ b/oxbowbend-daemon/tests/soak/caller.rs
@@ -66,6 +66,24 @@
     id: String,
     body: Bytes,
 ) -> Seen {
+    send_call(Call { key, daemon, prefix, kind, id, body, prompt_prefix: "" }).await
+}
+
+/// A request that is to be sent.
+pub struct Call<'a> {
+    pub key: &'a str,
+    pub daemon: SocketAddr,
+    pub prefix: &'a str,
+    pub kind: &'static str,
+    pub id: String,
+    pub body: Bytes,
+    /// Parts of its prompt; empty if it tells none.
+    pub prompt_prefix: &'a str,
+}
+
+/// Sends one request with parts of a prompt.
+pub async fn send_call(call: Call<'_>) -> Seen {
+    let Call { key, daemon, prefix, kind, id, body, prompt_prefix } = call;
     let sent_at = beginning().elapsed();
     let mut seen = Seen {
         id: id.clone(),
@@ -79,7 +97,7 @@
     };
     let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
     let Ok(mut conn) = h1::Pool::new(cfg).connect(daemon).await else { return seen };
-    let req = Request::post(format!("/{prefix}/x"))
+    let mut req = Request::post(format!("/{prefix}/x"))
         .header("host", "h.example")
         .header("request-id", &id)
         .header("deadline-ms", PATIENCE.as_millis() as u64)
@@ -89,6 +107,9 @@
         .header(SENT_AT, sent_at.as_micros() as u64)
         .body(body)
         .unwrap();
+    if !prompt_prefix.is_empty() {
+        req.headers_mut().insert("prompt-prefix", prompt_prefix.parse().unwrap());
+    }
     seen.is_sent = true;
     let call = async {
         let mut answer = conn.send(req).await.ok()?;
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -43,6 +43,9 @@
 /// Time for which an endpoint runs such a request before it ends.
 const ENDS_AFTER: Duration = Duration::from_millis(60);
 
+/// Beginning of the ids of prompt parts that crash the endpoints that begin to write on them.
+pub const CRASHING_PART: &str = "dead";
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -83,7 +86,7 @@
     pub runs: HashMap<String, Vec<String>>,
     /// By request id: the last event that was made of its stream.
     pub made: HashMap<String, u64>,
-    /// By body of requests that end endpoints: when it reached one.
+    /// By body of requests that end endpoints, or by the prompt part that does: when it reached one.
     pub sends: HashMap<Bytes, Vec<Instant>>,
     /// By the same: when it ended one.
     pub ends: HashMap<Bytes, Vec<Instant>>,
@@ -257,6 +260,17 @@
         if body.starts_with(ENDS.as_bytes()) {
             self.end_by(body).await;
         }
+        if let Some(part) = crashing_part(&text("prompt-prefix")) {
+            // The head of a stream is on its way when the endpoint crashes, or is not.
+            if !head.uri.path().starts_with("/stream") || n.is_multiple_of(2) {
+                self.end_by(part).await;
+                return std::future::pending().await;
+            }
+            task::spawn(async move { self.end_by(part).await });
+            let sealed = [("request-id", id.as_str()), ("server-seal", "s")];
+            let body = StreamBody::new(stream::pending().boxed());
+            return reply(200, &sealed, Either::Right(body));
+        }
         if mode == Mode::Hanging {
             task::sleep(Duration::from_secs(3600)).await;
         }
@@ -283,6 +297,15 @@
     }
 }
 
+/// The part of a prompt that crashes endpoints, if there is one; the last belongs to the request.
+fn crashing_part(prompt_prefix: &str) -> Option<Bytes> {
+    let mut parts: Vec<&str> = prompt_prefix.split(',').collect();
+    parts.pop();
+    let mut ids = parts.into_iter().filter_map(|part| part.split_once(':')).map(|(id, _)| id);
+    let id = ids.find(|id| id.starts_with(CRASHING_PART))?;
+    Some(Bytes::copy_from_slice(id.as_bytes()))
+}
+
 /// A stream that an endpoint makes.
 struct Run {
     id: String,
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod outages;
 mod owners;
+mod parts;
 mod paths;
 mod press;
 mod proxy;
