Quarantine: a part of prompts that crashes endpoints is a suspect of its own

Cause: the quarantine knew a request as a whole only. No two of these are alike, so each had to crash three endpoints before it was held back, and each had its first sends free. The class: a cause that is wider than what is held against. Change: a part of the prompt, but for the last, is a suspect with the same records, decisions, notes, trials and gate as a request. Answers clear it, also ones that other instances know of; of parts that can't be told apart those never answered come first; crashes at one moment count once. A crash that a part explains speaks against no request. Records keep their old fields, so instances of both versions understand each other. Ruled out: holding back the account, the route or the first part, which sound requests share.

--- a/oxbowbend-core/src/quarantine/crashes.rs
+++ b/oxbowbend-core/src/quarantine/crashes.rs
@@ -13,6 +13,7 @@
 const MAX_CRASHES: usize = 256;
 /// Endpoints execute 4 to 10 requests at once, and queue some more.
 const MAX_ATTEMPTS_PER_CRASH: usize = 64;
+const MAX_PARTS_PER_CRASH: usize = 64;
 const MAX_RECORDS_PER_UPDATE: usize = 8;
 
 /// An attempt that was interrupted on an endpoint. It is serialized as a tuple of its fields.
@@ -38,11 +39,41 @@
     }
 }
 
+/// A part of a request that was in flight on an endpoint and awaited its response. It is serialized
+/// as a tuple of its fields.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(from = "(Fingerprint, Fingerprint)", into = "(Fingerprint, Fingerprint)")]
+pub struct SuspectPart {
+    /// The part.
+    pub part: Fingerprint,
+    /// A request that holds it.
+    pub request: Fingerprint,
+}
+
+impl From<(Fingerprint, Fingerprint)> for SuspectPart {
+    fn from((part, request): (Fingerprint, Fingerprint)) -> SuspectPart {
+        SuspectPart { part, request }
+    }
+}
+
+impl From<SuspectPart> for (Fingerprint, Fingerprint) {
+    fn from(suspect: SuspectPart) -> (Fingerprint, Fingerprint) {
+        (suspect.part, suspect.request)
+    }
+}
+
+/// What was in flight on an endpoint that crashed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct InFlight {
+    pub(super) attempts: Vec<InterruptedAttempt>,
+    pub(super) parts: Vec<SuspectPart>,
+}
+
 /// A crash of one endpoint incarnation.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub(super) endpoint: EndpointKey,
-    crashed_at: Instant,
+    pub(super) crashed_at: Instant,
     /// When an attempt was last added.
     updated_at: Instant,
     /// When this instance learned of the crash.
@@ -52,6 +83,8 @@
     /// Whether this instance had an attempt in flight there.
     is_local: bool,
     attempts: Vec<InterruptedAttempt>,
+    /// Suspected parts, each once.
+    pub(super) parts: Vec<SuspectPart>,
 }
 
 impl Crash {
@@ -68,6 +101,23 @@
             .map(|attempt| attempt.fingerprint)
     }
 
+    /// Returns the suspected parts.
+    pub(super) fn parts(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.parts.iter().map(|suspect| suspect.part)
+    }
+
+    /// Returns whether one of these parts is suspected.
+    pub(super) fn involves_part(&self, parts: &HashSet<Fingerprint>) -> bool {
+        self.parts().any(|part| parts.contains(&part))
+    }
+
+    fn add_part(&mut self, suspect: SuspectPart) -> bool {
+        let is_known = self.parts().any(|part| part == suspect.part);
+        let is_new = !is_known && self.parts.len() < MAX_PARTS_PER_CRASH;
+        self.parts.extend(is_new.then_some(suspect));
+        is_new
+    }
+
     fn add_attempt(&mut self, attempt: InterruptedAttempt) -> bool {
         let known = self.attempts.iter_mut().find(|known| known.fingerprint == attempt.fingerprint);
         if let Some(known) = known {
@@ -111,13 +161,18 @@
         self.crashes.iter().any(|crash| crash.fingerprints().any(|f| f == fingerprint))
     }
 
-    /// Adds attempts to the crash of an endpoint at `at`; returns whether anything was new.
+    /// Returns the number of crashes of which a part is suspected.
+    pub(super) fn count_of_part(&self, part: Fingerprint) -> usize {
+        self.crashes.iter().filter(|crash| crash.parts().any(|p| p == part)).count()
+    }
+
+    /// Adds what was in flight to the crash of an endpoint at `at`; returns whether anything was new.
     pub(super) fn record(
         &mut self,
         now: Instant,
         at: Instant,
         endpoint: EndpointKey,
-        attempts: &[InterruptedAttempt],
+        in_flight: &InFlight,
         is_local: bool,
     ) -> bool {
         let known = self.crashes.iter().position(|crash| crash.endpoint == endpoint);
@@ -133,12 +188,15 @@
                 is_settled: false,
                 is_local,
                 attempts: Vec::new(),
+                parts: Vec::new(),
             });
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
         crash.is_local |= is_local;
-        let added = attempts.iter().filter(|attempt| crash.add_attempt(**attempt)).count();
+        let InFlight { attempts, parts } = in_flight;
+        let added = attempts.iter().filter(|attempt| crash.add_attempt(**attempt)).count()
+            + parts.iter().filter(|suspect| crash.add_part(**suspect)).count();
         if added > 0 {
             crash.updated_at = now;
         }
@@ -156,6 +214,17 @@
         was_present
     }
 
+    /// Removes a part from all crashes up to `until`; returns whether it was in any.
+    pub(super) fn remove_part(&mut self, part: Fingerprint, until: Instant) -> bool {
+        let mut was_present = false;
+        for crash in self.crashes.iter_mut().filter(|crash| crash.crashed_at <= until) {
+            let count = crash.parts.len();
+            crash.parts.retain(|suspect| suspect.part != part);
+            was_present |= crash.parts.len() < count;
+        }
+        was_present
+    }
+
     /// Returns the most recently updated crashes, of this instance or, with `include_remote`, of
     /// all. With `is_full` it also returns older crashes observed here that share a suspect, for
     /// instances that were partitioned.
@@ -168,8 +237,9 @@
     ) -> Vec<CrashRecord> {
         let repeated = if is_full { self.repeat_suspects() } else { HashSet::new() };
         let is_recent = |crash: &Crash| now.saturating_duration_since(crash.updated_at) < max_age;
-        let is_repeat =
-            |crash: &Crash| crash.is_local && crash.suspects().any(|f| repeated.contains(&f));
+        let is_repeat = |crash: &Crash| {
+            crash.is_local && crash.suspects().chain(crash.parts()).any(|f| repeated.contains(&f))
+        };
         let is_included = |crash: &&Crash| {
             (is_recent(crash) && (crash.is_local || include_remote)) || is_repeat(crash)
         };
@@ -178,13 +248,15 @@
             endpoint: crash.endpoint,
             age_ms: age_ms(now, crash.crashed_at),
             attempts: crash.attempts.clone(),
+            parts: crash.parts.clone(),
         });
         records.collect()
     }
 
-    /// Returns the requests that are suspects in more than one crash.
+    /// Returns the requests and parts that are suspects in more than one crash.
     fn repeat_suspects(&self) -> HashSet<Fingerprint> {
         let mut seen = HashSet::new();
-        self.crashes.iter().flat_map(Crash::suspects).filter(|f| !seen.insert(*f)).collect()
+        let suspects = self.crashes.iter().flat_map(|crash| crash.suspects().chain(crash.parts()));
+        suspects.filter(|f| !seen.insert(*f)).collect()
     }
 }
--- a/oxbowbend-core/src/quarantine/decisions.rs
+++ b/oxbowbend-core/src/quarantine/decisions.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    pub(super) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.decisions.get(&fingerprint).is_some_and(|d| d.trial_due.is_some())
     }
 
@@ -248,9 +248,14 @@
 }
 
 /// Attributes crashes to requests with a greedy set cover: the request involved in most crashes
-/// explains them, then the one involved in most of the rest, and so on. Requests that were
-/// quarantined because they ran beside several causes are cleared once these are found.
-pub(super) fn analyze_crashes(crashes: &Crashes, decisions: &Decisions) -> CrashAnalysis {
+/// explains them, then the one involved in most of the rest, and so on. Crashes that a part in
+/// `crashing_parts` explains count against no request. Requests that were quarantined because they
+/// ran beside several causes are cleared once these are found.
+pub(super) fn analyze_crashes(
+    crashes: &Crashes,
+    decisions: &Decisions,
+    crashing_parts: &HashSet<Fingerprint>,
+) -> CrashAnalysis {
     let mut crash_counts: HashMap<Fingerprint, u32> = HashMap::new();
     crashes
         .settled()
@@ -263,7 +268,7 @@
         quarantined.iter().copied().filter(|f| crash_counts[f] < CRASH_THRESHOLD as u32).collect();
     let mut causes = Vec::new();
     loop {
-        let next = most_likely_causes(crashes, &known_causes);
+        let next = most_likely_causes(crashes, &known_causes, crashing_parts);
         if next.is_empty() {
             break;
         }
@@ -276,7 +281,8 @@
             .filter(|crash| crash.fingerprints().any(|fingerprint| fingerprint == *f));
         !known_causes.contains(f)
             && involved.all(|crash| {
-                crash.fingerprints().any(|fingerprint| known_causes.contains(&fingerprint))
+                crash.involves_part(crashing_parts)
+                    || crash.fingerprints().any(|fingerprint| known_causes.contains(&fingerprint))
             })
     };
     let cleared = quarantined.into_iter().filter(is_explained).collect();
@@ -290,9 +296,15 @@
 /// them. If several requests can't be told apart, one more crash is awaited before all of them are
 /// returned. Requests that crash endpoints late, after part of the response has arrived, must be in
 /// flight in [`PRESENCE_THRESHOLD`] crashes.
-fn most_likely_causes(crashes: &Crashes, known_causes: &HashSet<Fingerprint>) -> Vec<CrashCause> {
-    let unexplained =
-        crashes.settled().filter(|crash| !crash.fingerprints().any(|f| known_causes.contains(&f)));
+fn most_likely_causes(
+    crashes: &Crashes,
+    known_causes: &HashSet<Fingerprint>,
+    crashing_parts: &HashSet<Fingerprint>,
+) -> Vec<CrashCause> {
+    let unexplained = crashes.settled().filter(|crash| {
+        !crash.involves_part(crashing_parts)
+            && !crash.fingerprints().any(|f| known_causes.contains(&f))
+    });
     let (mut suspected, mut present) = (CrashesByRequest::default(), CrashesByRequest::default());
     for crash in unexplained {
         crash.suspects().for_each(|f| suspected.add(f, crash.endpoint));
--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -1,4 +1,5 @@
-//! Quarantine for requests that crash the endpoints executing them (queries of death).
+//! Quarantine for requests, and for parts of requests, that crash the endpoints executing them
+//! (queries of death).
 //!
 //! Callers retry such a request under new ids and through any instance, so it is identified by its
 //! [`Fingerprint`]. When an endpoint crashes, the requests in flight there that had not yet
@@ -14,24 +15,29 @@
 //! quarantine expires into a trial: one attempt is let through, and if it gets no response the
 //! delay before the next trial doubles.
 //!
+//! Different requests may share a part that crashes endpoints, whatever else they hold. A part is a
+//! suspect of its own, with the same records, decisions and notes; see [`parts`] for the evidence.
+//!
 //! The cost is three crashes before a request is quarantined, and a delay of a minute for a request
 //! that was quarantined wrongly.
 
 mod crashes;
 mod decisions;
+mod parts;
 mod records;
 mod successes;
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-pub use crashes::InterruptedAttempt;
+pub use crashes::{InterruptedAttempt, SuspectPart};
 pub use decisions::CRASH_THRESHOLD;
 pub use records::{CrashRecord, DecisionRecord, QuarantineUpdate, SuccessRecord};
 
 use crate::cell::ReportDetail;
 use crate::fingerprint::Fingerprint;
 use crate::ids::{EndpointId, EndpointKey, InstanceId};
-use crashes::Crashes;
+use crashes::{Crashes, InFlight};
 use decisions::{CrashAnalysis, CrashCause, DecisionOutcome, Decisions};
 use successes::RecentSuccesses;
 
@@ -53,6 +59,9 @@
 /// attempts on the endpoint. Without it, a bystander can appear to be the only suspect.
 pub const CRASH_SETTLING_TIME: Duration = Duration::from_millis(150);
 const MAX_PENDING_ATTEMPTS: usize = 512;
+/// Most parts of one request that are suspected of a crash, so that a request with many leaves room
+/// for others.
+const MAX_SUSPECT_PARTS: usize = 16;
 
 /// Whether a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,6 +83,8 @@
         endpoint: EndpointKey,
         /// Requests that this instance knows to have been in flight there.
         suspects: Vec<Fingerprint>,
+        /// Parts of these that are suspected.
+        parts: Vec<Fingerprint>,
         /// Whether this instance observed the crash itself.
         is_local: bool,
     },
@@ -107,6 +118,8 @@
     key: EndpointKey,
     interrupted_at: Instant,
     attempt: InterruptedAttempt,
+    /// Parts that are suspected, if the endpoint crashed.
+    parts: Vec<Fingerprint>,
 }
 
 /// The quarantine state of one instance.
@@ -122,19 +135,20 @@
 ///
 /// let (mut quarantine, now) = (Quarantine::new(&"i-1".into()), Instant::now());
 /// for endpoint in 0..3 {
-///     assert_eq!(quarantine.check_send(now, 7), SendPermission::Allowed);
+///     assert_eq!(quarantine.check_send(now, 7, &[]), SendPermission::Allowed);
 ///     let attempt = InterruptedAttempt { fingerprint: 7, awaiting_response: true };
-///     quarantine.attempt_interrupted(now, &"e".into(), endpoint, attempt);
+///     quarantine.attempt_interrupted(now, &"e".into(), endpoint, attempt, &[]);
 ///     quarantine.endpoint_crashed(now, endpoint);
 /// }
 /// quarantine.evaluate(now + CRASH_SETTLING_TIME);
-/// assert!(matches!(quarantine.check_send(now, 7), SendPermission::Blocked(_)));
+/// assert!(matches!(quarantine.check_send(now, 7, &[]), SendPermission::Blocked(_)));
 /// ```
 #[derive(Debug)]
 pub struct Quarantine {
     pending: Vec<PendingAttempt>,
     crashes: Crashes,
     successes: RecentSuccesses,
+    part_successes: RecentSuccesses,
     decisions: Decisions,
     /// Whether crashes were added or updated since the last analysis.
     needs_analysis: bool,
@@ -148,38 +162,62 @@
             pending: Vec::new(),
             crashes: Crashes::default(),
             successes: RecentSuccesses::default(),
+            part_successes: RecentSuccesses::default(),
             decisions: Decisions::new(me),
             needs_analysis: false,
             events: Vec::new(),
         }
     }
 
-    /// Returns whether a request may be sent to an endpoint. Call it immediately before sending,
-    /// because [`SendPermission::Trial`] starts the trial.
-    pub fn check_send(&mut self, now: Instant, fingerprint: Fingerprint) -> SendPermission {
-        let permission = self.decisions.check_send(now, fingerprint);
-        if permission == SendPermission::Trial {
-            let trials = self.decisions.trials(fingerprint);
-            self.events.push(QuarantineEvent::TrialStarted { fingerprint, trials });
+    /// Returns whether a request with these parts may be sent to an endpoint. Call it immediately
+    /// before sending, because [`SendPermission::Trial`] starts the trial.
+    pub fn check_send(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> SendPermission {
+        if let Some(remaining) = self.blocked_for(now, fingerprint, parts) {
+            return SendPermission::Blocked(remaining);
+        }
+        let mut permission = SendPermission::Allowed;
+        for suspect in parts.iter().copied().chain([fingerprint]) {
+            if self.decisions.check_send(now, suspect) == SendPermission::Trial {
+                let trials = self.decisions.trials(suspect);
+                self.events.push(QuarantineEvent::TrialStarted { fingerprint: suspect, trials });
+                permission = SendPermission::Trial;
+            }
         }
         permission
     }
 
-    /// Returns how much longer a request is quarantined, or `None` if it may be sent.
-    pub fn blocked_for(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
-        self.decisions.blocked_for(now, fingerprint)
+    /// Returns how much longer a request with these parts is quarantined, or `None` if it may be
+    /// sent.
+    pub fn blocked_for(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> Option<Duration> {
+        let suspects = parts.iter().copied().chain([fingerprint]);
+        suspects.filter_map(|suspect| self.decisions.blocked_for(now, suspect)).max()
     }
 
-    /// Records an attempt that was interrupted on an endpoint in service, which may have crashed.
+    /// Records an attempt that was interrupted on an endpoint in service, which may have crashed, and
+    /// the parts of its request. The parts are suspected only if it awaited its response.
     pub fn attempt_interrupted(
         &mut self,
         now: Instant,
         endpoint: &EndpointId,
         key: EndpointKey,
         attempt: InterruptedAttempt,
+        parts: &[Fingerprint],
     ) {
+        let parts = if attempt.awaiting_response { parts } else { &[] };
         if self.crashes.is_known(key) {
-            self.add_crash(now, now, key, vec![attempt], true);
+            let parts = self.suspect_parts(now, attempt.fingerprint, parts);
+            let in_flight = InFlight { attempts: vec![attempt], parts };
+            self.add_crash(now, now, key, in_flight, true);
             return;
         }
         self.pending.retain(|p| {
@@ -193,6 +231,7 @@
             key,
             interrupted_at: now,
             attempt,
+            parts: parts.to_vec(),
         });
     }
 
@@ -210,13 +249,33 @@
         let is_fresh = |p: &PendingAttempt| {
             now.saturating_duration_since(p.interrupted_at) < CRASH_CONFIRMATION_TIMEOUT
         };
-        let attempts: Vec<InterruptedAttempt> =
-            Vec::into_iter(confirmed).filter(is_fresh).map(|p| p.attempt).collect();
-        if !attempts.is_empty() {
-            self.add_crash(now, now, key, attempts, true);
+        let mut in_flight = InFlight::default();
+        for pending in Vec::into_iter(confirmed).filter(is_fresh) {
+            let request = pending.attempt.fingerprint;
+            in_flight.attempts.push(pending.attempt);
+            in_flight.parts.extend(self.suspect_parts(now, request, &pending.parts));
+        }
+        if !in_flight.attempts.is_empty() {
+            self.add_crash(now, now, key, in_flight, true);
         }
     }
 
+    /// Returns the parts of a request that are suspected: none that was answered lately, and those
+    /// first that never were.
+    fn suspect_parts(
+        &self,
+        now: Instant,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> Vec<SuspectPart> {
+        let earliest = now.checked_sub(SUCCESS_LOOKBACK).unwrap_or(now);
+        let is_suspect = |part: &Fingerprint| !self.part_successes.succeeded_since(*part, earliest);
+        let mut parts: Vec<_> = parts.iter().copied().filter(is_suspect).collect();
+        parts.sort_by_key(|part| self.part_successes.last_success(*part).is_some());
+        parts.truncate(MAX_SUSPECT_PARTS);
+        parts.into_iter().map(|part| SuspectPart { part, request }).collect()
+    }
+
     /// Records that an endpoint's store entry was removed or replaced by that of a newer
     /// incarnation, which confirms the crash of those with interrupted attempts.
     pub fn endpoint_entry_changed(&mut self, now: Instant, endpoint: &EndpointId) {
@@ -236,6 +295,23 @@
         }
     }
 
+    /// Records that an endpoint wrote a response to a request with these parts, and went on.
+    pub fn parts_succeeded(&mut self, now: Instant, parts: &[Fingerprint]) {
+        for part in parts {
+            let last = self.part_successes.last_success(*part);
+            self.part_successes.record(now, *part);
+            let is_recent = |at| now.saturating_duration_since(at) < SUCCESS_LOOKBACK;
+            // A recent success has cleared the part of all crashes until now.
+            if !last.is_some_and(is_recent) && self.crashes.remove_part(*part, now) {
+                self.part_successes.queue_for_gossip(now, *part);
+            }
+            if self.decisions.release(now, *part) {
+                self.part_successes.queue_for_gossip(now, *part);
+                self.events.push(QuarantineEvent::Released { fingerprint: *part });
+            }
+        }
+    }
+
     /// Returns the update to include in a report of the given extent: recent records and, in a full
     /// report, also older decisions in rotation. With `include_remote`, crashes observed by other
     /// instances are relayed, as representatives of a cell do.
@@ -250,10 +326,12 @@
             ReportDetail::Loads => (IMMEDIATE_GOSSIP_PERIOD, IMMEDIATE_GOSSIP_PERIOD),
             ReportDetail::Changes | ReportDetail::Full => (CRASH_GOSSIP_PERIOD, GOSSIP_PERIOD),
         };
+        let mut successes = self.successes.collect_records(now, max_age);
+        successes.extend(self.part_successes.collect_records(now, max_age));
         QuarantineUpdate {
             crashes: self.crashes.collect_records(now, crash_max_age, include_remote, is_full),
             decisions: self.decisions.collect_records(now, max_age, is_full),
-            successes: self.successes.collect_records(now, max_age),
+            successes,
         }
     }
 
@@ -265,6 +343,10 @@
             if self.successes.record_remote(now, success.fingerprint, at) {
                 self.clear_suspicion(now, success.fingerprint, at);
             }
+            // The record does not tell requests from parts; their fingerprints do not meet.
+            if self.part_successes.record_remote(now, success.fingerprint, at) {
+                self.crashes.remove_part(success.fingerprint, at + SUCCESS_LOOKBACK);
+            }
         }
         self.apply_decisions(now, &update.decisions);
         let mut new_crashes = Vec::new();
@@ -273,7 +355,8 @@
                 new_crashes.push(crash.endpoint);
             }
             let at = instant_before(now, crash.age_ms);
-            self.add_crash(now, at, crash.endpoint, crash.attempts.clone(), false);
+            let (attempts, parts) = (crash.attempts.clone(), crash.parts.clone());
+            self.add_crash(now, at, crash.endpoint, InFlight { attempts, parts }, false);
         }
         new_crashes
     }
@@ -318,14 +401,14 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Records attempts interrupted by a crash at `at`, except those of requests that succeeded
+    /// Records what was interrupted by a crash at `at`, except requests and parts that succeeded
     /// shortly before it.
     fn add_crash(
         &mut self,
         now: Instant,
         at: Instant,
         key: EndpointKey,
-        attempts: Vec<InterruptedAttempt>,
+        in_flight: InFlight,
         is_local: bool,
     ) {
         let is_new_crash = !self.crashes.is_known(key);
@@ -333,20 +416,42 @@
         let has_succeeded = |attempt: &InterruptedAttempt| {
             self.successes.succeeded_since(attempt.fingerprint, earliest)
         };
-        let (cleared, attempts): (Vec<_>, Vec<_>) = attempts.into_iter().partition(has_succeeded);
+        let (cleared, attempts): (Vec<_>, Vec<_>) =
+            in_flight.attempts.into_iter().partition(has_succeeded);
+        let is_sound =
+            |suspect: &SuspectPart| self.part_successes.succeeded_since(suspect.part, earliest);
+        let (sound, parts): (Vec<_>, Vec<_>) = in_flight.parts.into_iter().partition(is_sound);
         cleared.iter().for_each(|attempt| self.publish_success(now, attempt.fingerprint));
-        let is_new = self.crashes.record(now, at, key, &attempts, is_local);
+        sound.iter().for_each(|sound| self.part_successes.queue_for_gossip(now, sound.part));
+        let in_flight = InFlight { attempts, parts };
+        let is_new = self.crashes.record(now, at, key, &in_flight, is_local);
+        if is_new {
+            self.publish_answered_parts(now, &in_flight.parts);
+        }
         if is_new_crash {
-            let suspects = attempts.iter().map(|attempt| attempt.fingerprint).collect();
+            let suspects = in_flight.attempts.iter().map(|attempt| attempt.fingerprint).collect();
+            let parts = in_flight.parts.iter().map(|suspect| suspect.part).collect();
             self.events.push(QuarantineEvent::EndpointCrashed {
                 endpoint: key,
                 suspects,
+                parts,
                 is_local,
             });
         }
         self.needs_analysis |= is_new;
     }
 
+    /// Queues what is known of answers to parts that are suspected repeatedly, for instances that
+    /// have seen none.
+    fn publish_answered_parts(&mut self, now: Instant, parts: &[SuspectPart]) {
+        for SuspectPart { part, .. } in parts {
+            let is_answered = self.part_successes.last_success(*part).is_some();
+            if is_answered && self.crashes.count_of_part(*part) > 1 {
+                self.part_successes.queue_for_gossip(now, *part);
+            }
+        }
+    }
+
     /// Analyzes the crashes that are older than [`CRASH_SETTLING_TIME`]. Call it several times
     /// within that time.
     pub fn evaluate(&mut self, now: Instant) {
@@ -357,8 +462,13 @@
     }
 
     fn update_decisions(&mut self, now: Instant) {
-        let CrashAnalysis { causes, cleared } =
-            decisions::analyze_crashes(&self.crashes, &self.decisions);
+        let mut crashing_parts: HashSet<_> = self.quarantined_parts().collect();
+        let is_answered = |part| self.part_successes.last_success(part).is_some();
+        let mut causes = parts::find_causes(&self.crashes, &crashing_parts, is_answered);
+        crashing_parts.extend(causes.iter().map(|cause| cause.fingerprint));
+        let CrashAnalysis { causes: requests, cleared } =
+            decisions::analyze_crashes(&self.crashes, &self.decisions, &crashing_parts);
+        causes.extend(requests);
         for CrashCause { fingerprint, crashes } in causes {
             let trial_delay = self.decisions.quarantine(now, fingerprint);
             self.events.push(QuarantineEvent::Quarantined { fingerprint, crashes, trial_delay });
@@ -369,6 +479,12 @@
         }
     }
 
+    /// Returns the parts in quarantine that are suspected of a known crash.
+    fn quarantined_parts(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let parts = self.crashes.settled().flat_map(|crash| crash.parts());
+        parts.filter(|part| self.decisions.is_quarantined(*part))
+    }
+
     /// Removes a request that succeeded at `at` from earlier crashes and those shortly afterwards.
     fn clear_suspicion(&mut self, now: Instant, fingerprint: Fingerprint, at: Instant) {
         if self.crashes.remove_request(fingerprint, at + SUCCESS_LOOKBACK) {
--- a/oxbowbend-core/src/quarantine/records.rs
+++ b/oxbowbend-core/src/quarantine/records.rs
@@ -1,6 +1,6 @@
 //! Records exchanged between instances and written to the store.
 
-use super::crashes::InterruptedAttempt;
+use super::crashes::{InterruptedAttempt, SuspectPart};
 use crate::fingerprint::Fingerprint;
 use crate::ids::EndpointKey;
 
@@ -13,7 +13,7 @@
     /// Quarantine decisions.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub decisions: Vec<DecisionRecord>,
-    /// Successful responses to requests that were suspected.
+    /// Successful responses to requests and parts that were suspected.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub successes: Vec<SuccessRecord>,
 }
@@ -37,15 +37,18 @@
     /// Attempts that were in flight.
     #[serde(rename = "r")]
     pub attempts: Vec<InterruptedAttempt>,
+    /// Parts of those that awaited their response.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<SuspectPart>,
 }
 
-/// A decision on a request.
+/// A decision on a request or on a part.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct DecisionRecord {
-    /// The request.
+    /// The request or part.
     #[serde(rename = "f")]
     pub fingerprint: Fingerprint,
-    /// Number of the quarantine of this request; the higher one takes precedence.
+    /// Number of the quarantine of it; the higher one takes precedence.
     #[serde(rename = "n")]
     pub epoch: u32,
     /// Number of trials in this quarantine; the higher one takes precedence.
@@ -56,10 +59,10 @@
     pub remaining_ms: Option<u32>,
 }
 
-/// A successful response to a request.
+/// A successful response to a request, or to one that holds a part.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct SuccessRecord {
-    /// The request.
+    /// The request or part.
     #[serde(rename = "f")]
     pub fingerprint: Fingerprint,
     /// Milliseconds since the response.
--- a/oxbowbend-core/src/quarantine/successes.rs
+++ b/oxbowbend-core/src/quarantine/successes.rs
@@ -1,4 +1,4 @@
-//! Requests that recently succeeded and are therefore not the cause of a crash.
+//! Requests or parts that succeeded and are therefore not the cause of a crash.
 
 use std::time::{Duration, Instant};
 
@@ -57,7 +57,8 @@
         !is_known
     }
 
-    fn last_success(&self, fingerprint: Fingerprint) -> Option<Instant> {
+    /// Returns when a request last succeeded, if that is still known.
+    pub(super) fn last_success(&self, fingerprint: Fingerprint) -> Option<Instant> {
         let entry = &self.table[index(fingerprint)];
         entry.succeeded_at.filter(|_| entry.fingerprint == fingerprint)
     }
--- a/oxbowbend-core/tests/quarantine.rs
+++ b/oxbowbend-core/tests/quarantine.rs
@@ -38,13 +38,13 @@
         started.iter().map(|f| InterruptedAttempt { fingerprint: *f, awaiting_response: false });
     awaiting
         .chain(started)
-        .for_each(|attempt| quarantine.attempt_interrupted(now, &"e".into(), key, attempt));
+        .for_each(|attempt| quarantine.attempt_interrupted(now, &"e".into(), key, attempt, &[]));
     quarantine.endpoint_crashed(now, key);
     quarantine.evaluate(now + CRASH_SETTLING_TIME);
 }
 
 fn is_blocked(quarantine: &Quarantine, now: Instant, fingerprint: u64) -> bool {
-    quarantine.blocked_for(now, fingerprint).is_some()
+    quarantine.blocked_for(now, fingerprint, &[]).is_some()
 }
 
 /// Exchanges full updates in both directions.
@@ -121,7 +121,7 @@
     let (mut quarantine, now) = (new_quarantine("a"), Instant::now());
     let attempt = InterruptedAttempt { fingerprint: CRASHING, awaiting_response: true };
     for key in 0..10 {
-        quarantine.attempt_interrupted(now, &"e".into(), key, attempt);
+        quarantine.attempt_interrupted(now, &"e".into(), key, attempt, &[]);
     }
     assert!(!is_blocked(&quarantine, now, CRASHING));
     // A confirmation after the timeout is ignored.
@@ -139,6 +139,7 @@
             &endpoint,
             key,
             InterruptedAttempt { fingerprint: CRASHING, awaiting_response: true },
+            &[],
         );
         quarantine.endpoint_entry_changed(after(now, 1500), &endpoint);
     }
@@ -218,7 +219,7 @@
     let mut trials = Vec::new();
     while now < start + Duration::from_secs(500) {
         for quarantine in [&mut a, &mut b] {
-            if quarantine.check_send(now, CRASHING) == SendPermission::Trial {
+            if quarantine.check_send(now, CRASHING, &[]) == SendPermission::Trial {
                 trials.push(now - start);
                 crash(quarantine, now, 100 + trials.len() as u32, &[CRASHING], &[]);
             }
@@ -240,14 +241,17 @@
     for key in 0..CRASH_THRESHOLD as u32 {
         crash(&mut quarantine, now, key, &[HARMLESS], &[]);
     }
-    assert_eq!(quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS), SendPermission::Trial);
+    assert_eq!(
+        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS, &[]),
+        SendPermission::Trial
+    );
     assert!(matches!(
-        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS),
+        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS, &[]),
         SendPermission::Blocked(_)
     ));
     quarantine.request_succeeded(now + MAX_FIRST_TRIAL_DELAY, HARMLESS);
     assert_eq!(
-        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS),
+        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY, HARMLESS, &[]),
         SendPermission::Allowed
     );
     // Quarantining it again takes as many crashes as before.
@@ -259,7 +263,7 @@
         &[],
     );
     assert_eq!(
-        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY + Duration::from_secs(9), HARMLESS),
+        quarantine.check_send(now + MAX_FIRST_TRIAL_DELAY + Duration::from_secs(9), HARMLESS, &[]),
         SendPermission::Allowed
     );
 }
@@ -375,7 +379,7 @@
     for key in 0..CRASH_THRESHOLD as u32 {
         let at = after(now, u64::from(key) * 100);
         let harmless = InterruptedAttempt { fingerprint: HARMLESS, awaiting_response: true };
-        a.attempt_interrupted(at, &"e".into(), key, harmless);
+        a.attempt_interrupted(at, &"e".into(), key, harmless, &[]);
         a.endpoint_crashed(at, key);
         a.evaluate(at + Duration::from_millis(10));
         b.attempt_interrupted(
@@ -383,6 +387,7 @@
             &"e".into(),
             key,
             InterruptedAttempt { fingerprint: CRASHING, awaiting_response: true },
+            &[],
         );
         b.endpoint_crashed(at, key);
     }
--- a/oxbowbend-core/tests/quarantine_exploration.rs
+++ b/oxbowbend-core/tests/quarantine_exploration.rs
@@ -101,7 +101,7 @@
 
     fn crash(&mut self, at: usize, has_bystander: bool) {
         // Requests are sent only where they are not blocked.
-        if self.instances[at].blocked_for(self.now, CRASHING).is_some() {
+        if self.instances[at].blocked_for(self.now, CRASHING, &[]).is_some() {
             return;
         }
         self.next_key += 1;
@@ -109,7 +109,7 @@
         let bystander = has_bystander.then_some(HARMLESS);
         for fingerprint in [CRASHING].into_iter().chain(bystander) {
             let attempt = InterruptedAttempt { fingerprint, awaiting_response: true };
-            quarantine.attempt_interrupted(self.now, &"e".into(), self.next_key, attempt);
+            quarantine.attempt_interrupted(self.now, &"e".into(), self.next_key, attempt, &[]);
         }
         quarantine.endpoint_crashed(self.now, self.next_key);
         self.crashes.push((at, has_bystander));
@@ -149,7 +149,7 @@
                 known.iter().filter(|(_, has_bystander)| !has_bystander).count();
             let must_block = known.len() > CRASH_THRESHOLD
                 || (known.len() == CRASH_THRESHOLD && without_bystander > 0);
-            let is_blocked = |f| self.instances[at].blocked_for(self.now, f).is_some();
+            let is_blocked = |f| self.instances[at].blocked_for(self.now, f, &[]).is_some();
             if (must_block || (was_stored && self.crashes.is_empty())) && !is_blocked(CRASHING) {
                 violations
                     .push(format!("instance {at} allows the crashing request despite {known:?}"));
@@ -171,7 +171,7 @@
         self.exchange();
         self.exchange();
         for at in (0..INSTANCES).filter(|at| !is_isolated(self.is_partitioned, *at)) {
-            if self.instances[at].blocked_for(self.now, HARMLESS).is_some() {
+            if self.instances[at].blocked_for(self.now, HARMLESS, &[]).is_some() {
                 violations.push(format!("instance {at} blocks the bystander after a success"));
             }
         }
--- a/oxbowbend-gateway/src/quarantine.rs
+++ b/oxbowbend-gateway/src/quarantine.rs
@@ -15,10 +15,10 @@
 use crate::shared::{Shared, State};
 
 impl Shared {
-    /// Whether a request may be sent to an endpoint now.
-    pub(crate) fn gate(&self, fingerprint: Fingerprint) -> SendPermission {
+    /// Whether a request with these parts may be sent to an endpoint now.
+    pub(crate) fn gate(&self, fingerprint: Fingerprint, parts: &[Fingerprint]) -> SendPermission {
         let mut state = self.lock();
-        let gate = state.quarantine.check_send(clock::now(), fingerprint);
+        let gate = state.quarantine.check_send(clock::now(), fingerprint, parts);
         if gate == SendPermission::Trial {
             log_changes(&mut state.quarantine);
             drop(state);
@@ -34,16 +34,31 @@
         log_changes(&mut state.quarantine);
     }
 
+    /// Records that an endpoint wrote a response to a request with these parts.
+    pub(crate) fn parts_answered(&self, parts: &[Fingerprint]) {
+        if parts.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        state.quarantine.parts_succeeded(clock::now(), parts);
+        log_changes(&mut state.quarantine);
+    }
+
     /// Notes a run that broke off; tells whether its endpoint must be checked. One that leaves, or has left, may
     /// end without anybody's doing.
-    pub(crate) fn run_broke_off(&self, endpoint: &Endpoint, run: InterruptedAttempt) -> bool {
+    pub(crate) fn run_broke_off(
+        &self,
+        endpoint: &Endpoint,
+        run: InterruptedAttempt,
+        parts: &[Fingerprint],
+    ) -> bool {
         let (now, key) = (clock::now(), endpoint.key());
         let mut state = self.lock();
         let State { world, quarantine, .. } = &mut *state;
         let Some(newest) = world.endpoint(&endpoint.id).filter(|e| !e.leaving) else {
             return false;
         };
-        quarantine.attempt_interrupted(now, &endpoint.id, key, run);
+        quarantine.attempt_interrupted(now, &endpoint.id, key, run, parts);
         if newest.key() != key {
             quarantine.endpoint_crashed(now, key);
         }
@@ -108,10 +123,11 @@
 
 fn log_change(change: &QuarantineEvent) {
     match change {
-        QuarantineEvent::EndpointCrashed { endpoint, suspects, is_local: is_own } => {
+        QuarantineEvent::EndpointCrashed { endpoint, suspects, parts, is_local: is_own } => {
             observe::endpoint_ended();
             log::warn!(
-                "event=endpoint_ended start={endpoint:08x} own={is_own} suspects={suspects:016x?}"
+                "event=endpoint_ended start={endpoint:08x} own={is_own} suspects={suspects:016x?} \
+                 parts={parts:016x?}"
             );
         }
         QuarantineEvent::Quarantined { fingerprint, crashes: ends, trial_delay: pause } => {
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -113,7 +113,8 @@
         let quota_units = account.map_or(0, |a| quota_units(a, &metadata));
         let fingerprint = request_fingerprint(account, &head, &body);
         let mut state = self.shared.lock();
-        if let Some(remaining) = state.quarantine.blocked_for(arrived_at, fingerprint) {
+        let parts = &metadata.shared_parts;
+        if let Some(remaining) = state.quarantine.blocked_for(arrived_at, fingerprint, parts) {
             return Err(Refusal::Quarantined { fingerprint, retry_after: remaining });
         }
         let age = state.ages.estimate(&route.name, metadata.patience, route.timeout);
--- a/oxbowbend-gateway/src/relay/quarantine.rs
+++ b/oxbowbend-gateway/src/relay/quarantine.rs
@@ -32,7 +32,7 @@
         if time_until(request.deadline).is_zero() {
             return Err(AttemptError::DeadlineExceeded);
         }
-        let permission = self.shared.gate(request.fingerprint);
+        let permission = self.shared.gate(request.fingerprint, &request.metadata.shared_parts);
         if let SendPermission::Blocked(remaining) = permission {
             observe::send_held();
             log::info!(
@@ -51,6 +51,12 @@
         self.shared.request_answered(request.fingerprint);
     }
 
+    /// Records that an endpoint wrote a response to a request, so that none of its parts crashes
+    /// endpoints that begin to write on it.
+    pub(super) fn record_written(&self, request: &AdmittedRequest) {
+        self.shared.parts_answered(&request.metadata.shared_parts);
+    }
+
     /// Determines whether an interrupted attempt was caused by a crash of the endpoint or by a
     /// connection failure. A crashed endpoint refuses new connections; an accepted connection is
     /// returned to the pool.
@@ -64,7 +70,7 @@
     ) {
         let run =
             InterruptedAttempt { fingerprint: request.fingerprint, awaiting_response: is_quiet };
-        if self.shared.run_broke_off(endpoint, run) {
+        if self.shared.run_broke_off(endpoint, run, &request.metadata.shared_parts) {
             let (shared, pool) = (self.shared.clone(), self.pool.clone());
             let service = request.service.clone();
             task::spawn(probe_endpoint(shared, pool, service, endpoint.clone())).await;
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -140,6 +140,9 @@
                 let (status, bytes) = (response.status().as_u16(), response.body().len());
                 log_response(request, &attempt, status, bytes);
                 self.record_success(request);
+                if response.status().is_success() {
+                    self.record_written(request);
+                }
                 attempt.complete(&self.pool, outcome);
                 return Ok(AttemptResponse::Complete(response));
             }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -1,12 +1,14 @@
 //! Forwarding of streamed responses, and resumption of interrupted ones at another endpoint.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use async_std::future;
 use bytes::Bytes;
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use oxbowbend_clock as clock;
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_core::isolation::PathFailure;
@@ -23,6 +25,10 @@
 use crate::seam::Wire;
 use crate::streams::shown;
 
+/// Time after its first event from which a stream shows that its endpoint does not crash as it begins
+/// to write. Waiting for the end would leave parts without an answer while endpoints crash often.
+const WRITTEN_AFTER: Duration = Duration::from_millis(300);
+
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
 /// response does not appear complete.
 #[derive(Debug, Error)]
@@ -65,6 +71,11 @@
     excluded_endpoints: Vec<EndpointId>,
     send_count: u32,
     bytes_sent: usize,
+    /// When the endpoint began to write, and the bytes that were sent before.
+    began_at: Instant,
+    sent_before: usize,
+    /// Whether it is recorded that an endpoint wrote a response.
+    is_written: bool,
 }
 
 /// Returns the frames of the response to the client.
@@ -81,6 +92,9 @@
         excluded_endpoints: Vec::new(),
         send_count: 1,
         bytes_sent: 0,
+        began_at: clock::now(),
+        sent_before: 0,
+        is_written: false,
     };
     futures::stream::unfold(state, |mut state| async move {
         let item = state.next().await?;
@@ -106,6 +120,7 @@
                         stream.attempt.begin_stream(account(&self.request));
                     }
                     self.bytes_sent += data.len();
+                    self.check_written(WRITTEN_AFTER);
                     return Some(Ok(data));
                 }
                 StreamItem::End => {
@@ -154,7 +169,18 @@
         self.stream.as_ref().is_some_and(|stream| stream.has_events)
     }
 
+    /// Records that the endpoint wrote a response, if it began that long ago. A stream without an
+    /// event shows nothing.
+    fn check_written(&mut self, after: Duration) {
+        let has_events = self.bytes_sent > self.sent_before;
+        if !self.is_written && has_events && clock::since(self.began_at) >= after {
+            self.is_written = true;
+            self.relay.record_written(&self.request);
+        }
+    }
+
     fn finish(&mut self) {
+        self.check_written(Duration::ZERO);
         let Some(stream) = self.stream.take() else { return };
         log_response(&self.request, &stream.attempt, 200, self.bytes_sent);
         self.relay.record_success(&self.request);
@@ -242,6 +268,7 @@
                         shown(&software_before)
                     );
                     self.stream = Some(stream);
+                    (self.began_at, self.sent_before) = (clock::now(), self.bytes_sent);
                     return true;
                 }
                 // A body that does not consist of events cannot continue the stream.
