Retries: an instance that loses sight of others keeps its part of the fixed number

Each instance divided the fixed number by the instances that it saw at the moment, so six that lost sight of each other had it six times over. Evidence: the test failed before: 228 retries of 64 allowed.

--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -24,6 +24,10 @@
 /// Share of the fixed number that is used; the rest covers instances that are not yet known.
 const FIXED_SHARE: f64 = 0.7;
 
+/// Time for which a number of instances applies after fewer are seen. Entries of instances that still
+/// run may lapse in an outage of the store, and reports be lost in a cut.
+const INSTANCES_RETENTION: Duration = Duration::from_secs(60);
+
 /// Number of slices into which a window is divided.
 const SLICES: u64 = 40;
 /// Number of slices that are kept: those of the oldest window that contains the current slice, and
@@ -52,6 +56,8 @@
     pub requests: u64,
     /// Part of the fixed number that this instance may use.
     pub fixed_part: f64,
+    /// Instances that share the fixed number.
+    pub instances: usize,
 }
 
 /// Counts of events by slice of time.
@@ -75,13 +81,31 @@
 pub struct RetryLimiter {
     limit: RetryLimit,
     started_at: Instant,
+    /// The most instances seen lately, and when.
+    instances: usize,
+    instances_seen_at: Instant,
     services: HashMap<ServiceId, Counts>,
 }
 
 impl RetryLimiter {
     /// Creates a limiter without recorded requests.
     pub fn new(limit: RetryLimit, now: Instant) -> RetryLimiter {
-        RetryLimiter { limit, started_at: now, services: HashMap::new() }
+        RetryLimiter {
+            limit,
+            started_at: now,
+            instances: 1,
+            instances_seen_at: now,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of instances that share the limit. It is called often, as the highest number
+    /// lately seen applies.
+    pub fn set_instances(&mut self, now: Instant, instances: usize) {
+        let is_old = now.saturating_duration_since(self.instances_seen_at) >= INSTANCES_RETENTION;
+        if instances >= self.instances || is_old {
+            (self.instances, self.instances_seen_at) = (instances, now);
+        }
     }
 
     /// Records a request from a caller.
@@ -97,9 +121,9 @@
 
     /// Decides whether a request may be retried. If so, the retry is pending until it is sent or
     /// cancelled. It may wait for an endpoint meanwhile, so it counts in every window until then.
-    pub fn try_retry(&mut self, now: Instant, service: &str, instances: usize) -> RetryDecision {
+    pub fn try_retry(&mut self, now: Instant, service: &str) -> RetryDecision {
         let ratio = self.limit.ratio;
-        let fixed_part = self.fixed_part(now, instances);
+        let (fixed_part, instances) = (self.fixed_part(now), self.instances);
         let slice = self.slice(now);
         let counts = self.counts(service);
         let (requests, retries) = counts.tightest_window(slice, ratio);
@@ -107,7 +131,7 @@
         if is_allowed {
             counts.pending += 1;
         }
-        RetryDecision { is_allowed, retries, requests, fixed_part }
+        RetryDecision { is_allowed, retries, requests, fixed_part, instances }
     }
 
     /// Records that a pending retry is sent.
@@ -125,11 +149,11 @@
     }
 
     /// Returns the part of the fixed number that this instance may use.
-    fn fixed_part(&self, now: Instant, instances: usize) -> f64 {
+    fn fixed_part(&self, now: Instant) -> f64 {
         if now.saturating_duration_since(self.started_at) < self.limit.window {
             return 0.0;
         }
-        self.limit.fixed * FIXED_SHARE / instances.max(1) as f64
+        self.limit.fixed * FIXED_SHARE / self.instances.max(1) as f64
     }
 
     /// Returns the number of the slice that contains `now`. Those of the two windows before the start
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -261,6 +261,8 @@
             if regroup.is_due(now) {
                 state.regroup(now);
                 state.instances = state.instances.max(seeds);
+                let instances = state.instances;
+                state.repeats.set_instances(now, instances);
                 let bound = state.world.table().and_then(|t| t.min_service_connections());
                 let each = bound.map_or(usize::MAX, |n| n as usize / (state.instances + SPARE));
                 pool.set_bound(each.max(1));
--- a/oxbowbend-gateway/src/relay/retry.rs
+++ b/oxbowbend-gateway/src/relay/retry.rs
@@ -51,10 +51,9 @@
         history: &mut AttemptHistory,
     ) -> bool {
         let mut state = self.shared.lock();
-        let instances = state.instances;
-        let decision = state.repeats.try_retry(clock::now(), &request.service, instances);
+        let decision = state.repeats.try_retry(clock::now(), &request.service);
         drop(state);
-        let RetryDecision { is_allowed, retries, requests, fixed_part } = decision;
+        let RetryDecision { is_allowed, retries, requests, fixed_part, instances } = decision;
         observe::retry_decided(reason, is_allowed);
         log::info!(
             "event=repeat id={} service={} why={reason} allowed={is_allowed} instances={instances} \
