Quarantine: a part that turns bad is known a second after its last answer

A part may crash endpoints that answered it until then, with other software or weights. An answer cleared it of crashes up to 3 s later, as it does a request; five crashes after that can be more than 3 s after the fifth. Evidence: the test failed before: known 3 s after the fifth crash of a series of five a second, which is the platform's bound; now within 2 s. Change: an answer to a part clears it of crashes up to 1 s later. A sound part that was not answered in that second is answered before five crashes are counted, which clears all of them.

--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -43,6 +43,9 @@
 
 /// A success clears the request of crashes up to this long afterwards, besides all earlier ones.
 const SUCCESS_LOOKBACK: Duration = Duration::from_secs(3);
+/// The same for a part. Short, since one that turns bad was answered until then; a sound one is answered
+/// again before enough crashes are counted.
+const PART_SUCCESS_LOOKBACK: Duration = Duration::from_secs(1);
 /// How long decisions and successes are included in updates: about 20 heartbeats within a cell and
 /// 10 between cells.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(3);
@@ -268,7 +271,7 @@
         request: Fingerprint,
         parts: &[Fingerprint],
     ) -> Vec<SuspectPart> {
-        let earliest = now.checked_sub(SUCCESS_LOOKBACK).unwrap_or(now);
+        let earliest = now.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(now);
         let is_suspect = |part: &Fingerprint| !self.part_successes.succeeded_since(*part, earliest);
         let mut parts: Vec<_> = parts.iter().copied().filter(is_suspect).collect();
         parts.sort_by_key(|part| self.part_successes.last_success(*part).is_some());
@@ -300,7 +303,7 @@
         for part in parts {
             let last = self.part_successes.last_success(*part);
             self.part_successes.record(now, *part);
-            let is_recent = |at| now.saturating_duration_since(at) < SUCCESS_LOOKBACK;
+            let is_recent = |at| now.saturating_duration_since(at) < PART_SUCCESS_LOOKBACK;
             // A recent success has cleared the part of all crashes until now.
             if !last.is_some_and(is_recent) && self.crashes.remove_part(*part, now) {
                 self.part_successes.queue_for_gossip(now, *part);
@@ -345,7 +348,7 @@
             }
             // The record does not tell requests from parts; their fingerprints do not meet.
             if self.part_successes.record_remote(now, success.fingerprint, at) {
-                self.crashes.remove_part(success.fingerprint, at + SUCCESS_LOOKBACK);
+                self.crashes.remove_part(success.fingerprint, at + PART_SUCCESS_LOOKBACK);
             }
         }
         self.apply_decisions(now, &update.decisions);
@@ -418,6 +421,7 @@
         };
         let (cleared, attempts): (Vec<_>, Vec<_>) =
             in_flight.attempts.into_iter().partition(has_succeeded);
+        let earliest = at.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(at);
         let is_sound =
             |suspect: &SuspectPart| self.part_successes.succeeded_since(suspect.part, earliest);
         let (sound, parts): (Vec<_>, Vec<_>) = in_flight.parts.into_iter().partition(is_sound);
--- a/oxbowbend-core/tests/quarantine_parts.rs
+++ b/oxbowbend-core/tests/quarantine_parts.rs
@@ -170,6 +170,22 @@
     }
 }
 
+/// A part may crash endpoints that answered it a moment before, with other software or weights.
+#[test]
+fn a_part_that_turns_bad_is_known_within_the_bound() {
+    let (mut q, start) = (new_quarantine("a"), Instant::now());
+    q.parts_succeeded(start, &[FIRST, CRASHING]);
+    let (mut now, mut crashes) = (start, Vec::new());
+    while !is_blocked(&q, now, CRASHING) {
+        now += APART;
+        crash(&mut q, now, crashes.len() as u32, &[(crashes.len() as u64 + 100, &[CRASHING])]);
+        crashes.push(now);
+        assert!(crashes.len() < 30, "never known");
+    }
+    let since_fifth = now.saturating_duration_since(crashes[4]);
+    assert!(since_fifth < Duration::from_secs(2), "{since_fifth:?}");
+}
+
 /// A failure of several endpoints at once has a cause of its own.
 #[test]
 fn endpoints_that_crash_at_the_same_time_convict_no_part() {
