Retries: a request that a peer may have served counts once

A request whose hand-over broke off was counted by the peer and then by this instance, which served it itself. Change: this instance leaves it to the peer. No test shows it; the tests of the gateway pass.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -18,7 +18,7 @@
 
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::{Origin, Relay};
+use super::{AttemptHistory, Origin, Relay};
 use crate::seam::{Ask, Wire};
 
 /// Maximum body size while no configuration is known.
@@ -156,7 +156,11 @@
     /// Counts a request that this instance serves itself: in its account's quota and in the retry
     /// budget. One that a peer serves is counted there, since what others have been told of a
     /// quota cannot be taken back.
-    pub(super) fn count(&self, request: &AdmittedRequest) -> Result<(), Refusal> {
+    pub(super) fn count(
+        &self,
+        request: &AdmittedRequest,
+        history: &AttemptHistory,
+    ) -> Result<(), Refusal> {
         if request.is_counted.swap(true, Ordering::SeqCst) {
             return Ok(());
         }
@@ -170,7 +174,10 @@
                 return Err(Refusal::OverQuota { account, exceeded, quota_units: units });
             }
         }
-        state.repeats.record_request(now, &request.service);
+        // A peer that may have served it has counted it: its requests and ours add up.
+        if history.possibly_executed == 0 {
+            state.repeats.record_request(now, &request.service);
+        }
         drop(state);
         log::info!(
             "event=admitted id={} fingerprint={:016x} route={} service={} account={} version={} \
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -155,7 +155,7 @@
             if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
             }
-            if let Err(refusal) = self.count(request) {
+            if let Err(refusal) = self.count(request, &history) {
                 return history.final_result(refusal);
             }
             let slot = match self
