Soak: most new connections go to one instance

A play of our own of what the platform announces: all requests at one of four instances for 4 s, then at another, in fleets of one cell and of two; at least three quarters as many must be served as before. It limits no processor time, so what one instance bears is not shown by it.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -18,6 +18,7 @@
 mod gone;
 mod leavers;
 mod limits;
+mod one_instance;
 mod outages;
 mod owners;
 mod parts;
--- a/oxbowbend-daemon/tests/soak/press.rs
+++ b/oxbowbend-daemon/tests/soak/press.rs
@@ -42,6 +42,11 @@
     press_at(FAST, fleet.callers(), part.to_owned(), length).await
 }
 
+/// The same, to instances of choice.
+pub async fn press_to(daemons: [SocketAddr; DAEMONS], part: String, length: Duration) -> Vec<Seen> {
+    press_at(FAST, daemons, part, length).await
+}
+
 /// The same, beside what else is done with the fleet.
 pub fn press_beside(fleet: &Fleet, part: &str, length: Duration) -> JoinHandle<Vec<Seen>> {
     task::spawn(press_at(PACE, fleet.callers(), part.to_owned(), length))
