Quarantine: a cause that others explain is tried, not released

Cause: a request in quarantine whose crashes all had another known cause was released, as a bystander is; a culprit that crashed endpoints only beside others looks the same, needed three crashes more, and was in no note in the store. Change: such a request stays in quarantine and noted, and has its first trial at once. An answer releases a bystander as before, a crash of the trial holds a culprit again.

--- a/oxbowbend-core/src/quarantine/decisions.rs
+++ b/oxbowbend-core/src/quarantine/decisions.rs
@@ -54,6 +54,8 @@
     updated_at: Instant,
     /// Whether this instance made the decision.
     is_local: bool,
+    /// Whether the first trial may start before it is due.
+    is_trial_early: bool,
 }
 
 /// All known decisions, by request.
@@ -91,8 +93,8 @@
     }
 
     pub(super) fn blocked_for(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
-        let trial_at =
-            self.decisions.get(&fingerprint)?.trial_due? + self.trial_jitter(fingerprint);
+        let decision = self.decisions.get(&fingerprint).filter(|d| !d.is_trial_early)?;
+        let trial_at = decision.trial_due? + self.trial_jitter(fingerprint);
         (now < trial_at).then(|| trial_at - now)
     }
 
@@ -104,6 +106,7 @@
             None => SendPermission::Allowed,
             Some(decision) => {
                 decision.trials += 1;
+                decision.is_trial_early = false;
                 decision.trial_due = Some(now + trial_delay(decision.trials));
                 (decision.updated_at, decision.is_local) = (now, true);
                 SendPermission::Trial
@@ -122,7 +125,14 @@
         self.evict_if_full(now);
         let epoch = self.decisions.get(&fingerprint).map_or(0, |d| d.epoch) + 1;
         let trial_due = Some(now + trial_delay(0));
-        let decision = Decision { epoch, trials: 0, trial_due, updated_at: now, is_local: true };
+        let decision = Decision {
+            epoch,
+            trials: 0,
+            trial_due,
+            updated_at: now,
+            is_local: true,
+            is_trial_early: false,
+        };
         self.decisions.insert(fingerprint, decision);
         trial_delay(0)
     }
@@ -135,6 +145,16 @@
         true
     }
 
+    /// Lets the first trial of a request start at once; returns whether that changed anything. The
+    /// request stays in quarantine until the trial succeeds.
+    pub(super) fn allow_early_trial(&mut self, fingerprint: Fingerprint) -> bool {
+        let is_first = |d: &&mut Decision| d.trials == 0 && !d.is_trial_early;
+        let active = self.decisions.get_mut(&fingerprint).filter(|d| d.trial_due.is_some());
+        let Some(decision) = active.filter(is_first) else { return false };
+        decision.is_trial_early = true;
+        true
+    }
+
     /// Applies a decision of another instance or from the store; returns its effect if it is newer
     /// than the known one.
     pub(super) fn apply_record(
@@ -160,6 +180,7 @@
             trial_due: remaining.map(|remaining| now + remaining),
             updated_at: now,
             is_local: false,
+            is_trial_early: false,
         };
         self.decisions.insert(record.fingerprint, decision);
         Some(remaining.map_or(DecisionOutcome::Released, DecisionOutcome::Quarantined))
@@ -243,14 +264,15 @@
 pub(super) struct CrashAnalysis {
     /// Requests to quarantine.
     pub(super) causes: Vec<CrashCause>,
-    /// Quarantined requests to release, because other requests explain all of their crashes.
+    /// Quarantined requests that may not be causes, because others explain all of their crashes.
     pub(super) cleared: Vec<Fingerprint>,
 }
 
 /// Attributes crashes to requests with a greedy set cover: the request involved in most crashes
 /// explains them, then the one involved in most of the rest, and so on. Crashes that a part in
 /// `crashing_parts` explains count against no request. Requests that were quarantined because they
-/// ran beside several causes are cleared once these are found.
+/// ran beside several causes are cleared once these are found; one that is a cause itself, and crashed
+/// endpoints only beside others, looks the same.
 pub(super) fn analyze_crashes(
     crashes: &Crashes,
     decisions: &Decisions,
--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -107,6 +107,11 @@
         /// Number of trials so far, including this one.
         trials: u32,
     },
+    /// A request may have its first trial at once, because others explain its crashes.
+    TrialDue {
+        /// The request.
+        fingerprint: Fingerprint,
+    },
     /// A request was released from quarantine.
     Released {
         /// The request.
@@ -478,8 +483,9 @@
             self.events.push(QuarantineEvent::Quarantined { fingerprint, crashes, trial_delay });
         }
         for fingerprint in cleared {
-            self.decisions.release(now, fingerprint);
-            self.events.push(QuarantineEvent::Released { fingerprint });
+            if self.decisions.allow_early_trial(fingerprint) {
+                self.events.push(QuarantineEvent::TrialDue { fingerprint });
+            }
         }
     }
 
--- a/oxbowbend-core/tests/quarantine.rs
+++ b/oxbowbend-core/tests/quarantine.rs
@@ -268,6 +268,26 @@
     );
 }
 
+/// A request that crashed endpoints only beside other causes looks like a bystander. It must not need
+/// as many crashes again, nor be forgotten with the death of all instances.
+#[test]
+fn a_cause_that_others_explain_is_tried_once_and_stays_noted() {
+    let (mut quarantine, now) = (new_quarantine("a"), Instant::now());
+    let crashes: [&[u64]; 7] = [&[1, 7], &[1, 8], &[1, 7], &[7], &[7], &[8], &[8]];
+    for (key, awaiting) in crashes.iter().enumerate() {
+        crash(&mut quarantine, now, key as u32, awaiting, &[]);
+    }
+    let stored = quarantine.decisions_to_store(now, false);
+    assert!(stored.iter().any(|record| record.fingerprint == 1), "{stored:?}");
+    assert_eq!(quarantine.check_send(now, 1, &[]), SendPermission::Trial);
+    assert!(is_blocked(&quarantine, now, 1));
+    crash(&mut quarantine, after(now, 100), 20, &[1], &[]);
+    assert!(is_blocked(&quarantine, after(now, 300), 1));
+    let mut restarted = new_quarantine("a");
+    restarted.apply_decisions(now, &stored);
+    assert!(is_blocked(&restarted, now, 1));
+}
+
 #[test]
 fn stored_decisions_survive_a_restart_of_all_instances() {
     let (mut a, now) = (new_quarantine("a"), Instant::now());
--- a/oxbowbend-gateway/src/quarantine.rs
+++ b/oxbowbend-gateway/src/quarantine.rs
@@ -143,6 +143,10 @@
             observe::quarantine_changed("trial");
             log::warn!("event=quarantine_trial fingerprint={fingerprint:016x} trials={trials}");
         }
+        QuarantineEvent::TrialDue { fingerprint } => {
+            observe::quarantine_changed("trial_due");
+            log::warn!("event=quarantine_trial_due fingerprint={fingerprint:016x}");
+        }
         QuarantineEvent::Released { fingerprint } => {
             observe::quarantine_changed("released");
             log::warn!("event=request_released fingerprint={fingerprint:016x}");
