Retries: an instance that has just started has a small part of the fixed number

What callers saw: with none for a window after a start, streams that broke in the first 10 s of an instance were not resumed, and callers of one that started without a path to endpoints got 502.

--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -12,17 +12,20 @@
 //!   all instances has. The ratio is therefore applied to the mean of the retries' window and the
 //!   one before it, which is never more than the better of the two. An instance that starts has
 //!   retries as soon as it has requests, and a sudden failure finds half a window's retries unused.
-//! - An instance's part of the fixed number is used once in a window, however often it starts. An
-//!   instance can't know what its predecessor has used, and has no part for one window after its
-//!   start.
+//! - The parts of the fixed number add up over the starts of an instance, which can't know what its
+//!   predecessor has used. For one window after its start it has a small part only, and the parts of
+//!   all leave room for several starts.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::ids::ServiceId;
 
-/// Share of the fixed number that is used; the rest covers instances that are not yet known.
-const FIXED_SHARE: f64 = 0.7;
+/// Share of the fixed number that instances use which have run for a window.
+const SETTLED_SHARE: f64 = 0.4;
+/// Share that instances use which have started since. With it, five starts of every instance in one
+/// window keep the limit, besides what they used before.
+const STARTED_SHARE: f64 = 0.12;
 
 /// Time for which a number of instances applies after fewer are seen. Entries of instances that still
 /// run may lapse in an outage of the store, and reports be lost in a cut.
@@ -150,10 +153,9 @@
 
     /// Returns the part of the fixed number that this instance may use.
     fn fixed_part(&self, now: Instant) -> f64 {
-        if now.saturating_duration_since(self.started_at) < self.limit.window {
-            return 0.0;
-        }
-        self.limit.fixed * FIXED_SHARE / self.instances.max(1) as f64
+        let is_settled = now.saturating_duration_since(self.started_at) >= self.limit.window;
+        let share = if is_settled { SETTLED_SHARE } else { STARTED_SHARE };
+        self.limit.fixed * share / self.instances.max(1) as f64
     }
 
     /// Returns the number of the slice that contains `now`. Those of the two windows before the start
