Quarantine: a part that is not convicted keeps no other one from it

Only the part in most crashes was considered, so one that can't be convicted, such as one that a caller invents for a single request that crashes endpoints, kept every part behind it from being convicted. Evidence: the test failed before: nothing blocked after five crashes of another part. Change: each part is considered unless another one explains all of its crashes and more. What the quarantine does for parts moves to parts.rs with it.

--- a/oxbowbend-core/src/fingerprint.rs
+++ b/oxbowbend-core/src/fingerprint.rs
@@ -1,9 +1,9 @@
 //! Fingerprints that identify retries of a request, and parts that requests share, across request
 //! ids and instances.
 //!
-//! The fingerprint of a request is the first 64 bits of the SHA-256 hash of the client account, method, path with
-//! query, and body, each prefixed with its length. It is the same on all instances and builds, and
-//! a caller can't forge that of another account. SHA-256 costs about 10 µs per request, ten times
+//! The fingerprint of a request is the first 64 bits of the SHA-256 hash of the client account,
+//! method, path with query, and body, each prefixed with its length. It is the same on all instances
+//! and builds, and a caller can't forge that of another account. SHA-256 costs about 10 µs per request, ten times
 //! as much as a faster hash without this property. No part of the body is stored or logged.
 
 use sha2::{Digest, Sha256};
--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -39,13 +39,11 @@
 use crate::ids::{EndpointId, EndpointKey, InstanceId};
 use crashes::{Crashes, InFlight};
 use decisions::{CrashAnalysis, CrashCause, DecisionOutcome, Decisions};
+use parts::PART_SUCCESS_LOOKBACK;
 use successes::RecentSuccesses;
 
 /// A success clears the request of crashes up to this long afterwards, besides all earlier ones.
 const SUCCESS_LOOKBACK: Duration = Duration::from_secs(3);
-/// The same for a part. Short, since one that turns bad was answered until then; a sound one is answered
-/// again before enough crashes are counted.
-const PART_SUCCESS_LOOKBACK: Duration = Duration::from_secs(1);
 /// How long decisions and successes are included in updates: about 20 heartbeats within a cell and
 /// 10 between cells.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(3);
@@ -62,10 +60,6 @@
 /// attempts on the endpoint. Without it, a bystander can appear to be the only suspect.
 pub const CRASH_SETTLING_TIME: Duration = Duration::from_millis(150);
 const MAX_PENDING_ATTEMPTS: usize = 512;
-/// Most parts of one request that are suspected of a crash, so that a request with many leaves room
-/// for others.
-const MAX_SUSPECT_PARTS: usize = 16;
-
 /// Whether a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendPermission {
@@ -268,22 +262,6 @@
         }
     }
 
-    /// Returns the parts of a request that are suspected: none that was answered lately, and those
-    /// first that never were.
-    fn suspect_parts(
-        &self,
-        now: Instant,
-        request: Fingerprint,
-        parts: &[Fingerprint],
-    ) -> Vec<SuspectPart> {
-        let earliest = now.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(now);
-        let is_suspect = |part: &Fingerprint| !self.part_successes.succeeded_since(*part, earliest);
-        let mut parts: Vec<_> = parts.iter().copied().filter(is_suspect).collect();
-        parts.sort_by_key(|part| self.part_successes.last_success(*part).is_some());
-        parts.truncate(MAX_SUSPECT_PARTS);
-        parts.into_iter().map(|part| SuspectPart { part, request }).collect()
-    }
-
     /// Records that an endpoint's store entry was removed or replaced by that of a newer
     /// incarnation, which confirms the crash of those with interrupted attempts.
     pub fn endpoint_entry_changed(&mut self, now: Instant, endpoint: &EndpointId) {
@@ -303,23 +281,6 @@
         }
     }
 
-    /// Records that an endpoint wrote a response to a request with these parts, and went on.
-    pub fn parts_succeeded(&mut self, now: Instant, parts: &[Fingerprint]) {
-        for part in parts {
-            let last = self.part_successes.last_success(*part);
-            self.part_successes.record(now, *part);
-            let is_recent = |at| now.saturating_duration_since(at) < PART_SUCCESS_LOOKBACK;
-            // A recent success has cleared the part of all crashes until now.
-            if !last.is_some_and(is_recent) && self.crashes.remove_part(*part, now) {
-                self.part_successes.queue_for_gossip(now, *part);
-            }
-            if self.decisions.release(now, *part) {
-                self.part_successes.queue_for_gossip(now, *part);
-                self.events.push(QuarantineEvent::Released { fingerprint: *part });
-            }
-        }
-    }
-
     /// Returns the update to include in a report of the given extent: recent records and, in a full
     /// report, also older decisions in rotation. With `include_remote`, crashes observed by other
     /// instances are relayed, as representatives of a cell do.
@@ -351,7 +312,7 @@
             if self.successes.record_remote(now, success.fingerprint, at) {
                 self.clear_suspicion(now, success.fingerprint, at);
             }
-            // The record does not tell requests from parts; their fingerprints do not meet.
+            // The record does not tell requests from parts; their fingerprints do not collide.
             if self.part_successes.record_remote(now, success.fingerprint, at) {
                 self.crashes.remove_part(success.fingerprint, at + PART_SUCCESS_LOOKBACK);
             }
@@ -450,17 +411,6 @@
         self.needs_analysis |= is_new;
     }
 
-    /// Queues what is known of answers to parts that are suspected repeatedly, for instances that
-    /// have seen none.
-    fn publish_answered_parts(&mut self, now: Instant, parts: &[SuspectPart]) {
-        for SuspectPart { part, .. } in parts {
-            let is_answered = self.part_successes.last_success(*part).is_some();
-            if is_answered && self.crashes.count_of_part(*part) > 1 {
-                self.part_successes.queue_for_gossip(now, *part);
-            }
-        }
-    }
-
     /// Analyzes the crashes that are older than [`CRASH_SETTLING_TIME`]. Call it several times
     /// within that time.
     pub fn evaluate(&mut self, now: Instant) {
@@ -489,12 +439,6 @@
         }
     }
 
-    /// Returns the parts in quarantine that are suspected of a known crash.
-    fn quarantined_parts(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        let parts = self.crashes.settled().flat_map(|crash| crash.parts());
-        parts.filter(|part| self.decisions.is_quarantined(*part))
-    }
-
     /// Removes a request that succeeded at `at` from earlier crashes and those shortly afterwards.
     fn clear_suspicion(&mut self, now: Instant, fingerprint: Fingerprint, at: Instant) {
         if self.crashes.remove_request(fingerprint, at + SUCCESS_LOOKBACK) {
--- a/oxbowbend-core/src/quarantine/parts.rs
+++ b/oxbowbend-core/src/quarantine/parts.rs
@@ -8,8 +8,9 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::crashes::{Crash, Crashes};
+use super::crashes::{Crash, Crashes, SuspectPart};
 use super::decisions::CrashCause;
+use super::{Quarantine, QuarantineEvent};
 use crate::fingerprint::Fingerprint;
 
 /// Crashes in series that convict a part which nobody has seen answered, if as many different
@@ -24,6 +25,14 @@
 /// of its own.
 const SERIES_GAP: Duration = Duration::from_millis(50);
 
+/// A success clears a part of crashes up to this long afterwards, besides all earlier ones. Shorter than for
+/// a request, since a part that turns bad was answered until then; a sound one is answered
+/// again before enough crashes are counted.
+pub(super) const PART_SUCCESS_LOOKBACK: Duration = Duration::from_secs(1);
+/// Most parts of one request that are suspected of a crash, so that a request with many leaves room
+/// for others.
+const MAX_SUSPECT_PARTS: usize = 16;
+
 /// What is known against a part.
 #[derive(Default)]
 struct Evidence<'a> {
@@ -55,11 +64,18 @@
         times.iter().copied().filter(is_apart).count()
     }
 
+    fn includes(&self, other: &Evidence<'_>) -> bool {
+        let keys: HashSet<_> = self.crashes.iter().map(|crash| crash.endpoint).collect();
+        other.crashes.iter().all(|crash| keys.contains(&crash.endpoint))
+    }
+
     fn has_same_crashes(&self, other: &Evidence<'_>) -> bool {
-        let keys = |evidence: &Evidence<'_>| -> Vec<_> {
-            evidence.crashes.iter().map(|crash| crash.endpoint).collect()
-        };
-        keys(self) == keys(other)
+        self.crashes.len() == other.crashes.len() && self.includes(other)
+    }
+
+    /// Returns whether this explains all crashes that the other does, and further ones.
+    fn explains_more(&self, other: &Evidence<'_>) -> bool {
+        self.crashes.len() > other.crashes.len() && self.includes(other)
     }
 }
 
@@ -77,6 +93,58 @@
     }
 }
 
+impl Quarantine {
+    /// Records that an endpoint wrote a response to a request with these parts, and went on.
+    pub fn parts_succeeded(&mut self, now: Instant, parts: &[Fingerprint]) {
+        for part in parts {
+            let last = self.part_successes.last_success(*part);
+            self.part_successes.record(now, *part);
+            let is_recent = |at| now.saturating_duration_since(at) < PART_SUCCESS_LOOKBACK;
+            // A recent success has cleared the part of all crashes until now.
+            if !last.is_some_and(is_recent) && self.crashes.remove_part(*part, now) {
+                self.part_successes.queue_for_gossip(now, *part);
+            }
+            if self.decisions.release(now, *part) {
+                self.part_successes.queue_for_gossip(now, *part);
+                self.events.push(QuarantineEvent::Released { fingerprint: *part });
+            }
+        }
+    }
+
+    /// Returns the parts of a request that are suspected: none that was answered lately, and those
+    /// first that never were.
+    pub(super) fn suspect_parts(
+        &self,
+        now: Instant,
+        request: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> Vec<SuspectPart> {
+        let earliest = now.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(now);
+        let is_suspect = |part: &Fingerprint| !self.part_successes.succeeded_since(*part, earliest);
+        let mut parts: Vec<_> = parts.iter().copied().filter(is_suspect).collect();
+        parts.sort_by_key(|part| self.part_successes.last_success(*part).is_some());
+        parts.truncate(MAX_SUSPECT_PARTS);
+        parts.into_iter().map(|part| SuspectPart { part, request }).collect()
+    }
+
+    /// Queues what is known of answers to parts that are suspected repeatedly, for instances that
+    /// have seen none.
+    pub(super) fn publish_answered_parts(&mut self, now: Instant, parts: &[SuspectPart]) {
+        for SuspectPart { part, .. } in parts {
+            let is_answered = self.part_successes.last_success(*part).is_some();
+            if is_answered && self.crashes.count_of_part(*part) > 1 {
+                self.part_successes.queue_for_gossip(now, *part);
+            }
+        }
+    }
+
+    /// Returns the parts in quarantine that are suspected of a known crash.
+    pub(super) fn quarantined_parts(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let parts = self.crashes.settled().flat_map(|crash| crash.parts());
+        parts.filter(|part| self.decisions.is_quarantined(*part))
+    }
+}
+
 /// Returns the parts that cause the settled crashes, besides those in `known`, with a greedy set
 /// cover. `is_answered` tells whether a part is known to have been answered ever.
 pub(super) fn find_causes(
@@ -120,15 +188,24 @@
     });
     let mut candidates: Vec<_> = candidates.collect();
     candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.priority()));
-    let Some(first) = candidates.first() else { return Vec::new() };
-    let is_like_first = |candidate: &&Candidate<'_>| {
-        candidate.is_answered == first.is_answered
-            && candidate.evidence.has_same_crashes(&first.evidence)
+    let mut groups = candidates.iter().map(|candidate| convicted_with(candidate, &candidates));
+    groups.find(|group| !group.is_empty()).unwrap_or_default()
+}
+
+/// Returns the candidates that are convicted together with this one: those with the same crashes.
+fn convicted_with(candidate: &Candidate<'_>, all: &[Candidate<'_>]) -> Vec<CrashCause> {
+    let explains_more = |other: &Candidate<'_>| {
+        other.is_answered <= candidate.is_answered
+            && other.evidence.explains_more(&candidate.evidence)
     };
-    let alike: Vec<_> = candidates.iter().filter(is_like_first).collect();
+    let alike = all.iter().filter(|other| {
+        other.is_answered == candidate.is_answered
+            && other.evidence.has_same_crashes(&candidate.evidence)
+    });
+    let alike: Vec<_> = alike.collect();
     let is_alone = alike.len() == 1;
     // Of sound parts that stand beside each other one may have a cause that is not known yet.
-    if first.is_answered && !is_alone {
+    if all.iter().any(explains_more) || (candidate.is_answered && !is_alone) {
         return Vec::new();
     }
     let convicted = alike.into_iter().filter(|candidate| candidate.is_convincing(is_alone));
--- a/oxbowbend-core/tests/quarantine_parts.rs
+++ b/oxbowbend-core/tests/quarantine_parts.rs
@@ -170,6 +170,25 @@
     }
 }
 
+/// A part that is not convicted, such as one that a caller invents for a request that crashes
+/// endpoints, must not keep another one from it.
+#[test]
+fn an_invented_part_does_not_protect_another_one() {
+    const INVENTED: u64 = 90;
+    let (mut q, start) = (new_quarantine("a"), Instant::now());
+    q.parts_succeeded(start, &[CRASHING]);
+    let mut now = start + Duration::from_secs(10);
+    for key in 0..6 {
+        crash(&mut q, now, key, &[(100, &[INVENTED])]);
+        now += APART;
+    }
+    for key in 10..15 {
+        crash(&mut q, now, key, &[(u64::from(key) + 100, &[CRASHING])]);
+        now += APART;
+    }
+    assert_eq!(blocked(&q, now), [CRASHING]);
+}
+
 /// A part may crash endpoints that answered it a moment before, with other software or weights.
 #[test]
 fn a_part_that_turns_bad_is_known_within_the_bound() {
