--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -23,6 +23,7 @@
 
 mod crashes;
 mod decisions;
+mod events;
 mod parts;
 mod records;
 mod successes;
@@ -32,6 +33,7 @@
 
 pub use crashes::{InterruptedAttempt, SuspectPart};
 pub use decisions::CRASH_THRESHOLD;
+pub use events::QuarantineEvent;
 pub use records::{CrashRecord, DecisionRecord, QuarantineUpdate, SuccessRecord};
 
 use crate::cell::ReportDetail;
@@ -71,48 +73,6 @@
     Blocked(Duration),
 }
 
-/// A change to the quarantine state, for logging.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum QuarantineEvent {
-    /// An endpoint crashed.
-    EndpointCrashed {
-        /// The incarnation that crashed.
-        endpoint: EndpointKey,
-        /// Requests that this instance knows to have been in flight there.
-        suspects: Vec<Fingerprint>,
-        /// Parts of these that are suspected.
-        parts: Vec<Fingerprint>,
-        /// Whether this instance observed the crash itself.
-        is_local: bool,
-    },
-    /// A request was quarantined.
-    Quarantined {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The crashes attributed to it; empty if another instance decided.
-        crashes: Vec<EndpointKey>,
-        /// Time until the first trial.
-        trial_delay: Duration,
-    },
-    /// A trial of a request started on this or another instance.
-    TrialStarted {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// Number of trials so far, including this one.
-        trials: u32,
-    },
-    /// A request may have its first trial at once, because others explain its crashes.
-    TrialDue {
-        /// The request.
-        fingerprint: Fingerprint,
-    },
-    /// A request was released from quarantine.
-    Released {
-        /// The request.
-        fingerprint: Fingerprint,
-    },
-}
-
 /// An interrupted attempt whose endpoint is not yet known to have crashed.
 #[derive(Clone, Debug)]
 struct PendingAttempt {
