--- a/oxbowbend-core/src/retries.rs
+++ b/oxbowbend-core/src/retries.rs
@@ -175,8 +175,8 @@
 }
 
 impl Counts {
-    /// Returns the requests and the retries, pending ones included, of the window that allows the fewest more retries, of
-    /// all windows that contain the slice `now`.
+    /// Returns the requests and the retries, pending ones included, of the window that allows the
+    /// fewest more retries, of all windows that contain the slice `now`.
     ///
     /// Windows that start in the same slice are taken together: with the retries of the whole slice,
     /// and with the requests that all of them count.
@@ -211,8 +211,9 @@
     }
 
     fn remove_last(&mut self) {
-        let last = self.kept().rev().map(index).find(|i| self.counts[*i] > 0);
-        last.map(|i| self.counts[i] -= 1).unwrap_or_default()
+        if let Some(last) = self.kept().rev().map(index).find(|i| self.counts[*i] > 0) {
+            self.counts[last] -= 1;
+        }
     }
 
     /// Returns the number of events in a slice.
