Retries: an instance counts those of its settings before it has seen any

For up to half a second after a start the limiter counted one instance, so each had the small parts of all. It begins with the number that the settings name.

--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -126,12 +126,15 @@
         observe::recorder();
         let life = rand::random();
         let cell = Cell::new(cfg.instance.clone(), cfg.zone.clone(), life);
+        let mut retry_limiter = RetryLimiter::new(cfg.repeats, clock::now());
+        // Until others are seen, an instance would take the parts of all.
+        retry_limiter.set_instances(clock::now(), cfg.seeds.len());
         let (shared, changed) = Shared::new(
             (cfg.instance.clone(), cfg.zone.clone()),
             (cell, cfg.cell_size),
             Sources::new(cfg.in_force),
             AdmissionController::new(cfg.quotas),
-            RetryLimiter::new(cfg.repeats, clock::now()),
+            retry_limiter,
             Rollouts::new(cfg.rollouts),
         );
         let door = Arc::new(h1::Door::default());
