Observability: bytes on an instance's link and the delay of its timers

The logs of an instance that gets most connections could not tell a full link from a busy processor or taken slots.

--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod handover;
 pub mod ids;
 pub mod ingress;
+pub mod intake;
 pub mod isolation;
 pub mod ledger;
 pub mod membership;
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::audience::Audience;
 use crate::features::Features;
 use crate::follow;
+use crate::intake::LoadWatch;
 use crate::observe;
 use crate::peers;
 use crate::relay;
@@ -85,6 +86,8 @@
     pub features: Features,
     /// Time within which changes of the configuration and of endpoints must be in force.
     pub in_force: Duration,
+    /// Bandwidth of the machine's link in each direction; none if it is not known.
+    pub link_bytes_per_s: Option<u64>,
     /// Connections from callers at once.
     pub connections: usize,
 }
@@ -145,8 +148,11 @@
         let local =
             Sender { instance: cfg.instance.clone(), incarnation: life, address: cfg.peers };
         let (leases, lease_receivers) = SlotLeases::new(local, cfg.zone.clone());
-        let door = Arc::new(h1::Door::default());
-        let pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
+        let meter = Arc::new(h1::LinkMeter::default());
+        let door = Arc::new(h1::Door::default().with_meter(meter.clone()));
+        // Documents of other instances are bounded by their senders and not counted.
+        let document_pool = h1::Pool::new(h1::PoolConfig { connect: CONNECT, idle: KEEP });
+        let pool = document_pool.clone().with_meter(meter.clone());
         let peers = Arc::new(peers::Peers {
             shared: shared.clone(),
             wire: wire.clone(),
@@ -155,7 +161,8 @@
             address: cfg.peers,
             handover_port: cfg.handovers.port(),
             audience: Audience { address: cfg.peers, seeds: cfg.seeds.clone() },
-            pool: pool.clone(),
+            pool: document_pool,
+            meter: meter.clone(),
             door: door.clone(),
             is_fetching: AtomicBool::new(false),
             slot_leases: leases.clone(),
@@ -188,7 +195,8 @@
         task::spawn(peers.clone().send_slot_messages(lease_receivers.outgoing));
         task::spawn(peers.listen());
         task::spawn(leases.run(shared.clone(), lease_receivers.changed));
-        task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len()));
+        let load = LoadWatch::new(clock::now(), cfg.link_bytes_per_s, meter);
+        task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len(), load));
         log::info!(
             "event=started instance={} zone={} life={life:016x} callers={}",
             cfg.instance,
@@ -270,12 +278,21 @@
 }
 
 /// What time brings: lapsed endpoints, the cell, idle connections, gauges.
-async fn keep_up(shared: Shared, pool: h1::Pool, door: Arc<h1::Door>, seeds: usize) {
+async fn keep_up(
+    shared: Shared,
+    pool: h1::Pool,
+    door: Arc<h1::Door>,
+    seeds: usize,
+    mut load: LoadWatch,
+) {
     let (mut regroup, mut sweep) = (Every::new(REGROUP), Every::new(SWEEP));
     let mut waiting = 0;
     loop {
-        task::sleep(if waiting > 0 { TICK } else { IDLE_TICK }).await;
+        let tick = if waiting > 0 || !load.is_calm() { TICK } else { IDLE_TICK };
+        let due = clock::now() + tick;
+        task::sleep(tick).await;
         let now = clock::now();
+        load.update(now, now.saturating_duration_since(due));
         let (news, heard, restarted, resting) = {
             let mut state = shared.lock();
             let news = state.world.expire(now);
--- /dev/null
+++ b/oxbowbend-gateway/src/intake.rs
@@ -0,0 +1,93 @@
+//! Measurement of what this instance's link and processor bear, for [`oxbowbend_core::intake`].
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use oxbowbend_core::intake::{Intake, LinkTotals};
+use oxbowbend_http::h1;
+
+use crate::observe;
+
+/// Time between two lines about a loaded instance.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Fraction of the link's bandwidth, and mean delay of timers, from which lines are written.
+const LOGGED_LINK_SHARE: f64 = 0.5;
+const LOGGED_TIMER_DELAY: Duration = Duration::from_millis(25);
+
+/// Watches the link and the processor of this instance.
+pub(crate) struct LoadWatch {
+    intake: Intake,
+    meter: Arc<h1::LinkMeter>,
+    bytes_per_s: Option<u64>,
+    logged_at: Instant,
+    logged: LinkTotals,
+    logged_reports: u64,
+}
+
+impl LoadWatch {
+    pub(crate) fn new(
+        now: Instant,
+        bytes_per_s: Option<u64>,
+        meter: Arc<h1::LinkMeter>,
+    ) -> LoadWatch {
+        LoadWatch {
+            intake: Intake::new(now, bytes_per_s),
+            meter,
+            bytes_per_s,
+            logged_at: now,
+            logged: LinkTotals::default(),
+            logged_reports: 0,
+        }
+    }
+
+    /// Whether updates may be rare.
+    pub(crate) fn is_calm(&self) -> bool {
+        self.intake.is_calm()
+    }
+
+    /// Takes a measurement, at a timer that was due `timer_delay` ago. Returns whether new
+    /// connections are taken.
+    pub(crate) fn update(&mut self, now: Instant, timer_delay: Duration) -> bool {
+        let totals = LinkTotals { received: self.meter.received(), sent: self.meter.sent() };
+        if let Some(change) = self.intake.update(now, timer_delay, totals) {
+            log::warn!(
+                "event=intake is_open={} bottleneck={} receiving_ms={} sending_ms={} \
+                 timer_delay_ms={}",
+                change.bottleneck.is_none(),
+                change.bottleneck.map_or("-", |bottleneck| bottleneck.name()),
+                change.receiving.as_millis(),
+                change.sending.as_millis(),
+                change.timer_delay.as_millis()
+            );
+        }
+        self.log_load(now, totals);
+        self.intake.is_open()
+    }
+
+    /// Shows the load, and logs it if it is high.
+    fn log_load(&mut self, now: Instant, totals: LinkTotals) {
+        let elapsed = now.saturating_duration_since(self.logged_at);
+        if elapsed < LOG_INTERVAL {
+            return;
+        }
+        let per_s = |bytes: u64| (bytes as f64 / elapsed.as_secs_f64()) as u64;
+        let received = per_s(totals.received - self.logged.received);
+        let sent = per_s(totals.sent - self.logged.sent);
+        let reports = per_s(self.meter.reports_sent() - self.logged_reports);
+        (self.logged_at, self.logged) = (now, totals);
+        self.logged_reports = self.meter.reports_sent();
+        let timer_delay = self.intake.timer_delay();
+        observe::load(received, sent, timer_delay);
+        let is_link_loaded = self
+            .bytes_per_s
+            .is_some_and(|limit| received.max(sent) as f64 > limit as f64 * LOGGED_LINK_SHARE);
+        if is_link_loaded || timer_delay > LOGGED_TIMER_DELAY {
+            log::info!(
+                "event=load received_per_s={received} sent_per_s={sent} reports_per_s={reports} \
+                 link_per_s={} timer_delay_ms={}",
+                self.bytes_per_s.unwrap_or(0),
+                timer_delay.as_millis()
+            );
+        }
+    }
+}
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod world;
 
 mod follow;
+mod intake;
 mod knowledge;
 pub mod link;
 mod observe;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -208,6 +208,13 @@
     gauge!("oxbow_instances_heard").set(heard as f64);
 }
 
+/// Sets the bytes per second on this instance's link and the mean delay of its timers.
+pub(crate) fn load(received_per_s: u64, sent_per_s: u64, timer_delay: Duration) {
+    gauge!("oxbow_link_bytes_per_second", "direction" => "in").set(received_per_s as f64);
+    gauge!("oxbow_link_bytes_per_second", "direction" => "out").set(sent_per_s as f64);
+    gauge!("oxbow_timer_delay_seconds").set(timer_delay.as_secs_f64());
+}
+
 /// Counts a slot that this instance granted.
 pub(crate) fn slot_granted() {
     counter!("oxbow_slots_granted_total").increment(1);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -66,6 +66,8 @@
     pub(crate) audience: Audience,
     pub(crate) pool: h1::Pool,
     pub(crate) door: Arc<h1::Door>,
+    /// Bytes of reports are counted with those of requests.
+    pub(crate) meter: Arc<h1::LinkMeter>,
     /// Whether this instance is being told the configuration.
     pub(crate) is_fetching: AtomicBool,
     pub(crate) slot_leases: SlotLeases,
@@ -252,13 +254,19 @@
             Err(e) => return log::error!("event=report_not_written error=\"{e}\""),
         };
         for address in addresses {
-            observe::reported("out", datagram.len());
+            self.note_sent(datagram.len());
             if let Err(e) = self.socket.send_to(&datagram, address).await {
                 log::debug!("event=report_not_sent address={address} error=\"{e}\"");
             }
         }
     }
 
+    fn note_sent(&self, bytes: usize) {
+        self.meter.add_sent(bytes);
+        self.meter.add_report_sent(bytes);
+        observe::reported("out", bytes);
+    }
+
     /// Takes in the others' reports.
     pub(crate) async fn listen(self: Arc<Peers<W>>) {
         let mut buf = vec![0; MAX_DATAGRAM];
@@ -273,6 +281,7 @@
                     continue;
                 }
             };
+            self.meter.add_received(n);
             observe::reported("in", n);
             let now = clock::now();
             let report = match serde_json::from_slice::<Notification<'_, Report>>(&buf[..n]) {
@@ -321,7 +330,7 @@
                     continue;
                 }
             };
-            observe::reported("out", datagram.len());
+            self.note_sent(datagram.len());
             if let Err(e) = self.socket.send_to(&datagram, to).await {
                 log::debug!("event=slot_message_not_sent address={to} error=\"{e}\"");
             }
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -6,12 +6,14 @@
 //! is the library's.
 
 mod framing;
+mod meter;
 mod outgoing;
 mod pool;
 mod server;
 mod silence;
 
 pub use framing::Framing;
+pub use meter::LinkMeter;
 pub use pool::{CallError, Conn, Pool, PoolConfig};
 pub use server::{serve, Door, ServeConfig};
 pub use silence::SilenceLimits;
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -21,6 +21,7 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use super::meter::{LinkMeter, Metered};
 use super::outgoing::Outgoing;
 use super::silence::SilenceLimits;
 
@@ -171,13 +172,14 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Conn>>>>,
     /// Idle connections that may be kept to one address.
     bound: Arc<AtomicUsize>,
+    meter: Option<Arc<LinkMeter>>,
 }
 
 impl Pool {
     /// Starts empty, with [`SilenceLimits::PATIENT`].
     pub fn new(cfg: PoolConfig) -> Pool {
         let (idle, bound) = (Arc::default(), Arc::new(AtomicUsize::new(usize::MAX)));
-        Pool { cfg, silence: SilenceLimits::PATIENT, idle, bound }
+        Pool { cfg, silence: SilenceLimits::PATIENT, idle, bound, meter: None }
     }
 
     /// Sets the limits on the silence of peers, for connections that are opened from now on.
@@ -187,6 +189,13 @@
         self
     }
 
+    /// Counts the bytes of connections that are opened from now on.
+    #[must_use]
+    pub fn with_meter(mut self, meter: Arc<LinkMeter>) -> Pool {
+        self.meter = Some(meter);
+        self
+    }
+
     /// A connection: the one used last, or a new one.
     ///
     /// # Errors
@@ -225,7 +234,8 @@
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         self.silence.apply(&stream).map_err(failed)?;
-        let handshake = http1::handshake(FuturesIo::new(stream.clone())).await;
+        let metered = Metered::new(stream.clone(), self.meter.clone());
+        let handshake = http1::handshake(FuturesIo::new(metered)).await;
         let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let (conn, task) = futures::future::abortable(conn);
         task::spawn(async move {
--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -21,6 +21,8 @@
 use oxbowbend_clock as clock;
 use smol_hyper::rt::FuturesIo;
 
+use super::meter::{LinkMeter, Metered};
+
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -44,6 +46,7 @@
     open: AtomicUsize,
     last: Mutex<Instant>,
     shut: (channel::Sender<()>, channel::Receiver<()>),
+    meter: Option<Arc<LinkMeter>>,
 }
 
 impl Default for Door {
@@ -54,11 +57,18 @@
             open: AtomicUsize::new(0),
             last: Mutex::new(clock::now()),
             shut: channel::bounded(1),
+            meter: None,
         }
     }
 }
 
 impl Door {
+    /// Counts the bytes of all connections.
+    #[must_use]
+    pub fn with_meter(self, meter: Arc<LinkMeter>) -> Door {
+        Door { meter: Some(meter), ..self }
+    }
+
     /// Makes each further answer the last one of its connection.
     pub fn close(&self) {
         self.closing.store(true, Ordering::SeqCst);
@@ -203,9 +213,10 @@
             Ok::<_, Infallible>(answer.map(|body| Counted { body, inside, ending }))
         }
     });
+    let metered = Metered::new(stream.clone(), door.meter.clone());
     let conn = http1::Builder::new()
         .max_buf_size(cfg.head.max(MIN_BUFFER))
-        .serve_connection(FuturesIo::new(stream.clone()), service);
+        .serve_connection(FuturesIo::new(metered), service);
     pin_mut!(conn);
     let shut = door.shut.1.recv();
     pin_mut!(shut);
