Test: reports of a busy instance leave its link to requests (fails)

Four daemons whose settings tell a link of 1 Mbit/s (a tenth of the users', for three peers in place of eleven and shorter reports); most requests go to one. Its reports take more than the whole link, where half is to be left.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -27,6 +27,9 @@
 const ALL_FEATURES: &str = "slot-leases,overflow,rank-floor,expected-wait";
 /// Endpoints.
 pub const ENDPOINTS: usize = 5;
+/// Port of the metrics if none is named.
+const METRICS_PORT: u16 = 9464;
+const METRICS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests that an endpoint runs at once, by its entry.
 const SLOTS: u32 = 8;
 /// Start of all endpoints.
@@ -83,18 +86,28 @@
 
     /// The same, of endpoints with versions of their software, which their events say.
     pub async fn start_with_software(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
-        let fleet = Fleet::start_with(seed, SLOTS, versions).await;
+        let fleet = Fleet::start_with(seed, SLOTS, versions, None).await;
         let endpoints = fleet.endpoints.iter().zip(versions);
         endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
         fleet
     }
 
+    /// The same, of daemons whose settings tell this bandwidth of their links.
+    pub async fn start_with_links(seed: u64, mbps: f64) -> Fleet {
+        Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], Some(mbps)).await
+    }
+
     /// The same, of endpoints that run so many requests at once by their entries.
     pub async fn start_with_slots(seed: u64, slots: u32) -> Fleet {
-        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS]).await
+        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS], None).await
     }
 
-    async fn start_with(seed: u64, slots: u32, versions: [&'static str; ENDPOINTS]) -> Fleet {
+    async fn start_with(
+        seed: u64,
+        slots: u32,
+        versions: [&'static str; ENDPOINTS],
+        link_mbps: Option<f64>,
+    ) -> Fleet {
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_address = store::address(&store_proxy_listener);
@@ -114,7 +127,10 @@
             endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
         let excuses = Excuses::default();
-        let daemon = |n| Daemon::new(n, seed, store_address, excuses.clone(), paths.clone());
+        let daemon = |n| {
+            let (excuses, paths) = (excuses.clone(), paths.clone());
+            Daemon::new(n, seed, store_address, excuses, paths, link_mbps)
+        };
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
         let mut fleet = Fleet {
@@ -299,17 +315,25 @@
 }
 
 impl Daemon {
-    fn new(n: usize, seed: u64, store: SocketAddr, excuses: Excuses, paths: Paths) -> Daemon {
+    fn new(
+        n: usize,
+        seed: u64,
+        store: SocketAddr,
+        excuses: Excuses,
+        paths: Paths,
+        link_mbps: Option<f64>,
+    ) -> Daemon {
         // Every run has loopback addresses of its own, since the ports are the same everywhere.
         let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, seed % 250 + 1, n + 1);
         let net = ip.rsplit_once('.').unwrap().0.to_owned();
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
+        let link = link_mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
         let text = format!(
             "node_name = \"d{n}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [27600, 27615]\n\
              seed_nodes = [\"{net}.1:1\", \"{net}.2:1\"]\n\
              [listen]\nfront = \"{ip}:27620\"\nreadiness_addr = \"{ip}:27621\"\n\
-             [limits]\nmax_fds = 4100\n[platform]\naddress = \"{store}\"\nform = \"kv\"\n\
+             [limits]\nmax_fds = 4100\n{link}[platform]\naddress = \"{store}\"\nform = \"kv\"\n\
              [bounds]\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nretry_slack = 1000\n\
              quota_window_s = 8\nquota_overage = 0.1\nquota_slack = 1000\n"
         );
@@ -350,6 +374,17 @@
         ended
     }
 
+    /// Value of a counter on the page of metrics, by its name with labels; 0 if it is not there.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let cfg = h1::PoolConfig { connect: Duration::from_millis(500), idle: Duration::ZERO };
+        let req = http::Request::get("/metrics").header("host", "m").body(Default::default());
+        let address = SocketAddr::new(self.callers.ip(), METRICS_PORT);
+        let answer = h1::Pool::new(cfg).call(address, req.unwrap(), METRICS_TIMEOUT).await.unwrap();
+        let page = String::from_utf8_lossy(answer.body()).into_owned();
+        let value = page.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.trim().parse().unwrap())
+    }
+
     pub async fn is_ready(&self) -> bool {
         let cfg = h1::PoolConfig { connect: Duration::from_millis(200), idle: Duration::ZERO };
         let req = http::Request::get("/ready").header("host", "r").body(Default::default());
--- a/oxbowbend-daemon/tests/soak/one_instance.rs
+++ b/oxbowbend-daemon/tests/soak/one_instance.rs
@@ -1,6 +1,6 @@
 //! Most new connections go to one instance for some seconds, then to another.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::caller::Seen;
 use crate::fleet::{Fleet, DAEMONS};
@@ -11,6 +11,12 @@
 const SHARE_SERVED: f64 = 0.75;
 const BEFORE: Duration = Duration::from_secs(2);
 const LENGTH: Duration = Duration::from_secs(4);
+/// A seed with one cell, and the bandwidth of each daemon's link there.
+const NARROW: (u64, f64) = (273, 1.0);
+/// Part of the link that must be left for requests.
+const SHARE_LEFT: f64 = 0.5;
+const BYTES_PER_MBIT: f64 = 125_000.0;
+const REPORT_BYTES: &str = "oxbow_report_bytes_total{direction=\"out\"}";
 
 fn share_served(seen: &[Seen]) -> f64 {
     let served = seen.iter().filter(|seen| seen.is_served()).count();
@@ -42,3 +48,36 @@
     let broken = press::play_in_turn(SEEDS.into_iter().map(play));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Plays one fleet of narrow links; returns what was not as it must be.
+async fn play_narrow((seed, mbps): (u64, f64)) -> Vec<String> {
+    let fleet = Fleet::start_with_links(seed, mbps).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    let mut broken = Vec::new();
+    for n in [1, 2] {
+        let sent_before = fleet.daemons[n].metric(REPORT_BYTES).await;
+        let daemons = [fleet.callers()[n]; DAEMONS];
+        let started = Instant::now();
+        let seen = press::press_to(daemons, format!("{seed}-{n}"), LENGTH).await;
+        let sent = fleet.daemons[n].metric(REPORT_BYTES).await - sent_before;
+        let link = mbps * BYTES_PER_MBIT * started.elapsed().as_secs_f64();
+        let (share, served) = (sent as f64 / link, share_served(&seen));
+        println!("seed {seed}: reports took {share:.2} of the link, {served:.2} served");
+        if share > 1.0 - SHARE_LEFT {
+            broken
+                .push(format!("seed {seed}: reports of instance {n} take {share:.2} of its link"));
+        }
+        if served < SHARE_SERVED {
+            broken.push(format!("seed {seed}: {served:.2} served at instance {n}"));
+        }
+    }
+    broken
+}
+
+/// Reports to the cell, of which a busy instance sent up to 200 a second, filled the link of an instance
+/// that got most connections: requests that it had read timed out, and sound endpoints seemed silent.
+#[test]
+fn reports_of_an_instance_that_gets_most_connections_leave_its_link_to_requests() {
+    let broken = press::play_in_turn(std::iter::once(NARROW).map(play_narrow));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
