Reports to the cell use at most 0.3 of an instance's link

Callers of an instance that got most new connections were not answered, and sound endpoints were blamed. Cause: an instance reports each change of its load to its cell, up to 200 times a second to 11 others; at 125 requests a second that is 1.2 to 1.5 MB/s on a link of 1.25 MB/s, and requests wait behind it. Whatever then hangs looks like silent endpoints and a lost path, and hand-overs add to it.

Reports get 0.3 of the bandwidth in the settings (link_mbps), with 0.3 s of it at once; what changes meanwhile goes into the next report. Nothing changes where the settings name no link, or a wide one. Heartbeats go out in any case.

--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod report_pacing;
 pub mod retries;
 pub mod rollout;
 pub mod routes;
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use oxbowbend_core::cell::Cell;
 use oxbowbend_core::ids::{InstanceId, ZoneId};
 use oxbowbend_core::quota::QuotaPolicy;
+use oxbowbend_core::report_pacing::ReportPacer;
 use oxbowbend_core::retries::{RetryLimit, RetryLimiter};
 use oxbowbend_core::rollout::{RolloutLimits, Rollouts};
 use oxbowbend_core::slot_leases::Sender;
@@ -191,7 +192,8 @@
         task::spawn(follow::count_instances(store.clone(), shared.clone()));
         task::spawn(rollouts::keep_statuses(store.clone(), shared.clone()));
         task::spawn(follow::stay_entered(store, entry, shared.clone(), door.clone()));
-        task::spawn(peers.clone().speak(changed));
+        let pacer = ReportPacer::new(clock::now(), cfg.link_bytes_per_s);
+        task::spawn(peers.clone().speak(changed, pacer));
         task::spawn(peers.clone().send_slot_messages(lease_receivers.outgoing));
         task::spawn(peers.listen());
         task::spawn(leases.run(shared.clone(), lease_receivers.changed));
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -113,6 +113,11 @@
     counter!("oxbow_report_bytes_total", "direction" => direction).increment(bytes as u64);
 }
 
+/// Records a report that was delayed to leave the link to requests.
+pub(crate) fn report_delayed(delay: Duration) {
+    histogram!("oxbow_report_delay_seconds").record(delay);
+}
+
 /// Notes a call to the store.
 pub(crate) fn store_call(what: &'static str, outcome: &'static str) {
     counter!("oxbow_store_calls_total", "call" => what, "outcome" => outcome).increment(1);
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{FleetSummary, Report};
 use oxbowbend_core::ids::InstanceId;
+use oxbowbend_core::report_pacing::ReportPacer;
 use oxbowbend_core::rollout::PeerLocation;
 use oxbowbend_core::slot_leases::{self, SlotNotification};
 use oxbowbend_http::h1;
@@ -77,7 +78,7 @@
 
 impl<W: Wire> Peers<W> {
     /// Reports what changes, and a beat when nothing does.
-    pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>) {
+    pub(crate) async fn speak(self: Arc<Peers<W>>, changed: Receiver<()>, mut pacer: ReportPacer) {
         let mut beats: u64 = 0;
         let mut told = ToldAll::default();
         let now = clock::now();
@@ -95,8 +96,15 @@
                 true => Reach::of_beat(beats, self.is_alone()),
                 false => Reach::Cell,
             };
-            self.report(reach, beats, &mut told).await;
-            task::sleep(PACE).await;
+            let sent = self.report(reach, beats, &mut told).await;
+            let now = clock::now();
+            pacer.record_sent(now, sent);
+            // Heartbeats go out in any case, since an instance without any counts as failed.
+            let delay = pacer.delay(now).min(BEAT);
+            if delay > PACE {
+                observe::report_delayed(delay);
+            }
+            task::sleep(delay.max(PACE)).await;
         }
     }
 
@@ -105,8 +113,8 @@
         self.shared.lock().cell.live_peer_count(clock::now()) == 0
     }
 
-    /// Reports once.
-    async fn report(&self, reach: Reach, beat: u64, told: &mut ToldAll) {
+    /// Reports once; returns the bytes sent.
+    async fn report(&self, reach: Reach, beat: u64, told: &mut ToldAll) -> usize {
         let now = clock::now();
         let (report, far_report, addresses) = {
             let mut state = self.shared.lock();
@@ -120,10 +128,11 @@
                 .then(|| self.far_report(&mut state, now, reach, told, &report));
             (report, far_report, addresses)
         };
+        let mut sent = 0;
         if let Some(far_report) = far_report {
             told.spent.far.extend(far_report.cell_admitted_units.iter().cloned());
             told.evidence.far.extend(far_report.cell_evidence.iter().cloned());
-            self.send(&far_report, &addresses.far).await;
+            sent += self.send(&far_report, &addresses.far).await;
         }
         told.spent.near.extend(report.admitted_units.iter().cloned());
         told.evidence.near.extend(report.evidence.iter().cloned());
@@ -131,7 +140,7 @@
             told.spent.fleet.extend(view.admitted_units.iter().cloned());
             told.evidence.fleet.extend(view.evidence.iter().cloned());
         }
-        self.send(&report, &addresses.near).await;
+        sent + self.send(&report, &addresses.near).await
     }
 
     /// What the cell is told.
@@ -247,11 +256,15 @@
         }
     }
 
-    async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) {
+    /// Sends a report; returns the bytes sent.
+    async fn send(&self, report: &Report, addresses: &BTreeSet<SocketAddr>) -> usize {
         let notification = Notification::new(Cow::Borrowed(REPORT), report);
         let datagram = match serde_json::to_vec(&notification) {
             Ok(datagram) => datagram,
-            Err(e) => return log::error!("event=report_not_written error=\"{e}\""),
+            Err(e) => {
+                log::error!("event=report_not_written error=\"{e}\"");
+                return 0;
+            }
         };
         for address in addresses {
             self.note_sent(datagram.len());
@@ -259,6 +272,7 @@
                 log::debug!("event=report_not_sent address={address} error=\"{e}\"");
             }
         }
+        datagram.len() * addresses.len()
     }
 
     fn note_sent(&self, bytes: usize) {
