Overflow: estimate a cell's freed slots by its running requests

Callers of an instance that got most of a zone's connections were refused while other cells had free slots: 55 offers beside 1,524 refusals. Cause: the rate at which the cell frees slots was taken as this instance's own times the number of instances, 360 a second in the new test where 30 are freed, so the wait looked short. It is now taken by the cell's running requests to its own, at most as many as there are instances, so with an even load nothing changes.

The test failed before.

--- a/oxbowbend-core/src/cell/free_slots.rs
+++ b/oxbowbend-core/src/cell/free_slots.rs
@@ -10,7 +10,7 @@
 
 use super::choice::Target;
 use super::{Cell, QueuedRequest};
-use crate::ids::ServiceId;
+use crate::ids::{EndpointKey, ServiceId};
 
 /// Period over which freed slots are counted. An engine frees one to four slots a second, and an
 /// instance uses about one engine's worth.
@@ -93,9 +93,8 @@
     /// Describes the queue that `request` would find in this cell.
     pub fn queue_outlook(&mut self, now: Instant, request: &QueuedRequest) -> QueueOutlook {
         let service = &request.service;
-        // All instances of the cell have about the same share of its requests.
         let freed_per_s =
-            self.freed_slots.per_s(now, service) * f64::from(self.reachable_count.max(1));
+            self.freed_slots.per_s(now, service) * self.cell_to_own_requests(now, service);
         let allowances = self.allowances(now);
         let targets = self.targets(now, &allowances, HashMap::new());
         let of_service = targets.iter().filter(|t| t.endpoint.service == *service);
@@ -105,6 +104,25 @@
         let before = candidates.iter().filter(|c| c.service == service && c.priority <= priority);
         QueueOutlook { free, ahead: before.count() as u32, freed_per_s }
     }
+
+    /// Running requests of a service in the cell per running request of this instance. An instance that
+    /// gets many more requests than its peers frees most of the cell's slots by itself. It is at most
+    /// the number of instances, since few running requests tell little.
+    fn cell_to_own_requests(&self, now: Instant, service: &ServiceId) -> f64 {
+        let instances = f64::from(self.reachable_count.max(1));
+        let is_of_service = |key: &EndpointKey| {
+            self.endpoints.get(key).is_some_and(|s| s.endpoint.service == *service)
+        };
+        let own = self.endpoints.values().filter(|s| s.endpoint.service == *service);
+        let own: u32 = own.map(|s| s.running).sum();
+        if own == 0 {
+            return instances;
+        }
+        let reported = self.live_reports(now).flat_map(|r| &r.loads);
+        let reported = reported.filter(|load| is_of_service(&load.endpoint));
+        let others: u32 = reported.map(|load| load.running).sum();
+        (f64::from(own + others) / f64::from(own)).min(instances)
+    }
 }
 
 /// Whether the endpoint has neither a rate limit, a backoff nor a limit on rejections.
--- a/oxbowbend-core/tests/overflow.rs
+++ b/oxbowbend-core/tests/overflow.rs
@@ -253,6 +253,43 @@
     assert_eq!(me.queue_outlook(now, &other), QueueOutlook { free: 0, ahead: 0, freed_per_s: 0.0 });
 }
 
+/// An instance with most of a cell's requests took its own rate of freed slots times the number of
+/// instances for the cell's, and refused requests that other cells had free slots for.
+#[test]
+fn an_instance_with_most_requests_of_its_cell_does_not_overestimate_its_slots() {
+    let start = Instant::now();
+    let mut me = cell("a", &[endpoint(1, 10), endpoint(2, 10)]);
+    // Eleven peers with one request in all; all of the cell hear each other.
+    let peers: Vec<_> = (0..11).map(|n| InstanceId::from(format!("p{n}").as_str())).collect();
+    let hear = |me: &mut Cell, now: Instant, sequence: u64| {
+        for peer in &peers {
+            let mut report =
+                Cell::new(peer.clone(), "z0".into(), 1).report(now, ReportDetail::Full);
+            report.sequence = sequence;
+            me.receive_report(now, report, true);
+        }
+        me.update_reachability(now, |_| true);
+    };
+    hear(&mut me, start, 1);
+    // All slots are taken and freed 40 times a second: a request takes half a second.
+    for n in 0..80 {
+        let now = start + n * 25 * MS;
+        me.enqueue(want(0, 100, now));
+        me.assign(now);
+        if n >= 20 {
+            let endpoint = if n % 2 == 0 { "e1" } else { "e2" };
+            me.finish(now, key(endpoint), 0, Outcome::Good);
+        }
+    }
+    let now = start + 2000 * MS;
+    hear(&mut me, now, 2);
+    let outlook = me.queue_outlook(now, &want(0, 100, now));
+    // 60 slots were freed within the last two seconds, all by this instance.
+    assert!((29.0..31.0).contains(&outlook.freed_per_s), "{outlook:?}");
+    // 20 requests that wait ahead need 0.67 s, more than the whole objective.
+    assert!(should_offer(QueueOutlook { ahead: 20, ..outlook }, 500 * MS), "{outlook:?}");
+}
+
 /// An offer to an instance that belongs to this cell, or to a cell by another index than its own
 /// instances use, would come back to a full cell.
 #[test]
