An instance near its limits takes fewer new connections

Callers of an instance that the balancer sent most new connections to were not served once its processor or its link was full, since it read whatever came. It now limits the new connections that it takes while the link's backlog is over 60 ms (by bytes on its sockets against link_mbps) or its timers are 60 ms late in the mean, and closes the others unread, so that callers try another instance at once. The limit starts at half of the rate before, falls by a fifth every 100 ms while a bottleneck lasts, rises slowly, and ends after half a second without a closed connection. At least 4 a second are taken.

--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -184,7 +184,9 @@
             for_peers.clone().serve_handover(req)
         }));
         let callers = bind(cfg.callers).await?;
-        task::spawn(h1::serve(callers, serving, door.clone(), move |req| relay.clone().serve(req)));
+        let gate = Arc::new(h1::ConnectionGate::default());
+        let (of_callers, for_callers) = (gate.clone(), move |req| relay.clone().serve(req));
+        task::spawn(h1::serve_gated(callers, serving, door.clone(), of_callers, for_callers));
         serve_aside(&cfg, serving, &shared, &door, &peers).await?;
 
         task::spawn(follow::run(store.clone(), wire, shared.clone()));
@@ -197,7 +199,7 @@
         task::spawn(peers.clone().send_slot_messages(lease_receivers.outgoing));
         task::spawn(peers.listen());
         task::spawn(leases.run(shared.clone(), lease_receivers.changed));
-        let load = LoadWatch::new(clock::now(), cfg.link_bytes_per_s, meter);
+        let load = LoadWatch::new(clock::now(), cfg.link_bytes_per_s, meter, gate);
         task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len(), load));
         log::info!(
             "event=started instance={} zone={} life={life:016x} callers={}",
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -220,6 +220,11 @@
     gauge!("oxbow_timer_delay_seconds").set(timer_delay.as_secs_f64());
 }
 
+/// Sets the number of connections that were closed unread since the start.
+pub(crate) fn connections_closed(connections: u64) {
+    counter!("oxbow_connections_closed_unread_total").absolute(connections);
+}
+
 /// Counts a slot that this instance granted.
 pub(crate) fn slot_granted() {
     counter!("oxbow_slots_granted_total").increment(1);
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -6,6 +6,7 @@
 //! is the library's.
 
 mod framing;
+mod gate;
 mod meter;
 mod outgoing;
 mod pool;
@@ -13,9 +14,10 @@
 mod silence;
 
 pub use framing::Framing;
+pub use gate::{ConnectionCounts, ConnectionGate};
 pub use meter::LinkMeter;
 pub use pool::{CallError, Conn, Pool, PoolConfig};
-pub use server::{serve, Door, ServeConfig};
+pub use server::{serve, serve_gated, Door, ServeConfig};
 pub use silence::SilenceLimits;
 
 /// A body that has been read whole.
--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -21,6 +21,7 @@
 use oxbowbend_clock as clock;
 use smol_hyper::rt::FuturesIo;
 
+use super::gate::ConnectionGate;
 use super::meter::{LinkMeter, Metered};
 
 /// Pause after a failure to accept, such as too many open files.
@@ -171,6 +172,23 @@
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_gated(listener, cfg, door, Arc::default(), handler).await;
+}
+
+/// Like [`serve`], but closes connections that `gate` does not admit without reading from them.
+pub async fn serve_gated<H, F, B>(
+    listener: TcpListener,
+    cfg: ServeConfig,
+    door: Arc<Door>,
+    gate: Arc<ConnectionGate>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut incoming = listener.incoming();
     while let Some(stream) = incoming.next().await {
@@ -186,6 +204,9 @@
             log::warn!("event=connection_refused open={}", door.open());
             continue;
         }
+        if !gate.admits(clock::now()) {
+            continue;
+        }
         let _ = stream.set_nodelay(true);
         task::spawn(connection(stream, cfg, door.clone(), handler.clone()));
     }
