--- a/oxbowbend-core/src/intake.rs
+++ b/oxbowbend-core/src/intake.rs
@@ -35,7 +35,7 @@
 const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
 /// Factors on the limit while a bottleneck is over its threshold, and while none is near it.
 const DECREASE: f64 = 0.8;
-const INCREASE: f64 = 1.05;
+const INCREASE: f64 = 1.07;
 /// Smallest limit in connections per second. A balancer, or an operator whose settings name too little
 /// bandwidth, must not find an instance that is ready and takes none.
 const MIN_RATE: f64 = 4.0;
