Failures at an instance's own limit are no evidence against the path

Instances that got most new connections took sound endpoints for lost: 13 path_changed in 7 s, 1,503 hand-overs through the link that was full, and the endpoints were blamed. Cause: probes and requests that time out in the instance's own link look like a lost path. While its link or processor is at its limit, failures change no verdict on the path, blame no endpoint and leave no peer out, and slots are not offered to other cells. A verdict from before stands until the path is seen.

--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -9,6 +9,9 @@
 //! Probes are repeated while an instance is isolated, and it counts as connected again once all of a
 //! round succeed. Where connections are accepted all the same, a request is tried from time to time.
 //!
+//! An instance whose own link or processor is at its limit looks isolated to itself. It keeps its verdict
+//! until it is below the limit again.
+//!
 //! A wrong verdict is cheap: it sends requests through a peer that reaches the endpoints, until the
 //! next round or trial. If all endpoints are down, peers are isolated too and nothing changes.
 
@@ -127,9 +130,20 @@
     /// Endpoints that have failed since the last response that proves otherwise.
     failures: BTreeMap<EndpointKey, FirstFailure>,
     tried_at: Option<Instant>,
+    is_at_limit: bool,
 }
 
 impl IsolationDetector {
+    /// Sets whether the instance's own link or processor is at its limit. Meanwhile failures say nothing
+    /// about the path: what times out may still wait in this machine, and a hand-over takes the same
+    /// link.
+    pub fn set_at_limit(&mut self, is_at_limit: bool) {
+        if is_at_limit && !self.is_at_limit {
+            self.failures.clear();
+        }
+        self.is_at_limit = is_at_limit;
+    }
+
     /// Records a new connection to an endpoint.
     pub fn record_connect(&mut self, now: Instant) {
         self.connected_at = Some(now);
@@ -157,6 +171,9 @@
         endpoint_count: usize,
         is_new_connection: bool,
     ) -> Option<PathChange> {
+        if self.is_at_limit {
+            return None;
+        }
         let age = |failure: &FirstFailure| now.saturating_duration_since(failure.at);
         self.failures.retain(|_, failure| age(failure) < FAILURE_WINDOW);
         self.failures.entry(endpoint).or_insert(FirstFailure { at: now, is_new_connection });
@@ -206,6 +223,9 @@
         if self.is_isolated() {
             return PathVerdict::Isolated;
         }
+        if self.is_at_limit {
+            return PathVerdict::Connected;
+        }
         let is_recent =
             |at: Option<Instant>, ttl| at.is_some_and(|at| now.saturating_duration_since(at) < ttl);
         let ttl = match failure {
@@ -251,7 +271,7 @@
             self.connected_at = Some(now);
         }
         match (self.cause, round) {
-            (None, ProbeRound { reached: 0, failed: 1.. }) => {
+            (None, ProbeRound { reached: 0, failed: 1.. }) if !self.is_at_limit => {
                 Some(self.change(now, Some(Cause::NoConnection), round))
             }
             (Some(Cause::NoResponse), ProbeRound { reached: 0, failed: 1.. }) => {
--- a/oxbowbend-core/tests/isolation.rs
+++ b/oxbowbend-core/tests/isolation.rs
@@ -165,3 +165,30 @@
     let change = detector.record_fresh_response(now + 410 * MS);
     assert_eq!(change.map(|c| c.is_isolated), Some(false));
 }
+
+/// An instance whose own link was full took sound endpoints for lost, handed its requests over through
+/// that link and blamed the endpoints.
+#[test]
+fn failures_of_an_instance_at_its_own_limit_are_no_evidence() {
+    let (start, mut detector) = (Instant::now(), IsolationDetector::default());
+    detector.set_at_limit(true);
+    assert_eq!(detector.verdict(start, PathFailure::Connect), PathVerdict::Connected);
+    detector.start_round(start);
+    assert_eq!(detector.finish_round(start + 250 * MS, NONE), None);
+    for n in 1..20 {
+        assert_eq!(detector.record_failure(start + 50 * MS * n, n % 3, 3, true), None);
+    }
+    assert!(!detector.is_isolated());
+    // Below the limit only what fails from then on counts.
+    let now = start + 1000 * MS;
+    detector.set_at_limit(false);
+    assert_eq!(detector.record_failure(now, 0, 3, true), None);
+    assert_eq!(detector.verdict(now + 300 * MS, PathFailure::Connect), PathVerdict::Unknown);
+    detector.start_round(now + 300 * MS);
+    assert!(detector.finish_round(now + 550 * MS, NONE).is_some_and(|change| change.is_isolated));
+    // A verdict from before the limit stands until the path is seen.
+    detector.set_at_limit(true);
+    assert_eq!(detector.verdict(now + 600 * MS, PathFailure::Broken), PathVerdict::Isolated);
+    detector.start_round(now + 600 * MS);
+    assert!(detector.finish_round(now + 700 * MS, ALL).is_some_and(|change| !change.is_isolated));
+}
--- a/oxbowbend-core/tests/overflow.rs
+++ b/oxbowbend-core/tests/overflow.rs
@@ -499,3 +499,26 @@
     println!("{offers:?}");
     assert!(offers.last_accepted_at_ms < 5000, "{offers:?}");
 }
+
+/// A crowd that moved from the other zones to one filled its cells, and half of it was refused while the
+/// cells that it had left had free slots.
+#[test]
+fn a_crowd_that_moves_to_one_cell_is_served_by_the_slots_that_it_left() {
+    // Three quarters of the load of three cells, of 0.8 each, come to the fourth beside its own.
+    let loads = [0.8 + 3.0 * 0.6, 0.2, 0.2, 0.2];
+    let (alone, _) = replay(loads, false);
+    // Part of all requests that got no slot within their objective, at any cell.
+    let unserved = |cells: &[ReplayedCell]| {
+        let late = |cell: &ReplayedCell| {
+            cell.waits.iter().filter(|wait| **wait > OBJECTIVE).count() + cell.arrivals.len()
+        };
+        let late: usize = cells.iter().map(late).sum();
+        let all: usize = cells.iter().map(|c| c.waits.len() + c.arrivals.len()).sum();
+        late as f64 / all as f64
+    };
+    assert!(unserved(&alone) > 0.4, "the crowd fits into the cell: {}", unserved(&alone));
+    let (cells, offers) = replay(loads, true);
+    println!("alone {:.2}, with handovers {:.2}; {offers:?}", unserved(&alone), unserved(&cells));
+    // The users' bound for crowds: three quarters of what was served before.
+    assert!(unserved(&cells) < 0.25, "{}", unserved(&cells));
+}
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -296,9 +296,10 @@
         let due = clock::now() + tick;
         task::sleep(tick).await;
         let now = clock::now();
-        load.update(now, now.saturating_duration_since(due));
+        let is_at_limit = load.update(now, now.saturating_duration_since(due));
         let (news, heard, restarted, resting) = {
             let mut state = shared.lock();
+            state.set_at_limit(is_at_limit);
             let news = state.world.expire(now);
             if regroup.is_due(now) {
                 state.regroup(now);
--- a/oxbowbend-gateway/src/intake.rs
+++ b/oxbowbend-gateway/src/intake.rs
@@ -50,8 +50,8 @@
     }
 
     /// Takes a measurement, at a timer that was due `timer_delay` ago, and sets how many connections
-    /// are taken.
-    pub(crate) fn update(&mut self, now: Instant, timer_delay: Duration) {
+    /// are taken. Returns whether they are limited.
+    pub(crate) fn update(&mut self, now: Instant, timer_delay: Duration) -> bool {
         let counts = self.gate.counts();
         let totals = Totals {
             received: self.meter.received(),
@@ -73,6 +73,7 @@
         }
         self.gate.set_limit(self.intake.limit_per_s());
         self.log_load(now, totals);
+        self.intake.limit_per_s().is_some()
     }
 
     /// Shows the load, and logs it if it is high.
--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -116,11 +116,21 @@
     /// What is known of the path to a service.
     pub(crate) fn path(&mut self, service: &ServiceId) -> &mut IsolationDetector {
         if !self.paths.contains_key(service) {
-            self.paths.insert(service.clone(), IsolationDetector::default());
+            let mut path = IsolationDetector::default();
+            path.set_at_limit(self.is_at_limit);
+            self.paths.insert(service.clone(), path);
         }
         self.paths.get_mut(service).expect("inserted above")
     }
 
+    /// Sets whether this instance's link or processor is at its limit.
+    pub(crate) fn set_at_limit(&mut self, is_at_limit: bool) {
+        if self.is_at_limit != is_at_limit {
+            self.is_at_limit = is_at_limit;
+            self.paths.values_mut().for_each(|path| path.set_at_limit(is_at_limit));
+        }
+    }
+
     /// Returns the time since when no endpoint of a service can be reached.
     pub(crate) fn isolated_for(&self, now: Instant, service: &ServiceId) -> Option<Duration> {
         self.paths.get(service)?.isolated_for(now)
--- a/oxbowbend-gateway/src/relay/overflow.rs
+++ b/oxbowbend-gateway/src/relay/overflow.rs
@@ -87,10 +87,16 @@
         offer.await
     }
 
-    /// Leaves an instance out, and drops its idle connections, which may be lost with it.
+    /// Leaves an instance out, and drops its idle connections, which may be lost with it. While this
+    /// instance is at its own limit, its silence says nothing.
     fn leave_out(&self, address: SocketAddr, instance: &InstanceId) {
+        let mut state = self.shared.lock();
+        if state.is_at_limit {
+            return;
+        }
+        state.overflow.record_silent(clock::now(), instance);
+        drop(state);
         self.pool.forget(address);
-        self.shared.lock().overflow.record_silent(clock::now(), instance);
     }
 
     /// Chooses an instance of another cell for a request that would wait long in this one.
@@ -156,7 +162,10 @@
 
     /// Checks that there is a free slot for a request of another cell.
     fn check_free_slot(&self, request: &AdmittedRequest) -> Result<(), Refusal> {
-        let is_admitted = self.shared.lock().cell.admits_overflow(clock::now(), &request.service);
+        let mut state = self.shared.lock();
+        let is_admitted =
+            !state.is_at_limit && state.cell.admits_overflow(clock::now(), &request.service);
+        drop(state);
         observe::overflow_received(if is_admitted { "accepted" } else { "full" });
         if is_admitted {
             Ok(())
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -165,9 +165,10 @@
             }
             None => false,
         };
+        let is_own_limit = failure.is_some() && self.shared.lock().is_at_limit;
         let outcome = match &error {
             // It says nothing about the endpoint, which others may reach.
-            _ if is_path_lost => Outcome::Neutral,
+            _ if is_path_lost || is_own_limit => Outcome::Neutral,
             AttemptError::NotExecuted(Verdict::NotThere) => Outcome::Absent,
             AttemptError::DeadlineExceeded
             | AttemptError::Quarantined(_)
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -50,6 +50,8 @@
     pub(crate) quarantine: Quarantine,
     /// Whether this instance reaches endpoints, by service.
     pub(crate) paths: HashMap<ServiceId, IsolationDetector>,
+    /// Whether this instance's link or processor is at its limit.
+    pub(crate) is_at_limit: bool,
     /// Requests that peers serve for it.
     pub(crate) handovers: Handovers,
     /// Free slots of other cells.
@@ -298,6 +300,7 @@
             ages: AgeEstimator::default(),
             quarantine: Quarantine::new(&me),
             paths: HashMap::new(),
+            is_at_limit: false,
             handovers: Handovers::default(),
             overflow: Overflow::default(),
             rollouts,
