Connections are taken again as soon as a limit ends

The gate kept the due time of its last limit: once the limit ended, connections of the next quarter of a second were closed unread at the most. The runnable example asserts it; it failed on the code before when its doc test was first run.

--- a/oxbowbend-http/src/h1/gate.rs
+++ b/oxbowbend-http/src/h1/gate.rs
@@ -62,10 +62,11 @@
     /// Returns whether a connection that comes now is served, and counts it.
     pub fn admits(&self, now: Instant) -> bool {
         let mut state = self.lock();
-        let interval = state.interval.unwrap_or(Duration::ZERO);
-        let is_admitted = state.due_at <= now + interval * (BURST - 1);
+        let interval = state.interval;
+        let is_admitted =
+            interval.is_none_or(|interval| state.due_at <= now + interval * (BURST - 1));
         if is_admitted {
-            state.due_at = state.due_at.max(now) + interval;
+            state.due_at = state.due_at.max(now) + interval.unwrap_or_default();
             state.counts.taken += 1;
         } else {
             state.counts.closed += 1;
