--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -47,6 +47,8 @@
     pub endpoints: Vec<Endpoint>,
     pub proxies: Vec<Proxy>,
     pub paths: Paths,
+    /// The daemons' ways to the store.
+    pub store_paths: Paths,
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
     pub exchanges: Exchanges,
@@ -74,7 +76,7 @@
     /// Environment of the process.
     env: Vec<(&'static str, String)>,
     excuses: Excuses,
-    paths: Paths,
+    paths: [Paths; 2],
     n: usize,
     child: Child,
 }
@@ -113,7 +115,8 @@
         let store_address = store::address(&store_proxy_listener);
         let (to, paths) = (store::address(&store_listener), Paths::default());
         // Cuts between daemons and endpoints are none of the store's.
-        let store_proxy = Proxy::start(store_proxy_listener, to, Paths::default());
+        let store_paths = Paths::default();
+        let store_proxy = Proxy::start(store_proxy_listener, to, store_paths.clone());
         let store = Store::start(store_listener).await;
         let (runs, exchanges) = (Runs::default(), Exchanges::default());
         let (mut endpoints, mut proxies, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
@@ -128,7 +131,7 @@
         }
         let excuses = Excuses::default();
         let daemon = |n| {
-            let (excuses, paths) = (excuses.clone(), paths.clone());
+            let (excuses, paths) = (excuses.clone(), [paths.clone(), store_paths.clone()]);
             Daemon::new(n, seed, store_address, excuses, paths, link_mbps)
         };
         let daemons = (0..DAEMONS).map(daemon).collect();
@@ -139,6 +142,7 @@
             endpoints,
             proxies,
             paths,
+            store_paths,
             daemons,
             runs,
             exchanges,
@@ -320,7 +324,7 @@
         seed: u64,
         store: SocketAddr,
         excuses: Excuses,
-        paths: Paths,
+        paths: [Paths; 2],
         link_mbps: Option<f64>,
     ) -> Daemon {
         // Every run has loopback addresses of its own, since the ports are the same everywhere.
@@ -343,7 +347,7 @@
         let env = environment(n, seed);
         let log = logs().join(format!("oxbow-soak-{}-{seed}-d{n}.log", std::process::id()));
         let child = spawn(&settings, &log, &env);
-        paths.set_pid(n, child.id());
+        paths.iter().for_each(|paths| paths.set_pid(n, child.id()));
         Daemon { callers, readiness, settings, log, env, excuses, paths, n, child }
     }
 
@@ -370,7 +374,7 @@
         };
         self.excuses.lock().unwrap().push((self.callers, Instant::now()));
         self.child = spawn(&self.settings, &self.log, &self.env);
-        self.paths.set_pid(self.n, self.child.id());
+        self.paths.iter().for_each(|paths| paths.set_pid(self.n, self.child.id()));
         ended
     }
 
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -16,6 +16,7 @@
 mod faults;
 mod fleet;
 mod gone;
+mod late_config;
 mod leases;
 mod leavers;
 mod limits;
