A peer that answers no question does not delay the configuration

What callers saw: at an instance that the store does not reach, requests were handled by a configuration that others had replaced seconds before.

Cause: a peer was asked for the configuration if its report was the next to arrive, and a busy instance reports twenty times as often as the others. Until that question had timed out, after 1.5 s, nobody else was asked for the document, and then it was most often the same peer. The class: the choice of whom to rely on followed the load of the one chosen, and one pending call barred all others.

Change: core::snapshot_requests chooses among all peers whose reports show more, those that failed last, none with a pending request, and asks another one after 0.4 s without an answer, three at once at the most. The same choice serves lists of endpoints and instances.

Whether the users' record had this cause is not shown. config_behind, snapshot_answered and oxbow_config_behind_seconds tell it the next time.

--- a/oxbowbend-daemon/tests/soak/late_config.rs
+++ b/oxbowbend-daemon/tests/soak/late_config.rs
@@ -15,9 +15,15 @@
 use crate::fleet::{Fleet, DAEMONS};
 use crate::paths::{Cut, Manner};
 use crate::press;
+use crate::store;
 
 /// Time within which the users want a change in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
+/// Time after the store's return from which the users want that.
+const CALM: Duration = Duration::from_millis(3000);
+/// Lengths of outages. An attempt that is sent into one takes up to 1.5 s to fail.
+const OUTAGES: [Duration; 3] =
+    [Duration::from_millis(1500), Duration::from_millis(2600), Duration::from_millis(4100)];
 /// Time between two reports of a busy instance, the shortest that daemons keep to themselves.
 const BUSY_PACE: Duration = Duration::from_millis(5);
 /// Time between two looks at what is in force.
@@ -33,6 +39,9 @@
 const FLEETS: [(u64, &[&str]); 4] =
     [(287, &[]), (281, &["mute"]), (283, &["a-mute"]), (285, &["d2a", "mute"])];
 
+/// The same for outages.
+const OUTAGE_FLEETS: [(u64, &[&str]); 2] = [(289, &["a-mute"]), (291, &["d2a", "mute"])];
+
 /// An instance that reports whatever is newest, accepts connections, and answers nothing.
 struct MutePeer {
     version: Arc<AtomicU64>,
@@ -83,7 +92,7 @@
 }
 
 /// Waits until a daemon has a version in force; returns how long that took, if it was in time.
-async fn in_force(fleet: &Fleet, daemon: usize, version: u64) -> Option<Duration> {
+async fn in_force(fleet: &Fleet, daemon: usize, version: u64, limit: Duration) -> Option<Duration> {
     let started = Instant::now();
     for n in 0.. {
         let id = format!("l-{version}-{daemon}-{n}");
@@ -92,7 +101,7 @@
         if seen.status == Some(200) {
             return Some(started.elapsed());
         }
-        if started.elapsed() >= IN_FORCE {
+        if started.elapsed() >= limit {
             return None;
         }
         task::sleep(LOOK).await;
@@ -114,7 +123,42 @@
         task::sleep(Duration::from_secs(1)).await;
         fleet.configure();
         mute.iter().for_each(|peer| peer.version.store(fleet.version, Ordering::SeqCst));
-        let all = (0..DAEMONS).map(|daemon| in_force(&fleet, daemon, fleet.version));
+        let all = (0..DAEMONS).map(|daemon| in_force(&fleet, daemon, fleet.version, IN_FORCE));
+        let took = futures::future::join_all(all).await;
+        println!("seed {seed}: version {} in force after {took:?}", fleet.version);
+        for (daemon, _) in took.iter().enumerate().filter(|(_, took)| took.is_none()) {
+            late.push(format!("seed {seed}: version {} at daemon {daemon}", fleet.version));
+        }
+    }
+    late
+}
+
+/// The store is silent for a while, and four versions follow each other around its return; returns what is not in force
+/// in time after it.
+async fn play_outage((seed, names): (u64, &[&'static str])) -> Vec<String> {
+    let mut fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    let mut mute = Vec::new();
+    for (n, name) in names.iter().enumerate() {
+        mute.push(MutePeer::start(&fleet, n, name).await);
+    }
+    let mut late = Vec::new();
+    for outage in OUTAGES {
+        task::sleep(Duration::from_secs(1)).await;
+        fleet.configure();
+        task::sleep(Duration::from_millis(300)).await;
+        fleet.store.set_mode(store::Mode::Mute);
+        task::sleep(outage).await;
+        fleet.configure();
+        fleet.store.set_mode(store::Mode::Up);
+        let returned = Instant::now();
+        for _ in 0..2 {
+            task::sleep(Duration::from_millis(40)).await;
+            fleet.configure();
+        }
+        mute.iter().for_each(|peer| peer.version.store(fleet.version, Ordering::SeqCst));
+        let limit = CALM - returned.elapsed();
+        let all = (0..DAEMONS).map(|daemon| in_force(&fleet, daemon, fleet.version, limit));
         let took = futures::future::join_all(all).await;
         println!("seed {seed}: version {} in force after {took:?}", fleet.version);
         for (daemon, _) in took.iter().enumerate().filter(|(_, took)| took.is_none()) {
@@ -124,6 +168,14 @@
     late
 }
 
+/// After an outage each instance finds the store again by itself or learns from one that has; a peer that answers no
+/// question must not keep the last of them from it.
+#[test]
+fn what_follows_an_outage_is_in_force_everywhere_beside_peers_that_answer_no_question() {
+    let late = press::play_in_turn(OUTAGE_FLEETS.into_iter().map(play_outage));
+    assert!(late.is_empty(), "not in force in time:\n{}", late.join("\n"));
+}
+
 /// An instance without the store asked whichever peer reported next, a busy one nine times in ten, and nobody else
 /// until that question had timed out.
 #[test]
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -1,7 +1,6 @@
 //! The gateway as a whole: its parts are started here and wired to each other.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -165,7 +164,7 @@
             pool: document_pool,
             meter: meter.clone(),
             door: door.clone(),
-            is_fetching: AtomicBool::new(false),
+            requests: Mutex::default(),
             slot_leases: leases.clone(),
             link: Mutex::default(),
         });
@@ -331,6 +330,7 @@
             observe::state(waiting, door.busy(), heard);
             observe::resting(resting);
             observe::free_slots_elsewhere(shared.lock().overflow.total_free_slots(now));
+            shared.report_config_lag(now);
         }
     }
 }
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod shared;
 mod signals;
 mod slot_leases;
+mod snapshots;
 mod stop;
 mod streams;
 mod waiting;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -194,6 +194,11 @@
     gauge!("oxbow_overflow_free_slots").set(f64::from(slots));
 }
 
+/// Sets for how long others have had a newer configuration.
+pub(crate) fn config_behind(time: Duration) {
+    gauge!("oxbow_config_behind_seconds").set(time.as_secs_f64());
+}
+
 /// Records a stream that a client takes up, by what its version is known from or why it goes on
 /// nowhere.
 pub(crate) fn stream_taken_up(result: &'static str) {
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -8,17 +8,12 @@
 use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::channel::Receiver;
 use async_std::net::UdpSocket;
 use async_std::{future, task};
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use jsonrpsee_types::Notification;
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{FleetSummary, Report};
@@ -26,17 +21,15 @@
 use oxbowbend_core::report_pacing::ReportPacer;
 use oxbowbend_core::rollout::PeerLocation;
 use oxbowbend_core::slot_leases::{self, SlotNotification};
+use oxbowbend_core::snapshot_requests::SnapshotRequests;
 use oxbowbend_http::h1;
 
 use crate::audience::{changed, known, Audience, Reach, ToldAll};
-use crate::knowledge::{Answer, Knowledge, Known, Question, METHOD_NOT_FOUND, SNAPSHOT};
 use crate::link::Link;
 use crate::observe;
-use crate::seam::{Position, Wire};
+use crate::seam::Wire;
 use crate::shared::{Shared, State};
 use crate::slot_leases::{Outgoing, SlotLeases};
-use crate::streams::{StreamQuestion, STREAM};
-use crate::world;
 
 /// Method of a report.
 const REPORT: &str = "report";
@@ -47,13 +40,18 @@
 const BEAT: Duration = Duration::from_millis(130);
 /// Shortest time between two questions for a snapshot.
 const ASK_PACE: Duration = Duration::from_millis(200);
-/// Time limit of such a question. One that copies may need another source soon.
-const ASK: Duration = Duration::from_millis(500);
-/// The same where the answer may bring a configuration, of up to half a megabyte.
-const ASK_DOCUMENT: Duration = Duration::from_millis(1500);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
+/// What a report shows that this instance lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Difference {
+    /// Lists of the source that this instance copies from.
+    Source,
+    /// What this instance will not soon be told otherwise.
+    Peer,
+}
+
 /// This instance's side of the talk.
 pub(crate) struct Peers<W> {
     pub(crate) shared: Shared,
@@ -69,8 +67,8 @@
     pub(crate) door: Arc<h1::Door>,
     /// Bytes of reports are counted with those of requests.
     pub(crate) meter: Arc<h1::LinkMeter>,
-    /// Whether this instance is being told the configuration.
-    pub(crate) is_fetching: AtomicBool,
+    /// Requests to peers for what they know.
+    pub(crate) requests: Mutex<SnapshotRequests>,
     pub(crate) slot_leases: SlotLeases,
     /// When this instance may pass the configuration on.
     pub(crate) link: Mutex<Link>,
@@ -313,10 +311,11 @@
                 }
             };
             self.slot_leases.record_heard(now, &report.instance);
-            let (is_behind, is_source) = self.is_behind(&report);
-            let teller = report.address.map(|address| (report.instance.clone(), address));
+            let difference = self.compare(&report);
+            let reporter = report.address.map(|address| (report.instance.clone(), address));
             self.shared.hear(now, report);
-            if !is_behind {
+            let is_source = difference == Some(Difference::Source);
+            if difference.is_none() {
                 continue;
             }
             let since = *behind_since.get_or_insert(now);
@@ -326,10 +325,11 @@
             if now.duration_since(since) < patience || now.duration_since(asked) < ASK_PACE {
                 continue;
             }
+            // Only the source has the lists that are copied.
+            let chosen = if is_source { reporter } else { self.choose_peer(now) };
+            let Some((peer, address)) = chosen else { continue };
             (asked, behind_since) = (now, None);
-            if let Some((instance, address)) = teller {
-                task::spawn(self.clone().ask(instance, address));
-            }
+            task::spawn(self.clone().request_snapshot(peer, address));
         }
     }
 
@@ -351,27 +351,22 @@
         }
     }
 
-    /// Whether a report shows that its sender knows more than this instance will soon be told, and
-    /// whether that is the one that this instance copies from.
-    fn is_behind(&self, report: &Report) -> (bool, bool) {
+    /// Compares what the sender of a report knows with what this instance does; returns what there is to ask for.
+    fn compare(&self, report: &Report) -> Option<Difference> {
+        let now = clock::now();
         let mut state = self.shared.lock();
-        state.compare(clock::now(), report);
-        let is_source = state.sources.is(&report.instance);
-        let position = Position { epoch: report.epoch, revision: report.revision };
-        let is_other =
-            report.endpoints_digest != state.world.digest() && position >= state.world.position();
-        if is_source {
-            state.sources.compared(clock::now(), &report.instance, is_other);
+        state.compare(now, report);
+        if state.sources.is(&report.instance) {
+            let is_other = state.has_other_endpoints(report);
+            state.sources.compared(now, &report.instance, is_other);
+            // Cells are worked out from the instances, so all of a cell go by one list of them.
+            let is_other_fleet =
+                report.instances_digest.is_some_and(|roster| roster != state.roster());
+            if is_other || is_other_fleet {
+                return Some(Difference::Source);
+            }
         }
-        // Cells are worked out from the instances, so all of a cell go by one list of them.
-        let is_other_fleet = report.instances_digest.is_some_and(|roster| roster != state.roster());
-        let world = &state.world;
-        let version = world.table().map_or(0, |t| t.version());
-        let is_newer = position > world.position() || (report.has_store && is_other);
-        let is_behind = report.config_version > version
-            || (world.is_cut_off() && is_newer)
-            || (is_source && (is_other || is_other_fleet));
-        (is_behind, is_source)
+        state.knows_more(report).then_some(Difference::Peer)
     }
 
     /// Whether the store tells this instance what is new.
@@ -379,123 +374,6 @@
         let state = self.shared.lock();
         state.sources.is_store() && !state.world.is_cut_off()
     }
-
-    /// Asks an instance for what it knows, and takes that in.
-    async fn ask(self: Arc<Peers<W>>, instance: InstanceId, address: SocketAddr) {
-        let (known, limit) = self.known(&instance);
-        let is_fetching = known.version < u64::MAX;
-        let knowledge = self.question(&instance, address, known, limit).await;
-        if is_fetching {
-            self.is_fetching.store(false, Ordering::SeqCst);
-        }
-        if let Some(knowledge) = knowledge {
-            self.take_in(&instance, knowledge);
-        }
-    }
-
-    async fn question(
-        &self,
-        instance: &InstanceId,
-        address: SocketAddr,
-        params: Known,
-        limit: Duration,
-    ) -> Option<Knowledge> {
-        let (jsonrpc, method) = ("2.0".to_owned(), SNAPSHOT.to_owned());
-        let params = serde_json::to_value(params).ok()?;
-        let question = Question { jsonrpc, id: 1, method, params };
-        let body = serde_json::to_vec(&question).ok()?;
-        let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
-        let answer = match self.pool.call(address, req.ok()?, limit).await {
-            Ok(answer) => answer,
-            Err(e) => {
-                self.shared.lock().sources.failed(clock::now(), instance);
-                log::warn!("event=snapshot_failed peer={instance} error=\"{e}\"");
-                return None;
-            }
-        };
-        match serde_json::from_slice::<Answer<Knowledge>>(answer.body()) {
-            Ok(answer) => Some(answer.result),
-            Err(e) => {
-                log::warn!("event=snapshot_unreadable peer={instance} error=\"{e}\"");
-                None
-            }
-        }
-    }
-
-    fn take_in(&self, instance: &InstanceId, knowledge: Knowledge) {
-        let now = clock::now();
-        let read = |document: &[u8]| self.wire.table(document).map_err(|e| e.0);
-        let teller = match knowledge.has_store {
-            true => world::Teller::Follower,
-            false => world::Teller::Other,
-        };
-        let is_same_list = knowledge.endpoints.is_none();
-        let said = knowledge.said.clone();
-        let snapshot = knowledge.into_snapshot();
-        let news = {
-            let mut state = self.shared.lock();
-            state.cell.merge_endpoint_signals(now, &said, true);
-            state.log_said();
-            match state.sources.is(instance) {
-                _ if is_same_list => state.world.confirm(now, snapshot, read),
-                true => {
-                    state.sources.copied();
-                    state.world.copy(now, snapshot, read)
-                }
-                false => state.world.learn(now, snapshot, teller, read),
-            }
-        };
-        self.shared.apply(now, &news, "peer");
-    }
-
-    /// What need not be told by that instance, and how long its answer may take.
-    fn known(&self, instance: &InstanceId) -> (Known, Duration) {
-        let state = self.shared.lock();
-        let version = state.world.table().map_or(0, |t| t.version());
-        let theirs = state.cell.live_reports(clock::now()).find(|r| r.instance == *instance);
-        let is_same = theirs.is_some_and(|r| r.instances_digest == Some(state.roster()));
-        let is_old = theirs.is_none_or(|r| r.config_version > version);
-        let digest = state.world.is_loaded().then(|| state.world.digest());
-        let instances = state.world.is_loaded() && is_same;
-        // One document at a time: each takes the link of whoever sends it.
-        if is_old && !self.is_fetching.swap(true, Ordering::SeqCst) {
-            return (Known { version, digest, instances }, ASK_DOCUMENT);
-        }
-        (Known { version: u64::MAX, digest, instances }, ASK)
-    }
-
-    /// Answers another instance's question.
-    pub(crate) async fn answer(self: Arc<Peers<W>>, req: Request<Incoming>) -> Response<h1::Whole> {
-        let question = match req.into_body().collect().await {
-            Ok(body) => serde_json::from_slice::<Question>(&body.to_bytes()),
-            Err(e) => {
-                log::debug!("event=question_cut error=\"{e}\"");
-                return Response::new(h1::Whole::default());
-            }
-        };
-        let body = match question {
-            Ok(question) if question.method == SNAPSHOT => self.answer_snapshot(question),
-            Ok(question) if question.method == STREAM => self.answer_stream(question),
-            _ => None,
-        };
-        Response::new(h1::Whole::from(body.unwrap_or_else(|| METHOD_NOT_FOUND.to_vec())))
-    }
-
-    fn answer_snapshot(&self, question: Question) -> Option<Vec<u8>> {
-        let known: Known = serde_json::from_value(question.params).ok()?;
-        let result = Knowledge::of(&self.shared, &self.name, self.address);
-        let digest = self.shared.lock().world.digest();
-        let result = result.without(known, digest, &self.link);
-        let id = question.id;
-        serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
-    }
-
-    fn answer_stream(&self, question: Question) -> Option<Vec<u8>> {
-        let id = question.id;
-        let question: StreamQuestion = serde_json::from_value(question.params).ok()?;
-        let result = self.shared.lock().answer_for_stream(clock::now(), &question);
-        serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
-    }
 }
 
 /// Reads a message about slot leases. It lacks the fields that every report has, so a datagram is
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -15,6 +15,7 @@
     Ticket, REPORT_DELAY,
 };
 
+use oxbowbend_core::config_lag::ConfigLag;
 use oxbowbend_core::fair_share::FairShares;
 use oxbowbend_core::handover::Handovers;
 use oxbowbend_core::ids::{AccountId, EndpointId, EndpointKey, InstanceId, ServiceId, ZoneId};
@@ -70,6 +71,7 @@
     pub(crate) sources: Sources,
     /// How sure this instance is of what it knows of the store, while it follows it.
     pub(crate) subscriptions: Subscriptions,
+    pub(crate) config_lag: ConfigLag,
     cell_size: usize,
     features: Features,
     /// Instances and endpoints from which the cell was worked out.
@@ -310,6 +312,7 @@
             layout_version: 0,
             sources,
             subscriptions: Subscriptions::default(),
+            config_lag: ConfigLag::default(),
             cell_size,
             features,
             members: BTreeMap::new(),
--- a/oxbowbend-gateway/src/watches.rs
+++ b/oxbowbend-gateway/src/watches.rs
@@ -6,9 +6,13 @@
 use oxbowbend_core::cell::Report;
 use oxbowbend_core::subscription::{CancelReason, Role, Subscription, WatchParams};
 
-use crate::seam::Part;
+use crate::observe;
+use crate::seam::{Part, Position};
 use crate::shared::{Shared, State};
 
+/// Time for which others must have had a newer configuration before that is logged.
+const LAG_LOGGED: Duration = Duration::from_millis(500);
+
 /// The watches of both parts of the store.
 #[derive(Default)]
 pub(crate) struct Subscriptions {
@@ -77,6 +81,7 @@
             self.subscriptions.endpoints.record_peer(now, as_of, is_same);
         }
         let version = self.world.table().map_or(0, |t| t.version());
+        self.config_lag.record(now, version, report.config_version);
         let as_of =
             report.config_age_ms.and_then(as_of).filter(|_| report.config_version >= version);
         if let Some(as_of) = as_of {
@@ -84,6 +89,21 @@
             self.subscriptions.config.record_peer(now, as_of, is_same);
         }
     }
+
+    /// Whether a report shows that its sender has another list of endpoints, which is not older.
+    pub(crate) fn has_other_endpoints(&self, report: &Report) -> bool {
+        let position = Position { epoch: report.epoch, revision: report.revision };
+        report.endpoints_digest != self.world.digest() && position >= self.world.position()
+    }
+
+    /// Whether a report shows that its sender knows what this instance does not, and will not soon be told by the store.
+    pub(crate) fn knows_more(&self, report: &Report) -> bool {
+        let position = Position { epoch: report.epoch, revision: report.revision };
+        let has_newer_lists = position > self.world.position()
+            || (report.has_store && self.has_other_endpoints(report));
+        let version = self.world.table().map_or(0, |t| t.version());
+        report.config_version > version || (self.world.is_cut_off() && has_newer_lists)
+    }
 }
 
 impl Shared {
@@ -97,6 +117,21 @@
         }
     }
 
+    /// Shows for how long others have had a newer configuration than this instance.
+    pub(crate) fn report_config_lag(&self, now: Instant) {
+        let state = self.lock();
+        let version = state.world.table().map_or(0, |t| t.version());
+        let behind = state.config_lag.behind(now, version);
+        drop(state);
+        observe::config_behind(behind.map_or(Duration::ZERO, |(_, time)| time));
+        if let Some((newest, time)) = behind.filter(|(_, time)| *time >= LAG_LOGGED) {
+            log::warn!(
+                "event=config_behind version={version} newest={newest} behind_ms={}",
+                time.as_millis()
+            );
+        }
+    }
+
     /// Begins a watch of a part.
     pub(crate) fn begin_watch(&self, now: Instant, part: Part) -> WatchParams {
         // A watch can be answered in the moment in which it is given up.
