Calls and heads: what is taken of an answer that never ends is bounded

Cause: a call to the store or to a peer collected its answer until its time limit, and interim answers (1xx) were skipped without a limit. The library bounds a head by 400 KiB, trailers and chunk extensions by 16 KiB.

Change: a call reads 16 MiB at most, into one buffer (small chunks took a multiple of their length). Heads are bounded by 32 KiB; head, interim answers and what is read ahead of the body by 64 KiB.

--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -5,14 +5,17 @@
 //! uses the nearest kin that tells it. Pools, bounds and the end of connections are here; framing
 //! is the library's.
 
+mod collect;
 mod framing;
 mod gate;
+mod head_limit;
 mod meter;
 mod outgoing;
 mod pool;
 mod server;
 mod silence;
 
+pub use collect::{collect, Collected};
 pub use framing::Framing;
 pub use gate::{ConnectionCounts, ConnectionGate};
 pub use meter::LinkMeter;
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -21,6 +21,8 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use super::collect::{collect, Collected};
+use super::head_limit::{HeadLimit, HeadLimited};
 use super::meter::{LinkMeter, Metered};
 use super::outgoing::Outgoing;
 use super::silence::SilenceLimits;
@@ -32,6 +34,12 @@
 /// way there.
 const IDLE_SHARE: f64 = 0.7;
 
+/// Bytes of a head, and of a body that has been read and not taken.
+pub(super) const MAX_BUFFER: usize = 32 * 1024;
+/// Bytes of a body that a call reads: several times the largest answer of the store, of which a
+/// value has up to 1 MB.
+const MAX_CALL_BODY: usize = 16 << 20;
+
 /// Bounds of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolConfig {
@@ -61,6 +69,9 @@
     /// Not in the time given.
     #[error("no answer in {0:?}")]
     Timeout(Duration),
+    /// The answer is longer than this number of bytes.
+    #[error("the answer exceeds {0} bytes")]
+    TooLarge(usize),
 }
 
 impl CallError {
@@ -83,6 +94,7 @@
     stream: TcpStream,
     tx: http1::SendRequest<Outgoing>,
     task: AbortHandle,
+    head_limit: HeadLimit,
     /// Whether a request was sent whose answer has not come to its end.
     is_busy: bool,
     idle_for: Duration,
@@ -128,11 +140,13 @@
     /// [`CallError::Unsent`] if nothing was written, [`CallError::Broken`] otherwise.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
         self.is_busy = true;
+        self.head_limit.start();
         let (head, body) = req.into_parts();
         let (body, is_out) = Outgoing::new(body);
         let req = Request::from_parts(head, body);
         match self.tx.try_send_request(req).await {
             Ok(answer) => {
+                self.head_limit.end();
                 self.is_early = !is_out.load(Ordering::SeqCst);
                 self.note_idle_time(&answer);
                 self.has_answered = true;
@@ -234,8 +248,11 @@
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         self.silence.apply(&stream).map_err(failed)?;
+        let head_limit = HeadLimit::default();
         let metered = Metered::new(stream.clone(), self.meter.clone());
-        let handshake = http1::handshake(FuturesIo::new(metered)).await;
+        let limited = HeadLimited::new(metered, head_limit.clone());
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_BUFFER).handshake(FuturesIo::new(limited)).await;
         let (tx, conn) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let (conn, task) = futures::future::abortable(conn);
         task::spawn(async move {
@@ -249,6 +266,7 @@
             stream,
             tx,
             task,
+            head_limit,
             is_busy: false,
             idle_for,
             idle_since,
@@ -320,9 +338,12 @@
                 }
                 other => other?,
             };
-            let (head, body) = answer.into_parts();
-            let body = http_body_util::BodyExt::collect(body).await;
-            let body = body.map_err(CallError::Broken)?.to_bytes();
+            let (head, mut body) = answer.into_parts();
+            let body = match collect(&mut body, MAX_CALL_BODY).await {
+                Ok(Collected::Whole(body)) => body,
+                Ok(Collected::Beginning(_)) => return Err(CallError::TooLarge(MAX_CALL_BODY)),
+                Err(e) => return Err(CallError::Broken(e)),
+            };
             self.put(conn);
             Ok(Response::from_parts(head, body))
         };
