A response without end takes neither the instance's memory nor other requests

What callers saw (read, and played by a test of our own): an endpoint that sends bytes that are no answer, without end, filled the instance's memory within seconds at the speed of the link, and every caller of the instance was lost with it.

Cause: a response that is no stream was collected whole before it was passed on, and the beginning of an event was kept until the event ended, both without a bound. A rejection's body and a peer's question were read without one, too.

Change: 256 KiB of a response are read first, so that another endpoint can serve the request if this one fails; a longer one is passed on as it arrives, at the caller's pace, up to 64 MiB. An event that may have to be continued elsewhere has 1 MiB. Beyond these the endpoint is blamed and the connection closed.

Not blamed: an endpoint whose body has no end by the deadline and less than 64 MiB; a caller that reads slowly looks the same.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -262,6 +262,11 @@
         }
     }
 
+    /// Enters an endpoint of another kind.
+    pub fn enter_other(&self, id: &str, address: SocketAddr) {
+        self.store.put(&format!("servers/{id}"), &entry(address, FIRST_START, self.slots));
+    }
+
     /// Removes an endpoint's entry.
     pub fn leave(&self, n: usize) {
         self.store.remove(&format!("servers/{}", self.endpoints[n].entry_id()));
@@ -389,6 +394,13 @@
         value.map_or(0, |value| value.trim().parse().unwrap())
     }
 
+    /// The most memory that the process has had resident, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+    }
+
     pub async fn is_ready(&self) -> bool {
         let cfg = h1::PoolConfig { connect: Duration::from_millis(200), idle: Duration::ZERO };
         let req = http::Request::get("/ready").header("host", "r").body(Default::default());
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod cuts;
 mod drills;
+mod endless;
 mod endpoint;
 mod ends;
 mod exchanges;
--- a/oxbowbend-gateway/src/relay/events.rs
+++ b/oxbowbend-gateway/src/relay/events.rs
@@ -41,6 +41,11 @@
         complete
     }
 
+    /// Returns the number of bytes of the incomplete event that are kept.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the bytes so far end inside an event.
     pub(crate) fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -15,7 +15,6 @@
 use bytes::Bytes;
 use http::header::HeaderValue;
 use http::{response, Request, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::handover::{ChosenPeer, Criteria, MAX_PEERS_TRIED};
@@ -43,6 +42,9 @@
 /// Time for which the connection of a rejection may take to end its body, to be used again.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Bytes of such a body.
+const MAX_REJECTION_BODY: usize = 16 * 1024;
+
 /// A response that a peer is sending.
 pub(crate) struct PeerResponse {
     pub(crate) head: response::Parts,
@@ -253,11 +255,12 @@
     }
 
     /// Keeps a connection for the next offer once the body of a rejection has ended.
-    fn keep_after_rejection(&self, conn: h1::Conn, body: Incoming) {
+    fn keep_after_rejection(&self, conn: h1::Conn, mut body: Incoming) {
         let pool = self.pool.clone();
         task::spawn(async move {
-            let end = future::timeout(REJECTION_BODY_TIMEOUT, body.collect()).await;
-            if matches!(end, Ok(Ok(_))) {
+            let end =
+                future::timeout(REJECTION_BODY_TIMEOUT, h1::collect(&mut body, MAX_REJECTION_BODY));
+            if matches!(end.await, Ok(Ok(h1::Collected::Whole(_)))) {
                 pool.put(conn);
             }
         });
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderMap};
 use http::{response, Request, Response, Uri, Version};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::isolation::PathFailure;
@@ -30,6 +30,12 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// Bytes of a response that are read before any of them is passed on, so that another endpoint can serve
+/// the request if this one fails. The rest is passed on as it is read.
+const RESPONSE_BUFFER: usize = 256 * 1024;
+/// Bytes of a response without events. A faulty endpoint may send bytes without end.
+pub(super) const MAX_RESPONSE: u64 = 64 << 20;
+
 /// The response of an endpoint.
 pub(crate) enum AttemptResponse {
     /// A buffered response.
@@ -147,8 +153,11 @@
                 return Ok(AttemptResponse::Complete(response));
             }
             Ok(ResponseStart::Streaming(head, first_frame, body)) => {
-                let has_events = has_events(&head.headers);
-                let stream = Box::new(EndpointStream::new(attempt, first_frame, body, has_events));
+                let has_events =
+                    request.route.stream && head.status.is_success() && has_events(&head.headers);
+                let status = head.status;
+                let stream = EndpointStream::new(attempt, status, first_frame, body, has_events);
+                let stream = Box::new(stream);
                 return Ok(AttemptResponse::Streaming(head, stream));
             }
             Err(error) => error,
@@ -311,7 +320,7 @@
             observe::began(&request.route.name, clock::since(request.arrived_at));
             return Ok(ResponseStart::Streaming(head, first_frame, body));
         }
-        let body = body.collect().await.map_err(no_valid_response)?.to_bytes();
+        let collected = h1::collect(&mut body, RESPONSE_BUFFER).await.map_err(no_valid_response)?;
         if head.status.is_success() {
             attempt.time_to_first_event = clock::since(attempt.started_at);
             self.shared.began(
@@ -321,7 +330,17 @@
                 attempt.time_to_first_event,
             );
         }
-        Ok(ResponseStart::Complete(Response::from_parts(head, body)))
+        let beginning = match collected {
+            h1::Collected::Whole(body) => {
+                return Ok(ResponseStart::Complete(Response::from_parts(head, body)))
+            }
+            h1::Collected::Beginning(beginning) => beginning,
+        };
+        if body.size_hint().lower() > MAX_RESPONSE {
+            let reason = format!("response exceeds {MAX_RESPONSE} bytes");
+            return Err(AttemptError::NoValidResponse(reason));
+        }
+        Ok(ResponseStart::Streaming(head, Some(Frame::data(beginning)), body))
     }
 
     async fn send_request(
@@ -387,7 +406,7 @@
 /// A buffered response, or the head and first frame of a streamed one.
 enum ResponseStart {
     Complete(Response<Bytes>),
-    Streaming(response::Parts, Option<hyper::body::Frame<Bytes>>, Incoming),
+    Streaming(response::Parts, Option<Frame<Bytes>>, Incoming),
 }
 
 /// Describes an error with its cause, which tells a reset from an early end.
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -6,6 +6,7 @@
 use async_std::future;
 use bytes::Bytes;
 use futures::Stream;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use oxbowbend_clock as clock;
@@ -19,7 +20,7 @@
 use super::attempt::{log_response, Attempt};
 use super::events::EventSplitter;
 use super::request::AdmittedRequest;
-use super::run::{with_source, AttemptError, AttemptResponse};
+use super::run::{with_source, AttemptError, AttemptResponse, MAX_RESPONSE};
 use super::take_up::account;
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
 use crate::seam::Wire;
@@ -29,6 +30,9 @@
 /// to write. Waiting for the end would leave parts without an answer while endpoints crash often.
 const WRITTEN_AFTER: Duration = Duration::from_millis(300);
 
+/// Bytes of an incomplete event that are kept.
+const MAX_EVENT: usize = 1 << 20;
+
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
 /// response does not appear complete.
 #[derive(Debug, Error)]
@@ -38,6 +42,7 @@
 /// A streamed response being received from an endpoint.
 pub(crate) struct EndpointStream {
     attempt: Attempt,
+    status: StatusCode,
     first_frame: Option<Frame<Bytes>>,
     body: Incoming,
     /// Whether the body consists of events, whose boundaries show whether it is complete.
@@ -47,11 +52,12 @@
 impl EndpointStream {
     pub(crate) fn new(
         attempt: Attempt,
+        status: StatusCode,
         first_frame: Option<Frame<Bytes>>,
         body: Incoming,
         has_events: bool,
     ) -> EndpointStream {
-        EndpointStream { attempt, first_frame, body, has_events }
+        EndpointStream { attempt, status, first_frame, body, has_events }
     }
 }
 
@@ -148,13 +154,24 @@
         data
     }
 
-    /// Turns an end inside an event into an interruption. The end of a connection looks the same
-    /// whether the endpoint closed it or failed.
+    /// Whether an event, or a body without events, goes on beyond its bound with `data`.
+    fn is_too_long(&self, data: &Bytes) -> bool {
+        match self.has_events() {
+            true => self.events.partial_len() + data.len() > MAX_EVENT,
+            false => (self.bytes_sent - self.sent_before + data.len()) as u64 > MAX_RESPONSE,
+        }
+    }
+
+    /// Turns an end inside an event, and a part without an end, into an interruption. The end of a
+    /// connection looks the same whether the endpoint closed it or failed.
     fn check_end(&self, item: StreamItem) -> StreamItem {
         match item {
             StreamItem::End if self.has_events() && self.events.is_inside_event() => {
                 StreamItem::Interrupted("ended inside an event".to_owned())
             }
+            StreamItem::Data(data) if self.is_too_long(&data) => {
+                StreamItem::Interrupted("no end within the bound".to_owned())
+            }
             item => item,
         }
     }
@@ -182,9 +199,11 @@
     fn finish(&mut self) {
         self.check_written(Duration::ZERO);
         let Some(stream) = self.stream.take() else { return };
-        log_response(&self.request, &stream.attempt, 200, self.bytes_sent);
+        let status = stream.status;
+        log_response(&self.request, &stream.attempt, status.as_u16(), self.bytes_sent);
         self.relay.record_success(&self.request);
-        stream.attempt.complete(&self.relay.pool, Outcome::Good);
+        let outcome = if status.is_server_error() { Outcome::Bad } else { Outcome::Good };
+        stream.attempt.complete(&self.relay.pool, outcome);
     }
 
     fn abandon_attempt(&mut self, reason: &str, outcome: Outcome) {
--- a/oxbowbend-gateway/src/snapshots.rs
+++ b/oxbowbend-gateway/src/snapshots.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use http::header::{HeaderValue, HOST};
 use http::{Method, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
 use oxbowbend_core::ids::InstanceId;
@@ -26,6 +25,8 @@
 const LISTS_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same where the answer may bring a configuration, of up to half a megabyte.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Bytes of a question.
+const MAX_QUESTION: usize = 64 * 1024;
 
 /// Why a peer did not tell what it knows.
 #[derive(Debug, Error)]
@@ -159,8 +160,12 @@
 
     /// Answers another instance's question.
     pub(crate) async fn answer(self: Arc<Peers<W>>, req: Request<Incoming>) -> Response<h1::Whole> {
-        let question = match req.into_body().collect().await {
-            Ok(body) => serde_json::from_slice::<Question>(&body.to_bytes()),
+        let question = match h1::collect(&mut req.into_body(), MAX_QUESTION).await {
+            Ok(h1::Collected::Whole(body)) => serde_json::from_slice::<Question>(&body),
+            Ok(h1::Collected::Beginning(_)) => {
+                log::warn!("event=question_too_large limit={MAX_QUESTION}");
+                return Response::new(h1::Whole::default());
+            }
             Err(e) => {
                 log::debug!("event=question_cut error=\"{e}\"");
                 return Response::new(h1::Whole::default());
