Heads: the bound leaves room for what is read of a body with its head

The library may read 32 KiB of the body before the caller learns of the head, and as much ahead; the bound of 64 KiB for head and interim answers was met exactly.

--- a/oxbowbend-http/src/h1/head_limit.rs
+++ b/oxbowbend-http/src/h1/head_limit.rs
@@ -13,9 +13,10 @@
 
 use super::pool::MAX_BUFFER;
 
-/// Bytes of interim answers and of the head together, and of a body that is read with them: twice
-/// what the library reads ahead. Thousands of interim answers would take a small machine's processor.
-const MAX_BYTES: usize = 2 * MAX_BUFFER;
+/// Bytes of interim answers and of the head together. The library may read as much again of the body
+/// before the caller learns of the head, and once more ahead. Thousands of interim answers would take
+/// a small machine's processor.
+const MAX_BYTES: usize = 3 * MAX_BUFFER;
 
 /// Bytes that may still be read of a connection; clones share them.
 #[derive(Clone, Debug)]
