A configuration is asked of other cells only where this cell's peers have failed

The choice of a peer took all that report more alike, those of other cells too, of which a fleet of 25 cells has twice as many as a cell has instances; what they send crosses zones.

--- a/oxbowbend-core/src/snapshot_requests.rs
+++ b/oxbowbend-core/src/snapshot_requests.rs
@@ -56,7 +56,8 @@
 /// assert!(!requests.may_request_document(now));
 /// let later = now + Duration::from_millis(400);
 /// assert!(requests.may_request_document(later));
-/// assert_eq!(requests.choose(later, [&a, &b].into_iter(), &mut rng), Some(&b));
+/// let near = [&a, &b].into_iter();
+/// assert_eq!(requests.choose(later, near, std::iter::empty(), &mut rng), Some(&b));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SnapshotRequests {
@@ -75,18 +76,42 @@
             && documents.all(|p| now.saturating_duration_since(p.started_at) >= DOCUMENT_TIME)
     }
 
-    /// Chooses among peers that know more the one to ask: none with a pending request, those last
-    /// whose last request failed most recently.
+    /// Chooses the one to ask among peers that know more: none with a pending request, and those whose
+    /// last request failed after all others, the longest ago first. Peers of other cells are asked only
+    /// where all of this cell have failed, since what they send crosses zones.
     pub fn choose<'a>(
+        &self,
+        now: Instant,
+        near: impl Iterator<Item = &'a InstanceId>,
+        far: impl Iterator<Item = &'a InstanceId>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a InstanceId> {
+        let near = self.choose_among(now, near, rng);
+        if near.is_some_and(|peer| self.failed_at(now, peer).is_none()) {
+            return near;
+        }
+        let far = self.choose_among(now, far, rng);
+        match far.is_some_and(|peer| self.failed_at(now, peer).is_none()) {
+            true => far,
+            false => near.or(far),
+        }
+    }
+
+    fn choose_among<'a>(
         &self,
         now: Instant,
         peers: impl Iterator<Item = &'a InstanceId>,
         rng: &mut impl Rng,
     ) -> Option<&'a InstanceId> {
+        let is_pending = |peer: &InstanceId| self.pending.iter().any(|p| p.peer == *peer);
+        let free = peers.filter(|peer| !is_pending(peer));
+        free.min_by_key(|peer| (self.failed_at(now, peer), rng.random::<u32>()))
+    }
+
+    /// When the last request to a peer was sent, if it failed and that is remembered.
+    fn failed_at(&self, now: Instant, peer: &InstanceId) -> Option<Instant> {
         let is_remembered = |at: &Instant| now.saturating_duration_since(*at) < FAILURE_MEMORY;
-        peers.filter(|peer| !self.pending.iter().any(|p| p.peer == **peer)).min_by_key(|peer| {
-            (self.failures.get(*peer).copied().filter(is_remembered), rng.random::<u32>())
-        })
+        self.failures.get(peer).copied().filter(is_remembered)
     }
 
     /// Records a request that is sent now.
--- a/oxbowbend-core/tests/snapshot_requests.rs
+++ b/oxbowbend-core/tests/snapshot_requests.rs
@@ -1,6 +1,7 @@
 //! Whom an instance asks for a configuration that the store does not tell it: every combination of peers that answer,
 //! are slow or do not answer, in simulated time.
 
+use std::iter;
 use std::time::{Duration, Instant};
 
 use oxbowbend_core::ids::InstanceId;
@@ -57,7 +58,9 @@
         if is_paced || !requests.may_request_document(now) {
             continue;
         }
-        let Some(chosen) = requests.choose(now, names.iter(), &mut rng) else { continue };
+        let Some(chosen) = requests.choose(now, names.iter(), iter::empty(), &mut rng) else {
+            continue;
+        };
         let peer = peers[names.iter().position(|name| name == chosen).unwrap()];
         let id = requests.start(now, chosen, Scope::Document);
         let (ends_ms, is_answered) = match peer {
@@ -144,7 +147,28 @@
     let (mut requests, mut rng) = (SnapshotRequests::default(), Pcg64::seed_from_u64(1));
     let only: InstanceId = "p0".into();
     let id = requests.start(start, &only, Scope::Document);
-    assert_eq!(requests.choose(start, [&only].into_iter(), &mut rng), None);
+    let mut choose = |requests: &SnapshotRequests, now| {
+        requests.choose(now, iter::once(&only), iter::empty(), &mut rng).cloned()
+    };
+    assert_eq!(choose(&requests, start), None);
     requests.finish(start + 1500 * MS, id, false);
-    assert_eq!(requests.choose(start + 1500 * MS, [&only].into_iter(), &mut rng), Some(&only));
+    assert_eq!(choose(&requests, start + 1500 * MS), Some(only.clone()));
+}
+
+/// What another cell sends crosses zones, so one is asked only where no peer of this cell has answered.
+#[test]
+fn peers_of_other_cells_are_asked_only_after_those_of_this_cell_have_failed() {
+    let start = Instant::now();
+    let names: Vec<InstanceId> = ["near-1", "near-2", "far-1"].map(Into::into).to_vec();
+    for seed in 0..SEEDS {
+        let (mut requests, mut rng) = (SnapshotRequests::default(), Pcg64::seed_from_u64(seed));
+        for (n, expected) in ["near", "near", "far", "near"].into_iter().enumerate() {
+            let now = start + 1500 * MS * n as u32;
+            let chosen = requests.choose(now, names[..2].iter(), names[2..].iter(), &mut rng);
+            let chosen = chosen.unwrap().clone();
+            assert!(chosen.starts_with(expected), "seed {seed}: {chosen} as number {n}");
+            let id = requests.start(now, &chosen, Scope::Document);
+            requests.finish(now + 1499 * MS, id, false);
+        }
+    }
 }
--- a/oxbowbend-gateway/src/snapshots.rs
+++ b/oxbowbend-gateway/src/snapshots.rs
@@ -10,6 +10,7 @@
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
+use oxbowbend_core::cell::Report;
 use oxbowbend_core::ids::InstanceId;
 use oxbowbend_core::snapshot_requests::Scope;
 use oxbowbend_http::h1;
@@ -41,13 +42,14 @@
     /// Chooses a peer that knows more than this instance.
     pub(crate) fn choose_peer(&self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
         let state = self.shared.lock();
-        let reports = state.cell.live_reports(now).chain(state.cell.remote_reports(now));
-        let ahead: Vec<_> =
-            reports.filter(|r| r.address.is_some() && state.knows_more(r)).collect();
+        let is_ahead = |r: &&Report| r.address.is_some() && state.knows_more(r);
+        let near: Vec<_> = state.cell.live_reports(now).filter(is_ahead).collect();
+        let far: Vec<_> = state.cell.remote_reports(now).filter(is_ahead).collect();
         let requests = self.requests.lock().expect("no panic under lock");
-        let peers = ahead.iter().map(|r| &r.instance);
-        let peer = requests.choose(now, peers, &mut rand::rng())?;
-        let address = ahead.iter().find(|r| r.instance == *peer)?.address?;
+        let (near_names, far_names) =
+            (near.iter().map(|r| &r.instance), far.iter().map(|r| &r.instance));
+        let peer = requests.choose(now, near_names, far_names, &mut rand::rng())?;
+        let address = near.iter().chain(&far).find(|r| r.instance == *peer)?.address?;
         Some((peer.clone(), address))
     }
 
