A peer is asked only for what it has and what may be requested

While a document was pending, another peer was asked for lists alone five times a second, that of another cell if this cell had no other.

--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -366,7 +366,8 @@
                 return Some(Difference::Source);
             }
         }
-        state.knows_more(report).then_some(Difference::Peer)
+        let knows_more = state.has_newer_config(report) || state.has_newer_lists(report);
+        knows_more.then_some(Difference::Peer)
     }
 
     /// Whether the store tells this instance what is new.
--- a/oxbowbend-gateway/src/snapshots.rs
+++ b/oxbowbend-gateway/src/snapshots.rs
@@ -39,13 +39,17 @@
 }
 
 impl<W: Wire> Peers<W> {
-    /// Chooses a peer that knows more than this instance.
+    /// Chooses a peer that knows more than this instance, of what may be requested now.
     pub(crate) fn choose_peer(&self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
         let state = self.shared.lock();
-        let is_ahead = |r: &&Report| r.address.is_some() && state.knows_more(r);
+        let requests = self.requests.lock().expect("no panic under lock");
+        let may_request_document = requests.may_request_document(now);
+        let is_ahead = |r: &&Report| {
+            let has_document = may_request_document && state.has_newer_config(r);
+            r.address.is_some() && (has_document || state.has_newer_lists(r))
+        };
         let near: Vec<_> = state.cell.live_reports(now).filter(is_ahead).collect();
         let far: Vec<_> = state.cell.remote_reports(now).filter(is_ahead).collect();
-        let requests = self.requests.lock().expect("no panic under lock");
         let (near_names, far_names) =
             (near.iter().map(|r| &r.instance), far.iter().map(|r| &r.instance));
         let peer = requests.choose(now, near_names, far_names, &mut rand::rng())?;
--- a/oxbowbend-gateway/src/watches.rs
+++ b/oxbowbend-gateway/src/watches.rs
@@ -96,13 +96,17 @@
         report.endpoints_digest != self.world.digest() && position >= self.world.position()
     }
 
-    /// Whether a report shows that its sender knows what this instance does not, and will not soon be told by the store.
-    pub(crate) fn knows_more(&self, report: &Report) -> bool {
+    /// Whether a report shows a configuration newer than this instance's.
+    pub(crate) fn has_newer_config(&self, report: &Report) -> bool {
+        report.config_version > self.world.table().map_or(0, |t| t.version())
+    }
+
+    /// Whether a report shows newer lists than this instance's, which the store will not soon tell.
+    pub(crate) fn has_newer_lists(&self, report: &Report) -> bool {
         let position = Position { epoch: report.epoch, revision: report.revision };
-        let has_newer_lists = position > self.world.position()
+        let is_newer = position > self.world.position()
             || (report.has_store && self.has_other_endpoints(report));
-        let version = self.world.table().map_or(0, |t| t.version());
-        report.config_version > version || (self.world.is_cut_off() && has_newer_lists)
+        self.world.is_cut_off() && is_newer
     }
 }
 
