--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -473,6 +473,11 @@
         paces
     }
 
+    /// Number of endpoints of the cell.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Restores a persisted latency estimate unless there are measurements already.
     pub fn restore_pace(&mut self, endpoint: EndpointKey, ns_per_unit: u64) {
         let state = self.endpoints.get_mut(&endpoint).filter(|s| s.pace.as_parts().1 == 0);
--- /dev/null
+++ b/oxbowbend-daemon/tests/recovery/callers.rs
@@ -0,0 +1,196 @@
+//! Callers that send at a pace of their own whatever becomes of their requests, on connections that they keep.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::{future, task};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use oxbowbend_http::h1;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::daemons::Daemons;
+
+/// Key of the client account.
+pub const KEY: &str = "key-of-one";
+/// Bytes of a request.
+const BODY: usize = 2400;
+/// Time in which a connection is to be established.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Clients, each with a daemon of its own while its connections last.
+const CLIENTS: usize = 160;
+/// Further attempts of a caller that comes back at once.
+const REPEATS: u32 = 4;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Kind {
+    /// The route's prefix.
+    pub name: &'static str,
+    pub is_idempotent: bool,
+    pub deadline: Duration,
+}
+
+pub const DRAFT: Kind =
+    Kind { name: "draft", is_idempotent: true, deadline: Duration::from_secs(5) };
+pub const ONCE: Kind =
+    Kind { name: "once", is_idempotent: false, deadline: Duration::from_secs(5) };
+pub const POST: Kind =
+    Kind { name: "post", is_idempotent: false, deadline: Duration::from_secs(1) };
+
+/// What became of a request and its repeats.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    pub sent: Instant,
+    pub kind: &'static str,
+    pub status: Option<u16>,
+}
+
+impl Seen {
+    pub fn is_served(&self) -> bool {
+        self.status == Some(200)
+    }
+}
+
+/// Load that goes on until it is told to stop; clones share it.
+#[derive(Clone)]
+pub struct Load {
+    daemons: Daemons,
+    pool: h1::Pool,
+    homes: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    rng: Arc<Mutex<Pcg64>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    stop: Arc<AtomicBool>,
+    /// Whether callers come back at once, whatever they are told.
+    pub is_hasty: Arc<AtomicBool>,
+    /// Factor on the pace.
+    pub factor: Arc<Mutex<f64>>,
+}
+
+impl Load {
+    pub fn new(daemons: Daemons, seed: u64) -> Load {
+        let cfg = h1::PoolConfig { connect: CONNECT, idle: Duration::from_secs(10) };
+        Load {
+            daemons,
+            pool: h1::Pool::new(cfg),
+            homes: Arc::new(Mutex::new(vec![None; CLIENTS])),
+            rng: Arc::new(Mutex::new(Pcg64::seed_from_u64(seed))),
+            seen: Arc::default(),
+            stop: Arc::default(),
+            is_hasty: Arc::default(),
+            factor: Arc::new(Mutex::new(1.0)),
+        }
+    }
+
+    /// Sends requests of a kind, `per_s` a second times the factor.
+    pub fn send(&self, kind: Kind, per_s: f64) {
+        let this = self.clone();
+        task::spawn(async move {
+            let (mut due, mut n) = (Instant::now(), 0_u64);
+            while !this.stop.load(Ordering::SeqCst) {
+                n += 1;
+                let client = this.rng.lock().unwrap().random_range(0..CLIENTS);
+                task::spawn(this.clone().request(kind, client, n));
+                due += Duration::from_secs_f64(1.0 / (per_s * *this.factor.lock().unwrap()));
+                task::sleep(due - Instant::now().min(due)).await;
+            }
+        });
+    }
+
+    /// Stops and returns what has been seen.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::SeqCst);
+    }
+
+    /// Part of the requests of a kind sent in a time that were served, and their number; of all kinds if none is named.
+    pub fn served(&self, kind: Option<Kind>, from: Instant, to: Instant) -> (f64, usize) {
+        let seen = self.seen.lock().unwrap();
+        let is_meant = |s: &&Seen| {
+            kind.is_none_or(|kind| kind.name == s.kind) && s.sent >= from && s.sent < to
+        };
+        let of = seen.iter().filter(is_meant).count();
+        let served = seen.iter().filter(is_meant).filter(|s| s.is_served()).count();
+        (served as f64 / of.max(1) as f64, of)
+    }
+
+    async fn request(self, kind: Kind, client: usize, n: u64) {
+        let sent = Instant::now();
+        let deadline = sent + kind.deadline;
+        let mut status = None;
+        for attempt in 0..=REPEATS {
+            let id = format!("{}-{client}-{n}-{attempt}", kind.name);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let got = future::timeout(left, self.attempt(kind, client, id, left)).await;
+            let (got, retry_after) = got.unwrap_or((None, None));
+            status = got;
+            let is_promise = matches!(got, Some(408 | 421 | 429 | 503));
+            let is_hasty = self.is_hasty.load(Ordering::SeqCst);
+            if got == Some(200) || !(is_promise || kind.is_idempotent) || !is_hasty && attempt > 0 {
+                break;
+            }
+            self.homes.lock().unwrap()[client] = None;
+            let third = deadline.saturating_duration_since(Instant::now()) / 3;
+            let pause = retry_after.unwrap_or_default().min(third);
+            let pause = if is_hasty { Duration::from_millis(20) } else { pause };
+            task::sleep(pause.max(Duration::from_millis(10))).await;
+        }
+        self.seen.lock().unwrap().push(Seen { sent, kind: kind.name, status });
+    }
+
+    /// Status of a whole answer, and when to come back.
+    async fn attempt(
+        &self,
+        kind: Kind,
+        client: usize,
+        id: String,
+        left: Duration,
+    ) -> (Option<u16>, Option<Duration>) {
+        let Some(mut conn) = self.connection(client).await else { return (None, None) };
+        let req = Request::post(format!("/{}/{client}", kind.name))
+            .header("host", "desk.example")
+            .header("request-id", id)
+            .header("deadline-ms", left.as_millis() as u64)
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Bytes::from(vec![b'q'; BODY]))
+            .unwrap();
+        match conn.send(req).await {
+            Ok(answer) => {
+                let status = answer.status().as_u16();
+                let retry_after = retry_after(&answer);
+                if answer.into_body().collect().await.is_err() {
+                    return (None, None);
+                }
+                self.pool.put(conn);
+                (Some(status), retry_after)
+            }
+            Err(_) => (None, None),
+        }
+    }
+
+    async fn connection(&self, client: usize) -> Option<h1::Conn> {
+        let home = self.homes.lock().unwrap()[client];
+        if let Some(home) = home {
+            if let Ok(conn) = self.pool.get(home).await {
+                return Some(conn);
+            }
+        }
+        let fronts = self.daemons.fronts();
+        let front = fronts[self.rng.lock().unwrap().random_range(0..fronts.len())];
+        let conn = self.pool.connect(front).await.ok();
+        self.homes.lock().unwrap()[client] = conn.as_ref().map(|_| front);
+        conn
+    }
+}
+
+fn retry_after(answer: &Response<Incoming>) -> Option<Duration> {
+    let value = answer.headers().get("retry-after")?.to_str().ok()?;
+    value.parse::<f64>().ok().map(Duration::from_secs_f64)
+}
--- /dev/null
+++ b/oxbowbend-daemon/tests/recovery/engines.rs
@@ -0,0 +1,220 @@
+//! Stand-ins of endpoints: slots, a queue, a limit on connections, and what a power loss of their callers leaves behind.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bytes::Bytes;
+use futures::channel::oneshot;
+use futures::StreamExt;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::{json, Value};
+use smol_hyper::rt::FuturesIo;
+
+/// Requests that may wait for a slot.
+const QUEUE: usize = 24;
+/// Bytes of an answer.
+const ANSWER: usize = 2000;
+
+/// What an endpoint is.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub service: &'static str,
+    pub slots: u32,
+    /// Connections that it accepts from all callers.
+    pub connections: usize,
+    /// Time that an answer takes.
+    pub work: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    running: u32,
+    waiting: VecDeque<oneshot::Sender<Slot>>,
+    open: usize,
+    /// Connections that were closed unnoticed.
+    dead: usize,
+    /// Until when connections that close are not noticed.
+    unnoticed_until: Option<Instant>,
+    /// Connections that were reset beyond the limit.
+    refused: u64,
+}
+
+#[derive(Clone)]
+pub struct Engine {
+    pub id: String,
+    kind: Kind,
+    work: Arc<Mutex<Duration>>,
+    state: Arc<Mutex<State>>,
+}
+
+/// A slot in use, or on its way to a request that waited; it goes to the next one when it is dropped.
+struct Slot(Arc<Mutex<State>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let next = {
+            let mut state = self.0.lock().unwrap();
+            let next = state.waiting.pop_front();
+            state.running -= u32::from(next.is_none());
+            next
+        };
+        // If that request has left, its slot is dropped here and goes on.
+        drop(next.map(|next| next.send(Slot(self.0.clone()))));
+    }
+}
+
+/// A request that runs.
+struct Running {
+    slot: Option<Slot>,
+    until: Instant,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let Some(slot) = self.slot.take() else { return };
+        let is_unnoticed = slot.0.lock().unwrap().is_unnoticed(Instant::now());
+        let left = self.until - Instant::now().min(self.until);
+        if is_unnoticed && !left.is_zero() {
+            // Nobody has told the endpoint that the caller is gone.
+            task::spawn(async move {
+                task::sleep(left).await;
+                drop(slot);
+            });
+        }
+    }
+}
+
+impl State {
+    fn is_unnoticed(&self, now: Instant) -> bool {
+        self.unnoticed_until.is_some_and(|until| now < until)
+    }
+}
+
+impl Engine {
+    pub fn start(id: String, kind: Kind, listener: TcpListener) -> Engine {
+        let work = Arc::new(Mutex::new(kind.work));
+        let engine = Engine { id, kind, work, state: Arc::default() };
+        task::spawn(engine.clone().listen(listener));
+        engine
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, address: SocketAddr, zone: &str) -> Value {
+        let Kind { service, slots, .. } = self.kind;
+        json!({
+            "service": service, "address": address.to_string(), "zone": zone, "version": "v1",
+            "slots": slots, "state": "ready", "cold_left_ms": 0, "seq_no": 1,
+        })
+    }
+
+    /// Sets the time that an answer takes from now on.
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().unwrap() = work;
+    }
+
+    /// Does not notice connections that close in the next `time`: they count for that long, and their requests go on.
+    pub fn miss_closed_connections(&self, time: Duration) {
+        self.state.lock().unwrap().unnoticed_until = Some(Instant::now() + time);
+    }
+
+    /// Connections that were reset beyond the limit.
+    pub fn refused(&self) -> u64 {
+        self.state.lock().unwrap().refused
+    }
+
+    async fn listen(self, listener: TcpListener) {
+        let mut incoming = listener.incoming();
+        while let Some(stream) = incoming.next().await {
+            let Ok(stream) = stream else { continue };
+            let mut state = self.state.lock().unwrap();
+            if state.open + state.dead >= self.kind.connections {
+                state.refused += 1;
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                continue;
+            }
+            state.open += 1;
+            drop(state);
+            task::spawn(self.clone().connection(stream));
+        }
+    }
+
+    async fn connection(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|req| {
+            let this = self.clone();
+            async move { Ok::<_, std::convert::Infallible>(this.answer(req).await) }
+        });
+        let _ = http1::Builder::new().serve_connection(FuturesIo::new(stream), service).await;
+        let unnoticed_until = {
+            let mut state = self.state.lock().unwrap();
+            state.open -= 1;
+            let until = state.unnoticed_until.filter(|until| Instant::now() < *until);
+            state.dead += usize::from(until.is_some());
+            until
+        };
+        if let Some(until) = unnoticed_until {
+            task::sleep(until - Instant::now().min(until)).await;
+            self.state.lock().unwrap().dead -= 1;
+        }
+    }
+
+    async fn answer(self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = req.into_parts();
+        let id = text(&head.headers, "request-id");
+        if text(&head.headers, "expect-instance") != self.id {
+            return reply(421, &id, Bytes::new());
+        }
+        if body.collect().await.is_err() {
+            return reply(400, &id, Bytes::new());
+        }
+        let Some(running) = self.enter().await else { return reply(503, &id, Bytes::new()) };
+        task::sleep(running.until - Instant::now().min(running.until)).await;
+        reply(200, &id, Bytes::from(vec![b'x'; ANSWER]))
+    }
+
+    /// Takes a slot, or waits for one; `None` if too many wait.
+    async fn enter(&self) -> Option<Running> {
+        let turn = {
+            let mut state = self.state.lock().unwrap();
+            if state.running < self.kind.slots {
+                state.running += 1;
+                None
+            } else if state.waiting.len() >= QUEUE {
+                return None;
+            } else {
+                let (tx, rx) = oneshot::channel();
+                state.waiting.push_back(tx);
+                Some(rx)
+            }
+        };
+        let slot = match turn {
+            Some(turn) => turn.await.ok()?,
+            None => Slot(self.state.clone()),
+        };
+        let work = *self.work.lock().unwrap();
+        Some(Running { slot: Some(slot), until: Instant::now() + work })
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn reply(status: u16, id: &str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status.try_into().unwrap();
+    if let Ok(id) = id.parse() {
+        answer.headers_mut().insert("request-id", id);
+    }
+    let (name, value) = if status == 200 { ("server-seal", "s") } else { ("not-executed", "1") };
+    answer.headers_mut().insert(name, value.parse().unwrap());
+    answer
+}
--- /dev/null
+++ b/oxbowbend-daemon/tests/recovery/main.rs
@@ -0,0 +1,49 @@
+//! Service after all instances have ended and returned: real processes at the size of the users' largest deployment
+//! under load, seen from outside.
+//!
+//! `OXBOW_RECOVERY=FROM-TO` plays the plans of other seeds, one after the other; CI plays [`FIRST`]. Each takes half a
+//! minute, some hundred and fifty processes and much of a machine, so the plays take turns.
+
+mod callers;
+mod daemons;
+mod engines;
+mod plan;
+mod play;
+#[path = "../soak/store.rs"]
+// The soak of few instances uses more of it.
+#[allow(dead_code)]
+mod store;
+
+use std::sync::{Mutex, PoisonError};
+
+use async_std::task;
+use plan::Plan;
+
+/// The seeds that are always played.
+const FIRST: &str = "1-1";
+
+/// Held while a fleet plays.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn hold(plays: impl Iterator<Item = (u64, Plan)>) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let broken: Vec<_> =
+        plays.flat_map(|(seed, plan)| task::block_on(play::play(seed, &plan))).collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// After a start nothing was expected of the endpoints, so requests were abandoned before any of them could answer, again
+/// and again.
+#[test]
+fn service_returns_after_an_end_of_all_where_answers_take_longer_than_the_objective() {
+    hold([(101, Plan::slow_endpoints())].into_iter());
+}
+
+/// The users ask that a quarter of the requests sent 15 s after a return of all is served.
+#[test]
+fn service_returns_after_an_end_of_all() {
+    let seeds = std::env::var("OXBOW_RECOVERY").unwrap_or_else(|_| FIRST.to_owned());
+    let (from, to) = seeds.split_once('-').expect("FROM-TO");
+    let number = |text: &str| text.parse::<u64>().expect("FROM-TO");
+    hold((number(from)..=number(to)).map(|seed| (seed, Plan::drawn(seed))));
+}
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -188,11 +188,12 @@
         };
         log::warn!(
             "event=send_failed id={} fingerprint={:016x} endpoint={} load={load} after_ms={} \
-             blame={outcome:?} framing={:?} failure=\"{error}\"",
+             expected_ms={} blame={outcome:?} framing={:?} failure=\"{error}\"",
             request.metadata.id,
             request.fingerprint,
             attempt.endpoint.id,
             clock::since(attempt.started_at).as_millis(),
+            expected.as_millis(),
             attempt.framing
         );
         if matches!(error, AttemptError::NotSent(_)) {
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -252,7 +252,7 @@
     }
 
     /// Starts from the paces that were noted before.
-    fn restore_paces(&mut self) {
+    fn restore_paces(&mut self, now: Instant) {
         let State { world, cell, .. } = self;
         let noted = world.instances().values().flat_map(|e| &e.paces);
         let mut n = 0;
@@ -260,7 +260,8 @@
             cell.restore_pace(*endpoint, *ns);
             n += 1;
         }
-        log::info!("event=paces_restored endpoints={n}");
+        let (known, of) = (cell.known_paces(now).len(), cell.endpoint_count());
+        log::info!("event=paces_restored endpoints={n} known={known} of={of}");
     }
 }
 
@@ -412,7 +413,7 @@
                 state.set_shares(now);
                 state.restore_rollouts(now);
                 state.restore_streams(now);
-                state.restore_paces();
+                state.restore_paces(now);
             }
         }
         drop(state);
