Requests are not abandoned for what another service, or nothing, lets expect

Callers saw nearly all requests for a service fail for seconds after a start of all instances, at a quarter of its slots: its endpoints answered in 1 s, all and always, and requests were abandoned after 0.5 s, the objective.

Cause: a request is abandoned after four times the expected time, and the expectation without a measurement was the median of all services (15 to 27 ms, from the other service) or a constant. An abandoned request measures nothing, so the next one was abandoned too. A retry, whose last attempt is waited for, taught something; an instance that has just started has hardly any retries (2,539 of 3,156 refused). Class: a bound that follows what is learned, and learning that needs the bound to be passed.

Now what is expected of an endpoint rests on itself or on others of its service. Without either a request waits for half of its time, which leaves another attempt as much. Where something is expected, each wait in vain doubles the next one, as in TCP's retransmission timer: at that endpoint until it answers, and at the service's others until any does; so a service that has become slow is measured again after a few requests, and an endpoint that hangs beside others that answer is suspected as early as before. What is expected is looked at again while a request waits.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -32,7 +32,7 @@
 /// Latency estimates of all endpoints, combined from the measurements of all instances.
 #[derive(Debug, Default)]
 pub(super) struct LatencyCache {
-    ns_per_unit: HashMap<EndpointKey, f64>,
+    pub(super) ns_per_unit: HashMap<EndpointKey, f64>,
     pub(super) median_ns: f64,
     updated_at: Option<Instant>,
 }
@@ -298,13 +298,13 @@
     }
 
     /// Recomputes the estimates if they have expired or there are none.
-    fn refresh_latency_cache(&mut self, now: Instant) {
+    pub(super) fn refresh_latency_cache(&mut self, now: Instant) {
         let is_expired = |at: Instant| now.saturating_duration_since(at) >= LATENCY_CACHE_TTL;
         if self.latency_cache.ns_per_unit.is_empty()
             || self.latency_cache.updated_at.is_none_or(is_expired)
         {
             let ns_per_unit = self.paces(now);
-            let median_ns = median(ns_per_unit.values().copied());
+            let median_ns = median(ns_per_unit.values().copied()).unwrap_or(DEFAULT_NS_PER_UNIT);
             self.latency_cache = LatencyCache { ns_per_unit, median_ns, updated_at: Some(now) };
         }
     }
@@ -362,9 +362,9 @@
     targets.iter().filter(|t| t.admission.is_some()).map(|t| &t.endpoint.service).collect()
 }
 
-/// Returns the median, or [`DEFAULT_NS_PER_UNIT`] if there are no values.
-fn median(values: impl Iterator<Item = f64>) -> f64 {
+/// Returns the median; `None` if there are no values.
+pub(super) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
     let mut values: Vec<_> = values.collect();
     values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(DEFAULT_NS_PER_UNIT)
+    values.get(values.len() / 2).copied()
 }
--- a/oxbowbend-core/src/cell/choice.rs
+++ b/oxbowbend-core/src/cell/choice.rs
@@ -131,21 +131,29 @@
 
 /// Estimates the time to the first event, including the prompts queued ahead.
 pub(super) fn time_to_first_event(target: &Target<'_>, candidate: &Candidate<'_>) -> Duration {
-    let units =
-        f64::from(candidate.prompt_tokens + FIXED_WORK_UNITS) + f64::from(target.pending_tokens);
-    Duration::from_nanos((target.ns_per_unit * units * load_factor(target)) as u64)
+    let tokens = candidate.prompt_tokens.saturating_add(target.pending_tokens);
+    first_event_at(target.ns_per_unit, tokens, target.load, target.endpoint.slots)
+}
+
+/// Estimates the time to the first event after so many prompt tokens at an endpoint that runs `load`
+/// requests.
+pub(super) fn first_event_at(ns_per_unit: f64, tokens: u32, load: u32, slots: u32) -> Duration {
+    let units = f64::from(tokens) + f64::from(FIXED_WORK_UNITS);
+    Duration::from_nanos((ns_per_unit * units * load_factor(load, slots)) as u64)
 }
 
 /// Slowdown of an endpoint by the requests running there.
-fn load_factor(target: &Target<'_>) -> f64 {
-    1.0 + LOAD_SLOWDOWN * f64::from(target.load) / f64::from(target.endpoint.slots.max(1))
+fn load_factor(load: u32, slots: u32) -> f64 {
+    1.0 + LOAD_SLOWDOWN * f64::from(load) / f64::from(slots.max(1))
 }
 
 /// Cost of a target; the lowest one is chosen.
 fn cost(target: &Target<'_>, candidate: &Candidate<'_>, time_left: Duration) -> Duration {
     let zone_penalty =
         if target.endpoint.zone == *candidate.zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
-    let floor = candidate.objective.mul_f64(FIRST_EVENT_FLOOR_SHARE * load_factor(target));
+    let floor = candidate
+        .objective
+        .mul_f64(FIRST_EVENT_FLOOR_SHARE * load_factor(target.load, target.endpoint.slots));
     let first_event = assumed_first_event(target, candidate, time_left).max(floor);
     first_event.mul_f64(1.0 + MAX_PREFERENCE_PENALTY * preference_penalty(target, candidate))
         + zone_penalty
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -15,6 +15,7 @@
 mod assign;
 mod brittle;
 mod choice;
+mod expectation;
 mod expected_wait;
 mod fleet;
 mod free_slots;
@@ -165,6 +166,7 @@
     successes: u64,
     failures: u64,
     pace: pace::LatencyEstimate,
+    silence: expectation::Silence,
     health: health::Health,
     last_used: Option<Instant>,
     /// When the endpoint last started or completed an answer.
@@ -186,6 +188,8 @@
     /// Instances of other cells, mainly their representatives.
     remote_peers: HashMap<InstanceId, peer::Peer>,
     latency_cache: assign::LatencyCache,
+    /// Waits in vain, by service, since the last answer of any of its endpoints.
+    silences: HashMap<ServiceId, expectation::Silence>,
     ejections: Vec<Ejection>,
     last_failure: Option<Instant>,
     /// Fraction of the fleet that is reachable, including this instance.
@@ -243,6 +247,7 @@
             peers: HashMap::new(),
             remote_peers: HashMap::new(),
             latency_cache: assign::LatencyCache::default(),
+            silences: HashMap::new(),
             ejections: Vec::new(),
             last_failure: None,
             visible_share: 1.0,
@@ -275,6 +280,7 @@
                     successes: 0,
                     failures: 0,
                     pace: pace::LatencyEstimate::default(),
+                    silence: expectation::Silence::default(),
                     health: health::Health::default(),
                     last_used: None,
                     last_answer: None,
@@ -408,6 +414,7 @@
             state.pace.record(prompt_tokens.saturating_add(backlog), time_to_first_event);
             (state.last_used, state.last_answer) = (Some(now), Some(now));
         }
+        self.end_silence(now, endpoint);
         if let Some(sent_at) = now.checked_sub(time_to_first_event) {
             self.brittle.record_accepted(endpoint, sent_at);
         }
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -14,7 +14,7 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::Outcome;
 use oxbowbend_core::isolation::PathFailure;
-use oxbowbend_core::silence::{self, TimeoutAction};
+use oxbowbend_core::silence::{self, Expectation, TimeoutAction};
 use oxbowbend_http::h1;
 use thiserror::Error;
 
@@ -138,7 +138,7 @@
         let mut attempt = Attempt::new(&self.shared, request, slot);
         let is_over_capacity = load > attempt.endpoint.slots;
         let may_retry = request.is_retryable() && !is_last;
-        let result = self.exchange(request, &mut attempt, expected, last_event_id, may_retry).await;
+        let result = self.exchange(request, &mut attempt, last_event_id, may_retry).await;
         let error = match result {
             Ok(ResponseStart::Complete(response)) => {
                 let is_bad = response.status().is_server_error();
@@ -217,20 +217,36 @@
         &self,
         request: &AdmittedRequest,
         attempt: &mut Attempt,
-        expected: Duration,
         last_event_id: Option<u64>,
         may_retry: bool,
     ) -> Result<ResponseStart, AttemptError> {
-        let suspect_after = silence::delay(expected, request.route.objective);
-        let time_left = time_until(request.deadline);
+        let (objective, time_left) = (request.route.objective, time_until(request.deadline));
         let (endpoint, started_at) = (attempt.endpoint.clone(), attempt.started_at);
+        let tokens = attempt.prompt_tokens.saturating_add(attempt.backlog_tokens);
+        let expectation =
+            || self.shared.lock().cell.expectation(clock::now(), endpoint.key(), tokens);
         let response_start = self.await_response_start(request, attempt, last_event_id);
         pin_mut!(response_start);
-        if let Ok(result) = future::timeout(suspect_after.min(time_left), &mut response_start).await
-        {
-            return result;
+        let (mut expected, mut waited) = (expectation(), Duration::ZERO);
+        let suspect_after = loop {
+            let delay = silence::delay(expected, objective, time_left);
+            let left = delay.min(time_left).saturating_sub(waited);
+            if left.is_zero() {
+                break delay;
+            }
+            let step = left.min(silence::look_interval(objective));
+            if let Ok(result) = future::timeout(step, &mut response_start).await {
+                return result;
+            }
+            let doublings = expected.doublings;
+            (expected, waited) = (Expectation { doublings, ..expectation() }, waited + step);
+        };
+        let action = silence::timeout_action(suspect_after, time_left, may_retry);
+        if action != TimeoutAction::Fail {
+            let (key, doublings) = (endpoint.key(), expected.doublings);
+            self.shared.lock().cell.record_silence(key, started_at, doublings);
         }
-        match silence::timeout_action(suspect_after, time_left, may_retry) {
+        match action {
             TimeoutAction::Fail => return Err(AttemptError::DeadlineExceeded),
             TimeoutAction::Retry => return Err(AttemptError::Unresponsive),
             TimeoutAction::MarkSuspect => {
