Every cell notes how fast its endpoints are for later starts

After a start of all instances nearly all endpoints were unmeasured: 4 to 13 of 90 estimates outlived a kill of 131 instances, and requests were placed and waited for as if all endpoints took 20 us a token.

Cause: one instance of the fleet notes what later lives start from, and it knows the endpoints of its own cell only; a change of cells after the start forgot estimates as well. Now the first instance of each cell notes those of its cell, and endpoints that come into a cell take what is noted of them. A noted estimate changes only if the endpoint has become 1.5 times as fast or slow, since every change is a call to the store.

--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -188,6 +188,7 @@
     /// Instances of other cells, mainly their representatives.
     remote_peers: HashMap<InstanceId, peer::Peer>,
     latency_cache: assign::LatencyCache,
+    persisted_paces: pace::PersistedPaces,
     /// Waits in vain, by service, since the last answer of any of its endpoints.
     silences: HashMap<ServiceId, expectation::Silence>,
     ejections: Vec<Ejection>,
@@ -247,6 +248,7 @@
             peers: HashMap::new(),
             remote_peers: HashMap::new(),
             latency_cache: assign::LatencyCache::default(),
+            persisted_paces: pace::PersistedPaces::default(),
             silences: HashMap::new(),
             ejections: Vec::new(),
             last_failure: None,
@@ -473,7 +475,14 @@
         state.health.record(now, successes, failures);
     }
 
-    /// Latency estimates of all endpoints, to be persisted for later incarnations.
+    /// Latency estimates of all endpoints, to be persisted for later incarnations. They change only
+    /// where an endpoint has become much slower or faster.
+    pub fn paces_to_persist(&mut self, now: Instant) -> Vec<(EndpointKey, u64)> {
+        let known = self.known_paces(now);
+        self.persisted_paces.update(known)
+    }
+
+    /// Latency estimates of all endpoints.
     pub fn known_paces(&self, now: Instant) -> Vec<(EndpointKey, u64)> {
         let mut paces: Vec<_> = self.paces(now).into_iter().map(|(e, ns)| (e, ns as u64)).collect();
         paces.sort();
--- a/oxbowbend-core/src/cell/pace.rs
+++ b/oxbowbend-core/src/cell/pace.rs
@@ -4,8 +4,11 @@
 //! prompt and [`FIXED_WORK_UNITS`] for everything else. Instances report their estimates with the
 //! number of samples to each other, so that a restarted instance does not begin from nothing.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::ids::EndpointKey;
+
 /// Units of work of a request besides its prompt: the fixed cost of a first event, in prompt
 /// tokens.
 pub const FIXED_WORK_UNITS: u32 = 300;
@@ -14,6 +17,31 @@
 /// Maximum weight of an estimate when combined with others.
 const MAX_SAMPLES: u32 = 20;
 
+/// Factor by which an estimate must differ from the persisted one to be persisted again. Estimates of
+/// an unchanged endpoint vary by less, and each change costs a call to the store.
+const PERSISTED_RATIO: f64 = 1.5;
+
+/// The estimates that were persisted last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PersistedPaces(BTreeMap<EndpointKey, u64>);
+
+impl PersistedPaces {
+    /// Takes over estimates that are new or differ much, and drops those that are unknown now.
+    pub(super) fn update(&mut self, known: Vec<(EndpointKey, u64)>) -> Vec<(EndpointKey, u64)> {
+        let previous = std::mem::take(&mut self.0);
+        let is_near = |old: u64, new: u64| {
+            let (old, new) = (old.max(1) as f64, new.max(1) as f64);
+            old.max(new) <= old.min(new) * PERSISTED_RATIO
+        };
+        let kept = |(key, new): (EndpointKey, u64)| {
+            let old = previous.get(&key).copied().filter(|old| is_near(*old, new));
+            (key, old.unwrap_or(new))
+        };
+        self.0 = known.into_iter().map(kept).collect();
+        self.0.iter().map(|(key, ns)| (*key, *ns)).collect()
+    }
+}
+
 /// Exponentially weighted moving average of one instance's measurements at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LatencyEstimate {
--- a/oxbowbend-core/tests/placement.rs
+++ b/oxbowbend-core/tests/placement.rs
@@ -185,3 +185,19 @@
         assert_eq!(cell.take_ejections().len(), ejected, "silent: {is_silent}");
     }
 }
+
+/// Each change of what is persisted is a call to the store, of every cell.
+#[test]
+fn persisted_latency_changes_only_with_a_much_slower_or_faster_endpoint() {
+    let now = Instant::now();
+    let mut cell = cell("a", &[endpoint(0, 4), endpoint(2, 4)]);
+    // Time to the first event of 1,000 units at e0, and what is persisted then.
+    for (ms, persisted) in [(100, 100_000), (140, 100_000), (80, 100_000), (400, 161_920)] {
+        cell.record_first_event(now, key("e0"), 700, 0, ms * MS);
+        assert_eq!(cell.paces_to_persist(now), [(key("e0"), persisted)], "{ms} ms");
+    }
+    cell.record_first_event(now, key("e2"), 700, 0, 30 * MS);
+    assert_eq!(cell.paces_to_persist(now).len(), 2);
+    cell.set_endpoints([endpoint(2, 4)]);
+    assert_eq!(cell.paces_to_persist(now), [(key("e2"), 30_000)]);
+}
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -350,14 +350,14 @@
     drop(all);
     if state.has_store() && is_first {
         used = state.admission.quotas.window_usage(now);
-        paces = state.cell.known_paces(now);
     }
     let quarantined = state.quarantine.decisions_to_store(now, is_first);
     let epoch = state.world.epoch();
     let rollouts = if is_first { state.rollout_notes(now) } else { Vec::new() };
     let (mut streams, mut versions) = (Vec::new(), Vec::new());
-    // Streams are known to the cell only.
+    // Streams and the speed of endpoints are known to the cell only.
     if state.has_store() && !state.cell.live_reports(now).any(is_before) {
+        paces = state.cell.paces_to_persist(now);
         (streams, versions) = (state.streams_to_note(now), state.versions_to_note(now));
     }
     let zone = zone.clone();
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -122,6 +122,7 @@
         self.cell.set_listed_endpoints(endpoints.iter().map(Endpoint::key));
         if group.endpoints != self.group.endpoints {
             self.cell.set_endpoints(group.endpoints.iter().cloned());
+            self.restore_paces(now);
         }
         self.instances = members.len();
         self.layout_version += 1;
@@ -251,17 +252,16 @@
         }
     }
 
-    /// Starts from the paces that were noted before.
+    /// Takes the paces that were noted before of endpoints that are new to this cell.
     fn restore_paces(&mut self, now: Instant) {
         let State { world, cell, .. } = self;
+        let before = cell.known_paces(now).len();
         let noted = world.instances().values().flat_map(|e| &e.paces);
-        let mut n = 0;
-        for (endpoint, ns) in noted {
-            cell.restore_pace(*endpoint, *ns);
-            n += 1;
-        }
+        noted.for_each(|(endpoint, ns)| cell.restore_pace(*endpoint, *ns));
         let (known, of) = (cell.known_paces(now).len(), cell.endpoint_count());
-        log::info!("event=paces_restored endpoints={n} known={known} of={of}");
+        if known > before {
+            log::info!("event=paces_restored known={known} before={before} of={of}");
+        }
     }
 }
 
@@ -413,7 +413,6 @@
                 state.set_shares(now);
                 state.restore_rollouts(now);
                 state.restore_streams(now);
-                state.restore_paces(now);
             }
         }
         drop(state);
