--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -209,11 +209,16 @@
             true => self.exchanges.arrived(&self.id, req.headers()),
             false => None,
         };
+        // Endpoints echo the id in whatever they answer.
+        let id = req.headers().get("request-id").cloned();
         let rest = self.says.lock().unwrap().rest_s.filter(|_| is_meant);
         let mut answer = match rest {
             Some(_) => reply(503, &[("not-executed", "1")], Either::Left(h1::Whole::default())),
             None => self.clone().run(req).await,
         };
+        if let Some(id) = id {
+            answer.headers_mut().entry("request-id").or_insert(id);
+        }
         let says = Says { rest_s: rest, ..*self.says.lock().unwrap() };
         if is_meant {
             says.write(answer.headers_mut());
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod endpoint;
 mod ends;
 mod exchanges;
+mod extra;
 mod faults;
 mod fleet;
 mod gone;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -179,6 +179,11 @@
     counter!("oxbow_handovers_received_total", "result" => result).increment(1);
 }
 
+/// Records a response of an endpoint that is none to the request sent there.
+pub(crate) fn foreign_response() {
+    counter!("oxbow_foreign_responses_total").increment(1);
+}
+
 /// Records what came of offering a request to an instance of another cell with free slots.
 pub(crate) fn overflow_offered(result: &'static str) {
     counter!("oxbow_overflow_offers_total", "result" => result).increment(1);
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -36,6 +36,9 @@
 /// Bytes of a response without events. A faulty endpoint may send bytes without end.
 pub(super) const MAX_RESPONSE: u64 = 64 << 20;
 
+/// Bytes of the headers of a response that belongs to no request, in the log.
+const MAX_SHOWN_HEADERS: usize = 300;
+
 /// The response of an endpoint.
 pub(crate) enum AttemptResponse {
     /// A buffered response.
@@ -304,6 +307,14 @@
             Verdict::Answer => {}
             Verdict::Foreign => {
                 let status = head.status;
+                observe::foreign_response();
+                log::warn!(
+                    "event=foreign_response id={} endpoint={} status={} headers={} concluded=may_have_run",
+                    request.metadata.id,
+                    attempt.endpoint.id,
+                    status.as_u16(),
+                    shown_headers(&head.headers)
+                );
                 return Err(AttemptError::NoValidResponse(format!(
                     "response does not match the request (status {status})"
                 )));
@@ -434,6 +445,14 @@
     }
 }
 
+/// Returns the headers of a response that belongs to no request, cut to a line of bounded length.
+fn shown_headers(headers: &HeaderMap) -> String {
+    let mut shown = format!("{headers:?}");
+    let end = (0..=MAX_SHOWN_HEADERS.min(shown.len())).rev().find(|i| shown.is_char_boundary(*i));
+    shown.truncate(end.unwrap_or_default());
+    shown
+}
+
 /// Returns whether a streamed response consists of events: unless it says otherwise.
 fn has_events(headers: &HeaderMap) -> bool {
     let content_type = headers.get(header::CONTENT_TYPE).map(|value| value.as_bytes());
