A request is in progress until its caller can have the whole answer

Cause: the library drops an answer's body once its last bytes are in its buffer, and a request counted until then. It now counts until the buffer has been flushed, which the library does after all of it has been written. Then, where the connection ends on our side, the instance ends its direction and waits until the peer has closed its own, since a process that ends may take with it what the kernel holds: until the stop's deadline where the answer said that it is the last one, for up to 3 s after the answer otherwise, as callers that keep connections do not all notice that one has closed. What the peer sends meanwhile is not read: nobody would answer it. The same server serves streams, refusals, hand-overs and other instances' questions.

--- a/oxbowbend-gateway/src/stop.rs
+++ b/oxbowbend-gateway/src/stop.rs
@@ -58,7 +58,9 @@
     door.shut();
     let is_done = |now| {
         let others_ready = shared.lock().are_others_ready(now);
-        shutdown.can_exit(now, door.busy(), door.quiet_for(), others_ready)
+        // Callers may still be reading answers that this machine holds for them.
+        let in_progress = door.busy() + door.answered();
+        shutdown.can_exit(now, in_progress, door.quiet_for(), others_ready)
     };
     while clock::now() < shutdown.deadline() && !is_done(clock::now()) {
         task::sleep(LOOK).await;
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod server;
 mod silence;
+mod unflushed;
 
 pub use collect::{collect, Collected};
 pub use framing::Framing;
--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,7 +11,7 @@
 
 use async_std::channel;
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use async_std::{future, task};
 use futures::future::{select, Either};
 use futures::{pin_mut, StreamExt};
 use http::header::{HeaderValue, CONNECTION};
@@ -23,10 +24,17 @@
 
 use super::gate::ConnectionGate;
 use super::meter::{LinkMeter, Metered};
+use super::unflushed::{FlushWatched, Unflushed};
 
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time after the end of an answer for which its caller may be reading it where it was not told to close the connection.
+/// Callers that keep connections do not all notice that one has closed.
+const READING_TIME: Duration = Duration::from_secs(3);
+/// Time between two looks whether a peer that has sent something has closed its side.
+const CLOSE_LOOK: Duration = Duration::from_millis(20);
+
 /// Smallest buffer that the library allows.
 const MIN_BUFFER: usize = 8192;
 
@@ -45,6 +53,7 @@
     closing: AtomicBool,
     busy: AtomicUsize,
     open: AtomicUsize,
+    answered: AtomicUsize,
     last: Mutex<Instant>,
     shut: (channel::Sender<()>, channel::Receiver<()>),
     meter: Option<Arc<LinkMeter>>,
@@ -56,6 +65,7 @@
             closing: AtomicBool::new(false),
             busy: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
             last: Mutex::new(clock::now()),
             shut: channel::bounded(1),
             meter: None,
@@ -102,6 +112,13 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Open connections that have carried an answer, which their peers may still be reading. After
+    /// [`Door::shut`] one counts until its peer has closed it, or for some seconds after an answer that did
+    /// not say that it was the last one.
+    pub fn answered(&self) -> usize {
+        self.answered.load(Ordering::SeqCst)
+    }
+
     /// Time since the last request came or ended.
     pub fn quiet_for(&self) -> Duration {
         clock::since(*self.last.lock().expect("no panic under lock"))
@@ -114,7 +131,7 @@
     }
 }
 
-/// A request that has not got its whole answer; held by the answer's body.
+/// A request whose whole answer has not been handed to the kernel.
 struct Inside {
     door: Arc<Door>,
 }
@@ -126,12 +143,54 @@
     }
 }
 
+/// A request whose answer is not in the connection's buffer yet; from then on it counts until that has been
+/// written.
+struct Unwritten {
+    inside: Option<Inside>,
+    unflushed: Unflushed<Inside>,
+    last_answer: LastAnswer,
+}
+
+/// When the last answer of a connection came to its end, and whether that said that it was the last one.
+#[derive(Clone, Default)]
+struct LastAnswer(Arc<Mutex<Option<(Instant, bool)>>>);
+
+impl LastAnswer {
+    /// Returns whether it was the first one.
+    fn note(&self, is_closing: bool) -> bool {
+        let mut last = self.0.lock().expect("no panic under lock");
+        last.replace((clock::now(), is_closing)).is_none()
+    }
+
+    fn is_some(&self) -> bool {
+        self.0.lock().expect("no panic under lock").is_some()
+    }
+
+    /// Time for which the peer may still be reading; `None` if until it has closed its side.
+    fn reading_time(&self) -> Option<Duration> {
+        match *self.0.lock().expect("no panic under lock") {
+            Some((at, false)) => Some(READING_TIME.saturating_sub(clock::since(at))),
+            Some((_, true)) | None => None,
+        }
+    }
+}
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        let Some(inside) = self.inside.take() else { return };
+        if self.last_answer.note(inside.door.is_closing()) {
+            inside.door.answered.fetch_add(1, Ordering::SeqCst);
+        }
+        self.unflushed.hold(inside);
+    }
+}
+
 pin_project_lite::pin_project! {
-    /// A body that counts as a request in progress until it is dropped.
+    /// A body that counts as a request in progress until the connection's buffer has been written after it.
     struct Counted<B> {
         #[pin]
         body: B,
-        inside: Inside,
+        unwritten: Unwritten,
         // The connection, if its end is all that marks the end of the body.
         ending: Option<TcpStream>,
     }
@@ -221,40 +280,65 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     door.open.fetch_add(1, Ordering::SeqCst);
+    let (unflushed, last_answer) = (Unflushed::default(), LastAnswer::default());
     let service = service_fn(|req: Request<Incoming>| {
         let inside = door.enter();
         // In HTTP/1.0 a body that breaks off looks complete unless its connection is reset.
         let ending = (req.version() < Version::HTTP_11).then(|| stream.clone());
         let answering = handler(req);
+        let (unflushed, last_answer) = (unflushed.clone(), last_answer.clone());
         async move {
             let mut answer = answering.await;
             if inside.door.is_closing() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(answer.map(|body| Counted { body, inside, ending }))
+            let unwritten = Unwritten { inside: Some(inside), unflushed, last_answer };
+            Ok::<_, Infallible>(answer.map(|body| Counted { body, unwritten, ending }))
         }
     });
     let metered = Metered::new(stream.clone(), door.meter.clone());
+    let watched = FlushWatched::new(metered, unflushed.clone());
     let conn = http1::Builder::new()
         .max_buf_size(cfg.head.max(MIN_BUFFER))
-        .serve_connection(FuturesIo::new(metered), service);
+        .serve_connection(FuturesIo::new(watched), service);
     pin_mut!(conn);
     let shut = door.shut.1.recv();
     pin_mut!(shut);
     // A connection that comes after the shutting is not closed unread: its request gets an answer.
     let ended = if door.is_shut() {
-        conn.await
+        conn.as_mut().await
     } else {
         match select(conn.as_mut(), shut).await {
             Either::Left((ended, _)) => ended,
             Either::Right(_) => {
                 conn.as_mut().graceful_shutdown();
-                conn.await
+                conn.as_mut().await
             }
         }
     };
-    if let Err(e) = ended {
-        log::debug!("event=caller_connection_ended error=\"{e}\"");
+    match ended {
+        Err(e) => log::debug!("event=caller_connection_ended error=\"{e}\""),
+        Ok(()) if last_answer.is_some() => {
+            // The process may end before the peer has what the kernel holds for it.
+            let closed = peer_closed(&stream);
+            match last_answer.reading_time() {
+                Some(limit) => drop(future::timeout(limit, closed).await),
+                None => closed.await,
+            }
+        }
+        Ok(()) => {}
     }
+    door.answered.fetch_sub(usize::from(last_answer.is_some()), Ordering::SeqCst);
     door.open.fetch_sub(1, Ordering::SeqCst);
 }
+
+/// Tells the peer that no answer follows, and waits until it has closed its side, for which it has read all of them. What
+/// it sends meanwhile is not read: nobody would answer that.
+async fn peer_closed(stream: &TcpStream) {
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    while let Ok(1..) = stream.peek(&mut [0]).await {
+        task::sleep(CLOSE_LOOK).await;
+    }
+}
