A request of another instance is handled by the same configuration only

Cause: a request that a full cell offers to another one is handled by that one's configuration, and no version was compared; changes reach instances some tenths of a second apart. An older receiver takes back what was seen, and after a newer one has handled a request the sender's next request does. The hand-over of an isolated instance asked for a peer that is no older, which leaves the second half.

One rule in core::config_order, for every reason to offer a request: the offer tells the version by which the request was admitted, and only an instance with the same one handles it; another one rejects it as not run. Keys, quotas and time limits follow from the same version.

--- a/oxbowbend-core/src/handover.rs
+++ b/oxbowbend-core/src/handover.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::cell::Report;
+use crate::config_order::{self, ConfigVersion};
 use crate::ids::{InstanceId, ServiceId, ZoneId};
 
 /// Peers tried for one request.
@@ -35,8 +36,8 @@
 pub struct Criteria<'a> {
     /// The availability zone of this instance.
     pub zone: &'a ZoneId,
-    /// Version of the configuration that the peer must have at least.
-    pub min_config_version: u64,
+    /// Version of this instance's configuration.
+    pub config_version: ConfigVersion,
     /// The service that the peer must reach.
     pub service: &'a ServiceId,
     /// Peers that did not accept the request.
@@ -95,7 +96,7 @@
             && !report.is_stopping
             && !report.isolated_services.contains(self.service)
             && age < MAX_REPORT_AGE
-            && report.config_version >= self.min_config_version
+            && config_order::may_handle(Some(self.config_version), report.config_version)
             && !self.excluded.contains(&report.instance)
     }
 }
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod cache;
 pub mod cell;
 pub mod config_lag;
+pub mod config_order;
 pub mod event_stream;
 pub mod fair_share;
 pub mod fingerprint;
--- a/oxbowbend-core/tests/handover.rs
+++ b/oxbowbend-core/tests/handover.rs
@@ -29,7 +29,7 @@
     excluded: &[InstanceId],
 ) -> Option<String> {
     let (zone, service) = ("z-1".into(), "s".into());
-    let criteria = Criteria { zone: &zone, min_config_version: 5, service: &service, excluded };
+    let criteria = Criteria { zone: &zone, config_version: 5, service: &service, excluded };
     let reports = peers.iter().map(|(report, age)| (report, *age));
     let peer = handovers.choose(reports, criteria, &mut Pcg64::seed_from_u64(1))?;
     assert_eq!(peer.address.port(), 7601);
@@ -39,13 +39,15 @@
 #[test]
 fn a_peer_that_cannot_serve_is_not_chosen() {
     type Change = fn(&mut Report);
-    let changes: [(&str, Change); 8] = [
+    let changes: [(&str, Change); 9] = [
         ("an older version of the program", |r| r.handover_port = None),
         ("no address", |r| r.address = None),
         ("not ready", |r| r.is_ready = false),
         ("stopping", |r| r.is_stopping = true),
         ("no path to the service", |r| r.isolated_services = vec!["s".into()]),
         ("an older configuration", |r| r.config_version = 4),
+        // The next request that stays here would take back what its callers have seen.
+        ("a newer configuration", |r| r.config_version = 6),
         ("excluded", |r| r.instance = "x".into()),
         ("another service out of reach", |r| r.isolated_services = vec!["t".into()]),
     ];
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -8,6 +8,7 @@
 
 mod brittle;
 mod caller;
+mod config_order;
 mod cuts;
 mod drills;
 mod endless;
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::PrefillStall;
+use oxbowbend_core::config_order::{self, ConfigVersion};
 use oxbowbend_core::fingerprint::{fingerprint, Fingerprint};
 use oxbowbend_core::routes::{Account, Route, RoutingTable};
 use rand::Rng;
@@ -50,6 +51,7 @@
         &self,
         req: Request<Incoming>,
         origin: Origin,
+        offered_config: Option<ConfigVersion>,
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, AdmitError> {
         let (head, body) = req.into_parts();
@@ -65,6 +67,9 @@
             Some(table) => table,
             None => self.wait_for_config(arrived_at).await.map_err(with_id)?,
         };
+        if !config_order::may_handle(offered_config, table.version()) {
+            return Err(with_id(Refusal::OtherConfiguration));
+        }
         let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
         request.origin = origin;
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -39,6 +39,8 @@
 /// is none here either.
 pub(super) const HANDOVER_FOR: &str = "oxbowbend-handover-for";
 pub(super) const OVERFLOW: HeaderValue = HeaderValue::from_static("overflow");
+/// Header that tells the version of the configuration by which the sender has admitted the request.
+pub(super) const HANDOVER_CONFIG: &str = "oxbowbend-handover-config";
 /// Time for which the connection of a rejection may take to end its body, to be used again.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -211,9 +213,12 @@
     ) -> Option<(ChosenPeer, Duration)> {
         let (now, state) = (clock::now(), self.shared.lock());
         let isolated_for = state.isolated_for(now, &request.service)?;
-        let min_config_version = state.world.table().map_or(0, |table| table.version());
-        let criteria =
-            Criteria { zone: &state.zone, min_config_version, service: &request.service, excluded };
+        let criteria = Criteria {
+            zone: &state.zone,
+            config_version: request.config_version,
+            service: &request.service,
+            excluded,
+        };
         let reports = state.cell.all_reports_with_age(now);
         let peer = state.handovers.choose(reports, criteria, &mut rand::rng())?;
         Some((peer, isolated_for))
@@ -276,6 +281,7 @@
         if let Ok(sender) = HeaderValue::from_str(&sender) {
             req.headers_mut().insert(HANDOVER, sender);
         }
+        req.headers_mut().insert(HANDOVER_CONFIG, HeaderValue::from(request.config_version));
         match purpose {
             Purpose::Isolation => req.headers_mut().remove(HANDOVER_FOR),
             Purpose::Overflow => req.headers_mut().insert(HANDOVER_FOR, OVERFLOW),
--- a/oxbowbend-gateway/src/relay/handover_receiver.rs
+++ b/oxbowbend-gateway/src/relay/handover_receiver.rs
@@ -8,7 +8,7 @@
 use oxbowbend_clock as clock;
 use oxbowbend_http::h1;
 
-use super::handover::{HANDOVER, HANDOVER_FOR, OVERFLOW, REJECTED};
+use super::handover::{HANDOVER, HANDOVER_CONFIG, HANDOVER_FOR, OVERFLOW, REJECTED};
 use super::refusal::Refusal;
 use super::stream::StreamInterrupted;
 use super::{Body, Origin, Relay};
@@ -26,6 +26,8 @@
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>>>> {
         let sender = req.headers_mut().remove(HANDOVER);
         let sender = sender.and_then(|value| value.to_str().ok().map(str::to_owned));
+        let config = req.headers_mut().remove(HANDOVER_CONFIG);
+        let config = config.and_then(|value| value.to_str().ok()?.parse().ok());
         let origin = match req.headers_mut().remove(HANDOVER_FOR) == Some(OVERFLOW) {
             true => Origin::FullCell,
             false => Origin::Peer,
@@ -36,7 +38,7 @@
                 if origin == Origin::Peer {
                     observe::handover_received("accepted");
                 }
-                self.serve_from(req, origin).await
+                self.serve_from(req, origin, config).await
             }
             Err(reason) => {
                 // A response before the end of the body could be lost to a reset.
@@ -72,7 +74,9 @@
     /// still have it served elsewhere.
     pub(super) fn respond_to_refused(self, refusal: Refusal) -> Response<h1::Whole> {
         let is_rejected = match refusal {
-            Refusal::NoPath | Refusal::Stopping => self != Origin::Client,
+            Refusal::NoPath | Refusal::Stopping | Refusal::OtherConfiguration => {
+                self != Origin::Client
+            }
             // The sender may know a newer configuration.
             Refusal::NoFreeSlot
             | Refusal::NotReady { .. }
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -31,6 +31,7 @@
 use hyper::body::{Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::{Assignment, Outcome};
+use oxbowbend_core::config_order::ConfigVersion;
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::shutdown::Shutdown;
@@ -107,16 +108,17 @@
         self,
         req: Request<Incoming>,
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
-        self.serve_from(req, Origin::Client).await
+        self.serve_from(req, Origin::Client, None).await
     }
 
     async fn serve_from(
         self,
         req: Request<Incoming>,
         origin: Origin,
+        offered_config: Option<ConfigVersion>,
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
         let arrived_at = clock::now();
-        let request = match self.admit(req, origin, arrived_at).await {
+        let request = match self.admit(req, origin, offered_config, arrived_at).await {
             Ok(request) => Arc::new(request),
             Err((id, refusal)) => {
                 refusal.log(&id, "-", arrived_at);
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -28,6 +28,8 @@
     NoPath,
     /// The request of a cell without a free slot, and this one has none for it either.
     NoFreeSlot,
+    /// The request of an instance with an older or newer configuration.
+    OtherConfiguration,
     /// The request head is invalid.
     InvalidHead(String),
     /// No route matches the host and path.
@@ -59,6 +61,7 @@
             | Refusal::Stopping
             | Refusal::NoPath
             | Refusal::NoFreeSlot
+            | Refusal::OtherConfiguration
             | Refusal::Busy { .. }
             | Refusal::Quarantined { .. }
             | Refusal::StreamNotTakenUp { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -97,6 +100,7 @@
             Refusal::Stopping => "stopping",
             Refusal::NoPath => "no_path",
             Refusal::NoFreeSlot => "no_free_slot",
+            Refusal::OtherConfiguration => "other_configuration",
             Refusal::InvalidHead(_) => "unreadable",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownAccount => "no_account",
