An instance of another cell is not silent while its endpoint works

A request that another cell has accepted is answered when the endpoint answers, but the instance counted as silent after half of the objective: it was left out for a second and its idle connections were dropped. Where a service takes longer than that, all other cells look silent. Same class as requests that were abandoned for nothing: a bound that does not follow what the service is known to take. Now the response is overdue only after four times that as well, or after half of the time that is left if nothing is known.

--- a/oxbowbend-core/src/overflow.rs
+++ b/oxbowbend-core/src/overflow.rs
@@ -36,9 +36,13 @@
 const MAX_FORWARDED: usize = 12;
 /// Fraction of its objective that a request may be expected to wait in its own cell.
 const WAIT_SHARE: f64 = 0.25;
-/// Fraction of its objective after which the response to an accepted request is overdue. It has a slot
-/// at once; prompts are read in a tenth to a quarter of their objectives.
+/// Fraction of its objective after which the response to an accepted request may be overdue. It has a
+/// slot at once; prompts are read in a tenth to a quarter of their objectives.
 const RESPONSE_SHARE: f64 = 0.5;
+/// Multiple of the expected time after which it is overdue.
+const EXPECTED_TIME_FACTOR: u32 = 4;
+/// Fraction of the time left after which it is overdue if nothing is expected of the service.
+const UNEXPECTED_SHARE: f64 = 0.5;
 
 /// Returns whether a request should be offered to another cell: there is no free slot for it, and it
 /// stands further back in the queue than the slots that its cell frees within a quarter of
@@ -67,17 +71,31 @@
 }
 
 /// Returns the time after which an instance that has not responded to a request with this `objective`
-/// counts as silent.
+/// counts as silent. It responds when the endpoint does, so a service that takes longer than its
+/// objectives must not make all other cells look silent.
 ///
 /// ```
 /// use std::time::Duration;
 ///
 /// use oxbowbend_core::overflow::response_timeout;
 ///
-/// assert_eq!(response_timeout(Duration::from_millis(800)), Duration::from_millis(400));
+/// let (objective, left) = (Duration::from_millis(800), Duration::from_secs(5));
+/// let timeout = |expected_ms| {
+///     response_timeout(Some(Duration::from_millis(expected_ms)), objective, left).as_millis()
+/// };
+/// assert_eq!((timeout(90), timeout(1000)), (400, 4000));
+/// assert_eq!(response_timeout(None, objective, left), Duration::from_millis(2500));
 /// ```
-pub fn response_timeout(objective: Duration) -> Duration {
-    objective.mul_f64(RESPONSE_SHARE)
+pub fn response_timeout(
+    expected: Option<Duration>,
+    objective: Duration,
+    time_left: Duration,
+) -> Duration {
+    let by_service = match expected {
+        Some(expected) => expected * EXPECTED_TIME_FACTOR,
+        None => time_left.mul_f64(UNEXPECTED_SHARE),
+    };
+    objective.mul_f64(RESPONSE_SHARE).max(by_service)
 }
 
 /// An instance chosen for a request.
--- a/oxbowbend-gateway/src/relay/overflow.rs
+++ b/oxbowbend-gateway/src/relay/overflow.rs
@@ -79,7 +79,11 @@
     /// that is stopped or cut off still has connections, on which requests are lost.
     async fn offer_watched(&self, request: &AdmittedRequest, peer: &ChosenPeer) -> Offer {
         let mut offer = Box::pin(self.offer(request, peer, Purpose::Overflow));
-        let limit = response_timeout(request.route.objective);
+        let (service, tokens) = (&request.service, request.metadata.prompt);
+        let expectation =
+            self.shared.lock().cell.service_expectation(clock::now(), service, tokens);
+        let (objective, left) = (request.route.objective, time_until(request.deadline));
+        let limit = response_timeout(expectation.first_event, objective, left);
         if let Ok(offer) = future::timeout(limit, &mut offer).await {
             return offer;
         }
