--- a/oxbowbend-daemon/tests/recovery/plan.rs
+++ b/oxbowbend-daemon/tests/recovery/plan.rs
@@ -43,6 +43,8 @@
     pub running: Option<usize>,
     /// Time for which somebody else holds a port of some machines.
     pub held_ports: Option<Duration>,
+    /// Whether nine tenths of what was served before are asked for late after the return, whatever is wrong.
+    pub is_late_judged: bool,
 }
 
 impl Plan {
@@ -64,6 +66,7 @@
             removed: 0,
             running: None,
             held_ports: None,
+            is_late_judged: false,
         }
     }
 
@@ -97,6 +100,7 @@
             removed: if rng.random_bool(0.2) { rng.random_range(1..=3) } else { 0 },
             running: rng.random_bool(0.25).then_some(6),
             held_ports: rng.random_bool(0.2).then(|| ms(rng.random_range(1000..6000))),
+            is_late_judged: false,
         }
     }
 
