An answer whose caller has left no longer holds up a stop

Each such caller made the next stop last until its deadline. The state is dropped before the count now. An answer that did not say that it is the last one is waited for as long as others that did not, also if a stop began while it was written.

--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -149,6 +149,8 @@
     inside: Option<Inside>,
     unflushed: Unflushed<Inside>,
     last_answer: LastAnswer,
+    /// Whether the answer says that it is the last one.
+    is_last: bool,
 }
 
 /// When the last answer of a connection came to its end, and whether that said that it was the last one.
@@ -157,9 +159,9 @@
 
 impl LastAnswer {
     /// Returns whether it was the first one.
-    fn note(&self, is_closing: bool) -> bool {
+    fn note(&self, is_last: bool) -> bool {
         let mut last = self.0.lock().expect("no panic under lock");
-        last.replace((clock::now(), is_closing)).is_none()
+        last.replace((clock::now(), is_last)).is_none()
     }
 
     fn is_some(&self) -> bool {
@@ -178,7 +180,7 @@
 impl Drop for Unwritten {
     fn drop(&mut self) {
         let Some(inside) = self.inside.take() else { return };
-        if self.last_answer.note(inside.door.is_closing()) {
+        if self.last_answer.note(self.is_last) {
             inside.door.answered.fetch_add(1, Ordering::SeqCst);
         }
         self.unflushed.hold(inside);
@@ -289,30 +291,34 @@
         let (unflushed, last_answer) = (unflushed.clone(), last_answer.clone());
         async move {
             let mut answer = answering.await;
-            if inside.door.is_closing() {
+            let is_last = inside.door.is_closing();
+            if is_last {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let unwritten = Unwritten { inside: Some(inside), unflushed, last_answer };
+            let unwritten = Unwritten { inside: Some(inside), unflushed, last_answer, is_last };
             Ok::<_, Infallible>(answer.map(|body| Counted { body, unwritten, ending }))
         }
     });
-    let metered = Metered::new(stream.clone(), door.meter.clone());
-    let watched = FlushWatched::new(metered, unflushed.clone());
-    let conn = http1::Builder::new()
-        .max_buf_size(cfg.head.max(MIN_BUFFER))
-        .serve_connection(FuturesIo::new(watched), service);
-    pin_mut!(conn);
-    let shut = door.shut.1.recv();
-    pin_mut!(shut);
-    // A connection that comes after the shutting is not closed unread: its request gets an answer.
-    let ended = if door.is_shut() {
-        conn.as_mut().await
-    } else {
-        match select(conn.as_mut(), shut).await {
-            Either::Left((ended, _)) => ended,
-            Either::Right(_) => {
-                conn.as_mut().graceful_shutdown();
-                conn.as_mut().await
+    // With its end all that it holds is dropped, also an answer that has been cut.
+    let ended = {
+        let metered = Metered::new(stream.clone(), door.meter.clone());
+        let watched = FlushWatched::new(metered, unflushed.clone());
+        let conn = http1::Builder::new()
+            .max_buf_size(cfg.head.max(MIN_BUFFER))
+            .serve_connection(FuturesIo::new(watched), service);
+        pin_mut!(conn);
+        let shut = door.shut.1.recv();
+        pin_mut!(shut);
+        // A connection that comes after the shutting is not closed unread: its request gets an answer.
+        if door.is_shut() {
+            conn.as_mut().await
+        } else {
+            match select(conn.as_mut(), shut).await {
+                Either::Left((ended, _)) => ended,
+                Either::Right(_) => {
+                    conn.as_mut().graceful_shutdown();
+                    conn.as_mut().await
+                }
             }
         }
     };
--- a/oxbowbend-http/tests/closing.rs
+++ b/oxbowbend-http/tests/closing.rs
@@ -109,6 +109,33 @@
     assert!(read >= case.size, "{case:?}: the caller had read {read}");
 }
 
+/// A stop lasted until its deadline after a caller had left in the middle of an answer.
+#[test]
+fn an_answer_whose_caller_has_left_does_not_count() {
+    let cfg = h1::ServeConfig { connections: 10, head: 16384 };
+    let framings = [Framing::Length, Framing::Chunks, Framing::UntilClose];
+    let plays = framings.map(|framing| async move {
+        let case = Case { framing, size: 3_000_000, window: 4096, is_stopped_late: true };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (address, door) = (listener.local_addr().unwrap(), Arc::new(h1::Door::default()));
+        let handler = move |_: Request<Incoming>| async move { answer(case) };
+        task::spawn(h1::serve(listener, cfg, door.clone(), handler));
+        let got = Arc::new(AtomicUsize::new(0));
+        let caller = task::spawn(read(case, address, got.clone()));
+        while got.load(Ordering::SeqCst) == 0 {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        caller.cancel().await;
+        door.shut();
+        let left = Instant::now();
+        while door.busy() + door.answered() + door.open() > 0 {
+            task::sleep(Duration::from_millis(1)).await;
+            assert!(left.elapsed() < Duration::from_secs(2), "{case:?}: still counted");
+        }
+    });
+    task::block_on(futures::future::join_all(plays));
+}
+
 /// A process ended while the last bytes of an answer were in its buffers.
 #[test]
 fn a_request_is_in_progress_until_its_caller_has_the_answer() {
