--- a/oxbowbend-daemon/tests/recovery/callers.rs
+++ b/oxbowbend-daemon/tests/recovery/callers.rs
@@ -102,7 +102,7 @@
         });
     }
 
-    /// Stops and returns what has been seen.
+    /// Sends nothing more.
     pub fn stop(&self) {
         self.stop.store(true, Ordering::SeqCst);
     }
--- a/oxbowbend-daemon/tests/recovery/daemons.rs
+++ b/oxbowbend-daemon/tests/recovery/daemons.rs
@@ -53,8 +53,7 @@
     child: Option<Child>,
     /// Whether its process is to be started again when it ends.
     is_kept: bool,
-    ends: usize,
-    pub in_rotation: Arc<AtomicBool>,
+    in_rotation: Arc<AtomicBool>,
 }
 
 /// All machines; clones share them.
@@ -86,15 +85,8 @@
     fn machine(&self, net: u64, n: u8) -> Daemon {
         let (ip, zone) = (self.net.ip(net, n), ZONES[n as usize % ZONES.len()]);
         let name = format!("front-{zone}-{net}{n:03}");
-        let daemon = Daemon {
-            n,
-            ip,
-            name,
-            child: None,
-            is_kept: true,
-            ends: 0,
-            in_rotation: Arc::default(),
-        };
+        let daemon =
+            Daemon { n, ip, name, child: None, is_kept: true, in_rotation: Arc::default() };
         let (rotation, stop) = (daemon.in_rotation.clone(), self.stop.clone());
         task::spawn(balance(SocketAddr::from((ip, READINESS)), rotation, stop));
         daemon
@@ -195,7 +187,6 @@
                 let child = daemon.child.as_mut();
                 if child.is_some_and(|child| child.try_wait().unwrap().is_some()) {
                     self.ends.fetch_add(1, Ordering::SeqCst);
-                    daemon.ends += 1;
                     daemon.child = Some(self.spawn(daemon));
                 }
             }
