Soak: fleets that are played at once have loopback addresses of their own

Seen: with the same seeds in two tests, 57 promises were broken in one and 14 in the other: requests of one fleet's callers reached the other fleet's daemons.

Cause: a fleet's addresses came from its seed modulo 250, and two tests play at once. Seeds 311 and 313 (responses to other requests) and 61 and 63 (answers without framing) had the same addresses, so these tests could meet too.

A fleet's addresses now come from the number of fleets that the process has started. The seed still decides about cells and clocks.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,8 @@
 const METRICS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests that an endpoint runs at once, by its entry.
 const SLOTS: u32 = 8;
+/// Fleets that this process has started.
+static FLEETS: AtomicUsize = AtomicUsize::new(0);
 /// Start of all endpoints.
 const FIRST_START: u64 = 1_700_000_000_000;
 /// Key of the client account that callers use.
@@ -130,9 +133,12 @@
             endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
         let excuses = Excuses::default();
+        // Fleets that are played at once have loopback addresses of their own, since the ports are the same everywhere.
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed) % 250 + 1;
+        let net = format!("127.{}.{fleet}", 20 + std::process::id() % 200);
         let daemon = |n| {
             let (excuses, paths) = (excuses.clone(), [paths.clone(), store_paths.clone()]);
-            Daemon::new(n, seed, store_address, excuses, paths, link_mbps)
+            Daemon::new((n, seed), &net, store_address, excuses, paths, link_mbps)
         };
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
@@ -338,16 +344,14 @@
 
 impl Daemon {
     fn new(
-        n: usize,
-        seed: u64,
+        (n, seed): (usize, u64),
+        net: &str,
         store: SocketAddr,
         excuses: Excuses,
         paths: [Paths; 2],
         link_mbps: Option<f64>,
     ) -> Daemon {
-        // Every run has loopback addresses of its own, since the ports are the same everywhere.
-        let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, seed % 250 + 1, n + 1);
-        let net = ip.rsplit_once('.').unwrap().0.to_owned();
+        let ip = format!("{net}.{}", n + 1);
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
         let link = link_mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
