A stream that is taken up is bound to a sole version only as of a word of the store since then

Callers saw: a stream that began at endpoints of a new software version, through other instances, broke off, was taken up at an instance that had been suspended or cut off, and went on at an endpoint of the old version.

Cause: that a service has had no other version is concluded from not having heard of one. `VersionHistory::sole_version` was used without asking how old the last word was; a tick withdrew it once the store had been found away (up to 2.4 s) and fewer than all instances were heard (up to 3 s).

The history now says until when it is known: when the store was asked for what it told last. A version follows from it only if that is later than the moment at which the stream was taken up. Otherwise the store is asked for the changes of endpoints since then, by one read for all that wait; what follows from its answer concerns the past and stays true however long the instance is suspended before it sends. Where the store has not answered or is not followed, peers confirm in the same way before they answer, and in a fleet of one cell all instances are asked. `VersionHistory::interrupt` and its tick are gone.

Ruled out: late reports alone. In one cell they wait in the socket of the suspended instance and the same play holds; a cut from peers and store does not leave them there.

--- a/oxbowbend-core/src/streams/mod.rs
+++ b/oxbowbend-core/src/streams/mod.rs
@@ -8,7 +8,7 @@
 //!   report their records while a service has several versions, and the records that are in use are
 //!   noted in the store, for a restart of all instances.
 //! - [`VersionHistory`] tells whether a service has had only one version for as long as a stream
-//!   can last. Then no record is needed, and none is reported.
+//!   can last, and until when that is known. Then no record is needed, and none is reported.
 //! - [`resolve`] decides from both, and from what peers answer, at which version a stream goes on. A
 //!   stream whose version is not known goes on nowhere.
 
@@ -16,7 +16,7 @@
 mod registry;
 mod resolve;
 
-pub use history::{ServiceVersions, VersionHistory};
+pub use history::{ServiceVersions, SoleVersion, VersionHistory};
 pub use registry::{Lookup, ReportedStream, StreamGroup, StreamRegistry};
 pub use resolve::{resolve, Basis, Binding, LocalKnowledge, PeerAnswer, Unresolved};
 
--- a/oxbowbend-core/src/streams/resolve.rs
+++ b/oxbowbend-core/src/streams/resolve.rs
@@ -1,6 +1,8 @@
 //! The decision at which version a stream that a client takes up goes on.
 
-use super::{Lookup, StreamOrigin};
+use std::time::Instant;
+
+use super::{Lookup, SoleVersion, StreamOrigin};
 use crate::ids::{ServiceId, VersionId};
 
 /// What the instance knows itself.
@@ -10,10 +12,19 @@
     pub targets: Vec<ServiceId>,
     /// Its record of the stream.
     pub record: Lookup,
-    /// The only version that the route's service has had for as long as a stream can last.
-    pub sole: Option<VersionId>,
+    /// The only version that the route's service has had for as long as a stream can last, until when that is known.
+    pub sole: Option<SoleVersion>,
     /// The only version that this instance has seen of it. Others may have seen another one.
     pub only_seen: Option<VersionId>,
+    /// Number of other instances that may have begun the stream; `None` if not all of them can be asked.
+    pub others: Option<usize>,
+}
+
+impl LocalKnowledge {
+    /// The only version that the service has had until `at`.
+    fn sole_until(&self, at: Instant) -> Option<&VersionId> {
+        self.sole.as_ref().filter(|sole| sole.until >= at).map(|sole| &sole.version)
+    }
 }
 
 /// What a peer answers when it is asked for a stream.
@@ -22,12 +33,19 @@
     /// Its record of the stream.
     #[serde(rename = "r", default)]
     pub record: Lookup,
-    /// The only version that the route's service has had for as long as a stream can last.
-    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
-    pub sole: Option<VersionId>,
+    /// The only version that the route's service has had for as long as a stream can last, as the store confirmed to it
+    /// after the question arrived.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub confirmed: Option<VersionId>,
+    /// The only version that it has seen of the service.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub only_seen: Option<VersionId>,
     /// Whether the service has had several versions lately.
     #[serde(rename = "m", default)]
     pub is_mixed: bool,
+    /// Whether the answer tells [`only_seen`](PeerAnswer::only_seen), which instances of older versions leave out.
+    #[serde(rename = "c", default)]
+    pub is_whole: bool,
 }
 
 /// What a version is known from.
@@ -41,6 +59,8 @@
     SoleVersion,
     /// The same, as a peer knows it.
     PeerSoleVersion,
+    /// No instance of the fleet has seen another version.
+    AllInstances,
 }
 
 /// Where a stream goes on.
@@ -63,22 +83,33 @@
     Moved,
 }
 
-/// Decides where a stream goes on. `answers` are those of peers, none if they were not asked.
+/// Decides where a stream goes on that a client took up at `taken_up_at`. `answers` are those of peers that were asked
+/// since then, none if they were not asked.
+///
+/// A record holds whatever its age. That a service has had no other version is concluded from not having heard of one,
+/// and holds only if that was looked up after the stream was taken up: it began before that.
 ///
 /// # Errors
 ///
 /// Fails if it is not certain at which version of a service of its route it began.
 ///
 /// ```
-/// use oxbowbend_core::streams::{resolve, LocalKnowledge, Lookup, StreamOrigin, Unresolved};
+/// use std::time::{Duration, Instant};
+///
+/// use oxbowbend_core::streams::{resolve, LocalKnowledge, SoleVersion, Unresolved};
 ///
-/// let origin = StreamOrigin { service: "s".into(), version: "v1".into() };
+/// let now = Instant::now();
 /// let mut known = LocalKnowledge { targets: vec!["s".into()], ..LocalKnowledge::default() };
-/// assert_eq!(resolve(&known, &[]), Err(Unresolved::Unknown));
-/// known.record = Lookup::Known(origin.clone());
-/// assert_eq!(resolve(&known, &[]).unwrap().origin, origin);
+/// known.sole = Some(SoleVersion { version: "v1".into(), until: now });
+/// assert_eq!(&*resolve(now, &known, &[]).unwrap().origin.version, "v1");
+/// let later = now + Duration::from_millis(1);
+/// assert_eq!(resolve(later, &known, &[]), Err(Unresolved::Unknown));
 /// ```
-pub fn resolve(known: &LocalKnowledge, answers: &[PeerAnswer]) -> Result<Binding, Unresolved> {
+pub fn resolve(
+    taken_up_at: Instant,
+    known: &LocalKnowledge,
+    answers: &[PeerAnswer],
+) -> Result<Binding, Unresolved> {
     let (record, basis) = match &known.record {
         Lookup::Unknown => (merge(answers), Basis::PeerRecord),
         record => (record.clone(), Basis::Record),
@@ -97,15 +128,24 @@
         let origin = StreamOrigin { service: service.clone(), version: version.clone() };
         Ok(Binding { origin, basis })
     };
-    if let Some(version) = &known.sole {
+    if let Some(version) = known.sole_until(taken_up_at) {
         return bind(version, Basis::SoleVersion);
     }
     let Some(version) = &known.only_seen else { return Err(Unresolved::Unknown) };
-    let contradicts = |a: &PeerAnswer| a.is_mixed || a.sole.as_ref().is_some_and(|v| v != version);
-    let is_confirmed = answers.iter().any(|a| a.sole.as_ref() == Some(version));
-    if is_confirmed && !answers.iter().any(contradicts) {
+    let is_other = |seen: &Option<VersionId>| seen.as_ref().is_some_and(|v| v != version);
+    let contradicts =
+        |a: &PeerAnswer| a.is_mixed || is_other(&a.confirmed) || is_other(&a.only_seen);
+    if answers.iter().any(contradicts) {
+        return Err(Unresolved::Unknown);
+    }
+    if answers.iter().any(|a| a.confirmed.as_ref() == Some(version)) {
         return bind(version, Basis::PeerSoleVersion);
     }
+    // Streams begin only at versions that some instance has seen.
+    let asked = answers.iter().filter(|a| a.is_whole).count();
+    if known.sole.is_some() && known.others.is_some_and(|others| asked >= others) {
+        return bind(version, Basis::AllInstances);
+    }
     Err(Unresolved::Unknown)
 }
 
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -114,7 +114,7 @@
                     if self.is_outdated(position) {
                         continue;
                     }
-                    take(&self.shared, &self.wire, None, snapshot);
+                    take(&self.shared, &self.wire, None, snapshot, began);
                     return Some(position);
                 }
                 Err(e) => {
@@ -171,7 +171,7 @@
                     }
                     after = changes.position();
                     let is_news = !changes.records.is_empty();
-                    take(&self.shared, &self.wire, Some(part), changes);
+                    take(&self.shared, &self.wire, Some(part), changes, began);
                     if is_news {
                         task::sleep(self.gather()).await;
                     }
@@ -255,7 +255,14 @@
     log::warn!("event=store_call_failed call={call} took_ms={took_ms} error=\"{e}\"");
 }
 
-fn take<W: Wire>(shared: &Shared, wire: &W, part: Option<Part>, snapshot: Snapshot) {
+/// Takes in an answer of the store: everything, or the changes of a part. `began` is when it was asked.
+fn take<W: Wire>(
+    shared: &Shared,
+    wire: &W,
+    part: Option<Part>,
+    snapshot: Snapshot,
+    began: Instant,
+) {
     let now = clock::now();
     let read = |document: &[u8]| wire.table(document).map_err(|e| e.0);
     let mut state = shared.lock();
@@ -265,6 +272,12 @@
     }
     if part != Some(Part::Config) {
         state.sources.answered(now);
+        state.hear_versions(now, &snapshot);
+        state.watched_to = Some(snapshot.position());
+        match part {
+            None => state.streams.record_list(began),
+            Some(_) => state.streams.record_changes(began),
+        }
     }
     if state.world.store_found(now) {
         log::info!("event=dependency_regained dependency=store revision={}", snapshot.revision);
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use thiserror::Error;
 
 use crate::audience::Audience;
+use crate::confirm;
 use crate::features::Features;
 use crate::follow;
 use crate::intake::LoadWatch;
@@ -189,6 +190,7 @@
         serve_aside(&cfg, serving, &shared, &door, &peers).await?;
 
         task::spawn(follow::run(store.clone(), wire, shared.clone()));
+        task::spawn(confirm::run(store.clone(), shared.clone()));
         let entry = (cfg.instance.clone(), cfg.zone.clone(), cfg.peers);
         task::spawn(follow::count_instances(store.clone(), shared.clone()));
         task::spawn(rollouts::keep_statuses(store.clone(), shared.clone()));
@@ -312,7 +314,7 @@
             state.choose_source(now);
             state.judge_ends(now);
             state.settle_rollouts(now);
-            state.keep_streams(now);
+            state.sweep_streams(now);
             state.set_shares(now);
             waiting = state.cell.waiting_count();
             let restarted = std::mem::take(&mut state.restarted);
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod source;
 pub mod world;
 
+mod confirm;
 mod follow;
 mod intake;
 mod knowledge;
--- a/oxbowbend-gateway/src/relay/take_up.rs
+++ b/oxbowbend-gateway/src/relay/take_up.rs
@@ -80,35 +80,44 @@
         observe::stream_taken_up(result);
         log::info!(
             "event=stream_taken_up id={} resumes={} after={} service={} software={} known_from={result} \
-             age_ms={}",
+             age_ms={} versions_age_ms={}",
             request.metadata.id,
             request.metadata.resumes.as_deref().unwrap_or("-"),
             request.metadata.after.map_or(-1, |id| id as i64),
             binding.origin.service,
             shown(&binding.origin.version),
-            self.record_age(request).map_or(-1, |age| age.as_millis() as i64)
+            shown_ms(self.record_age(request)),
+            shown_ms(self.versions_age())
         );
         request.service = binding.origin.service.clone();
         request.bound_to = Some(binding.origin);
         Ok(())
     }
 
-    /// Decides from this instance's knowledge, or else from that of its peers. An error tells
-    /// whether more may be known soon.
+    /// Decides from this instance's knowledge, which the store confirms if it rests on having heard of no other version,
+    /// or else from that of its peers. An error tells whether more may be known soon.
     async fn resolve_stream(
         &self,
         request: &AdmittedRequest,
     ) -> Result<Binding, (Unresolved, bool)> {
-        let known = self.knowledge(request);
-        match resolve(&known, &[]) {
-            Err(Unresolved::Unknown) => {}
-            result => return result.map_err(|reason| (reason, false)),
+        let taken_up_at = clock::now();
+        let mut known = self.knowledge(request);
+        let mut binding = resolve(taken_up_at, &known, &[]);
+        let mut is_confirmed = known.only_seen.is_none();
+        if binding == Err(Unresolved::Unknown) && known.sole.is_some() {
+            is_confirmed = self.shared.confirm_versions().await;
+            known = self.knowledge(request);
+            binding = resolve(taken_up_at, &known, &[]);
+        }
+        if binding != Err(Unresolved::Unknown) {
+            return binding.map_err(|reason| (reason, false));
         }
         let key = request.stream_key;
-        let answers = self.shared.ask_for_stream(&self.pool, key, &known.targets).await;
+        let answers =
+            self.shared.ask_for_stream(&self.pool, key, &known.targets, is_confirmed).await;
         // Reports may have arrived meanwhile.
         let known = self.knowledge(request);
-        let binding = resolve(&known, &answers);
+        let binding = resolve(taken_up_at, &known, &answers);
         if let (Ok(Binding { origin, basis: Basis::PeerRecord }), Some(key)) = (&binding, key) {
             self.shared.adopt_stream(key, account(request), origin);
         }
@@ -125,6 +134,10 @@
         self.shared.lock().stream_age(clock::now(), request.stream_key?)
     }
 
+    fn versions_age(&self) -> Option<Duration> {
+        self.shared.lock().versions_age(clock::now())
+    }
+
     /// Returns whether instances that may know more have not answered, or have just started.
     fn is_settling(&self, answers: &[PeerAnswer]) -> bool {
         let (now, state) = (clock::now(), self.shared.lock());
@@ -145,11 +158,17 @@
     request.account.as_deref().unwrap_or_default()
 }
 
+/// Returns a time in milliseconds as logs show it, -1 if there is none.
+fn shown_ms(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| time.as_millis() as i64)
+}
+
 fn basis_name(basis: Basis) -> &'static str {
     match basis {
         Basis::Record => "record",
         Basis::PeerRecord => "peer_record",
         Basis::SoleVersion => "sole_version",
         Basis::PeerSoleVersion => "peer_sole_version",
+        Basis::AllInstances => "all_instances",
     }
 }
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -29,8 +29,10 @@
 use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::subscription::CancelReason;
 
+use crate::confirm::Confirmations;
 use crate::features::Features;
 use crate::quarantine::log_changes;
+use crate::seam::Position;
 use crate::source::Sources;
 use crate::streams::Streams;
 use crate::waiting::Waiting;
@@ -71,6 +73,8 @@
     pub(crate) sources: Sources,
     /// How sure this instance is of what it knows of the store, while it follows it.
     pub(crate) subscriptions: Subscriptions,
+    /// Up to where the store has told this instance the changes of endpoints, while it follows it.
+    pub(crate) watched_to: Option<Position>,
     pub(crate) config_lag: ConfigLag,
     cell_size: usize,
     features: Features,
@@ -280,6 +284,7 @@
 pub(crate) struct Shared {
     state: Arc<Mutex<State>>,
     changed: channel::Sender<()>,
+    pub(crate) confirmations: Confirmations,
     /// Closed once requests can be served.
     loaded: (channel::Sender<()>, channel::Receiver<()>),
     /// Tells that the watch of a part is given up, by part.
@@ -318,6 +323,7 @@
             layout_version: 0,
             sources,
             subscriptions: Subscriptions::default(),
+            watched_to: None,
             config_lag: ConfigLag::default(),
             cell_size,
             features,
@@ -332,7 +338,8 @@
         };
         let state = Arc::new(Mutex::new(state));
         let given_up = [channel::bounded(1), channel::bounded(1)];
-        (Shared { state, changed, loaded: channel::bounded(1), given_up }, rx)
+        let confirmations = Confirmations::default();
+        (Shared { state, changed, confirmations, loaded: channel::bounded(1), given_up }, rx)
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
--- a/oxbowbend-gateway/src/snapshots.rs
+++ b/oxbowbend-gateway/src/snapshots.rs
@@ -179,7 +179,7 @@
         };
         let body = match question {
             Ok(question) if question.method == SNAPSHOT => self.answer_snapshot(question),
-            Ok(question) if question.method == STREAM => self.answer_stream(question),
+            Ok(question) if question.method == STREAM => self.answer_stream(question).await,
             _ => None,
         };
         Response::new(h1::Whole::from(body.unwrap_or_else(|| METHOD_NOT_FOUND.to_vec())))
@@ -194,10 +194,10 @@
         serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
     }
 
-    fn answer_stream(&self, question: Question) -> Option<Vec<u8>> {
+    async fn answer_stream(&self, question: Question) -> Option<Vec<u8>> {
         let id = question.id;
         let question: StreamQuestion = serde_json::from_value(question.params).ok()?;
-        let result = self.shared.lock().answer_for_stream(clock::now(), &question);
+        let result = self.shared.answer_for_stream(&question).await;
         serde_json::to_vec(&Answer { jsonrpc: "2.0".to_owned(), id, result }).ok()
     }
 }
--- a/oxbowbend-gateway/src/streams.rs
+++ b/oxbowbend-gateway/src/streams.rs
@@ -22,8 +22,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::confirm::CONFIRM_TIMEOUT;
 use crate::knowledge::{Answer, Question};
 use crate::observe;
+use crate::seam::{Record, Snapshot};
 use crate::shared::{Shared, State};
 
 /// Method of the question for the version of a stream.
@@ -47,6 +49,9 @@
     key: Option<StreamKey>,
     /// The service to which the request's route leads, if there is only one.
     service: Option<ServiceId>,
+    /// Whether the peer is to ask the store for new versions before it answers.
+    #[serde(default)]
+    must_confirm: bool,
 }
 
 /// What an instance knows of the versions of streams.
@@ -75,6 +80,16 @@
     fn is_mixed(&self, now: Instant, service: &str) -> bool {
         self.history.is_mixed(now, service, self.retention)
     }
+
+    /// Records that the versions of all changes are known that the store made until it was asked.
+    pub(crate) fn record_changes(&mut self, asked_at: Instant) {
+        self.history.record_changes(asked_at);
+    }
+
+    /// Records that the versions of a list of all endpoints are known.
+    pub(crate) fn record_list(&mut self, asked_at: Instant) {
+        self.history.record_list(asked_at);
+    }
 }
 
 /// A short hash, to tell accounts apart.
@@ -88,15 +103,18 @@
         self.streams.history.set_endpoints(now, self.world.endpoints());
     }
 
-    /// Decides what time brings. While the store is away, an endpoint of another version may come
-    /// and go unseen if an instance that this one does not hear sends it streams.
-    pub(crate) fn keep_streams(&mut self, now: Instant) {
-        let is_blind = self.world.is_cut_off() && self.heard(now) + 1 < self.instances;
-        let Streams { registry, history, retention } = &mut self.streams;
-        match is_blind {
-            true => history.interrupt(),
-            false => history.resume(now),
+    /// Takes in the versions of endpoints that the store tells, also of those that have gone by the end of the answer.
+    pub(crate) fn hear_versions(&mut self, now: Instant, told: &Snapshot) {
+        for record in &told.records {
+            if let Record::Endpoint(Endpoint { service, version, .. }) = record {
+                self.streams.history.record_heard(now, service, version);
+            }
         }
+    }
+
+    /// Discards what is too old.
+    pub(crate) fn sweep_streams(&mut self, now: Instant) {
+        let Streams { registry, history, retention } = &mut self.streams;
         registry.sweep(now);
         history.sweep(now, *retention);
     }
@@ -113,7 +131,7 @@
             streams += entry.streams.iter().map(|group| group.streams.len()).sum::<usize>();
         }
         if is_vouched {
-            history.trust_past();
+            history.trust_past(now);
         }
         log::info!("event=streams_restored streams={streams} is_history_complete={is_vouched}");
     }
@@ -149,6 +167,12 @@
         self.streams.registry.age(now, key)
     }
 
+    /// How long ago the store was asked for the last word on versions that this instance has.
+    pub(crate) fn versions_age(&self, now: Instant) -> Option<Duration> {
+        let until = self.streams.history.known_until()?;
+        Some(now.saturating_duration_since(until))
+    }
+
     /// The service to which an endpoint belongs, whatever version is being rolled out.
     fn base_service_of(&self, endpoint: &Endpoint) -> ServiceId {
         let listed = self.world.endpoint(&endpoint.id);
@@ -173,20 +197,31 @@
             None => (None, None),
         };
         let record = key.map_or(Lookup::Unknown, |key| registry.lookup(now, key));
-        LocalKnowledge { targets, record, sole, only_seen }
+        let others = (self.group.cell_count <= 1).then_some(self.instances.saturating_sub(1));
+        LocalKnowledge { targets, record, sole, only_seen, others }
     }
 
-    /// Answers another instance's question for a stream.
-    pub(crate) fn answer_for_stream(&self, now: Instant, question: &StreamQuestion) -> PeerAnswer {
+    /// Answers another instance's question for a stream that arrived at `asked_at`.
+    fn answer_for_stream(&self, asked_at: Instant, question: &StreamQuestion) -> PeerAnswer {
         let Streams { registry, history, retention } = &self.streams;
-        let service = question.service.as_deref();
+        let (now, service) = (clock::now(), question.service.as_deref());
+        let sole = service.and_then(|service| history.sole_version(now, service, *retention));
+        let confirmed = sole.filter(|sole| sole.until >= asked_at).map(|sole| sole.version);
         PeerAnswer {
             record: question.key.map_or(Lookup::Unknown, |key| registry.lookup(now, key)),
-            sole: service.and_then(|service| history.sole_version(now, service, *retention)),
+            confirmed,
+            only_seen: service.and_then(|service| history.only_seen(now, service, *retention)),
             is_mixed: service.is_some_and(|service| self.streams.is_mixed(now, service)),
+            is_whole: true,
         }
     }
 
+    /// Whether the store's confirmation could make a difference to what this instance knows.
+    pub(crate) fn may_confirm(&self, now: Instant, service: &ServiceId) -> bool {
+        let Streams { history, retention, .. } = &self.streams;
+        history.sole_version(now, service, *retention).is_some()
+    }
+
     /// The name under which a request that needs a version waits for a slot, if the cell has an
     /// endpoint of that version.
     pub(crate) fn service_of_version(&self, origin: &StreamOrigin) -> Option<ServiceId> {
@@ -223,10 +258,10 @@
 
     /// Addresses of instances that may know a stream: those of the cell, or some of them if they
     /// have told this one, and one of each other cell.
-    fn addresses_to_ask(&self, now: Instant) -> BTreeSet<SocketAddr> {
-        let is_new = self.is_younger_than(now, self.streams.retention);
+    fn addresses_to_ask(&self, now: Instant, is_told: bool) -> BTreeSet<SocketAddr> {
+        let is_told = is_told && !self.is_younger_than(now, self.streams.retention);
         let near = self.cell.live_reports(now).filter_map(|report| report.address);
-        let count = if is_new { usize::MAX } else { PEERS_ASKED };
+        let count = if is_told { PEERS_ASKED } else { usize::MAX };
         let mut addresses: BTreeSet<_> =
             near.choose_multiple(&mut rand::rng(), count.min(self.instances)).into_iter().collect();
         addresses.extend(self.cell.remote_reports(now).filter_map(|report| report.address));
@@ -266,19 +301,33 @@
         self.lock().streams.registry.record_ended(clock::now(), key);
     }
 
-    /// Asks peers for a stream, until one has a record of it or all have answered.
+    /// Answers a peer's question for a stream, which the store confirms first if the peer needs that.
+    pub(crate) async fn answer_for_stream(&self, question: &StreamQuestion) -> PeerAnswer {
+        let asked_at = clock::now();
+        let is_needed = |service| self.lock().may_confirm(asked_at, service);
+        if question.must_confirm && question.service.as_ref().is_some_and(is_needed) {
+            self.confirm_versions().await;
+        }
+        self.lock().answer_for_stream(asked_at, question)
+    }
+
+    /// Asks peers for a stream, until one has a record of it or all have answered. Where the store has not told this
+    /// instance what is new, all of the cell are asked, and they ask the store first.
     pub(crate) async fn ask_for_stream(
         &self,
         pool: &h1::Pool,
         key: Option<StreamKey>,
         targets: &[ServiceId],
+        is_confirmed: bool,
     ) -> Vec<PeerAnswer> {
-        let addresses = self.lock().addresses_to_ask(clock::now());
-        let question = StreamQuestion { key, service: sole_target(targets) };
+        let addresses = self.lock().addresses_to_ask(clock::now(), is_confirmed);
+        let must_confirm = !is_confirmed;
+        let question = StreamQuestion { key, service: sole_target(targets), must_confirm };
+        let limit = if is_confirmed { ASK_TIMEOUT } else { ASK_TIMEOUT + CONFIRM_TIMEOUT };
         // A question whose answer is not waited for keeps its connection.
         let mut pending: FuturesUnordered<_> = addresses
             .into_iter()
-            .map(|address| task::spawn(ask(pool.clone(), address, question.clone())))
+            .map(|address| task::spawn(ask(pool.clone(), address, question.clone(), limit)))
             .collect();
         let mut answers = Vec::new();
         let collect = async {
@@ -291,7 +340,7 @@
             }
         };
         // Those that have not answered in time count as not knowing.
-        let _ = future::timeout(ASK_TIMEOUT, collect).await;
+        let _ = future::timeout(limit, collect).await;
         observe::stream_asked(answers.len());
         answers
     }
@@ -306,12 +355,17 @@
     }
 }
 
-async fn ask(pool: h1::Pool, address: SocketAddr, params: StreamQuestion) -> Option<PeerAnswer> {
+async fn ask(
+    pool: h1::Pool,
+    address: SocketAddr,
+    params: StreamQuestion,
+    limit: Duration,
+) -> Option<PeerAnswer> {
     let (jsonrpc, method) = ("2.0".to_owned(), STREAM.to_owned());
     let params = serde_json::to_value(params).ok()?;
     let body = serde_json::to_vec(&Question { jsonrpc, id: 1, method, params }).ok()?;
     let req = Request::post("/").header("host", address.to_string()).body(Bytes::from(body));
-    match pool.call(address, req.ok()?, ASK_TIMEOUT).await {
+    match pool.call(address, req.ok()?, limit).await {
         // An instance of an older version answers with an error.
         Ok(answer) => serde_json::from_slice::<Answer<PeerAnswer>>(answer.body())
             .ok()
