A stream whose event ids repeat or go back does not go on at its endpoint

Callers saw: events twice or going back, in answers of status 200 that ended as complete, wherever an endpoint ignored Last-Event-Id on a resumption within an answer or on a client's take-up, wrote an event twice, or went back.

Cause: the relay kept the id of the last whole event to resume after it, but compared it with nothing. Streams that may not be resumed were passed on byte by byte and not looked at.

Why it works: ids of a stream of events grow, so an event at or below the last one, or at or below the one that the client has, cannot be the next. Splitting moved to core, where every case is played with all three line ends and all sizes of pieces. Whole events before it are passed on; the rest goes on at another endpoint after the last good one, if the route and the retry budget allow, else the connection breaks without an end. The endpoint has failed that request. It is not looked at as one that crashed, nor is the path suspected: its connection is sound. Streams that may not be resumed are split like others, so of an event that turns out to be wrong nothing has gone out, and the bound of 1 MiB an event holds for them too.

The table of last ids moved to the splitter, which replaces the function that it tested, with five cases more.

--- a/oxbowbend-core/src/event_stream.rs
+++ b/oxbowbend-core/src/event_stream.rs
@@ -4,6 +4,13 @@
 //! else was interrupted, whatever the transport says of its end, so a relay must know whether the
 //! bytes that it has passed on end inside an event. Lines that begin with a colon are comments and
 //! belong to no event.
+//!
+//! The ids of events grow within a stream. An answer that repeats an event or goes back is not passed
+//! on from there: its client could not tell it from a sound one.
+
+use std::mem;
+
+use thiserror::Error;
 
 /// The current line so far.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -72,18 +79,162 @@
     }
 }
 
-/// Returns the last id in a piece that holds whole events.
+/// An event whose id is not greater than one that came before it: it is repeated, or the stream went back.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("event {id} after event {last_id}")]
+pub struct OutOfOrder {
+    /// The id of the event.
+    pub id: u64,
+    /// The id of the last event before it, which the client may have from another answer.
+    pub last_id: u64,
+}
+
+/// What a piece of a stream completes.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Split {
+    /// Whole events in order, which may be passed on; empty if there is none.
+    pub complete: Vec<u8>,
+    /// Why the event after these may not be passed on, nor anything that follows it.
+    pub out_of_order: Option<OutOfOrder>,
+}
+
+/// Splits a stream that arrives in pieces into whole events, and finds those that are out of order.
+///
+/// An endpoint may fail in the middle of an event, or write events that the client already has.
+/// Only whole events in order are passed on, so that another endpoint can continue after the last
+/// one. Ids need not be consecutive: what lies between two ids is not known here. Events without an
+/// id, or with one that is not a number, have no place in the order.
+///
+/// # Examples
 ///
 /// ```
-/// use oxbowbend_core::event_stream::last_id;
-/// assert_eq!(last_id(b"id: 3\r\ndata: a\r\n\r\nid:4\r\rdata: b\r\r"), Some(4));
-/// assert_eq!(last_id(b"data: id: 3\n\n"), None);
+/// use oxbowbend_core::event_stream::{EventSplitter, OutOfOrder};
+///
+/// let mut splitter = EventSplitter::resume_after(Some(4));
+/// assert_eq!(splitter.push(b"id: 5\ndata: a\n").complete, b"");
+/// let split = splitter.push(b"\nid: 5\ndata: a\n\n");
+/// assert_eq!(split.complete, b"id: 5\ndata: a\n\n");
+/// assert_eq!(split.out_of_order, Some(OutOfOrder { id: 5, last_id: 5 }));
 /// ```
-pub fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
-    let id = |line: &[u8]| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    };
-    lines.rev().find_map(id)
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    scanner: BoundaryScanner,
+    /// The beginning of an event that is not complete.
+    partial: Vec<u8>,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Creates a splitter for a stream that continues after the event `last_id`.
+    pub fn resume_after(last_id: Option<u64>) -> EventSplitter {
+        EventSplitter { last_id, ..EventSplitter::default() }
+    }
+
+    /// Returns the id of the last event that may be passed on.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Appends a piece and returns the events that are now complete.
+    pub fn push(&mut self, piece: &[u8]) -> Split {
+        let boundary = self.scanner.scan(piece).map(|at| self.partial.len() + at);
+        self.partial.extend_from_slice(piece);
+        let Some(boundary) = boundary else { return Split::default() };
+        let rest = self.partial.split_off(boundary);
+        let mut complete = mem::replace(&mut self.partial, rest);
+        let Err((at, out_of_order)) = self.check_order(&complete) else {
+            return Split { complete, out_of_order: None };
+        };
+        complete.truncate(at);
+        Split { complete, out_of_order: Some(out_of_order) }
+    }
+
+    /// Returns where the first event begins that is out of order, if one is.
+    fn check_order(&mut self, events: &[u8]) -> Result<(), (usize, OutOfOrder)> {
+        for event in (Events { bytes: events, at: 0 }) {
+            match (event.id, self.last_id) {
+                (Some(id), Some(last_id)) if id <= last_id => {
+                    if event.has_data {
+                        return Err((event.begin, OutOfOrder { id, last_id }));
+                    }
+                }
+                (Some(id), _) => self.last_id = Some(id),
+                (None, _) => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the number of bytes of the incomplete event that are kept.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.scanner.is_inside_event()
+    }
+
+    /// Discards an incomplete event.
+    pub fn discard_partial(&mut self) {
+        self.partial.clear();
+        self.scanner = BoundaryScanner::default();
+    }
+}
+
+/// An event, or comments between two of them.
+struct Event {
+    /// Its first byte.
+    begin: usize,
+    id: Option<u64>,
+    /// Whether clients are given it: without data it only sets their last id.
+    has_data: bool,
+}
+
+/// The events of bytes that hold only whole ones.
+struct Events<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Events<'a> {
+    /// Returns the next line without its end.
+    fn line(&mut self) -> Option<&'a [u8]> {
+        let rest = self.bytes.get(self.at..).filter(|rest| !rest.is_empty())?;
+        let len = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r')).unwrap_or(rest.len());
+        let end = if rest[len..].starts_with(b"\r\n") { 2 } else { 1 };
+        self.at += len + end;
+        Some(&rest[..len])
+    }
+}
+
+impl Iterator for Events<'_> {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        let mut event = Event { begin: self.at, id: None, has_data: false };
+        while let Some(line) = self.line() {
+            match (line, value(line, b"id")) {
+                (b"", _) => return Some(event),
+                (_, Some(id)) => event.id = number(id),
+                (line, None) => event.has_data |= value(line, b"data").is_some(),
+            }
+        }
+        None
+    }
+}
+
+/// Returns the value of the field `name`, if the line is of that field.
+fn value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    match line.strip_prefix(name)? {
+        b"" => Some(b""),
+        rest => rest.strip_prefix(b":"),
+    }
+}
+
+/// Returns an id that is a decimal number.
+fn number(id: &[u8]) -> Option<u64> {
+    let id = std::str::from_utf8(id).ok()?.trim();
+    let is_decimal = id.bytes().all(|byte| byte.is_ascii_digit());
+    id.parse().ok().filter(|_| is_decimal)
 }
--- a/oxbowbend-core/tests/event_stream.rs
+++ b/oxbowbend-core/tests/event_stream.rs
@@ -1,6 +1,6 @@
-//! Boundaries of events, for every way in which lines may end and bytes may be cut into pieces.
+//! Boundaries and order of events, for every way in which lines may end and bytes may be cut into pieces.
 
-use oxbowbend_core::event_stream::{self, BoundaryScanner};
+use oxbowbend_core::event_stream::{BoundaryScanner, EventSplitter, OutOfOrder};
 
 #[test]
 fn an_event_ends_with_an_empty_line_however_lines_end() {
@@ -62,10 +62,100 @@
         ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Some(2)),
         ("id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", Some(2)),
         ("id:1\rdata: a\r\r", Some(1)),
+        ("data: a\nid: 1\n\n", Some(1)),
+        ("id: 3\r\ndata: a\r\n\r\nid:4\r\rdata: b\r\r", Some(4)),
+        ("id: 1\ndata: a\n\n: alive\n", Some(1)),
         ("id: x\ndata: a\n\n", None),
+        ("id: +4\ndata: a\n\n", None),
         ("data: id: 4\n\n", None),
+        ("ids: 4\n\n", None),
         ("", None),
     ] {
-        assert_eq!(event_stream::last_id(events.as_bytes()), id, "{events:?}");
+        let mut splitter = EventSplitter::default();
+        splitter.push(events.as_bytes());
+        assert_eq!(splitter.last_id(), id, "{events:?}");
     }
 }
+
+/// What is passed on of `stream`, which arrives in pieces of `size` bytes, until an event is out of order.
+fn passed_on(stream: &str, after: Option<u64>, size: usize) -> (Vec<u8>, Option<OutOfOrder>) {
+    let (mut splitter, mut passed) = (EventSplitter::resume_after(after), Vec::new());
+    for piece in stream.as_bytes().chunks(size) {
+        let split = splitter.push(piece);
+        passed.extend(split.complete);
+        if split.out_of_order.is_some() {
+            return (passed, split.out_of_order);
+        }
+    }
+    (passed, None)
+}
+
+/// Callers were given events twice, or went back, where an endpoint wrote them so. Each stream is one event a letter, and
+/// none but the first, if any, that is out of order is the end of what is passed on.
+#[test]
+fn an_event_that_repeats_or_goes_back_is_not_passed_on() {
+    let event = |id: &str| match id {
+        "-" => "data: no id\n\n".to_owned(),
+        "#" => "event: ping\n\n".to_owned(),
+        ":" => ": alive\n\n".to_owned(),
+        _ if id.starts_with('=') => format!("id: {}\n\n", &id[1..]),
+        _ if id.starts_with('/') => format!("data: a\ndata: b\nid: {}\n\n", &id[1..]),
+        _ => format!("id: {id}\nevent: e\ndata: of {id}\n\n"),
+    };
+    let out = |id, last_id| Some(OutOfOrder { id, last_id });
+    // Ids of the events, the last that the client has, how many are passed on, and what ends them.
+    let cases: [(&str, Option<u64>, usize, Option<OutOfOrder>); 20] = [
+        ("1 2 3", None, 3, None),
+        ("1 2 2 3", None, 2, out(2, 2)),
+        ("1 2 3 2 3 4", None, 3, out(2, 3)),
+        ("1 2 1", None, 2, out(1, 2)),
+        ("0 1", None, 2, None),
+        ("0 0", None, 1, out(0, 0)),
+        // After a resumption or a take-up.
+        ("6 7", Some(5), 2, None),
+        ("5 6", Some(5), 0, out(5, 5)),
+        ("1 2 3", Some(5), 0, out(1, 5)),
+        ("1 2", Some(0), 2, None),
+        // Gaps are not judged.
+        ("1 5 9", None, 3, None),
+        ("9 12", Some(5), 2, None),
+        // Events without an id have no place in the order, nor have comments.
+        ("- 1 - : 2 -", None, 6, None),
+        ("1 - 1", None, 2, out(1, 1)),
+        ("x 1 x", None, 3, None),
+        ("7 99999999999999999999 8", None, 3, None),
+        // Without data there is no event that a client could get twice.
+        ("1 =1 # 2", None, 4, None),
+        ("1 =3 2", None, 2, out(2, 3)),
+        // An id may stand at the end of its event.
+        ("/1 /2 /2", None, 2, out(2, 2)),
+        ("10 9", None, 1, out(9, 10)),
+    ];
+    for (ids, after, passed, out_of_order) in cases {
+        let events: Vec<String> = ids.split(' ').map(event).collect();
+        for end in ["\n", "\r\n", "\r"] {
+            let stream = events.concat().replace('\n', end);
+            let expected = events[..passed].concat().replace('\n', end);
+            for size in 1..=stream.len() {
+                let (seen, why) = passed_on(&stream, after, size);
+                let about = format!("{ids} after {after:?}, {end:?}, pieces of {size}");
+                assert_eq!(why, out_of_order, "{about}");
+                // The LF of the CR LF that ends an event may come with the next piece.
+                let seen = String::from_utf8(seen).unwrap();
+                assert_eq!(seen.trim_end(), expected.trim_end(), "{about}");
+            }
+        }
+    }
+}
+
+/// A stream that goes on at another endpoint begins with a whole event.
+#[test]
+fn an_incomplete_event_is_discarded_before_another_endpoint_goes_on() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").complete, b"id: 1\ndata: a\n\n");
+    assert!(splitter.is_inside_event() && splitter.partial_len() == 8);
+    splitter.discard_partial();
+    assert!(!splitter.is_inside_event() && splitter.partial_len() == 0);
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n").complete, b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.last_id(), Some(2));
+}
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -15,6 +15,7 @@
 use hyper::body::{Frame, Incoming};
 use oxbowbend_http::h1;
 
+use crate::event_order::Disorder;
 use crate::exchanges::{Exchanges, Says};
 use crate::room::{self, Place, Room};
 
@@ -64,6 +65,8 @@
     PlainCut,
     /// Ends the lines of its streams with CR LF.
     CrLf,
+    /// Writes the events of its streams out of order.
+    OutOfOrder(Disorder),
     /// Runs requests and answers nothing.
     Hanging,
 }
@@ -328,6 +331,14 @@
         }
     }
 
+    /// The numbers of its events, by piece.
+    fn pieces(&self) -> Vec<Vec<u64>> {
+        match self.mode {
+            Mode::OutOfOrder(disorder) => disorder.pieces(self.after, self.length()),
+            _ => (self.after + 1..=self.length()).map(|n| vec![n]).collect(),
+        }
+    }
+
     fn event(&self, n: u64) -> String {
         let (id, by) = (&self.id, self.software.map_or_else(String::new, |s| format!(" {s}")));
         let event = format!("id: {n}\ndata: {id}{by}\n\n");
@@ -344,24 +355,22 @@
     runs: Runs,
     place: Place,
 ) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
-    let (mode, after, all, run) = (run.mode, run.after, run.length(), Arc::new(run));
+    let (mode, pieces, run) = (run.mode, Arc::new(run.pieces()), Arc::new(run));
     Box::pin(
-        stream::unfold(after + 1, move |n| {
-            let (run, runs) = (run.clone(), runs.clone());
+        stream::unfold(0, move |at| {
+            let (run, runs, pieces) = (run.clone(), runs.clone(), pieces.clone());
             // The place is in use until the stream ends or is dropped.
             let _ = &place;
             async move {
-                if n > all {
-                    return None;
-                }
+                let piece = pieces.get(at)?;
                 task::sleep(PAUSE).await;
-                runs.lock().unwrap().made.insert(run.id.clone(), n);
-                let event = run.event(n);
-                if let (Some(at), true) = (mode.cut(), n == EVENTS / 2) {
-                    let half = Bytes::copy_from_slice(&event.as_bytes()[..at]);
-                    return Some((Ok(Frame::data(half)), all + 1));
+                runs.lock().unwrap().made.insert(run.id.clone(), *piece.last()?);
+                let events: String = piece.iter().map(|n| run.event(*n)).collect();
+                if let (Some(cut), true) = (mode.cut(), piece.contains(&(EVENTS / 2))) {
+                    let half = Bytes::copy_from_slice(&events.as_bytes()[..cut]);
+                    return Some((Ok(Frame::data(half)), pieces.len()));
                 }
-                Some((Ok(Frame::data(Bytes::from(event))), n + 1))
+                Some((Ok(Frame::data(Bytes::from(events))), at + 1))
             }
         })
         .map_cut(mode),
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod endless;
 mod endpoint;
 mod ends;
+mod event_order;
 mod exchanges;
 mod extra;
 mod faults;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -184,6 +184,11 @@
     counter!("oxbow_foreign_responses_total").increment(1);
 }
 
+/// Counts a stream whose endpoint repeated events or went back.
+pub(crate) fn stream_out_of_order() {
+    counter!("oxbow_streams_out_of_order_total").increment(1);
+}
+
 /// Records what came of offering a request to an instance of another cell with free slots.
 pub(crate) fn overflow_offered(result: &'static str) {
     counter!("oxbow_overflow_offers_total", "result" => result).increment(1);
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -7,7 +7,6 @@
 mod admit;
 mod attempt;
 mod busy;
-mod events;
 mod handover;
 mod handover_receiver;
 mod lease;
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::Outcome;
+use oxbowbend_core::event_stream::{EventSplitter, OutOfOrder};
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::routes::Endpoint;
@@ -18,11 +19,11 @@
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt};
-use super::events::EventSplitter;
 use super::request::AdmittedRequest;
 use super::run::{with_source, AttemptError, AttemptResponse, MAX_RESPONSE};
 use super::take_up::account;
 use super::{time_until, AttemptHistory, Relay, MAX_UNEXECUTED_ATTEMPTS};
+use crate::observe;
 use crate::seam::Wire;
 use crate::streams::shown;
 
@@ -30,7 +31,7 @@
 /// to write. Waiting for the end would leave parts without an answer while endpoints crash often.
 const WRITTEN_AFTER: Duration = Duration::from_millis(300);
 
-/// Bytes of an incomplete event that are kept.
+/// Bytes of an incomplete event that are kept. Only whole events are passed on.
 const MAX_EVENT: usize = 1 << 20;
 
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
@@ -65,15 +66,34 @@
 enum StreamItem {
     Data(Bytes),
     End,
-    Interrupted(String),
+    Interrupted(Interruption),
     DeadlineExceeded,
 }
 
+/// Why a stream cannot go on at its endpoint.
+#[derive(Debug, Error)]
+enum Interruption {
+    /// The connection failed, or the response ended where it is not complete or did not end.
+    #[error("{0}")]
+    Broken(String),
+    /// The connection is sound, but the endpoint repeats events or goes back.
+    #[error("{0}")]
+    OutOfOrder(OutOfOrder),
+}
+
+impl Interruption {
+    fn broken(reason: &str) -> Interruption {
+        Interruption::Broken(reason.to_owned())
+    }
+}
+
 struct StreamRelay<W> {
     relay: Relay<W>,
     request: Arc<AdmittedRequest>,
     stream: Option<Box<EndpointStream>>,
     events: EventSplitter,
+    /// The event that follows what was passed on, if it may not be.
+    out_of_order: Option<OutOfOrder>,
     excluded_endpoints: Vec<EndpointId>,
     send_count: u32,
     bytes_sent: usize,
@@ -95,6 +115,7 @@
         events: EventSplitter::resume_after(request.metadata.after),
         request,
         stream: Some(stream),
+        out_of_order: None,
         excluded_endpoints: Vec::new(),
         send_count: 1,
         bytes_sent: 0,
@@ -114,8 +135,10 @@
 impl<W: Wire> StreamRelay<W> {
     async fn next(&mut self) -> Option<Result<Bytes, StreamInterrupted>> {
         loop {
-            let stream = self.stream.as_mut()?;
-            let item = receive_item(stream, &self.request).await;
+            let item = match self.out_of_order.take() {
+                Some(event) => StreamItem::Interrupted(Interruption::OutOfOrder(event)),
+                None => receive_item(self.stream.as_mut()?, &self.request).await,
+            };
             match self.check_end(item) {
                 StreamItem::Data(data) => {
                     let data = self.split(data);
@@ -133,7 +156,7 @@
                     self.finish();
                     return None;
                 }
-                StreamItem::Interrupted(reason) => match self.resume(reason).await {
+                StreamItem::Interrupted(why) => match self.resume(why).await {
                     true => continue,
                     false => return Some(Err(StreamInterrupted)),
                 },
@@ -145,13 +168,15 @@
         }
     }
 
-    /// Returns what may be passed on: whole events, if another endpoint may have to continue.
+    /// Returns what may be passed on: of events only whole ones in order, since the client could not tell
+    /// a repeated event from the next one and another endpoint may have to continue.
     fn split(&mut self, data: Bytes) -> Bytes {
-        if self.is_resumable() {
-            return self.events.push(&data);
+        if !self.has_events() {
+            return data;
         }
-        self.events.observe(&data);
-        data
+        let split = self.events.push(&data);
+        self.out_of_order = split.out_of_order;
+        split.complete.into()
     }
 
     /// Whether an event, or a body without events, goes on beyond its bound with `data`.
@@ -167,10 +192,10 @@
     fn check_end(&self, item: StreamItem) -> StreamItem {
         match item {
             StreamItem::End if self.has_events() && self.events.is_inside_event() => {
-                StreamItem::Interrupted("ended inside an event".to_owned())
+                StreamItem::Interrupted(Interruption::broken("ended inside an event"))
             }
             StreamItem::Data(data) if self.is_too_long(&data) => {
-                StreamItem::Interrupted("no end within the bound".to_owned())
+                StreamItem::Interrupted(Interruption::broken("no end within the bound"))
             }
             item => item,
         }
@@ -233,26 +258,48 @@
         self.request.bound_to.clone().or_else(|| has_begun.then(here))
     }
 
+    /// Logs and counts a stream whose endpoint repeats events or goes back.
+    fn record_out_of_order(&self, endpoint: &Endpoint, event: OutOfOrder) {
+        observe::stream_out_of_order();
+        log::warn!(
+            "event=stream_out_of_order id={} endpoint={} software={} event_id={} last_event={} client_had={} \
+             is_resumable={}",
+            self.request.metadata.id,
+            endpoint.id,
+            shown(&endpoint.version),
+            event.id,
+            event.last_id,
+            self.request.metadata.after.map_or(-1, |id| id as i64),
+            self.is_resumable()
+        );
+    }
+
+    /// Ends an attempt at an endpoint that cannot go on. Returns whether this instance has lost its path
+    /// to the endpoints, which says nothing against this one.
+    async fn end_attempt(&mut self, endpoint: &Endpoint, why: &Interruption) -> bool {
+        if let Interruption::OutOfOrder(event) = why {
+            self.record_out_of_order(endpoint, *event);
+            self.abandon_attempt(&why.to_string(), Outcome::Bad);
+            return false;
+        }
+        let (shared, pool) = (&self.relay.shared, &self.relay.pool);
+        let service = &self.request.service;
+        let is_path_lost = shared.is_path_lost(pool, service, endpoint, PathFailure::Broken).await;
+        let outcome = if is_path_lost { Outcome::Neutral } else { Outcome::Bad };
+        self.abandon_attempt(&why.to_string(), outcome);
+        self.relay.check_for_crash(&self.request, endpoint, false).await;
+        is_path_lost
+    }
+
     /// Resumes an interrupted stream at another endpoint if the route and the retry budget allow it.
-    async fn resume(&mut self, reason: String) -> bool {
-        let endpoint = self.stream.as_ref().map(|s| s.attempt.endpoint.clone());
-        let bound_to = endpoint.as_ref().and_then(|endpoint| self.bound_to(endpoint));
-        let software_before = endpoint.as_ref().map_or_else(|| "".into(), |e| e.version.clone());
-        let is_resumable = self.is_resumable();
-        let is_path_lost = match &endpoint {
-            Some(endpoint) => {
-                let (shared, pool) = (&self.relay.shared, &self.relay.pool);
-                let service = &self.request.service;
-                shared.is_path_lost(pool, service, endpoint, PathFailure::Broken).await
-            }
-            None => false,
+    async fn resume(&mut self, why: Interruption) -> bool {
+        let Some(endpoint) = self.stream.as_ref().map(|s| s.attempt.endpoint.clone()) else {
+            return false;
         };
-        let outcome = if is_path_lost { Outcome::Neutral } else { Outcome::Bad };
-        self.abandon_attempt(&reason, outcome);
-        if let Some(endpoint) = endpoint {
-            self.relay.check_for_crash(&self.request, &endpoint, false).await;
-        }
-        if is_path_lost {
+        let bound_to = self.bound_to(&endpoint);
+        let software_before = endpoint.version.clone();
+        let is_resumable = self.is_resumable();
+        if self.end_attempt(&endpoint, &why).await {
             // The client resumes it through an instance that reaches endpoints.
             return false;
         }
@@ -313,6 +360,6 @@
             stream.attempt.record_event();
             StreamItem::Data(frame.into_data().unwrap_or_default())
         }
-        Ok(Some(Err(e))) => StreamItem::Interrupted(with_source(&e)),
+        Ok(Some(Err(e))) => StreamItem::Interrupted(Interruption::Broken(with_source(&e))),
     }
 }
