A stream whose events have no ids is not resumed from its beginning

Callers saw: on routes that may be resumed, a stream of events without ids, or with ids that are no numbers, that broke off after some events came from its first event again, up to twice, and ended as complete.

Cause: without an id the relay resumed after nothing, which asks the next endpoint for the whole stream, although events had been passed on.

Why it works: a stream is resumed only before its first event or after one with an id, which names the place. An event without an id after one that has one does not hinder it: by the format such an event comes again after that id.

--- a/oxbowbend-core/src/event_stream.rs
+++ b/oxbowbend-core/src/event_stream.rs
@@ -122,6 +122,9 @@
     /// The beginning of an event that is not complete.
     partial: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether an event was passed on, and whether any had an id.
+    has_events: bool,
+    has_ids: bool,
 }
 
 impl EventSplitter {
@@ -135,6 +138,12 @@
         self.last_id
     }
 
+    /// Returns whether another endpoint can be told where to continue: it would begin anew after events of
+    /// which none has an id.
+    pub fn can_resume(&self) -> bool {
+        self.has_ids || !self.has_events
+    }
+
     /// Appends a piece and returns the events that are now complete.
     pub fn push(&mut self, piece: &[u8]) -> Split {
         let boundary = self.scanner.scan(piece).map(|at| self.partial.len() + at);
@@ -158,9 +167,10 @@
                         return Err((event.begin, OutOfOrder { id, last_id }));
                     }
                 }
-                (Some(id), _) => self.last_id = Some(id),
+                (Some(id), _) => (self.last_id, self.has_ids) = (Some(id), true),
                 (None, _) => {}
             }
+            self.has_events |= event.has_data;
         }
         Ok(())
     }
--- a/oxbowbend-core/tests/event_stream.rs
+++ b/oxbowbend-core/tests/event_stream.rs
@@ -148,6 +148,28 @@
     }
 }
 
+/// Callers were given a stream without ids from its beginning again when it broke off.
+#[test]
+fn a_stream_can_be_resumed_only_before_its_first_event_or_after_an_id() {
+    for (events, after, can_resume) in [
+        ("", None, true),
+        ("data: a\n", None, true),
+        (": alive\n\nretry: 100\n\n", None, true),
+        ("data: a\n\n", None, false),
+        ("data: a\n\n", Some(5), false),
+        ("id: x\ndata: a\n\n", None, false),
+        ("data: a\n\nid: 1\ndata: b\n", None, false),
+        ("data: a\n\nid: 1\ndata: b\n\n", None, true),
+        ("id: 1\ndata: a\n\ndata: b\n\n", None, true),
+        ("id: 5\ndata: a\n\n", Some(5), true),
+        ("id: 6\ndata: a\n\n", Some(5), true),
+    ] {
+        let mut splitter = EventSplitter::resume_after(after);
+        splitter.push(events.as_bytes());
+        assert_eq!(splitter.can_resume(), can_resume, "{events:?} after {after:?}");
+    }
+}
+
 /// A stream that goes on at another endpoint begins with a whole event.
 #[test]
 fn an_incomplete_event_is_discarded_before_another_endpoint_goes_on() {
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -67,6 +67,10 @@
     CrLf,
     /// Writes the events of its streams out of order.
     OutOfOrder(Disorder),
+    /// Writes events without ids, and breaks streams off in the middle of one.
+    CuttingWithoutIds,
+    /// Writes events without ids.
+    WithoutIds,
     /// Runs requests and answers nothing.
     Hanging,
 }
@@ -75,7 +79,9 @@
     /// Bytes of an event after which a stream breaks off.
     fn cut(self) -> Option<usize> {
         match self {
-            Mode::Cutting | Mode::EndingInside | Mode::PlainCut => Some(8),
+            Mode::Cutting | Mode::CuttingWithoutIds | Mode::EndingInside | Mode::PlainCut => {
+                Some(8)
+            }
             Mode::CuttingAt(at) => Some(at),
             _ => None,
         }
@@ -342,10 +348,10 @@
     fn event(&self, n: u64) -> String {
         let (id, by) = (&self.id, self.software.map_or_else(String::new, |s| format!(" {s}")));
         let event = format!("id: {n}\ndata: {id}{by}\n\n");
-        if self.mode == Mode::CrLf {
-            event.replace('\n', "\r\n")
-        } else {
-            event
+        match self.mode {
+            Mode::CrLf => event.replace('\n', "\r\n"),
+            Mode::CuttingWithoutIds | Mode::WithoutIds => format!("data: {n}\n\n"),
+            _ => event,
         }
     }
 }
--- a/oxbowbend-daemon/tests/soak/event_order.rs
+++ b/oxbowbend-daemon/tests/soak/event_order.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use rustix::process::Signal;
 
+use crate::caller::Seen;
 use crate::endpoint::{Mode, EVENTS};
 use crate::fleet::{Fleet, DAEMONS, ENDPOINTS};
 use crate::press::{play_in_turn, press, unserved};
@@ -15,6 +16,7 @@
 const WITHIN: [u64; 2] = [65, 66];
 const RESUMED: [u64; 2] = [67, 68];
 const TAKEN_UP: [u64; 2] = [69, 70];
+const WITHOUT_IDS: [u64; 2] = [71, 72];
 /// Events that some endpoints write at once.
 const PIECE: usize = 4;
 /// Time for which requests are sent.
@@ -132,6 +134,36 @@
     broken.into_iter().map(|b| format!("seed {seed}: {b}")).collect()
 }
 
+/// Events have no ids, and some endpoints break streams off.
+async fn without_ids(seed: u64) -> Vec<String> {
+    let fleet = Fleet::start(seed).await;
+    assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_mode(Mode::WithoutIds));
+    [0, 3].into_iter().for_each(|n| fleet.endpoints[n].set_mode(Mode::CuttingWithoutIds));
+    let seen = press(&fleet, "without-ids", LENGTH * 2).await;
+    let whole: String = (1..=EVENTS).map(|n| format!("data: {n}\n\n")).collect();
+    let streams = seen.iter().filter(|seen| seen.kind.starts_with("stream"));
+    let streams: Vec<_> = streams.filter(|seen| seen.status == Some(200)).collect();
+    let cut = streams.iter().filter(|seen| !seen.is_whole).count();
+    let is_right = |seen: &Seen| match seen.is_whole {
+        true => seen.body == whole.as_bytes(),
+        false => whole.as_bytes().starts_with(&seen.body),
+    };
+    let wrong = streams.iter().filter(|seen| !is_right(seen));
+    let mut broken: Vec<_> = wrong.map(|seen| format!("seed {seed}: {seen:?}")).collect();
+    println!("seed {seed}: {cut} of {} streams broken off, {} wrong", streams.len(), broken.len());
+    if cut == 0 {
+        broken.push(format!("seed {seed}: no stream was seen to break off"));
+    }
+    broken
+}
+
+#[test]
+fn a_stream_without_ids_that_breaks_off_does_not_begin_anew() {
+    let broken = play_in_turn(WITHOUT_IDS.into_iter().map(without_ids));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 #[test]
 fn an_event_that_its_endpoint_repeats_or_goes_back_to_reaches_no_caller() {
     let broken = play_in_turn(WITHIN.into_iter().map(within));
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -204,7 +204,7 @@
     /// Returns whether another endpoint may continue the stream, which only events allow: the rest
     /// of any other body could not be told from its beginning.
     fn is_resumable(&self) -> bool {
-        self.request.route.resumable && self.has_events()
+        self.request.route.resumable && self.has_events() && self.events.can_resume()
     }
 
     fn has_events(&self) -> bool {
