Reports: an instance that is heard again is sent all counters

What callers saw. Of an account whose quota the others had used up, an instance that went on after a suspension of 1.6 s ran 265 and 272 requests more, although it waited for the others' reports: beyond 613 of 619 that instances let in.

A heartbeat holds only counters that have changed since the last one; all are told each eighth beat, 1.04 s apart. Reports that do not fit the socket of a suspended instance are lost, and an account that had used up its quota by then changes no more. Taking the silence of its counters for "nothing was used" is a conclusion from what was not heard.

Why it works. The others notice the same silence: whoever is heard again after 0.4 s has missed reports, suspended or cut off. For the two heartbeats after that they tell all counters, the first of which comes 0.13 s after the instance goes on, before it admits.

core: fleet, reach, cell and quota_handovers pass; all tests of the gateway pass.

--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -25,6 +25,8 @@
 /// Time for which a new instance is sent the state that it missed: five heartbeats, to tolerate
 /// packet loss.
 const NEWCOMER_PERIOD: Duration = Duration::from_millis(600);
+/// Time for which an instance that is heard again is sent all counters: two heartbeats.
+const RETURN_PERIOD: Duration = Duration::from_millis(270);
 
 /// Increase of counters since the previous report.
 #[derive(Clone, Debug, PartialEq)]
@@ -287,6 +289,13 @@
         self.live_peers(now).any(|p| now.saturating_duration_since(p.first_heard) < NEWCOMER_PERIOD)
     }
 
+    /// Whether another instance of this cell was heard again within [`RETURN_PERIOD`], after it was
+    /// suspended or cut off. It has missed reports, and those with changes do not repeat counters.
+    pub fn has_returning_peer(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RETURN_PERIOD;
+        self.peers.values().any(|p| p.returned_at.is_some_and(is_recent))
+    }
+
     /// Number of other instances of this cell heard within [`PEER_TTL`].
     pub fn live_peer_count(&self, now: Instant) -> usize {
         self.live_peers(now).count()
--- a/oxbowbend-core/src/cell/peer.rs
+++ b/oxbowbend-core/src/cell/peer.rs
@@ -7,6 +7,7 @@
 use super::fleet::RemoteInstances;
 use super::pace;
 use super::report::Report;
+use crate::continuity::MAX_GAP;
 use crate::ids::{AccountId, EndpointKey};
 use crate::rollout::responses::ResponseCounterKey;
 
@@ -34,6 +35,8 @@
     pub(super) last_heard: Instant,
     /// Time of the first report of this incarnation.
     pub(super) first_heard: Instant,
+    /// When it was last heard again after a silence.
+    pub(super) returned_at: Option<Instant>,
     /// Last reported successes and failures by endpoint. Reports omit endpoints that were not used
     /// recently.
     pub(super) outcomes: HashMap<EndpointKey, (u64, u64)>,
@@ -88,6 +91,7 @@
             report: Report::default(),
             last_heard: now,
             first_heard: now,
+            returned_at: None,
             outcomes: HashMap::new(),
             has_outcome_baseline: false,
             admitted_units: CounterBaselines::default(),
@@ -143,6 +147,9 @@
             representative_addresses,
             ..report
         };
+        if now.saturating_duration_since(self.last_heard) >= MAX_GAP {
+            self.returned_at = Some(now);
+        }
         self.last_heard = now;
     }
 
--- a/oxbowbend-core/tests/fleet.rs
+++ b/oxbowbend-core/tests/fleet.rs
@@ -180,3 +180,24 @@
     let deltas = me.receive_report(now, with_units(full_report(&mut other, now), 150), true);
     assert_eq!(deltas.expect("report is new").admitted_units.own_cell, admitted(20));
 }
+
+/// Guards against an instance that was suspended, missed reports, and is told only what changes after it: an account
+/// that had used its quota up by then does not change.
+#[test]
+fn an_instance_that_is_heard_again_after_a_silence_is_returning() {
+    for (silence, is_returning) in [(130, false), (390, false), (400, true), (5000, true)] {
+        let start = Instant::now();
+        let (mut me, mut other) = (cell("a", &[]), cell("b", &[]));
+        me.receive_report(start, other.report(start, ReportDetail::Changes), true);
+        assert!(!me.has_returning_peer(start), "has just been heard for the first time");
+        let again = start + silence * MS;
+        assert!(!me.has_returning_peer(again), "{silence} ms");
+        me.receive_report(again, other.report(again, ReportDetail::Loads), true);
+        assert_eq!(me.has_returning_peer(again), is_returning, "{silence} ms");
+        // Its next report does not end that, but time does.
+        let next = again + 130 * MS;
+        me.receive_report(next, other.report(next, ReportDetail::Loads), true);
+        assert_eq!(me.has_returning_peer(next), is_returning, "{silence} ms");
+        assert!(!me.has_returning_peer(again + 300 * MS), "{silence} ms");
+    }
+}
--- a/oxbowbend-daemon/tests/soak/suspended.rs
+++ b/oxbowbend-daemon/tests/soak/suspended.rs
@@ -23,9 +23,11 @@
 
 /// Seeds of their own, of one cell each: suspended for less and for more time than its peers count as alive. Callers
 /// wait for 4 s.
-const PLAYS: [(u64, Pace); 2] = [
+const PLAYS: [(u64, Pace); 3] = [
     (225, Pace { suspended_for: Duration::from_millis(1100), width: 60 }),
     (227, Pace { suspended_for: Duration::from_millis(2200), width: 60 }),
+    // The others' reports are more than a socket holds.
+    (229, Pace { suspended_for: Duration::from_millis(1600), width: 10 }),
 ];
 /// The instance that is suspended.
 const SUSPENDED: usize = 0;
--- a/oxbowbend-gateway/src/audience.rs
+++ b/oxbowbend-gateway/src/audience.rs
@@ -52,11 +52,12 @@
 }
 
 impl Reach {
-    /// Whom the beat of that number since the start reaches.
-    pub(crate) fn of_beat(beat: u64, is_alone: bool) -> Reach {
+    /// Whom the beat of that number since the start reaches. `is_unheard` tells that nobody is heard, or that
+    /// somebody has missed reports.
+    pub(crate) fn of_beat(beat: u64, is_unheard: bool) -> Reach {
         match beat {
             n if n <= FIRST_BEATS => Reach::First { introduces: INTRODUCTIONS.contains(&n) },
-            n if n % KNOCK == 1 || is_alone => Reach::Everybody,
+            n if n % KNOCK == 1 || is_unheard => Reach::Everybody,
             n if n % FAR == 0 => Reach::Representatives,
             _ => Reach::CellWithCounters,
         }
--- a/oxbowbend-gateway/src/peers.rs
+++ b/oxbowbend-gateway/src/peers.rs
@@ -91,7 +91,7 @@
                 beats += 1;
             }
             let reach = match is_beat {
-                true => Reach::of_beat(beats, self.is_alone()),
+                true => Reach::of_beat(beats, self.is_alone() || self.has_returning_peer()),
                 false => Reach::Cell,
             };
             let sent = self.report(reach, beats, &mut told).await;
@@ -111,6 +111,11 @@
         self.shared.lock().cell.live_peer_count(clock::now()) == 0
     }
 
+    /// Whether an instance of the cell has missed reports.
+    fn has_returning_peer(&self) -> bool {
+        self.shared.lock().cell.has_returning_peer(clock::now())
+    }
+
     /// Reports once; returns the bytes sent.
     async fn report(&self, reach: Reach, beat: u64, told: &mut ToldAll) -> usize {
         let now = clock::now();
