--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -42,6 +42,7 @@
 mod slow;
 mod starts;
 mod store;
+mod suspended;
 mod taken_up;
 mod unframed;
 mod versions;
