Admission: what an old configuration lacks is not denied for good

What callers saw. A caller does not come back after a 404 or 401.

"No such route" and "no such key" are conclusions from absence, by the table that the instance had before its suspension. Nothing asked at the moment of the refusal how old that was; the store's answer with the new one waited in another socket.

Why it works. If it is not there either, it is denied only if the store has confirmed the configuration, to this instance or to one that has the same version, within twice the time in which changes must be in force; else 503, which says that it has not run. That also covers an instance that is cut off from store and peers, which was not played: the soak cannot cut instances from each other. In an outage of the store for all of longer than that, callers without a valid key get 503 instead of 401.

What an old table allows (a route or key that was removed) is handled as before: an instance that was suspended is out of touch, and callers are better served.

--- a/oxbowbend-daemon/tests/soak/suspended.rs
+++ b/oxbowbend-daemon/tests/soak/suspended.rs
@@ -10,7 +10,7 @@
 use rustix::process::Signal;
 
 use crate::caller;
-use crate::fleet::{Fleet, LIMITED_KEY};
+use crate::fleet::{Fleet, KEY, LIMITED_KEY};
 use crate::press;
 
 /// How the others use a quota up while an instance is suspended.
@@ -29,6 +29,11 @@
     // The others' reports are more than a socket holds.
     (229, Pace { suspended_for: Duration::from_millis(1600), width: 10 }),
 ];
+/// Seeds of one cell and of two, for routes that are added.
+const ROUTE_SEEDS: [u64; 2] = [231, 232];
+const ROUTE_SUSPENDED_FOR: Duration = Duration::from_millis(1000);
+const ROUTE_REQUESTS: usize = 40;
+
 /// The instance that is suspended.
 const SUSPENDED: usize = 0;
 /// Requests that wait for it when it goes on.
@@ -60,15 +65,15 @@
     conns
 }
 
-/// Sends a request on a kept connection; returns whether it is answered.
-async fn send_on(mut conn: h1::Conn, n: usize) -> bool {
-    let req = Request::post("/again/x")
+/// Sends a request on a kept connection; returns the status of its answer.
+async fn send_on(mut conn: h1::Conn, n: usize, (key, route): (&str, &str)) -> Option<u16> {
+    let req = Request::post(format!("/{route}/x"))
         .header("host", "h.example")
         .header("request-id", format!("w-{n}"))
         .header("deadline-ms", 4000)
-        .header("authorization", format!("Bearer {LIMITED_KEY}"))
+        .header("authorization", format!("Bearer {key}"))
         .body(Bytes::from("words"));
-    conn.send(req.unwrap()).await.is_ok()
+    Some(conn.send(req.unwrap()).await.ok()?.status().as_u16())
 }
 
 /// Requests of the account that has a quota which endpoints have run.
@@ -96,7 +101,8 @@
     task::sleep(SETTLED).await;
     fleet.daemons[SUSPENDED].signal(Signal::STOP);
     let from = Instant::now();
-    let waiting = conns.into_iter().enumerate().map(|(n, conn)| send_on(conn, n));
+    let waiting =
+        conns.into_iter().enumerate().map(|(n, conn)| send_on(conn, n, (LIMITED_KEY, "again")));
     let waiting = future::join_all(waiting);
     let others = async {
         use_quota(&fleet, width).await;
@@ -108,7 +114,7 @@
     let (waiting, (before, going_on)) = future::join(waiting, others).await;
     let (took, all) = (going_on.elapsed(), runs(&fleet));
     let late = all - before;
-    let answered = waiting.into_iter().filter(|is_answered| *is_answered).count();
+    let answered = waiting.into_iter().flatten().count();
     println!(
         "seed {seed}: suspended for {:?}, {before} run by the others, {late} by the one that went on, \
          {answered} of {WAITING} answered in {took:?}",
@@ -137,3 +143,37 @@
     let broken = press::play_in_turn(PLAYS.into_iter().map(|(seed, pace)| play(seed, pace)));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Guards against an instance that goes on after a suspension and refuses requests on a route that was added meanwhile,
+/// as if nobody had ever heard of it: callers do not come back after that.
+#[test]
+fn an_instance_that_was_suspended_does_not_deny_routes_that_were_added_meanwhile() {
+    let broken = press::play_in_turn(ROUTE_SEEDS.into_iter().map(|seed| async move {
+        let mut fleet = Fleet::start(seed).await;
+        assert!(fleet.ready(Duration::from_secs(10)).await, "the daemons are not ready");
+        let conns = connect(&fleet, ROUTE_REQUESTS).await;
+        task::sleep(SETTLED).await;
+        fleet.daemons[SUSPENDED].signal(Signal::STOP);
+        fleet.configure();
+        let route = format!("v{}", fleet.version);
+        let waiting = conns.into_iter().enumerate();
+        let waiting = waiting.map(|(n, conn)| send_on(conn, n, (KEY, &route)));
+        let going_on = async {
+            task::sleep(ROUTE_SUSPENDED_FOR).await;
+            fleet.daemons[SUSPENDED].signal(Signal::CONT);
+        };
+        let (seen, ()) = future::join(future::join_all(waiting), going_on).await;
+        let denied = seen.iter().filter(|status| matches!(status, Some(401 | 403 | 404))).count();
+        let served = seen.iter().filter(|status| **status == Some(200)).count();
+        println!("seed {seed}: {served} served, {denied} denied of {ROUTE_REQUESTS}");
+        // What it has caught up with and does not know does not exist.
+        task::sleep(SETTLED).await;
+        let daemon = fleet.daemons[SUSPENDED].callers;
+        let unknown = caller::send_to(daemon, "none", "again", format!("n-{seed}")).await;
+        assert_eq!(unknown.status, Some(404), "seed {seed}: a route that does not exist");
+        let broken = (denied > 0).then(|| format!("seed {seed}: {denied} denied"));
+        let unserved = (served < ROUTE_REQUESTS).then(|| format!("seed {seed}: {served} served"));
+        broken.into_iter().chain(unserved).collect()
+    }));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/catch_up.rs
+++ b/oxbowbend-gateway/src/catch_up.rs
@@ -26,13 +26,19 @@
     /// Time until it is known again what others have admitted for an account; zero unless this instance was
     /// just suspended and the account has a quota.
     pub(crate) fn usage_known_in(&self, account: &str) -> Duration {
-        let (now, mut state) = (clock::now(), self.lock());
-        state.record_step(now);
-        let left = state.continuity.catch_up_left(now).unwrap_or_default();
+        let left = self.catch_up_left();
+        let state = self.lock();
         // Alone, an instance has nobody to hear.
         match state.instances > 1 && state.admission.is_limited(account) {
             true => left,
             false => Duration::ZERO,
         }
     }
+
+    /// Time until this instance has heard again what happened while it was suspended; zero unless it just was.
+    pub(crate) fn catch_up_left(&self) -> Duration {
+        let (now, mut state) = (clock::now(), self.lock());
+        state.record_step(now);
+        state.continuity.catch_up_left(now).unwrap_or_default()
+    }
 }
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -67,6 +67,7 @@
             Some(table) => table,
             None => self.wait_for_config(arrived_at).await.map_err(with_id)?,
         };
+        let table = self.certain_table(table, &metadata, &head).await.map_err(with_id)?;
         if !config_order::may_handle(offered_config, table.version()) {
             return Err(with_id(Refusal::OtherConfiguration));
         }
@@ -90,6 +91,29 @@
         Err(self.not_ready_refusal(arrived_at))
     }
 
+    /// Returns the configuration by which a request is handled. If it lacks the request's route or account,
+    /// these may be newer than it: right after a suspension, or when nobody has confirmed it for long. A
+    /// client that is told that its route does not exist gives up.
+    async fn certain_table(
+        &self,
+        table: Arc<RoutingTable>,
+        metadata: &Ask,
+        head: &request::Parts,
+    ) -> Result<Arc<RoutingTable>, Refusal> {
+        if is_allowed(&table, metadata, head) {
+            return Ok(table);
+        }
+        let catch_up = self.shared.catch_up_left();
+        if !catch_up.is_zero() {
+            task::sleep(catch_up).await;
+        }
+        let (now, table) = (clock::now(), self.shared.table().unwrap_or(table));
+        if is_allowed(&table, metadata, head) || self.shared.lock().is_config_confirmed(now) {
+            return Ok(table);
+        }
+        Err(self.not_ready_refusal(now))
+    }
+
     /// Creates the refusal for a request that arrived before the configuration. The delay is short if
     /// another instance has the configuration, since this one will receive it soon.
     fn not_ready_refusal(&self, now: Instant) -> Refusal {
@@ -226,6 +250,12 @@
     parts.iter().take(MAX_PARTS_LOGGED).map(|part| (part >> 32) as u32).collect()
 }
 
+/// Whether the configuration has the route of a request, and lets its account use it.
+fn is_allowed(table: &RoutingTable, metadata: &Ask, head: &request::Parts) -> bool {
+    let route = table.route(&metadata.host, head.uri.path());
+    route.is_some_and(|route| authenticate(table, route, metadata).is_ok())
+}
+
 fn authenticate<'a>(
     table: &'a RoutingTable,
     route: &Route,
--- a/oxbowbend-gateway/src/watches.rs
+++ b/oxbowbend-gateway/src/watches.rs
@@ -13,6 +13,10 @@
 /// Time for which others must have had a newer configuration before that is logged.
 const LAG_LOGGED: Duration = Duration::from_millis(500);
 
+/// Age from which a configuration is not confirmed, as a multiple of the time within which changes must be in
+/// force. Instances verify it more often than once in that time, and take over from each other within twice of it.
+const CONFIRMED_WITHIN: u32 = 2;
+
 /// The watches of both parts of the store.
 #[derive(Default)]
 pub(crate) struct Subscriptions {
@@ -57,6 +61,13 @@
         self.subscriptions.get(part).check_cancel(now, role)
     }
 
+    /// Whether the store has told this instance, or one that knows the same, lately that there is no newer
+    /// configuration.
+    pub(crate) fn is_config_confirmed(&self, now: Instant) -> bool {
+        let max_age = self.sources.in_force() * CONFIRMED_WITHIN;
+        self.subscriptions.config.age(now).is_some_and(|age| age <= max_age)
+    }
+
     /// Milliseconds since the store last told this instance that there is no newer configuration; none while
     /// it does not follow it.
     pub(crate) fn config_ms(&mut self, now: Instant) -> Option<u32> {
