Rollouts: silence of instances that are not heard does not complete a roll-out

What callers would see. An instance that is cut off from its peers and reaches the store writes that the roll-out is complete, and the platform stops the version before without draining, while peers still have requests there. This was read in the code and played in table tests, not with daemons.

"Nobody has told of a request at the version before for a second" counted records of peers that were heard in the last 1.5 s; of a peer that is not heard there is none. A second that the instance slept through counted as well, and the task that writes the status may run before the tick that would look again.

The new cases in oxbowbend-core/tests/continuity.rs, with the two checks taken out in turn:

a_rollout_completes_early_only_where_the_whole_fleet_is_heard left: Some(16s) right: Some(18.5s) whole fleet heard: false a_suspension_is_no_silence_of_the_version_before assertion failed: !is_complete(&rollouts, resumed)

Why it works. The version before counts as left only while as many instances are heard as the fleet has by its entries; a suspension begins that time anew, asked by whoever reads what is to be written. 1.5 s before the deadline the roll-out completes as before. An instance that died delays an early end until then or until its entry lapses, up to 16 s.

--- a/oxbowbend-core/src/rollout/mod.rs
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -139,6 +139,8 @@
     peer_counters: BTreeMap<ResponseCounterKey, u64>,
     remote_counters: BTreeMap<ResponseCounterKey, u64>,
     changes: Vec<PhaseChange>,
+    /// Whether all instances of the fleet are heard.
+    is_fleet_heard: bool,
 }
 
 impl Rollouts {
@@ -151,9 +153,21 @@
             peer_counters: BTreeMap::new(),
             remote_counters: BTreeMap::new(),
             changes: Vec::new(),
+            is_fleet_heard: true,
         }
     }
 
+    /// Sets whether all instances of the fleet are heard. While they are not, that nobody tells of
+    /// requests at the version before does not mean that there are none.
+    pub fn set_fleet_heard(&mut self, is_fleet_heard: bool) {
+        self.is_fleet_heard = is_fleet_heard;
+    }
+
+    /// Notes that this process was suspended: it has not heard that nothing ran meanwhile.
+    pub fn resume(&mut self) {
+        self.rollouts.values_mut().for_each(|rollout| rollout.drained_since = None);
+    }
+
     /// Starts a rollout. A repeated order has no effect; an order for another version replaces the
     /// current one. `max_request_duration` is the longest time a request to the service may take.
     pub fn start(&mut self, now: Instant, spec: RolloutSpec, max_request_duration: Duration) {
@@ -366,7 +380,7 @@
     /// Advances rollouts according to the time and the responses so far.
     pub fn advance(&mut self, now: Instant) {
         for rollout in self.rollouts.values_mut() {
-            self.changes.extend(rollout.advance(now));
+            self.changes.extend(rollout.advance(now, self.is_fleet_heard));
         }
         let is_over =
             |r: &Rollout| r.phase == Phase::Complete && now >= r.phase_entered_at + RETIRE_DELAY;
--- a/oxbowbend-core/src/rollout/state.rs
+++ b/oxbowbend-core/src/rollout/state.rs
@@ -191,7 +191,7 @@
         self.deadline.checked_sub(reserve).unwrap_or(self.started_at)
     }
 
-    pub(super) fn advance(&mut self, now: Instant) -> Option<PhaseChange> {
+    pub(super) fn advance(&mut self, now: Instant, is_fleet_heard: bool) -> Option<PhaseChange> {
         if self.phase >= Phase::RolledBack {
             return None;
         }
@@ -203,7 +203,7 @@
         if let Some(regression) = detector::find_regression(&self.responses) {
             return self.enter_phase(now, Phase::RolledBack, PhaseReason::Worse(regression));
         }
-        self.update_drained(now);
+        self.update_drained(now, is_fleet_heard);
         match self.phase {
             Phase::Canary
                 if self.endpoint_counts.candidate == 0
@@ -221,8 +221,9 @@
         }
     }
 
-    pub(super) fn update_drained(&mut self, now: Instant) {
-        let is_drained = self.phase == Phase::Shift && self.fleet_baseline_in_flight(now) == 0;
+    fn update_drained(&mut self, now: Instant, is_fleet_heard: bool) {
+        let is_drained =
+            self.phase == Phase::Shift && is_fleet_heard && self.fleet_baseline_in_flight(now) == 0;
         self.drained_since = if is_drained { self.drained_since.or(Some(now)) } else { None };
     }
 
--- a/oxbowbend-core/tests/continuity.rs
+++ b/oxbowbend-core/tests/continuity.rs
@@ -5,7 +5,8 @@
 use oxbowbend_core::admission::AdmissionController;
 use oxbowbend_core::continuity::{Continuity, CATCH_UP_TIME, MAX_GAP};
 use oxbowbend_core::quota::QuotaPolicy;
-use oxbowbend_core::routes::Quota;
+use oxbowbend_core::rollout::{RolloutLimits, RolloutSpec, Rollouts, Status};
+use oxbowbend_core::routes::{Endpoint, Quota};
 
 const S: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
@@ -82,3 +83,60 @@
         );
     }
 }
+
+/// A roll-out of 20 s in which all requests have moved to the new version 15 s after its start.
+fn shifted(start: Instant, is_fleet_heard: bool) -> Rollouts {
+    let endpoint = |id: &str, version: &str| Endpoint {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z".into(),
+        slots: 4,
+        leaving: false,
+        started_at_ms: 0,
+        version: version.into(),
+    };
+    let mut rollouts = Rollouts::new(RolloutLimits { max_candidate_share: 0.1 });
+    let spec = RolloutSpec { service: "s".into(), destination: "2".into(), duration: 20 * S };
+    rollouts.start(start, spec, 4 * S);
+    rollouts.set_endpoints(start, &[endpoint("a", "1"), endpoint("b", "2")]);
+    rollouts.set_fleet_heard(is_fleet_heard);
+    // The first step after 14.5 s moves the requests, the next one finds nothing at the version before.
+    rollouts.advance(start + 15 * S - MS);
+    rollouts.advance(start + 15 * S);
+    rollouts
+}
+
+fn is_complete(rollouts: &Rollouts, now: Instant) -> bool {
+    rollouts.due_status_writes(now).iter().any(|(_, status)| *status == Status::Complete)
+}
+
+/// Guards against an instance that is cut off from others and takes their silence for the end of their requests at the
+/// version before, which the platform then stops under them.
+#[test]
+fn a_rollout_completes_early_only_where_the_whole_fleet_is_heard() {
+    for (is_fleet_heard, completes_after) in [(true, 16 * S), (false, 18 * S + 500 * MS)] {
+        let start = Instant::now();
+        let mut rollouts = shifted(start, is_fleet_heard);
+        let first = (15_000..20_000).step_by(25).find(|ms| {
+            let now = start + Duration::from_millis(*ms);
+            rollouts.advance(now);
+            is_complete(&rollouts, now)
+        });
+        let first = first.map(Duration::from_millis);
+        assert_eq!(first, Some(completes_after), "whole fleet heard: {is_fleet_heard}");
+    }
+}
+
+/// Guards against a second that was slept through and counts as one in which nobody told of a request there.
+#[test]
+fn a_suspension_is_no_silence_of_the_version_before() {
+    let start = Instant::now();
+    let mut rollouts = shifted(start, true);
+    let resumed = start + 17 * S;
+    rollouts.resume();
+    assert!(!is_complete(&rollouts, resumed));
+    rollouts.advance(resumed);
+    assert!(!is_complete(&rollouts, resumed + 900 * MS));
+    assert!(is_complete(&rollouts, resumed + S));
+}
--- a/oxbowbend-gateway/src/catch_up.rs
+++ b/oxbowbend-gateway/src/catch_up.rs
@@ -12,6 +12,7 @@
     pub(crate) fn record_step(&mut self, now: Instant) {
         if let Some(gap) = self.continuity.record_step(now) {
             self.admission.resume(now);
+            self.rollouts.resume();
             log::warn!(
                 "event=resumed suspended_ms={} peers={} instances={}",
                 gap.as_millis(),
--- a/oxbowbend-gateway/src/rollouts.rs
+++ b/oxbowbend-gateway/src/rollouts.rs
@@ -66,6 +66,8 @@
 
     /// Decides what time and evidence bring.
     pub(crate) fn settle_rollouts(&mut self, now: Instant) {
+        let is_fleet_heard = self.heard(now) + 1 >= self.instances;
+        self.rollouts.set_fleet_heard(is_fleet_heard);
         self.rollouts.advance(now);
         self.follow_rollouts(now);
     }
@@ -157,7 +159,8 @@
 
     fn due_statuses(&self) -> Vec<(RolloutSpec, Status)> {
         let now = clock::now();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.record_step(now);
         let due = state.rollouts.due_status_writes(now);
         if due.is_empty() || !state.writes_statuses(now) {
             return Vec::new();
