Numbers that other writers and instances choose are bounded

Release daemons wrapped: the free slots of a service were a wrong number.

Cause: the free slots of a service are summed as u32 while the state's lock is held (cell/assign.rs, attempt to add with overflow; then no panic under lock: PoisonError in every other task, and a panic in a destructor, which aborts). The same class of sum was found by a play of reports with extreme numbers: the loads, slots, dispatches, outcomes and totals of the cell, reachable and ready instances, slots of other cells, windows of quotas (u64), roll-out evidence and requests in flight, numbers of quarantines and trials, slots of lease owners; Duration::from_secs_f64 and mul_f64 of a quota's wait, an expected wait and a cost; prompt tokens of a caller plus a constant.

Change: these sums saturate, and times that are computed from such numbers are at most a year (core::saturating). A reported pace is at most a second for a token, so that times of the longest prompts and answers stay within a Duration.

--- a/oxbowbend-core/src/cell/assign.rs
+++ b/oxbowbend-core/src/cell/assign.rs
@@ -15,6 +15,7 @@
 use super::{Cell, QueuedRequest, Ticket, WAITING_TTL};
 use crate::ids::{EndpointKey, ServiceId};
 use crate::routes::Endpoint;
+use crate::saturating;
 
 /// Estimate before anything has been measured: 50 tokens per millisecond.
 const DEFAULT_NS_PER_UNIT: f64 = 20_000.0;
@@ -79,7 +80,7 @@
             }
             if let Some(site) = self.endpoints.get_mut(&a.endpoint.key()) {
                 site.running += 1;
-                site.pending_prompt_tokens += a.prompt_tokens;
+                saturating::add(&mut site.pending_prompt_tokens, a.prompt_tokens);
             }
         }
         assignments
@@ -117,7 +118,7 @@
         let assignment = Assignment {
             ticket: 0,
             endpoint: target.endpoint.clone(),
-            load: target.load + 1,
+            load: target.load.saturating_add(1),
             prompt_tokens: request.prompt_tokens,
             backlog_tokens: target.pending_tokens,
             expected_first_event: expected,
@@ -132,7 +133,7 @@
         self.shedding.record_placed(now, &request.service, request.rank);
         let state = self.endpoints.get_mut(&endpoint)?;
         state.running += 1;
-        state.pending_prompt_tokens += request.prompt_tokens;
+        saturating::add(&mut state.pending_prompt_tokens, request.prompt_tokens);
         Some(assignment)
     }
 
@@ -258,14 +259,14 @@
         let mut loads: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
         for reported in self.reported_loads(now) {
             let load = loads.entry(reported.endpoint).or_default();
-            *load =
-                (load.0 + reported.running, load.1.saturating_add(reported.pending_prompt_tokens));
+            saturating::add(&mut load.0, reported.running);
+            saturating::add(&mut load.1, reported.pending_prompt_tokens);
         }
         let LatencyCache { ns_per_unit, median_ns, .. } = &self.latency_cache;
         let available = self.endpoints.iter().filter(|(key, s)| self.is_available(now, **key, s));
         let usage = |key: &EndpointKey, s: &'_ super::EndpointState| {
             let (running, pending_tokens) = loads.get(key).copied().unwrap_or_default();
-            let load = s.running + running;
+            let load = s.running.saturating_add(running);
             let usable = (f64::from(s.endpoint.slots) * self.visible_share).ceil() as u32;
             let slots = if s.health.is_on_probation() { 1 } else { usable };
             (
@@ -343,7 +344,8 @@
 fn free_slots_by_service<'a>(targets: &[Target<'a>]) -> HashMap<&'a ServiceId, u32> {
     let mut free_slots_by_service = HashMap::new();
     for target in targets {
-        *free_slots_by_service.entry(&target.endpoint.service).or_default() += target.free_slots;
+        let free = free_slots_by_service.entry(&target.endpoint.service).or_default();
+        saturating::add(free, target.free_slots);
     }
     free_slots_by_service
 }
--- a/oxbowbend-core/src/cell/choice.rs
+++ b/oxbowbend-core/src/cell/choice.rs
@@ -8,6 +8,7 @@
 use super::order::{generation_time, Candidate};
 use super::{PrefillStall, FIXED_WORK_UNITS};
 use crate::routes::Endpoint;
+use crate::saturating;
 
 /// Relative slowdown of the first event at a fully loaded endpoint, since larger batches run
 /// slower.
@@ -75,7 +76,7 @@
     /// Records that a request is assigned to the endpoint.
     pub(super) fn record(&mut self, candidate: &Candidate<'_>) {
         self.free_slots -= 1;
-        self.load += 1;
+        saturating::add(&mut self.load, 1);
         self.pending_tokens = self.pending_tokens.saturating_add(candidate.prompt_tokens);
         match &mut self.admission {
             Some(admission) if candidate.ticket.is_some() => admission.record_own(),
@@ -151,9 +152,8 @@
 fn cost(target: &Target<'_>, candidate: &Candidate<'_>, time_left: Duration) -> Duration {
     let zone_penalty =
         if target.endpoint.zone == *candidate.zone { Duration::ZERO } else { CROSS_ZONE_PENALTY };
-    let floor = candidate
-        .objective
-        .mul_f64(FIRST_EVENT_FLOOR_SHARE * load_factor(target.load, target.endpoint.slots));
+    let floor_share = FIRST_EVENT_FLOOR_SHARE * load_factor(target.load, target.endpoint.slots);
+    let floor = saturating::multiple(candidate.objective, floor_share);
     let first_event = assumed_first_event(target, candidate, time_left).max(floor);
     first_event.mul_f64(1.0 + MAX_PREFERENCE_PENALTY * preference_penalty(target, candidate))
         + zone_penalty
--- a/oxbowbend-core/src/cell/expected_wait.rs
+++ b/oxbowbend-core/src/cell/expected_wait.rs
@@ -18,6 +18,7 @@
 use super::slot_rate::{SlotRate, SlotUse};
 use super::{Cell, QueuedRequest, Ticket, WAITING_TTL};
 use crate::ids::ServiceId;
+use crate::saturating;
 
 /// Standard deviations by which the requests ahead must exceed the slots that are expected within
 /// the time that a request may wait. Slots get free like a Poisson process at most. In the replay of
@@ -169,10 +170,10 @@
             let request = ReturnRequest {
                 policy,
                 objective_left,
-                queue_time: Duration::from_secs_f64(
+                queue_time: saturating::seconds(
                     f64::from(forecast.waiting_ahead) / rate.left_per_s,
                 ),
-                interval: Duration::from_secs_f64(f64::from(instances) / rate.left_per_s),
+                interval: saturating::seconds(f64::from(instances) / rate.left_per_s),
             };
             retry.delay = self.forecasts.return_times.assign(now, service, rank, request);
             retry.forecast = Some(forecast);
@@ -188,12 +189,13 @@
         rate: SlotRate,
         ahead: usize,
     ) -> WaitForecast {
-        let waiting_ahead = (ahead as u32).saturating_sub(rate.free_slots);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let waiting_ahead = ahead.saturating_sub(rate.free_slots);
         WaitForecast {
             waiting_ahead,
             rate_per_s: rate.total_per_s,
             left_per_s: rate.left_per_s,
-            expected_wait: Duration::from_secs_f64(f64::from(waiting_ahead) / rate.total_per_s),
+            expected_wait: saturating::seconds(f64::from(waiting_ahead) / rate.total_per_s),
             assigned_returns: self.forecasts.return_times.count(now, service, rank),
         }
     }
--- a/oxbowbend-core/src/cell/fleet.rs
+++ b/oxbowbend-core/src/cell/fleet.rs
@@ -21,6 +21,7 @@
 use crate::ids::{AccountId, ServiceId};
 use crate::quota::RecentUsage;
 use crate::rollout::responses::ResponseCounterKey;
+use crate::saturating;
 
 /// What a representative reports to its own cell about the other cells.
 #[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -93,8 +94,8 @@
     pub fn remote_instances(&self, now: Instant) -> RemoteInstances {
         let mut total = RemoteInstances::default();
         for report in self.remote_reports(now).filter(|r| r.is_representative) {
-            total.reachable += report.reachable_count.unwrap_or(1);
-            total.ready += report.cell_ready;
+            saturating::add(&mut total.reachable, report.reachable_count.unwrap_or(1));
+            saturating::add(&mut total.ready, report.cell_ready);
         }
         total
     }
--- a/oxbowbend-core/src/cell/free_slots.rs
+++ b/oxbowbend-core/src/cell/free_slots.rs
@@ -11,6 +11,7 @@
 use super::choice::Target;
 use super::{Cell, QueuedRequest};
 use crate::ids::{EndpointKey, ServiceId};
+use crate::saturating;
 
 /// Period over which freed slots are counted. An engine frees one to four slots a second, and an
 /// instance uses about one engine's worth.
@@ -69,7 +70,10 @@
         let mut free: BTreeMap<&ServiceId, u32> = BTreeMap::new();
         for target in self.targets(now, &allowances, admissions) {
             if is_unlimited(&target) && !self.shared_services.contains(&target.endpoint.service) {
-                *free.entry(&target.endpoint.service).or_default() += target.free_slots;
+                saturating::add(
+                    free.entry(&target.endpoint.service).or_default(),
+                    target.free_slots,
+                );
             }
         }
         for candidate in self.candidates(now) {
@@ -85,7 +89,7 @@
         let (allowances, admissions) = (self.allowances(now), self.brittle_admissions(now));
         let targets = self.targets(now, &allowances, admissions);
         let suitable = targets.iter().filter(|t| t.endpoint.service == *service && is_unlimited(t));
-        let free: u32 = suitable.map(|t| t.free_slots).sum();
+        let free = saturating::sum(suitable.map(|t| t.free_slots));
         let waiting = self.candidates(now).iter().filter(|c| c.service == service).count();
         free as usize > waiting
     }
@@ -98,7 +102,8 @@
         let allowances = self.allowances(now);
         let targets = self.targets(now, &allowances, HashMap::new());
         let of_service = targets.iter().filter(|t| t.endpoint.service == *service);
-        let free = of_service.map(|t| t.free_slots.min(t.allowance.unwrap_or(u32::MAX))).sum();
+        let usable = of_service.map(|t| t.free_slots.min(t.allowance.unwrap_or(u32::MAX)));
+        let free = saturating::sum(usable);
         let priority = self.unmoved_priority(now, request);
         let candidates = self.candidates(now);
         let before = candidates.iter().filter(|c| c.service == service && c.priority <= priority);
@@ -114,14 +119,14 @@
             self.endpoints.get(key).is_some_and(|s| s.endpoint.service == *service)
         };
         let own = self.endpoints.values().filter(|s| s.endpoint.service == *service);
-        let own: u32 = own.map(|s| s.running).sum();
+        let own = saturating::sum(own.map(|s| s.running));
         if own == 0 {
             return instances;
         }
         let reported = self.live_reports(now).flat_map(|r| &r.loads);
         let reported = reported.filter(|load| is_of_service(&load.endpoint));
-        let others: u32 = reported.map(|load| load.running).sum();
-        (f64::from(own + others) / f64::from(own)).min(instances)
+        let others = saturating::sum(reported.map(|load| load.running));
+        (f64::from(own.saturating_add(others)) / f64::from(own)).min(instances)
     }
 }
 
--- a/oxbowbend-core/src/cell/health.rs
+++ b/oxbowbend-core/src/cell/health.rs
@@ -4,6 +4,7 @@
 //! an ejection an endpoint is on probation, limited to one request at a time. At most half of a
 //! service's endpoints are ejected: if all of them fail, the cause is elsewhere.
 
+use crate::saturating;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -37,11 +38,11 @@
     /// about the endpoint after it.
     pub fn record(&mut self, now: Instant, successes: u32, failures: u32) {
         let failures = if self.is_ejected(now) { 0 } else { failures };
-        if successes + failures == 0 {
+        if successes == 0 && failures == 0 {
             return;
         }
         self.outcomes.push_back((now, successes, failures));
-        self.probation_successes += successes;
+        saturating::add(&mut self.probation_successes, successes);
         if self.is_on_probation && self.probation_successes >= PROBATION_SUCCESSES {
             self.is_on_probation = false;
             self.ejection_count = 0;
@@ -53,18 +54,18 @@
         while self.outcomes.front().is_some_and(|(t, ..)| now.duration_since(*t) > OUTCOME_WINDOW) {
             self.outcomes.pop_front();
         }
-        let successes: u32 = self.outcomes.iter().map(|(_, s, _)| s).sum();
-        let failures: u32 = self.outcomes.iter().map(|(.., f)| f).sum();
+        let successes = saturating::sum(self.outcomes.iter().map(|(_, s, _)| *s));
+        let failures = saturating::sum(self.outcomes.iter().map(|(.., f)| *f));
         let min_failures = if self.is_on_probation { PROBATION_FAILURES } else { MIN_FAILURES };
         failures >= min_failures
-            && f64::from(failures) >= FAILURE_RATIO * f64::from(successes + failures)
+            && f64::from(failures) >= FAILURE_RATIO * (f64::from(successes) + f64::from(failures))
     }
 
     /// Ejects the endpoint and returns for how long.
     pub fn eject(&mut self, now: Instant) -> Duration {
         let duration =
             (BASE_EJECTION_TIME * (1 << self.ejection_count.min(4))).min(MAX_EJECTION_TIME);
-        self.ejection_count += 1;
+        saturating::add(&mut self.ejection_count, 1);
         self.is_on_probation = true;
         self.probation_successes = 0;
         self.ejected_until = Some(now + duration);
--- a/oxbowbend-core/src/cell/hear.rs
+++ b/oxbowbend-core/src/cell/hear.rs
@@ -153,7 +153,8 @@
             if let Some(state) = self.endpoints.get_mut(&stats.endpoint) {
                 let (successes, failures) =
                     (reported.0.saturating_sub(previous.0), reported.1.saturating_sub(previous.1));
-                state.health.record(now, successes as u32, failures as u32);
+                let count = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
+                state.health.record(now, count(successes), count(failures));
                 self.last_failure = if failures > 0 { Some(now) } else { self.last_failure };
             }
         }
--- a/oxbowbend-core/src/cell/mod.rs
+++ b/oxbowbend-core/src/cell/mod.rs
@@ -66,6 +66,7 @@
 
 use crate::ids::{EndpointId, EndpointKey, InstanceId, ServiceId, VersionId, ZoneId};
 use crate::routes::Endpoint;
+use crate::saturating;
 
 /// Age of a report after which its waiting requests are ignored.
 pub const WAITING_TTL: Duration = Duration::from_millis(400);
@@ -515,7 +516,8 @@
     pub fn load(&self, now: Instant, endpoint: EndpointKey) -> u32 {
         let local = self.endpoints.get(&endpoint).map_or(0, |s| s.running);
         let loads = self.reported_loads(now);
-        local + loads.filter(|l| l.endpoint == endpoint).map(|l| l.running).sum::<u32>()
+        let remote = loads.filter(|l| l.endpoint == endpoint).map(|l| l.running);
+        saturating::sum(remote.chain([local]))
     }
 
     fn paces(&self, now: Instant) -> HashMap<EndpointKey, f64> {
--- a/oxbowbend-core/src/cell/pace.rs
+++ b/oxbowbend-core/src/cell/pace.rs
@@ -14,6 +14,9 @@
 pub const FIXED_WORK_UNITS: u32 = 300;
 /// Weight of a new sample in the exponentially weighted moving average.
 const EWMA_WEIGHT: f64 = 0.2;
+/// Highest estimate that is believed of another instance: a second for a token, where engines take less than a
+/// hundredth. The times of the longest prompts and answers remain far below what a `Duration` holds.
+const MAX_NS_PER_UNIT: u64 = 1_000_000_000;
 /// Maximum weight of an estimate when combined with others.
 const MAX_SAMPLES: u32 = 20;
 
@@ -52,12 +55,14 @@
 impl LatencyEstimate {
     /// Restores an estimate from a report of another instance.
     pub fn from_report(ns_per_unit: u64, samples: u32) -> LatencyEstimate {
-        LatencyEstimate { ns_per_unit: ns_per_unit as f64, samples: samples.min(MAX_SAMPLES) }
+        let ns_per_unit = ns_per_unit.min(MAX_NS_PER_UNIT) as f64;
+        LatencyEstimate { ns_per_unit, samples: samples.min(MAX_SAMPLES) }
     }
 
     /// Adds a sample: the time to the first event of a request with `prompt` tokens to read.
     pub fn record(&mut self, prompt: u32, first: Duration) {
-        let ns_per_unit = first.as_nanos() as f64 / f64::from(prompt + FIXED_WORK_UNITS);
+        let ns_per_unit =
+            first.as_nanos() as f64 / (f64::from(prompt) + f64::from(FIXED_WORK_UNITS));
         self.ns_per_unit = if self.samples == 0 {
             ns_per_unit
         } else {
--- a/oxbowbend-core/src/cell/rank_floor.rs
+++ b/oxbowbend-core/src/cell/rank_floor.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{InstanceId, ServiceId};
+use crate::saturating;
 
 /// Part of the slot time that the ranks below the first share while requests of several ranks wait.
 /// The first rank loses at most this part, which is less than a burst of 1.5 takes.
@@ -236,7 +237,7 @@
         rank: u16,
         is_acting: bool,
     ) -> FloorChange {
-        let handed_out = Duration::from_secs_f64(self.handed_out_s(now));
+        let handed_out = saturating::seconds(self.handed_out_s(now));
         let share = self.share(now);
         FloorChange { service: service.clone(), rank, is_acting, handed_out, share }
     }
--- a/oxbowbend-core/src/cell/slot_rate.rs
+++ b/oxbowbend-core/src/cell/slot_rate.rs
@@ -16,6 +16,7 @@
 use super::shedding::WINDOW;
 use super::{Cell, ReportDetail};
 use crate::ids::{EndpointKey, ServiceId};
+use crate::saturating;
 
 /// Shortest time between two samples. Requests hold a slot for 15 ms to some seconds, and sampling
 /// costs a pass over all endpoints and reports.
@@ -128,13 +129,13 @@
         self.sample_slots(now);
         let slots = self.slots(now, |s| s == service).remove(service)?;
         let dispatched = self.dispatched_by_rank(now, service);
-        let total: u32 = dispatched.values().sum();
+        let total = saturating::sum(dispatched.values().copied());
         let taken_s = self.forecasts.slot_use.taken_s(now, service);
         if total < MIN_DISPATCHES || slots.available == 0 || taken_s <= 0.0 {
             return None;
         }
         let total_per_s = f64::from(total) / taken_s * f64::from(slots.available);
-        let urgent: u32 = dispatched.range(..rank).map(|(_, n)| n).sum();
+        let urgent = saturating::sum(dispatched.range(..rank).map(|(_, n)| *n));
         let left_per_s = total_per_s - f64::from(urgent) / WINDOW.as_secs_f64();
         let left_per_s = left_per_s.max(total_per_s * MIN_RANK_SHARE);
         Some(SlotRate { total_per_s, left_per_s, free_slots: slots.free })
@@ -144,10 +145,10 @@
     fn dispatched_by_rank(&self, now: Instant, service: &ServiceId) -> BTreeMap<u16, u32> {
         let own = self.shedding.dispatched(now).filter(|(s, _, _)| s == service);
         let mut all = BTreeMap::new();
-        own.for_each(|(_, rank, n)| *all.entry(rank).or_default() += n);
+        own.for_each(|(_, rank, n)| saturating::add(all.entry(rank).or_default(), n));
         let reported = self.live_reports(now).flat_map(|r| &r.dispatched);
         for (rank, n) in reported.filter(|(s, _)| s == service).flat_map(|(_, counts)| counts) {
-            *all.entry(*rank).or_default() += n;
+            saturating::add(all.entry(*rank).or_default(), *n);
         }
         all
     }
@@ -159,18 +160,18 @@
     ) -> HashMap<&ServiceId, Slots> {
         let mut reported: HashMap<EndpointKey, u32> = HashMap::new();
         for load in self.live_reports(now).flat_map(|r| &r.loads) {
-            *reported.entry(load.endpoint).or_default() += load.running;
+            saturating::add(reported.entry(load.endpoint).or_default(), load.running);
         }
         let mut slots: HashMap<&ServiceId, Slots> = HashMap::new();
         for (key, state) in self.endpoints.iter().filter(|(_, s)| filter(&s.endpoint.service)) {
-            let load = state.running + reported.get(key).copied().unwrap_or(0);
+            let load = state.running.saturating_add(reported.get(key).copied().unwrap_or(0));
             let usable = (f64::from(state.endpoint.slots) * self.visible_share).ceil() as u32;
             let slots = slots.entry(&state.endpoint.service).or_default();
-            slots.taken += load.min(usable);
+            saturating::add(&mut slots.taken, load.min(usable));
             if self.is_available(now, *key, state) {
                 let usable = if state.health.is_on_probation() { 1 } else { usable };
-                slots.available += usable;
-                slots.free += usable.saturating_sub(load);
+                saturating::add(&mut slots.available, usable);
+                saturating::add(&mut slots.free, usable.saturating_sub(load));
             }
         }
         slots
@@ -181,7 +182,7 @@
 fn counts_by_rank(counts: impl Iterator<Item = (ServiceId, u16, u32)>) -> CountsByRank {
     let mut all: BTreeMap<ServiceId, BTreeMap<u16, u32>> = BTreeMap::new();
     for (service, rank, n) in counts {
-        *all.entry(service).or_default().entry(rank).or_default() += n;
+        saturating::add(all.entry(service).or_default().entry(rank).or_default(), n);
     }
     all.into_iter().map(|(service, ranks)| (service, ranks.into_iter().collect())).collect()
 }
--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod retries;
 pub mod rollout;
 pub mod routes;
+mod saturating;
 pub mod scheduler;
 pub mod selection;
 pub mod shutdown;
--- a/oxbowbend-core/src/overflow.rs
+++ b/oxbowbend-core/src/overflow.rs
@@ -16,6 +16,7 @@
 
 use crate::cell::{CellFreeSlots, OtherCells, QueueOutlook, Report};
 use crate::ids::{InstanceId, ServiceId, ZoneId};
+use crate::saturating;
 
 /// Offers made for one request. Each takes a round trip of up to 6 ms between zones, of an objective
 /// of 500 ms or more.
@@ -253,7 +254,7 @@
     /// Free slots of all other cells and services, as reported.
     pub fn total_free_slots(&self, now: Instant) -> u32 {
         let current = self.cells.values().filter(|cell| cell.is_current(now));
-        current.flat_map(|cell| &cell.free).map(|(_, free)| *free).sum()
+        saturating::sum(current.flat_map(|cell| &cell.free).map(|(_, free)| *free))
     }
 
     /// Chooses an instance for a request, if another cell has a free slot, and uses that slot up.
@@ -289,7 +290,7 @@
         if usable.iter().any(|(index, _)| is_in_zone(cells, *index, zone)) {
             usable.retain(|(index, _)| is_in_zone(cells, *index, zone));
         }
-        let total: u32 = usable.iter().map(|(_, free)| free).sum();
+        let total = saturating::sum(usable.iter().map(|(_, free)| *free));
         let mut slot = (total > 0).then(|| rng.random_range(0..total))?;
         let (index, _) = usable.into_iter().find(|(_, free)| {
             let is_here = slot < *free;
--- a/oxbowbend-core/src/quarantine/decisions.rs
+++ b/oxbowbend-core/src/quarantine/decisions.rs
@@ -105,7 +105,7 @@
         match self.decisions.get_mut(&fingerprint).filter(|d| d.trial_due.is_some()) {
             None => SendPermission::Allowed,
             Some(decision) => {
-                decision.trials += 1;
+                decision.trials = decision.trials.saturating_add(1);
                 decision.is_trial_early = false;
                 decision.trial_due = Some(now + trial_delay(decision.trials));
                 (decision.updated_at, decision.is_local) = (now, true);
@@ -123,7 +123,7 @@
     /// Quarantines a request; returns the delay before its first trial.
     pub(super) fn quarantine(&mut self, now: Instant, fingerprint: Fingerprint) -> Duration {
         self.evict_if_full(now);
-        let epoch = self.decisions.get(&fingerprint).map_or(0, |d| d.epoch) + 1;
+        let epoch = self.decisions.get(&fingerprint).map_or(0, |d| d.epoch).saturating_add(1);
         let trial_due = Some(now + trial_delay(0));
         let decision = Decision {
             epoch,
--- a/oxbowbend-core/src/quota.rs
+++ b/oxbowbend-core/src/quota.rs
@@ -155,7 +155,7 @@
         }
         usage.admitted.add_merged(now, units as f64, self.policy.window / WINDOW_SLICES);
         usage.cell_recent.add_recent(now, units as f64);
-        usage.local_total += units;
+        usage.local_total = usage.local_total.saturating_add(units);
         Ok(())
     }
 
@@ -185,11 +185,11 @@
         if let Some(usage) = self.usages.get_mut(account) {
             match same_cell {
                 true => {
-                    usage.cell_peers_total += units as u64;
+                    usage.cell_peers_total = usage.cell_peers_total.saturating_add(units as u64);
                     usage.cell_recent.add_recent(now, units);
                 }
                 false => {
-                    usage.other_cells_total += units as u64;
+                    usage.other_cells_total = usage.other_cells_total.saturating_add(units as u64);
                     usage.other_cells_recent.add_recent(now, units);
                 }
             }
@@ -232,7 +232,7 @@
             SnapshotAge::Old => self.policy.window,
         };
         let estimated = window.first().map_or(0.0, |last| *last as f64) * delay.as_secs_f64();
-        let restored = window.iter().sum::<u64>() as f64 + estimated;
+        let restored = total(window) + estimated;
         if restored <= usage.restored.total {
             return;
         }
@@ -249,7 +249,7 @@
     /// report includes the units admitted since then.
     pub fn restore_from_peer(&mut self, now: Instant, account: &str, window: &[u64]) {
         let Some(usage) = self.usages.get_mut(account) else { return };
-        let reported = window.iter().sum::<u64>() as f64;
+        let reported = total(window);
         if reported - usage.admitted.total <= usage.restored.total {
             return;
         }
@@ -298,10 +298,17 @@
 
     /// Returns the units admitted in this cell since this instance started, by account.
     pub fn cell_totals(&self) -> impl Iterator<Item = (&AccountId, u64)> {
-        self.usages.iter().map(|(account, u)| (account, u.local_total + u.cell_peers_total))
+        self.usages
+            .iter()
+            .map(|(account, u)| (account, u.local_total.saturating_add(u.cell_peers_total)))
     }
 }
 
+/// Units of a window.
+fn total(window: &[u64]) -> f64 {
+    window.iter().map(|units| *units as f64).sum()
+}
+
 impl Usage {
     fn limit(&self, policy: &QuotaPolicy) -> f64 {
         self.quota.per_s * policy.window.as_secs_f64() + self.quota.burst
@@ -326,7 +333,7 @@
             if slots.len() <= age {
                 slots.resize(age + 1, 0);
             }
-            slots[age] += *units as u64;
+            slots[age] = slots[age].saturating_add(*units as u64);
         }
         slots
     }
@@ -390,7 +397,7 @@
             let slot = slot as usize;
             if slot < RECENT_SLOTS as usize && *units > 0.0 {
                 slots.resize(slots.len().max(slot + 1), 0);
-                slots[slot] += *units as u64;
+                slots[slot] = slots[slot].saturating_add(*units as u64);
             }
         }
         slots
--- a/oxbowbend-core/src/rollout/detector.rs
+++ b/oxbowbend-core/src/rollout/detector.rs
@@ -46,7 +46,7 @@
     /// Excludes `bad` bad responses. A stalled endpoint or machine delays everything it has in
     /// flight, so these responses are not independent.
     fn without(self, bad: u32) -> Sample {
-        Sample { total: self.total - bad, bad: self.bad - bad }
+        Sample { total: self.total.saturating_sub(bad), bad: self.bad.saturating_sub(bad) }
     }
 }
 
--- a/oxbowbend-core/src/rollout/mod.rs
+++ b/oxbowbend-core/src/rollout/mod.rs
@@ -334,7 +334,8 @@
         rollout.responses.add(now, key, n);
         let counters =
             if is_same_cell { &mut self.peer_counters } else { &mut self.remote_counters };
-        *counters.entry(key).or_default() += n;
+        let counter = counters.entry(key).or_default();
+        *counter = counter.saturating_add(n);
     }
 
     /// Returns the responses seen by this instance.
--- a/oxbowbend-core/src/rollout/records.rs
+++ b/oxbowbend-core/src/rollout/records.rs
@@ -5,6 +5,7 @@
 use super::state::{PeerInFlight, Rollout};
 use super::{PhaseReason, RolloutSpec, Rollouts, PEER_RECORD_TTL};
 use crate::ids::{InstanceId, ServiceId, VersionId};
+use crate::saturating;
 
 /// Phases of a rollout, in order. A later one supersedes an earlier one.
 #[derive(
@@ -188,13 +189,14 @@
     /// Returns the requests of this instance in flight on the baseline, plus one if it still sends
     /// some there.
     fn local_baseline_in_flight(&self) -> u32 {
-        self.baseline_in_flight + u32::from(self.phase < Phase::Shift)
+        self.baseline_in_flight.saturating_add(u32::from(self.phase < Phase::Shift))
     }
 
     /// Returns the same for its cell, as far as reported.
     fn cell_baseline_in_flight(&self, now: Instant) -> u32 {
         let same_cell = self.live_peers(now).filter(|peer| peer.location == PeerLocation::SameCell);
-        self.local_baseline_in_flight() + same_cell.map(|peer| peer.baseline_in_flight).sum::<u32>()
+        let same_cell = same_cell.map(|peer| peer.baseline_in_flight);
+        saturating::sum(same_cell.chain([self.local_baseline_in_flight()]))
     }
 
     /// Returns the same for other cells, as reported by their representatives or relayed within the
@@ -210,15 +212,13 @@
     /// Returns what other cells reported to this instance. Only this is relayed: two instances of a
     /// cell that relayed each other's counts would keep them alive forever.
     fn reported_by_other_cells(&self, now: Instant) -> u32 {
-        self.live_peers(now)
-            .filter(|peer| peer.location == PeerLocation::OtherCell)
-            .map(|peer| peer.baseline_in_flight)
-            .sum()
+        let other = self.live_peers(now).filter(|peer| peer.location == PeerLocation::OtherCell);
+        saturating::sum(other.map(|peer| peer.baseline_in_flight))
     }
 
     /// Returns the requests in flight on the baseline in the whole fleet.
     pub(super) fn fleet_baseline_in_flight(&self, now: Instant) -> u32 {
-        self.cell_baseline_in_flight(now) + self.remote_baseline_in_flight(now)
+        self.cell_baseline_in_flight(now).saturating_add(self.remote_baseline_in_flight(now))
     }
 
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &PeerInFlight> {
--- a/oxbowbend-core/src/rollout/responses.rs
+++ b/oxbowbend-core/src/rollout/responses.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::saturating;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Identifies a rollout: a hash of its service and destination.
@@ -101,7 +102,7 @@
 impl ResponseCounts {
     /// Returns the number of responses.
     pub fn total(&self) -> u32 {
-        self.by_latency.iter().sum::<u32>() + self.failed
+        self.failed_or_slow(0)
     }
 
     /// Returns the number of failures.
@@ -111,19 +112,21 @@
 
     /// Returns the number of failures and of successes in the given bucket or a slower one.
     pub fn failed_or_slow(&self, bucket: usize) -> u32 {
-        self.failed + self.by_latency.iter().skip(bucket).sum::<u32>()
+        let slow = self.by_latency.iter().skip(bucket).copied();
+        saturating::sum(slow.chain([self.failed]))
     }
 
     fn add(&mut self, bucket: u8, n: u32) {
         match self.by_latency.get_mut(usize::from(bucket)) {
-            Some(count) => *count += n,
-            None => self.failed += n,
+            Some(count) => saturating::add(count, n),
+            None => saturating::add(&mut self.failed, n),
         }
     }
 
     fn merge(&mut self, other: &ResponseCounts) {
-        self.by_latency.iter_mut().zip(other.by_latency).for_each(|(sum, n)| *sum += n);
-        self.failed += other.failed;
+        let counts = self.by_latency.iter_mut().zip(other.by_latency);
+        counts.for_each(|(sum, n)| saturating::add(sum, n));
+        saturating::add(&mut self.failed, other.failed);
     }
 }
 
@@ -170,7 +173,8 @@
     /// Returns the number of candidate responses in the two worst slots that failed or fell in the
     /// given bucket or a slower one.
     pub fn worst_failed_or_slow(&self, bucket: usize) -> u32 {
-        self.worst_slots[bucket].0 + self.worst_slots[bucket].1
+        let (first, second) = self.worst_slots[bucket];
+        first.saturating_add(second)
     }
 }
 
--- a/oxbowbend-core/src/slot_leases/owner.rs
+++ b/oxbowbend-core/src/slot_leases/owner.rs
@@ -12,6 +12,7 @@
 use super::wait_queue::{WaitQueue, WaitingRequest};
 use super::{Decision, DenialReason, Holder, OwnedEndpoint, SlotRequest, LEASE};
 use crate::ids::{EndpointId, EndpointKey};
+use crate::saturating;
 
 /// Weight of the latest value in the mean time for which a slot is held. Follows an endpoint that
 /// becomes slower within about 16 requests.
@@ -280,7 +281,7 @@
     ) -> Option<Duration> {
         let hold_s = self.hold_s(now)?;
         let slots = self.slots_for(excluded).max(1);
-        Some(Duration::from_secs_f64(hold_s * count as f64 / f64::from(slots)))
+        Some(saturating::seconds(hold_s * count as f64 / f64::from(slots)))
     }
 
     /// Time for which slots are held. If endpoints stop answering, nothing is released, so the age of
@@ -295,7 +296,8 @@
 
     /// Returns the number of slots that may be granted to a request.
     fn slots_for(&self, excluded: &[EndpointId]) -> u32 {
-        self.open_endpoints(excluded).map(|endpoint| self.share.of(endpoint.slots)).sum()
+        let open = self.open_endpoints(excluded);
+        saturating::sum(open.map(|endpoint| self.share.of(endpoint.slots)))
     }
 
     /// Returns the endpoint with the most free slots for a request, if there is a free one.
--- a/oxbowbend-core/src/token_bucket.rs
+++ b/oxbowbend-core/src/token_bucket.rs
@@ -20,6 +20,7 @@
 use crate::ids::AccountId;
 use crate::quota::{QuotaPolicy, USABLE_OVERAGE_SHARE};
 use crate::routes::Quota;
+use crate::saturating;
 
 /// Reserve left by a request for each rank below the highest, in multiples of its own units.
 const RESERVE_PER_RANK: f64 = 10.0;
@@ -99,7 +100,7 @@
         let required = units as f64 * (1.0 + RESERVE_PER_RANK * f64::from(rank));
         let deficit = required.min(params.capacity) - *level;
         if deficit > 0.0 {
-            return Err(Duration::from_secs_f64(deficit / params.refill_per_s.max(1.0)));
+            return Err(saturating::seconds(deficit / params.refill_per_s.max(1.0)));
         }
         *level -= units as f64;
         Ok(())
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -24,6 +24,7 @@
 mod leases;
 mod leavers;
 mod limits;
+mod odd;
 mod one_instance;
 mod outages;
 mod overflow;
--- /dev/null
+++ b/oxbowbend-daemon/tests/soak/odd.rs
@@ -0,0 +1,148 @@
+//! Odd entries of other writers among those of the endpoints, and odd datagrams, while callers send.
+
+use std::time::Duration;
+
+use async_std::task;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use crate::fleet::{Fleet, ENDPOINTS};
+use crate::press;
+
+/// Seeds with one cell and with two.
+const USELESS: [u64; 2] = [331, 332];
+const READY: Duration = Duration::from_secs(10);
+/// Time after which a change of the store's entries is in force at all instances.
+const IN_FORCE: Duration = Duration::from_millis(800);
+const LENGTH: Duration = Duration::from_millis(1500);
+/// A beginning in milliseconds that no clock shows.
+const LATEST: u64 = u64::MAX;
+/// Depth at which the reader of JSON gives up, and a multiple of it.
+const DEPTHS: [usize; 2] = [120, 100_000];
+
+/// An entry that is sound but for its address, where nobody listens.
+fn entry() -> Value {
+    json!({
+        "service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 8, "state": "ready",
+        "born": 1_700_000_000_000_u64, "version": "v1",
+    })
+}
+
+/// The same with another value of a field, as text: it need not be one that the reader of JSON takes.
+fn with(field: &str, value: &str) -> String {
+    let mut entry = entry();
+    entry[field] = json!("HERE");
+    entry.to_string().replace("\"HERE\"", value)
+}
+
+/// The same of an endpoint that drains. One that is used costs attempts since nobody is there, whatever is odd of it.
+fn draining_with(field: &str, value: &str) -> String {
+    with(field, value).replace("ready", "draining")
+}
+
+fn nested(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+/// Entries with numbers of slots at addresses of their own: of entries at one address some count for nothing.
+fn with_slots() -> Vec<String> {
+    let all = ["4294967295", "2147483648", "4294967295", "0"].into_iter().zip(1..);
+    all.map(|(slots, port)| with("slots", slots).replace(":9\"", &format!(":{port}\""))).collect()
+}
+
+/// Entries of which none is an endpoint that could run a request.
+fn useless() -> Vec<String> {
+    let mut all = vec!["[".repeat(200_000)];
+    for depth in DEPTHS {
+        all.extend(["version", "note"].map(|field| draining_with(field, &nested(depth))));
+    }
+    for number in ["1e999", "18446744073709551616", "1180591620717411303424", "-1"] {
+        all.push(with("slots", number));
+    }
+    all.extend(with_slots());
+    all.extend(["1e999", "1180591620717411303424"].map(|born| with("born", born)));
+    all.push(with("born", &LATEST.to_string()));
+    all.extend(["cold_left_ms", "seq_no"].map(|field| draining_with(field, "1e999")));
+    for address in ["127.0.0.1:70000", "127.0.0.1:0", "0.0.0.0:80"] {
+        all.push(with("address", &json!(address).to_string()));
+    }
+    all.push(with("zone", &json!("z".repeat(20_000)).to_string()));
+    all
+}
+
+struct Play {
+    fleet: Fleet,
+    seed: u64,
+    broken: Vec<String>,
+}
+
+impl Play {
+    async fn start(seed: u64) -> Play {
+        let fleet = Fleet::start(seed).await;
+        assert!(fleet.ready(READY).await, "the daemons are not ready");
+        Play { fleet, seed, broken: Vec::new() }
+    }
+
+    /// Sends for a while; all requests are to be served, and of these endpoints each is to get some.
+    async fn expect_served(&mut self, part: &str, endpoints: std::ops::Range<usize>) {
+        let arrived =
+            |fleet: &Fleet| fleet.endpoints.iter().map(|e| e.arrived()).collect::<Vec<_>>();
+        let before = arrived(&self.fleet);
+        let name = format!("{}-{part}", self.seed);
+        let seen = press::press_fast(&self.fleet, &name, LENGTH).await;
+        let unserved = press::unserved(&seen).map(|why| format!("of {}: {why}", seen.len()));
+        let idle = endpoints.filter(|n| arrived(&self.fleet)[*n] == before[*n]);
+        let idle: Vec<_> = idle.map(|n| format!("e-{n} gets nothing")).collect();
+        let is_ready = self.fleet.ready(Duration::from_secs(2)).await;
+        let ended = (!is_ready).then(|| "not all daemons are ready".to_owned());
+        let all = unserved.into_iter().chain(idle).chain(ended);
+        self.broken.extend(all.map(|why| format!("seed {} {part}: {why}", self.seed)));
+    }
+
+    /// An endpoint leaves and gets nothing more.
+    async fn expect_followed(&mut self) {
+        self.fleet.leave(0);
+        task::sleep(IN_FORCE).await;
+        let before = self.fleet.endpoints[0].arrived();
+        self.expect_served("left", 1..ENDPOINTS).await;
+        if self.fleet.endpoints[0].arrived() > before {
+            self.broken.push(format!("seed {}: the list is not followed any more", self.seed));
+        }
+        self.fleet.enter(0);
+    }
+
+    /// All daemons are killed and start beside the odd entries.
+    async fn expect_start_of_all(&mut self) {
+        self.fleet.daemons.iter().for_each(|daemon| daemon.signal(Signal::KILL));
+        for daemon in &mut self.fleet.daemons {
+            daemon.restart().await;
+        }
+        if !self.fleet.ready(READY).await {
+            self.broken.push(format!("seed {}: no start beside odd entries", self.seed));
+            return;
+        }
+        task::sleep(IN_FORCE).await;
+        self.expect_served("started", 0..ENDPOINTS).await;
+    }
+}
+
+/// Odd values at an address where nobody listens.
+async fn play_useless(seed: u64) -> Vec<String> {
+    let mut play = Play::start(seed).await;
+    play.expect_served("before", 0..ENDPOINTS).await;
+    for (n, text) in useless().into_iter().enumerate() {
+        play.fleet.store.put_text(&format!("servers/odd-{n}"), &text);
+    }
+    task::sleep(IN_FORCE).await;
+    play.expect_served("odd", 0..0).await;
+    play.expect_followed().await;
+    play.expect_start_of_all().await;
+    play.broken
+}
+
+/// A slot count that fills the sum of a service's free slots ended all daemons with checked arithmetic.
+#[test]
+fn odd_entries_of_other_writers_end_no_instance_and_no_service() {
+    let broken = press::play_in_turn(USELESS.into_iter().map(play_useless));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-daemon/tests/soak/store.rs
+++ b/oxbowbend-daemon/tests/soak/store.rs
@@ -100,7 +100,12 @@
     }
 
     pub fn put(&self, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
+        self.put_text(key, &value.to_string());
+    }
+
+    /// The same, of a value that need not be JSON.
+    pub fn put_text(&self, key: &str, text: &str) {
+        let value = STANDARD.encode(text);
         self.state.lock().unwrap().put(key, &value, 0);
     }
 
--- a/oxbowbend-gateway/src/slot_leases/table/owner.rs
+++ b/oxbowbend-gateway/src/slot_leases/table/owner.rs
@@ -195,9 +195,9 @@
     pub(in crate::slot_leases) fn load(&self) -> OwnerLoad {
         let mut sum = OwnerLoad::default();
         for load in self.owners.values().map(Owner::load) {
-            sum.slots += load.slots;
-            sum.granted += load.granted;
-            sum.waiting += load.waiting;
+            sum.slots = sum.slots.saturating_add(load.slots);
+            sum.granted = sum.granted.saturating_add(load.granted);
+            sum.waiting = sum.waiting.saturating_add(load.waiting);
         }
         sum
     }
