An entry that claims a later beginning displaces no sound endpoint

What callers saw: an entry with born at the address of a sound endpoint took that endpoint from all callers; at all five addresses all requests were unserved (207 of 207, 209 of 209 after a start of all), as long as the entries stood.

Cause: of two entries at one address only the one that began later counted, and nothing bounds what an entry says of its beginning. The same rule for one id refused everything that a start wrote whose clock had gone back, for ever, also that it leaves.

Which of two candidates is there the endpoint's own answer decides: 421 sets the entry aside that was meant. With odd entries at all addresses 1 or 2 of 200 requests were still refused, which met three of them in a row: attempts that reach another endpoint than the one that was meant now count apart (8 at most, each within the retry budget) from the three that end without execution. This touches relay/mod.rs and relay/run.rs.

Told: endpoint_entered_late, endpoint_earlier_start, entry_unreadable; oxbow_entries_doubted_total{why}.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -159,6 +159,11 @@
         fleet
     }
 
+    /// Where the daemons reach an endpoint.
+    pub fn address_of(&self, n: usize) -> SocketAddr {
+        self.addresses[n]
+    }
+
     /// Where callers reach the daemons.
     pub fn callers(&self) -> [SocketAddr; DAEMONS] {
         std::array::from_fn(|n| self.daemons[n].callers)
--- a/oxbowbend-daemon/tests/soak/odd.rs
+++ b/oxbowbend-daemon/tests/soak/odd.rs
@@ -9,8 +9,9 @@
 use crate::fleet::{Fleet, ENDPOINTS};
 use crate::press;
 
-/// Seeds with one cell and with two.
+/// Seeds with one cell and with two, of each test.
 const USELESS: [u64; 2] = [331, 332];
+const DISPLACING: [u64; 2] = [333, 334];
 const READY: Duration = Duration::from_secs(10);
 /// Time after which a change of the store's entries is in force at all instances.
 const IN_FORCE: Duration = Duration::from_millis(800);
@@ -70,6 +71,13 @@
     all
 }
 
+/// An entry of another id at the address of a sound endpoint.
+fn at_address_of(fleet: &Fleet, n: usize, born: u64) -> Value {
+    let mut entry = entry();
+    (entry["address"], entry["born"]) = (fleet.address_of(n).to_string().into(), born.into());
+    entry
+}
+
 struct Play {
     fleet: Fleet,
     seed: u64,
@@ -146,3 +154,27 @@
     let broken = press::play_in_turn(USELESS.into_iter().map(play_useless));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Entries with the latest beginning that can be written, at the addresses of one sound endpoint and of all.
+async fn play_displaced(seed: u64) -> Vec<String> {
+    let mut play = Play::start(seed).await;
+    play.expect_served("before", 0..ENDPOINTS).await;
+    for (part, count) in [("one", 1), ("all", ENDPOINTS)] {
+        for n in 0..count {
+            let odd = at_address_of(&play.fleet, n, LATEST);
+            play.fleet.store.put(&format!("servers/odd-{n}"), &odd);
+        }
+        task::sleep(IN_FORCE).await;
+        play.expect_served(part, 0..ENDPOINTS).await;
+    }
+    play.expect_start_of_all().await;
+    play.broken
+}
+
+/// Of two entries at one address only the one that began later counted, whatever it said: one writer took all endpoints
+/// from all callers.
+#[test]
+fn an_entry_with_a_beginning_that_no_clock_shows_displaces_no_sound_endpoint() {
+    let broken = press::play_in_turn(DISPLACING.into_iter().map(play_displaced));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -96,6 +96,11 @@
     gauge!("oxbow_accounts_over_share").set(accounts as f64);
 }
 
+/// Counts an entry of the store of which something was not believed.
+pub(crate) fn entry_doubted(why: &'static str) {
+    counter!("oxbow_entries_doubted_total", "why" => why).increment(1);
+}
+
 /// Notes the time from a request's arrival to the first event of its answer.
 pub(crate) fn began(route: &str, took: Duration) {
     histogram!("oxbow_first_event_seconds", "route" => route.to_owned()).record(took);
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -52,6 +52,9 @@
 /// Maximum number of attempts at one request that end without executing it. Retries of those that
 /// reached an endpoint use up the retry budget, which is shared with other requests.
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 3;
+/// Maximum number of attempts that reach another endpoint than the one that was meant. These say nothing of the service's
+/// load, and each sets an entry aside at whose address another endpoint is.
+const MAX_MISDIRECTED_ATTEMPTS: u32 = 8;
 /// Fraction of the latency objective that a request may spend in the queue.
 const QUEUE_TIMEOUT_FRACTION: f64 = 0.8;
 /// Minimum queue timeout of a request that is being retried.
@@ -161,6 +164,7 @@
     ) -> Result<AttemptResponse, Refusal> {
         let mut history =
             AttemptHistory { bound_to: request.bound_to.clone(), ..AttemptHistory::default() };
+        let mut misdirected = 0;
         loop {
             if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
@@ -195,8 +199,12 @@
                     return history.final_result(refusal);
                 }
                 Err(error) if error.is_unexecuted() => {
-                    history.unexecuted += 1;
+                    match error.is_misdirected() {
+                        true => misdirected += 1,
+                        false => history.unexecuted += 1,
+                    }
                     let can_retry = history.unexecuted < MAX_UNEXECUTED_ATTEMPTS
+                        && misdirected < MAX_MISDIRECTED_ATTEMPTS
                         && (!error.reached_endpoint()
                             || self.acquire_retry(request, "not_run", &mut history));
                     if !can_retry {
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -93,6 +93,11 @@
         )
     }
 
+    /// Returns whether another endpoint than the one that was meant has refused the request.
+    pub(crate) fn is_misdirected(&self) -> bool {
+        matches!(self, AttemptError::NotExecuted(Verdict::NotThere))
+    }
+
     /// Returns whether the request may have reached the endpoint.
     pub(crate) fn reached_endpoint(&self) -> bool {
         !matches!(
--- a/oxbowbend-gateway/src/world/mod.rs
+++ b/oxbowbend-gateway/src/world/mod.rs
@@ -94,8 +94,7 @@
         self.is_loaded && self.table.is_some()
     }
 
-    /// The endpoints in force. Of two at one address, only the one that began later can be there: the other
-    /// one's entry was written late.
+    /// The endpoints in force. One is held back that was entered after another one at its address that began later.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.in_force()
     }
@@ -198,6 +197,7 @@
         for id in missing {
             news.extend(self.lapse(now, id));
         }
+        self.endpoints.end_list();
         self.is_loaded = true;
         news
     }
@@ -278,6 +278,7 @@
         self.replace_instances(&snapshot);
         let mut news = self.take(now, snapshot, Origin::of_list(is_restored), read);
         news.extend(missing.into_iter().filter_map(|id| self.endpoints.remove(now, id)));
+        self.endpoints.end_list();
         self.is_loaded = true;
         news
     }
--- a/oxbowbend-gateway/src/world/news.rs
+++ b/oxbowbend-gateway/src/world/news.rs
@@ -4,6 +4,7 @@
 use oxbowbend_core::rollout::{RolloutSpec, Status};
 use oxbowbend_core::routes::Endpoint;
 
+use crate::observe;
 use crate::seam::{Position, Revision, UnreadableEntry};
 
 /// A change of what is known, for the log.
@@ -21,6 +22,8 @@
     Restarted(Endpoint),
     /// The entry of an earlier start of an endpoint was not taken.
     EarlierStart(Endpoint),
+    /// The entry of an endpoint that began before another one at its address came after that one's, and is held back.
+    Late(Endpoint),
     /// An endpoint has gone.
     EndpointGone(EndpointId),
     /// An entry cannot be read.
@@ -52,7 +55,10 @@
 impl News {
     /// Whether another set of endpoints is in force since.
     pub(crate) fn is_of_endpoints(&self) -> bool {
-        matches!(self, News::Endpoint(_) | News::Restarted(_) | News::EndpointGone(_))
+        matches!(
+            self,
+            News::Endpoint(_) | News::Restarted(_) | News::Late(_) | News::EndpointGone(_)
+        )
     }
 
     /// Writes the line of the log, with the store's revision and from whom it was learned.
@@ -75,11 +81,19 @@
             }
             News::Endpoint(e) => log_endpoint("endpoint", e, revision, source),
             News::Restarted(e) => log_endpoint("endpoint_restarted", e, revision, source),
-            News::EarlierStart(e) => log_endpoint("endpoint_earlier_start", e, revision, source),
+            News::EarlierStart(e) => {
+                observe::entry_doubted("earlier_start");
+                log_endpoint("endpoint_earlier_start", e, revision, source);
+            }
+            News::Late(e) => {
+                observe::entry_doubted("late");
+                log_endpoint("endpoint_entered_late", e, revision, source);
+            }
             News::EndpointGone(id) => {
                 log::info!("event=endpoint_gone endpoint={id} revision={revision} source={source}");
             }
             News::Unreadable(UnreadableEntry { names, why }) => {
+                observe::entry_doubted("unreadable");
                 log::warn!(
                     "event=entry_unreadable revision={revision} source={source} names={names:?} \
                      why=\"{why}\""
