Soak: odd entries of instances and roll-outs, and odd datagrams, end no instance

Callers are served beside them, and all daemons start again beside them.

Not played: a datagram of a known instance's name, and a configuration whose version is the largest number, after which no later one is taken.

--- a/oxbowbend-daemon/tests/soak/odd.rs
+++ b/oxbowbend-daemon/tests/soak/odd.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use async_std::net::UdpSocket;
 use async_std::task;
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -12,12 +13,15 @@
 /// Seeds with one cell and with two, of each test.
 const USELESS: [u64; 2] = [331, 332];
 const DISPLACING: [u64; 2] = [333, 334];
+const OTHER_KEYS: [u64; 2] = [335, 336];
 const READY: Duration = Duration::from_secs(10);
 /// Time after which a change of the store's entries is in force at all instances.
 const IN_FORCE: Duration = Duration::from_millis(800);
 const LENGTH: Duration = Duration::from_millis(1500);
 /// A beginning in milliseconds that no clock shows.
 const LATEST: u64 = u64::MAX;
+/// Port for reports of other instances, the first of the settings' range.
+const REPORTS_PORT: u16 = 27600;
 /// Depth at which the reader of JSON gives up, and a multiple of it.
 const DEPTHS: [usize; 2] = [120, 100_000];
 
@@ -178,3 +182,74 @@
     let broken = press::play_in_turn(DISPLACING.into_iter().map(play_displaced));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Odd values below the keys of instances, roll-outs and their statuses.
+fn other_entries() -> Vec<(String, String)> {
+    let (most, huge) = (u64::MAX, "1180591620717411303424");
+    let mut all = Vec::new();
+    for (n, number) in [most.to_string(), u32::MAX.to_string(), huge.to_owned(), nested(100)]
+        .into_iter()
+        .enumerate()
+    {
+        let instance = format!(
+            r#"{{"zone":"z","address":"127.0.0.1:9","epoch":{number},"paces":[[1,{number}]],
+                "used":[["account-two",[{number},{number}]]],
+                "rollouts":[{{"s":"s","d":"v","a":{number},"t":{number},"p":"Retired"}}]}}"#
+        );
+        all.push((format!("oxbow/instances/odd-{n}"), instance));
+        let order =
+            format!(r#"{{"service":"other-{n}","destination":{number},"duration_s":{number}}}"#);
+        all.push((format!("op/rollout/other-{n}"), order));
+        let status = format!(r#"{{"state":"running","destination":{number}}}"#);
+        all.push((format!("status/rollout/other-{n}"), status));
+    }
+    all.push(("oxbow/instances/deep".to_owned(), "[".repeat(200_000)));
+    all
+}
+
+/// Datagrams that no instance sends: unreadable ones, and a report with the largest numbers.
+fn datagrams(sequence: u64) -> Vec<Vec<u8>> {
+    let report = format!(
+        r#"{{"jsonrpc":"2.0","method":"report","params":{{"i":"odd","z":"z","l":1,"n":{sequence},"r":0,"v":0,"a":null,
+            "E":0,"h":{m},"f":true,"e":[[7,{m},{m}],[7,{m},{m}]],"t":[[7,{l},{l},{l},{m}]],
+            "u":[["account-two",{l}]],"q":{m},"P":[["s",[[0,{m}],[0,{m}]]]],"J":[[7,{m}]],
+            "Q":{{"v":[{{"f":5,"n":{m},"t":{m},"l":{m}}}]}}}}}}"#,
+        m = u32::MAX,
+        l = u64::MAX
+    );
+    let deep = format!(r#"{{"jsonrpc":"2.0","method":"report","params":{}}}"#, nested(20_000));
+    let huge = report.replace("\"r\":0", "\"r\":1180591620717411303424");
+    let all = [report, deep, huge, "[".repeat(50_000), String::new(), "\u{0}".repeat(100)];
+    all.map(String::into_bytes).into()
+}
+
+async fn play_other_keys(seed: u64) -> Vec<String> {
+    let mut play = Play::start(seed).await;
+    for (key, text) in other_entries() {
+        play.fleet.store.put_text(&key, &text);
+    }
+    let socket = UdpSocket::bind("0.0.0.0:0").await.unwrap();
+    for sequence in 1..5 {
+        for datagram in datagrams(sequence) {
+            for daemon in &play.fleet.daemons {
+                socket.send_to(&datagram, (daemon.callers.ip(), REPORTS_PORT)).await.unwrap();
+            }
+        }
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    task::sleep(IN_FORCE * 2).await;
+    for daemon in &play.fleet.daemons {
+        let log = std::fs::read_to_string(&daemon.log).unwrap();
+        assert!(log.contains("event=report_unreadable"), "the datagrams do not arrive");
+    }
+    play.expect_served("other", 0..ENDPOINTS).await;
+    play.expect_start_of_all().await;
+    play.broken
+}
+
+/// Other writers and senders choose numbers in entries of instances and in datagrams too.
+#[test]
+fn odd_entries_of_instances_and_odd_datagrams_end_no_instance() {
+    let broken = press::play_in_turn(OTHER_KEYS.into_iter().map(play_other_keys));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
