--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -25,6 +25,7 @@
 mod leases;
 mod leavers;
 mod limits;
+mod odd;
 mod one_instance;
 mod out_of_step;
 mod outages;
