A stream without framing whose endpoint has ended does not look complete

Callers saw: an answer of status 200 that ended as complete before its last event, on all streaming routes, when an endpoint whose answers have neither a length nor chunks was killed between two events.

Cause: the kernel closes the connections of a process that ends in the ordinary way, and where only the end of the connection marks that of the answer, the relay took it for that at the boundary of an event.

Evidence: soak/kills.rs, five endpoints killed one after the other, an instance by SIGKILL and one by SIGTERM beside them.

Why it works: a process that ends closes its listener too. Before such a stream is ended to its caller, the endpoint is asked for the connection that the next request needs anyway; refused, the stream counts as interrupted. One that has said that it leaves may close its listener first and end its answers after that, so its ends are believed. 100 ms without an answer change nothing. The stand-in closes its listener before its connections, as a process does whose listener has the lower number.

Not covered: an endpoint that is up again when it is asked, or whose run alone has ended; answers without events that are read to their end before they are passed on; an endpoint that stops without saying so and ends its streams with its listener closed is taken for one that failed.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -21,6 +21,7 @@
 mod faults;
 mod fleet;
 mod gone;
+mod kills;
 mod late_config;
 mod leases;
 mod leavers;
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -28,6 +28,8 @@
     Silent,
     /// Connections are reset, new ones refused.
     Down,
+    /// Connections are closed in the ordinary way, new ones refused, as at the end of a process.
+    Ended,
     /// Answers have neither a length nor chunks and end with their connection: requests arrive as those of HTTP/1.0.
     Unframed,
 }
@@ -51,9 +53,9 @@
         let address = listener.local_addr().unwrap();
         loop {
             let accepted = async_std::future::timeout(LOOK, listener.accept()).await;
-            if self.mode() == Mode::Down {
+            if matches!(self.mode(), Mode::Down | Mode::Ended) {
                 drop(listener);
-                while self.mode() == Mode::Down {
+                while matches!(self.mode(), Mode::Down | Mode::Ended) {
                     task::sleep(LOOK).await;
                 }
                 listener = TcpListener::bind(address).await.unwrap();
@@ -83,7 +85,7 @@
     /// What happens to the bytes of a connection.
     async fn mode_of(&self, conn: &Accepted) -> Mode {
         match (self.mode(), self.paths.cut_of(conn).await) {
-            (mode @ (Mode::Reset | Mode::Down), _) => mode,
+            (mode @ (Mode::Reset | Mode::Down | Mode::Ended), _) => mode,
             (_, Some(Manner::Reset)) => Mode::Reset,
             (_, Some(Manner::Silent)) => Mode::Silent,
             (mode, _) => mode,
@@ -91,7 +93,7 @@
     }
 
     async fn is_off(&self, conn: &Accepted) -> bool {
-        matches!(self.mode_of(conn).await, Mode::Reset | Mode::Down)
+        matches!(self.mode_of(conn).await, Mode::Reset | Mode::Down | Mode::Ended)
     }
 
     async fn connection(self, near: TcpStream, to: SocketAddr) {
@@ -105,9 +107,13 @@
         let there = Box::pin(self.clone().pump(&conn, near.clone(), far.clone(), false));
         let back = Box::pin(self.clone().pump(&conn, far.clone(), near.clone(), true));
         futures::future::select(there, back).await;
-        if self.is_off(&conn).await || self.mode() == Mode::Strike {
+        if (self.is_off(&conn).await && self.mode() != Mode::Ended) || self.mode() == Mode::Strike {
             reset(&near);
         }
+        if self.mode() == Mode::Ended {
+            // A process closes its listener first, which it opened first.
+            task::sleep(3 * LOOK).await;
+        }
         let _ = near.shutdown(std::net::Shutdown::Both);
         let _ = far.shutdown(std::net::Shutdown::Both);
     }
@@ -129,7 +135,7 @@
             }
             loop {
                 match self.mode_of(conn).await {
-                    Mode::Reset | Mode::Down => return,
+                    Mode::Reset | Mode::Down | Mode::Ended => return,
                     Mode::Strike if is_back => return,
                     Mode::Silent => task::sleep(LOOK).await,
                     Mode::OneWay if is_back => task::sleep(LOOK).await,
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -16,6 +16,7 @@
 use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::streams::StreamOrigin;
+use oxbowbend_http::h1;
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt};
@@ -34,6 +35,9 @@
 /// Bytes of an incomplete event that are kept. Only whole events are passed on.
 const MAX_EVENT: usize = 1 << 20;
 
+/// Time for which the end of a response waits for a connection to its endpoint.
+const END_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
 /// response does not appear complete.
 #[derive(Debug, Error)]
@@ -139,7 +143,7 @@
                 Some(event) => StreamItem::Interrupted(Interruption::OutOfOrder(event)),
                 None => receive_item(self.stream.as_mut()?, &self.request).await,
             };
-            match self.check_end(item) {
+            match self.check_end(item).await {
                 StreamItem::Data(data) => {
                     let data = self.split(data);
                     if data.is_empty() {
@@ -187,13 +191,16 @@
         }
     }
 
-    /// Turns an end inside an event, and a part without an end, into an interruption. The end of a
-    /// connection looks the same whether the endpoint closed it or failed.
-    fn check_end(&self, item: StreamItem) -> StreamItem {
+    /// Turns an end inside an event, the end of an endpoint and a part without an end into an
+    /// interruption. The end of a connection looks the same whether the endpoint closed it or failed.
+    async fn check_end(&mut self, item: StreamItem) -> StreamItem {
         match item {
             StreamItem::End if self.has_events() && self.events.is_inside_event() => {
                 StreamItem::Interrupted(Interruption::broken("ended inside an event"))
             }
+            StreamItem::End if self.has_endpoint_ended().await => {
+                StreamItem::Interrupted(Interruption::broken("endpoint ended with its connection"))
+            }
             StreamItem::Data(data) if self.is_too_long(&data) => {
                 StreamItem::Interrupted(Interruption::broken("no end within the bound"))
             }
@@ -201,6 +208,28 @@
         }
     }
 
+    /// Returns whether the endpoint accepts no connections any more, so that the end of its connection,
+    /// where nothing else marks the end of the response, may be that of its process. One that leaves
+    /// ends its responses after that.
+    async fn has_endpoint_ended(&mut self) -> bool {
+        let Some(stream) = &self.stream else { return false };
+        let endpoint = &stream.attempt.endpoint;
+        let is_leaving = self.relay.shared.lock().cell.has_drain_notice(endpoint.key());
+        if stream.attempt.framing != h1::Framing::UntilClose || is_leaving {
+            return false;
+        }
+        let connect = self.relay.pool.connect(endpoint.address);
+        match future::timeout(END_PROBE_TIMEOUT, connect).await {
+            Ok(Ok(conn)) => {
+                // The next request needs one, since that of the response has ended.
+                self.relay.pool.put(conn);
+                false
+            }
+            Ok(Err(e)) => e.is_refused(),
+            Err(_) => false,
+        }
+    }
+
     /// Returns whether another endpoint may continue the stream, which only events allow: the rest
     /// of any other body could not be told from its beginning.
     fn is_resumable(&self) -> bool {
