An answer without events or framing whose endpoint has ended is not whole

Callers saw: the first half of a plain answer, or none of it, with status 200 and a stated length, when an endpoint whose answers have neither a length nor chunks was killed while it wrote.

Why it works: the endpoint is asked for its next connection before the answer counts as whole. Refused, the attempt has failed: what may be repeated goes to another endpoint, for the rest the caller hears that it may have run.

--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -71,6 +71,8 @@
     CuttingWithoutIds,
     /// Writes events without ids.
     WithoutIds,
+    /// Writes plain answers in two pieces.
+    InTwoPieces,
     /// Runs requests and answers nothing.
     Hanging,
 }
@@ -307,10 +309,25 @@
         }
         let work = *self.work.lock().unwrap();
         task::sleep(work).await;
-        reply(200, &sealed, Either::Left(h1::Whole::from(format!("answer of {id}"))))
+        let answer = Bytes::from(format!("answer of {id}"));
+        if mode == Mode::InTwoPieces {
+            return reply(200, &sealed, Either::Right(StreamBody::new(in_two_pieces(answer))));
+        }
+        reply(200, &sealed, Either::Left(h1::Whole::new(answer)))
     }
 }
 
+/// A body of two pieces with a pause between them.
+fn in_two_pieces(answer: Bytes) -> stream::BoxStream<'static, Result<Frame<Bytes>, String>> {
+    let pieces = [answer.slice(..answer.len() / 2), answer.slice(answer.len() / 2..)];
+    stream::iter(pieces)
+        .then(|piece| async {
+            task::sleep(4 * PAUSE).await;
+            Ok(Frame::data(piece))
+        })
+        .boxed()
+}
+
 /// The part of a prompt that crashes endpoints, if there is one; the last belongs to the request.
 fn crashing_part(prompt_prefix: &str) -> Option<Bytes> {
     let mut parts: Vec<&str> = prompt_prefix.split(',').collect();
--- a/oxbowbend-gateway/src/relay/quarantine.rs
+++ b/oxbowbend-gateway/src/relay/quarantine.rs
@@ -20,6 +20,9 @@
 /// interrupted request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Why the response of an endpoint that has ended is not complete.
+pub(super) const ENDED_WITH_RESPONSE: &str = "endpoint ended with its connection";
+
 impl<W> Relay<W> {
     /// Checks whether a request may be sent to an endpoint. Returns `true` if the send is the trial
     /// of its quarantine.
@@ -76,6 +79,29 @@
             task::spawn(probe_endpoint(shared, pool, service, endpoint.clone())).await;
         }
     }
+
+    /// Returns whether the endpoint accepts no connections any more, so that the end of its connection,
+    /// where nothing else marks the end of the response, may be that of its process. One that leaves
+    /// ends its responses after that.
+    pub(super) async fn has_ended_with_response(
+        &self,
+        endpoint: &Endpoint,
+        framing: h1::Framing,
+    ) -> bool {
+        let is_leaving = self.shared.lock().cell.has_drain_notice(endpoint.key());
+        if framing != h1::Framing::UntilClose || is_leaving {
+            return false;
+        }
+        match future::timeout(PROBE_TIMEOUT, self.pool.connect(endpoint.address)).await {
+            Ok(Ok(conn)) => {
+                // The next request needs one, since that of the response has ended.
+                self.pool.put(conn);
+                false
+            }
+            Ok(Err(e)) => e.is_refused(),
+            Err(_) => false,
+        }
+    }
 }
 
 async fn probe_endpoint(shared: Shared, pool: h1::Pool, service: ServiceId, endpoint: Endpoint) {
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -20,6 +20,7 @@
 
 use super::attempt::{log_response, Attempt, Progress};
 use super::handover::{PeerResponse, HANDOVER};
+use super::quarantine::ENDED_WITH_RESPONSE;
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
 use super::stream::EndpointStream;
@@ -361,6 +362,11 @@
             );
         }
         let beginning = match collected {
+            h1::Collected::Whole(_)
+                if self.has_ended_with_response(&attempt.endpoint, attempt.framing).await =>
+            {
+                return Err(AttemptError::NoValidResponse(ENDED_WITH_RESPONSE.to_owned()))
+            }
             h1::Collected::Whole(body) => {
                 return Ok(ResponseStart::Complete(Response::from_parts(head, body)))
             }
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -16,10 +16,10 @@
 use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::routes::Endpoint;
 use oxbowbend_core::streams::StreamOrigin;
-use oxbowbend_http::h1;
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt};
+use super::quarantine::ENDED_WITH_RESPONSE;
 use super::request::AdmittedRequest;
 use super::run::{with_source, AttemptError, AttemptResponse, MAX_RESPONSE};
 use super::take_up::account;
@@ -35,9 +35,6 @@
 /// Bytes of an incomplete event that are kept. Only whole events are passed on.
 const MAX_EVENT: usize = 1 << 20;
 
-/// Time for which the end of a response waits for a connection to its endpoint.
-const END_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// The stream was interrupted and cannot be resumed. The client's connection is aborted so that the
 /// response does not appear complete.
 #[derive(Debug, Error)]
@@ -199,7 +196,7 @@
                 StreamItem::Interrupted(Interruption::broken("ended inside an event"))
             }
             StreamItem::End if self.has_endpoint_ended().await => {
-                StreamItem::Interrupted(Interruption::broken("endpoint ended with its connection"))
+                StreamItem::Interrupted(Interruption::broken(ENDED_WITH_RESPONSE))
             }
             StreamItem::Data(data) if self.is_too_long(&data) => {
                 StreamItem::Interrupted(Interruption::broken("no end within the bound"))
@@ -208,26 +205,11 @@
         }
     }
 
-    /// Returns whether the endpoint accepts no connections any more, so that the end of its connection,
-    /// where nothing else marks the end of the response, may be that of its process. One that leaves
-    /// ends its responses after that.
+    /// Returns whether the end of the response may be that of the endpoint's process.
     async fn has_endpoint_ended(&mut self) -> bool {
         let Some(stream) = &self.stream else { return false };
-        let endpoint = &stream.attempt.endpoint;
-        let is_leaving = self.relay.shared.lock().cell.has_drain_notice(endpoint.key());
-        if stream.attempt.framing != h1::Framing::UntilClose || is_leaving {
-            return false;
-        }
-        let connect = self.relay.pool.connect(endpoint.address);
-        match future::timeout(END_PROBE_TIMEOUT, connect).await {
-            Ok(Ok(conn)) => {
-                // The next request needs one, since that of the response has ended.
-                self.relay.pool.put(conn);
-                false
-            }
-            Ok(Err(e)) => e.is_refused(),
-            Err(_) => false,
-        }
+        let (endpoint, framing) = (stream.attempt.endpoint.clone(), stream.attempt.framing);
+        self.relay.has_ended_with_response(&endpoint, framing).await
     }
 
     /// Returns whether another endpoint may continue the stream, which only events allow: the rest
