Soak: plays that run at once have addresses of their own

Seen: of plays that run at once in one process those whose seeds differ by 250 had the same addresses, as 61 and 311, 63 and 313, so daemons and callers of one met those of the other. unframed (seed 61) beside extra (311) failed with "1 are not served ... is_whole: false", "10 are not served ... is_sent: false" and more, in one run of two; in the other extra failed with "no extra response came in place of an answer".

Cause: the third number of the address is the seed modulo 250, the second that of the process alone.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -346,7 +346,8 @@
         link_mbps: Option<f64>,
     ) -> Daemon {
         // Every run has loopback addresses of its own, since the ports are the same everywhere.
-        let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, seed % 250 + 1, n + 1);
+        let block = 20 + (u64::from(std::process::id()) + seed / 250) % 200;
+        let ip = format!("127.{block}.{}.{}", seed % 250 + 1, n + 1);
         let net = ip.rsplit_once('.').unwrap().0.to_owned();
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
