--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt};
+use super::quarantine::ENDED_WITH_RESPONSE;
 use super::request::AdmittedRequest;
 use super::run::{with_source, AttemptError, AttemptResponse, MAX_RESPONSE};
 use super::take_up::account;
@@ -139,7 +140,7 @@
                 Some(event) => StreamItem::Interrupted(Interruption::OutOfOrder(event)),
                 None => receive_item(self.stream.as_mut()?, &self.request).await,
             };
-            match self.check_end(item) {
+            match self.check_end(item).await {
                 StreamItem::Data(data) => {
                     let data = self.split(data);
                     if data.is_empty() {
@@ -187,13 +188,16 @@
         }
     }
 
-    /// Turns an end inside an event, and a part without an end, into an interruption. The end of a
-    /// connection looks the same whether the endpoint closed it or failed.
-    fn check_end(&self, item: StreamItem) -> StreamItem {
+    /// Turns an end inside an event, the end of an endpoint and a part without an end into an
+    /// interruption. The end of a connection looks the same whether the endpoint closed it or failed.
+    async fn check_end(&mut self, item: StreamItem) -> StreamItem {
         match item {
             StreamItem::End if self.has_events() && self.events.is_inside_event() => {
                 StreamItem::Interrupted(Interruption::broken("ended inside an event"))
             }
+            StreamItem::End if self.has_endpoint_ended().await => {
+                StreamItem::Interrupted(Interruption::broken(ENDED_WITH_RESPONSE))
+            }
             StreamItem::Data(data) if self.is_too_long(&data) => {
                 StreamItem::Interrupted(Interruption::broken("no end within the bound"))
             }
@@ -201,6 +205,13 @@
         }
     }
 
+    /// Returns whether the end of the response may be that of the endpoint's process.
+    async fn has_endpoint_ended(&mut self) -> bool {
+        let Some(stream) = &self.stream else { return false };
+        let (endpoint, framing) = (stream.attempt.endpoint.clone(), stream.attempt.framing);
+        self.relay.has_ended_with_response(&endpoint, framing).await
+    }
+
     /// Returns whether another endpoint may continue the stream, which only events allow: the rest
     /// of any other body could not be told from its beginning.
     fn is_resumable(&self) -> bool {
