Notes and answers on versions do not outlive the word of the store that they rest on

- An instance that the store does not answer noted, and told instances that start, that a service has one version, which these took as of their start.
It now tells nothing then, and an instance that has learned from a peer alone trusts no past until the store has told it a list.
- In a fleet of one cell whose store is away, a peer that had restarted and seen no version counted as one that has seen no other.
It no longer counts.
- A list after a compaction began the history anew if the watch before it had waited for more than 2 s, though it was answered just before.
A watch without changes now counts as told when it has waited.
- Questions to peers end with the first confirmed answer.
A read of the store begins 20 ms after the last one ended or later, and a request waits 0.6 s, for the end of a read that began before it came and for its own.

The limits of the waits were not measured by themselves.

--- a/oxbowbend-core/src/streams/history.rs
+++ b/oxbowbend-core/src/streams/history.rs
@@ -34,6 +34,8 @@
     since: Option<Instant>,
     /// Its end: when the store was asked for what it told last.
     until: Instant,
+    /// When the store told that at the latest, as far as this instance knows.
+    told_at: Instant,
 }
 
 /// A version at which every stream began that began until a moment, as far back as streams can be taken up.
@@ -58,7 +60,7 @@
 /// assert_eq!(history.sole_version(now, "s", retention), None);
 /// let later = now + retention;
 /// history.record_heard(later, &"s".into(), &"v1".into());
-/// history.record_changes(later);
+/// history.record_changes(later, later);
 /// let sole = history.sole_version(later, "s", retention).unwrap();
 /// assert_eq!((&*sole.version, sole.until), ("v1", later));
 /// ```
@@ -101,27 +103,32 @@
         }
     }
 
-    /// Records that no version is unknown that a stream may have begun at until `at`.
-    pub fn trust_past(&mut self, at: Instant) {
-        let until = self.coverage.map_or(at, |coverage| coverage.until);
-        self.coverage = Some(Coverage { since: None, until });
+    /// Records that no version is unknown from before the store's first word that a stream may have begun at.
+    pub fn trust_past(&mut self) {
+        if let Some(coverage) = &mut self.coverage {
+            coverage.since = None;
+        }
     }
 
     /// Records that the versions of all changes are known that the store made since its last word, as asked at
-    /// `asked_at`.
-    pub fn record_changes(&mut self, asked_at: Instant) {
+    /// `asked_at` and told at `told_at` or before.
+    pub fn record_changes(&mut self, asked_at: Instant, told_at: Instant) {
         if let Some(coverage) = &mut self.coverage {
             coverage.until = coverage.until.max(asked_at);
+            coverage.told_at = coverage.told_at.max(asked_at).max(told_at);
         }
     }
 
     /// Records that the versions of a list of all endpoints are known, as asked at `asked_at`. It does not tell which
     /// ones came and went since the store's last word.
     pub fn record_list(&mut self, asked_at: Instant) {
-        let is_near = |c: &Coverage| asked_at.saturating_duration_since(c.until) <= MAX_UNSEEN;
+        let is_near = |c: &Coverage| asked_at.saturating_duration_since(c.told_at) <= MAX_UNSEEN;
         match self.coverage.filter(is_near) {
-            Some(_) => self.record_changes(asked_at),
-            None => self.coverage = Some(Coverage { since: Some(asked_at), until: asked_at }),
+            Some(_) => self.record_changes(asked_at, asked_at),
+            None => {
+                let (since, until) = (Some(asked_at), asked_at);
+                self.coverage = Some(Coverage { since, until, told_at: asked_at });
+            }
         }
     }
 
--- a/oxbowbend-core/src/streams/resolve.rs
+++ b/oxbowbend-core/src/streams/resolve.rs
@@ -43,9 +43,6 @@
     /// Whether the service has had several versions lately.
     #[serde(rename = "m", default)]
     pub is_mixed: bool,
-    /// Whether the answer tells [`only_seen`](PeerAnswer::only_seen), which instances of older versions leave out.
-    #[serde(rename = "c", default)]
-    pub is_whole: bool,
 }
 
 /// What a version is known from.
@@ -141,8 +138,8 @@
     if answers.iter().any(|a| a.confirmed.as_ref() == Some(version)) {
         return bind(version, Basis::PeerSoleVersion);
     }
-    // Streams begin only at versions that some instance has seen.
-    let asked = answers.iter().filter(|a| a.is_whole).count();
+    // Streams begin only at versions that some instance has seen. One that has seen none may have forgotten.
+    let asked = answers.iter().filter(|a| a.only_seen.as_ref() == Some(version)).count();
     if known.sole.is_some() && known.others.is_some_and(|others| asked >= others) {
         return bind(version, Basis::AllInstances);
     }
--- a/oxbowbend-core/tests/streams.rs
+++ b/oxbowbend-core/tests/streams.rs
@@ -50,7 +50,6 @@
         confirmed: confirmed.map(Into::into),
         only_seen: confirmed.map(Into::into),
         is_mixed,
-        is_whole: true,
     };
     let unknown = || answer(Lookup::Unknown, None, false);
     let local = |record: Lookup, sole: Option<&str>, only_seen: Option<&str>| LocalKnowledge {
@@ -216,12 +215,9 @@
     };
     let seen = |version: Option<&str>| PeerAnswer {
         only_seen: version.map(Into::into),
-        is_whole: true,
         ..PeerAnswer::default()
     };
     let confirmed = |version: &str| PeerAnswer { confirmed: Some(version.into()), ..seen(None) };
-    // An instance of an older version does not tell what it has seen.
-    let silent = PeerAnswer::default();
     for (taken_up_at, others, answers, expected) in [
         (asked_at, None, vec![], Ok(Basis::SoleVersion)),
         (later, None, vec![], Err(Unresolved::Unknown)),
@@ -231,9 +227,10 @@
         (later, None, vec![seen(Some("v2")), confirmed("v1")], Err(Unresolved::Unknown)),
         // All instances that may have begun the stream were asked since.
         (later, Some(0), vec![], Ok(Basis::AllInstances)),
-        (later, Some(2), vec![seen(Some("v1")), seen(None)], Ok(Basis::AllInstances)),
+        (later, Some(2), vec![seen(Some("v1")), seen(Some("v1"))], Ok(Basis::AllInstances)),
+        // One that was restarted has forgotten what it had seen; one of an older version does not tell it.
+        (later, Some(2), vec![seen(Some("v1")), seen(None)], Err(Unresolved::Unknown)),
         (later, Some(2), vec![seen(Some("v1"))], Err(Unresolved::Unknown)),
-        (later, Some(2), vec![seen(Some("v1")), silent.clone()], Err(Unresolved::Unknown)),
         (later, Some(2), vec![seen(Some("v1")), seen(Some("v2"))], Err(Unresolved::Unknown)),
     ] {
         let decided = resolve(taken_up_at, &known(others), &answers).map(|binding| binding.basis);
@@ -255,13 +252,13 @@
     let mut history = VersionHistory::default();
     history.set_endpoints(now, one.iter());
     assert_eq!(sole(&history, now), None, "nothing is known of the past");
-    history.record_changes(now);
+    history.record_changes(now, now);
     assert_eq!(sole(&history, after(30)), None, "changes without what was there before");
     history.record_list(now);
     assert_eq!(sole(&history, after(29)), None);
     assert_eq!(sole(&history, after(30)).as_deref(), Some("v1"));
     assert_eq!(claim(&history, after(30)).unwrap().until, now, "nothing has been asked since");
-    history.record_changes(after(30));
+    history.record_changes(after(30), after(30));
     assert_eq!(claim(&history, after(30)).unwrap().until, after(30));
 
     // Another version was there a moment ago.
@@ -276,7 +273,7 @@
     assert_eq!(sole(&history, after(64)), None);
 
     // A list goes on from a word of the store that is hardly older.
-    history.record_changes(after(98));
+    history.record_changes(after(68), after(98));
     history.record_list(after(100));
     assert_eq!(sole(&history, after(100)).as_deref(), Some("v1"));
     history.record_list(after(103));
@@ -303,7 +300,10 @@
         let mut history = VersionHistory::default();
         history.set_endpoints(now, endpoints.iter());
         history.restore(now, &noted);
-        history.trust_past(now);
+        history.trust_past();
+        assert_eq!(history.sole_version(now, "s", RETENTION), None, "the store has told nothing");
+        history.record_list(now);
+        history.trust_past();
         let sole = history.sole_version(now, "s", RETENTION).map(|sole| sole.version);
         assert_eq!(sole.as_deref(), expected, "{noted:?}");
         let versions: Vec<_> = history.to_note(now, RETENTION).remove(0).versions;
--- a/oxbowbend-gateway/src/confirm.rs
+++ b/oxbowbend-gateway/src/confirm.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_std::channel::{self, Receiver, Sender};
-use async_std::future;
+use async_std::{future, task};
 use futures::channel::oneshot;
 use oxbowbend_clock as clock;
 use oxbowbend_core::subscription::WatchParams;
@@ -18,6 +18,10 @@
 
 /// Time limit of a confirmation. The store answers in 4 ms; when it is slow, up to sixty times as long.
 pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a request waits for a read: for the end of one that began before it came, and for its own.
+const WAIT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Minimum time from one read to the next one, in which more requests may come that the next one serves.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
 /// Confirmations that may wait for the next read.
 const MAX_WAITING: usize = 1024;
 
@@ -55,7 +59,7 @@
         if self.confirmations.tx.try_send(tx).is_err() {
             return false;
         }
-        matches!(future::timeout(CONFIRM_TIMEOUT, rx).await, Ok(Ok(())))
+        matches!(future::timeout(WAIT_TIMEOUT, rx).await, Ok(Ok(())))
     }
 }
 
@@ -74,6 +78,7 @@
                 let _ = waiter.send(());
             }
         }
+        task::sleep(READ_INTERVAL).await;
     }
 }
 
@@ -92,7 +97,7 @@
             let mut state = shared.lock();
             // The watch tells the endpoints themselves, in its order.
             state.hear_versions(clock::now(), &changes);
-            state.streams.record_changes(began);
+            state.streams.record_changes(began, began);
             true
         }
         // Revisions of another epoch say nothing of what has changed since.
--- a/oxbowbend-gateway/src/follow.rs
+++ b/oxbowbend-gateway/src/follow.rs
@@ -15,7 +15,7 @@
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::Report;
 use oxbowbend_core::ids::{InstanceId, ZoneId};
-use oxbowbend_core::subscription::{CancelReason, WatchFailure};
+use oxbowbend_core::subscription::{CancelReason, WatchFailure, WatchParams};
 use oxbowbend_http::h1;
 use rand::Rng;
 
@@ -114,7 +114,7 @@
                     if self.is_outdated(position) {
                         continue;
                     }
-                    take(&self.shared, &self.wire, None, snapshot, began);
+                    take(&self.shared, &self.wire, None, snapshot, (began, began));
                     return Some(position);
                 }
                 Err(e) => {
@@ -154,6 +154,7 @@
         while self.is_needed() {
             let began = clock::now();
             let call = self.shared.begin_watch(began, part);
+            let WatchParams { wait, .. } = call;
             let changes = pin!(self.store.changes(part, after.revision, call));
             // Nothing tells a watch whose answer was lost from one without a change: waiting for it alone left
             // every instance with an old configuration for 21.5 s.
@@ -171,7 +172,9 @@
                     }
                     after = changes.position();
                     let is_news = !changes.records.is_empty();
-                    take(&self.shared, &self.wire, Some(part), changes, began);
+                    // A watch without changes is answered when it has waited.
+                    let told = if is_news { began } else { clock::now().min(began + wait) };
+                    take(&self.shared, &self.wire, Some(part), changes, (began, told));
                     if is_news {
                         task::sleep(self.gather()).await;
                     }
@@ -255,13 +258,13 @@
     log::warn!("event=store_call_failed call={call} took_ms={took_ms} error=\"{e}\"");
 }
 
-/// Takes in an answer of the store: everything, or the changes of a part. `began` is when it was asked.
+/// Takes in an answer of the store: everything, or the changes of a part, with when it was asked and told that.
 fn take<W: Wire>(
     shared: &Shared,
     wire: &W,
     part: Option<Part>,
     snapshot: Snapshot,
-    began: Instant,
+    (asked_at, told_at): (Instant, Instant),
 ) {
     let now = clock::now();
     let read = |document: &[u8]| wire.table(document).map_err(|e| e.0);
@@ -275,8 +278,8 @@
         state.hear_versions(now, &snapshot);
         state.watched_to = Some(snapshot.position());
         match part {
-            None => state.streams.record_list(began),
-            Some(_) => state.streams.record_changes(began),
+            None => state.streams.record_list(asked_at),
+            Some(_) => state.streams.record_changes(asked_at, told_at),
         }
     }
     if state.world.store_found(now) {
--- a/oxbowbend-gateway/src/streams.rs
+++ b/oxbowbend-gateway/src/streams.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Derives how long records are kept from the configuration.
+    /// Derives how long records are kept from the configuration, and notes which routes lead elsewhere than before.
     pub(crate) fn configure(&mut self, table: &RoutingTable) {
         let longest = table.max_resumable_timeout() * RETENTION_TIMEOUTS;
         self.retention = longest.clamp(MIN_RETENTION, MAX_RETENTION);
@@ -82,8 +82,8 @@
     }
 
     /// Records that the versions of all changes are known that the store made until it was asked.
-    pub(crate) fn record_changes(&mut self, asked_at: Instant) {
-        self.history.record_changes(asked_at);
+    pub(crate) fn record_changes(&mut self, asked_at: Instant, told_at: Instant) {
+        self.history.record_changes(asked_at, told_at);
     }
 
     /// Records that the versions of a list of all endpoints are known.
@@ -114,7 +114,7 @@
 
     /// Discards what is too old.
     pub(crate) fn sweep_streams(&mut self, now: Instant) {
-        let Streams { registry, history, retention } = &mut self.streams;
+        let Streams { registry, history, retention, .. } = &mut self.streams;
         registry.sweep(now);
         history.sweep(now, *retention);
     }
@@ -122,7 +122,7 @@
     /// Starts from what earlier runs noted in the store. Without any entry of an instance no stream
     /// has begun that could still be taken up.
     pub(crate) fn restore_streams(&mut self, now: Instant) {
-        let Streams { registry, history, retention } = &mut self.streams;
+        let Streams { registry, history, retention, .. } = &mut self.streams;
         let (mut is_vouched, mut streams) = (self.world.instances().is_empty(), 0);
         for entry in self.world.instances().values() {
             registry.receive(now, &entry.streams, *retention);
@@ -131,7 +131,7 @@
             streams += entry.streams.iter().map(|group| group.streams.len()).sum::<usize>();
         }
         if is_vouched {
-            history.trust_past(now);
+            history.trust_past();
         }
         log::info!("event=streams_restored streams={streams} is_history_complete={is_vouched}");
     }
@@ -148,14 +148,18 @@
         self.streams.registry.to_note(now, is_needed)
     }
 
-    /// Versions to note in the store.
+    /// Versions to note in the store, or to tell an instance that starts; none while the store does not tell them to
+    /// this one, since a note is believed as of now.
     pub(crate) fn versions_to_note(&self, now: Instant) -> Vec<ServiceVersions> {
+        if !self.has_store() {
+            return Vec::new();
+        }
         self.streams.history.to_note(now, self.streams.retention)
     }
 
     /// Takes in the streams that another instance reports.
     pub(crate) fn hear_of_streams(&mut self, now: Instant, report: &Report) {
-        let Streams { registry, history, retention } = &mut self.streams;
+        let Streams { registry, history, retention, .. } = &mut self.streams;
         for StreamGroup { origin, .. } in &report.streams {
             history.record_heard(now, &origin.service, &origin.version);
         }
@@ -186,7 +190,7 @@
         key: Option<StreamKey>,
         route: &Route,
     ) -> LocalKnowledge {
-        let Streams { registry, history, retention } = &self.streams;
+        let Streams { registry, history, retention, .. } = &self.streams;
         let targets: Vec<_> = route.targets.iter().map(|(service, _)| service.clone()).collect();
         let service = sole_target(&targets);
         let (sole, only_seen) = match &service {
@@ -203,7 +207,7 @@
 
     /// Answers another instance's question for a stream that arrived at `asked_at`.
     fn answer_for_stream(&self, asked_at: Instant, question: &StreamQuestion) -> PeerAnswer {
-        let Streams { registry, history, retention } = &self.streams;
+        let Streams { registry, history, retention, .. } = &self.streams;
         let (now, service) = (clock::now(), question.service.as_deref());
         let sole = service.and_then(|service| history.sole_version(now, service, *retention));
         let confirmed = sole.filter(|sole| sole.until >= asked_at).map(|sole| sole.version);
@@ -212,7 +216,6 @@
             confirmed,
             only_seen: service.and_then(|service| history.only_seen(now, service, *retention)),
             is_mixed: service.is_some_and(|service| self.streams.is_mixed(now, service)),
-            is_whole: true,
         }
     }
 
@@ -258,8 +261,12 @@
 
     /// Addresses of instances that may know a stream: those of the cell, or some of them if they
     /// have told this one, and one of each other cell.
-    fn addresses_to_ask(&self, now: Instant, is_told: bool) -> BTreeSet<SocketAddr> {
-        let is_told = is_told && !self.is_younger_than(now, self.streams.retention);
+    fn addresses_to_ask(&self, now: Instant, question: &StreamQuestion) -> BTreeSet<SocketAddr> {
+        // Streams of services with one version are not reported.
+        let is_reported = |service: &ServiceId| self.streams.is_mixed(now, service);
+        let is_told = question.service.as_ref().is_some_and(is_reported);
+        let is_told =
+            is_told && !question.must_confirm && !self.is_younger_than(now, self.streams.retention);
         let near = self.cell.live_reports(now).filter_map(|report| report.address);
         let count = if is_told { PEERS_ASKED } else { usize::MAX };
         let mut addresses: BTreeSet<_> =
@@ -311,7 +318,8 @@
         self.lock().answer_for_stream(asked_at, question)
     }
 
-    /// Asks peers for a stream, until one has a record of it or all have answered. Where the store has not told this
+    /// Asks peers for a stream, until one has a record of it, the store has confirmed to one that there was no other
+    /// version, or all have answered. Where the store has not told this
     /// instance what is new, all of the cell are asked, and they ask the store first.
     pub(crate) async fn ask_for_stream(
         &self,
@@ -320,9 +328,9 @@
         targets: &[ServiceId],
         is_confirmed: bool,
     ) -> Vec<PeerAnswer> {
-        let addresses = self.lock().addresses_to_ask(clock::now(), is_confirmed);
         let must_confirm = !is_confirmed;
         let question = StreamQuestion { key, service: sole_target(targets), must_confirm };
+        let addresses = self.lock().addresses_to_ask(clock::now(), &question);
         let limit = if is_confirmed { ASK_TIMEOUT } else { ASK_TIMEOUT + CONFIRM_TIMEOUT };
         // A question whose answer is not waited for keeps its connection.
         let mut pending: FuturesUnordered<_> = addresses
@@ -332,7 +340,9 @@
         let mut answers = Vec::new();
         let collect = async {
             while let Some(answer) = pending.next().await {
-                let is_found = answer.as_ref().is_some_and(|a| a.record != Lookup::Unknown);
+                let is_enough =
+                    |a: &PeerAnswer| a.record != Lookup::Unknown || a.confirmed.is_some();
+                let is_found = answer.as_ref().is_some_and(is_enough);
                 answers.extend(answer);
                 if is_found {
                     break;
