A stream that began before its route led to another service is not taken for one of that service's

Found by the review, by reading: where a configuration leads a route for resumable streams to another service, a client that takes its stream up at an instance without a record of it was sent to an endpoint of the new service, since that one has had one version for long. It began at an endpoint of the old one.

Cause: of the same class as streams at an instance out of step. That the service has had no other version was asked, since when the route leads to it was not.

Instances now keep since when each such route leads where it does, over all configurations that have been in force there; before that is as long ago as a stream can last, a record of the stream is needed, and all peers of the cell are asked for one. A route of the first configuration after a start counts as settled.

Not played with real daemons, whose routes lead to one service in the soak.

--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -262,10 +262,15 @@
 
     /// Returns the longest timeout of the routes whose streams may be resumed.
     pub fn max_resumable_timeout(&self) -> Duration {
-        let routes = self.routes_by_host.values().flatten().filter(|route| route.resumable);
+        let routes = self.routes().filter(|route| route.resumable);
         routes.map(|route| route.timeout).max().unwrap_or(Duration::ZERO)
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes_by_host.values().flatten().map(Arc::as_ref)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes_by_host.values().map(Vec::len).sum()
@@ -273,6 +278,11 @@
 }
 
 impl Route {
+    /// Returns the target services in order.
+    pub fn services(&self) -> Vec<ServiceId> {
+        self.targets.iter().map(|(service, _)| service.clone()).collect()
+    }
+
     /// Selects a target service by weight; `random` is a uniformly distributed number.
     pub fn pick_target(&self, random: u64) -> Option<&ServiceId> {
         let total: u64 = self.targets.iter().map(|(_, w)| u64::from(*w)).sum();
--- a/oxbowbend-core/src/streams/mod.rs
+++ b/oxbowbend-core/src/streams/mod.rs
@@ -15,10 +15,12 @@
 mod history;
 mod registry;
 mod resolve;
+mod routes;
 
 pub use history::{ServiceVersions, SoleVersion, VersionHistory};
 pub use registry::{Lookup, ReportedStream, StreamGroup, StreamRegistry};
 pub use resolve::{resolve, Basis, Binding, LocalKnowledge, PeerAnswer, Unresolved};
+pub use routes::RouteHistory;
 
 use crate::fingerprint::fingerprint;
 use crate::ids::{AccountId, ServiceId, StreamKey, VersionId};
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -382,7 +382,7 @@
             if let Some(table) = world.table() {
                 let limited = table.accounts().filter_map(|a| Some((&a.name, a.quota?)));
                 admission.configure(limited);
-                streams.configure(table);
+                streams.configure(now, table);
                 ages.clear();
             }
         }
--- a/oxbowbend-gateway/src/streams.rs
+++ b/oxbowbend-gateway/src/streams.rs
@@ -14,8 +14,8 @@
 use oxbowbend_core::ids::{ServiceId, StreamKey, VersionId};
 use oxbowbend_core::routes::{Endpoint, Route, RoutingTable};
 use oxbowbend_core::streams::{
-    LocalKnowledge, Lookup, PeerAnswer, ReportedStream, ServiceVersions, StreamGroup, StreamOrigin,
-    StreamRegistry, VersionHistory,
+    LocalKnowledge, Lookup, PeerAnswer, ReportedStream, RouteHistory, ServiceVersions, StreamGroup,
+    StreamOrigin, StreamRegistry, VersionHistory,
 };
 use oxbowbend_http::h1;
 use rand::seq::IteratorRandom;
@@ -59,6 +59,7 @@
     registry: StreamRegistry,
     history: VersionHistory,
     retention: Duration,
+    routes: RouteHistory,
 }
 
 impl Streams {
@@ -68,13 +69,15 @@
             registry: StreamRegistry::default(),
             history: VersionHistory::default(),
             retention: MIN_RETENTION,
+            routes: RouteHistory::default(),
         }
     }
 
     /// Derives how long records are kept from the configuration, and notes which routes lead elsewhere than before.
-    pub(crate) fn configure(&mut self, table: &RoutingTable) {
+    pub(crate) fn configure(&mut self, now: Instant, table: &RoutingTable) {
         let longest = table.max_resumable_timeout() * RETENTION_TIMEOUTS;
         self.retention = longest.clamp(MIN_RETENTION, MAX_RETENTION);
+        self.routes.configure(now, table);
     }
 
     fn is_mixed(&self, now: Instant, service: &str) -> bool {
@@ -191,8 +194,10 @@
         route: &Route,
     ) -> LocalKnowledge {
         let Streams { registry, history, retention, .. } = &self.streams;
-        let targets: Vec<_> = route.targets.iter().map(|(service, _)| service.clone()).collect();
-        let service = sole_target(&targets);
+        let targets = route.services();
+        // A stream that began before the route led there has another service's versions.
+        let is_settled = self.streams.routes.is_settled(now, route, self.streams.retention);
+        let service = sole_target(&targets).filter(|_| is_settled);
         let (sole, only_seen) = match &service {
             Some(service) => (
                 history.sole_version(now, service, *retention),
