Soak: daemons can be cut off from each other

What is concluded from what an instance has not heard could not be tested: the soak cut daemons off from endpoints and from the store only. Fleets that ask for it have a proxy for each daemon, with an IP address of its own and the ports at which daemons talk. The store stand-in and the proxies write that address in place of the daemon's own, so others learn no other; the texts have the same length. A datagram's sender is known by its address, a connection's by the kernel's table, as with the ways to endpoints. Cuts are silent or reset connections, both ways or one, of any daemons from any others; datagrams are lost.

Fleets without such proxies are as before: late_config, one_instance, cuts::an_instance_that_starts and versions::a_stream_that_began_at_a_peer passed, once each, beside load 15 to 32 on 8 cores.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -16,6 +16,7 @@
 use crate::endpoint::{Endpoint, Runs};
 use crate::exchanges::{Exchanges, Excuse};
 use crate::paths::Paths;
+use crate::peer_paths::{PeerCut, PeerPaths};
 use crate::proxy::{Mode, Proxy};
 use crate::store::{self, Store};
 
@@ -49,6 +50,8 @@
     pub paths: Paths,
     /// The daemons' ways to the store.
     pub store_paths: Paths,
+    /// The daemons' ways to each other, of fleets that can cut them.
+    pub peer_paths: Option<PeerPaths>,
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
     pub exchanges: Exchanges,
@@ -61,6 +64,15 @@
     slots: u32,
 }
 
+/// What lies between daemons.
+#[derive(Clone, Default)]
+struct Links {
+    /// Bandwidth of each daemon's link, if settings tell it.
+    mbps: Option<f64>,
+    /// Proxies, if there are any.
+    peer_paths: Option<PeerPaths>,
+}
+
 /// Restarts and freezes of instances so far.
 pub type Excuses = Arc<Mutex<Vec<Excuse>>>;
 
@@ -76,7 +88,7 @@
     /// Environment of the process.
     env: Vec<(&'static str, String)>,
     excuses: Excuses,
-    paths: [Paths; 2],
+    paths: Vec<Paths>,
     n: usize,
     child: Child,
 }
@@ -88,27 +100,36 @@
 
     /// The same, of endpoints with versions of their software, which their events say.
     pub async fn start_with_software(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
-        let fleet = Fleet::start_with(seed, SLOTS, versions, None).await;
-        let endpoints = fleet.endpoints.iter().zip(versions);
-        endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
+        let fleet = Fleet::start_with(seed, SLOTS, versions, Links::default()).await;
+        fleet.tell_software();
+        fleet
+    }
+
+    /// The same, of daemons that can be cut off from each other. No other fleet of the process has this seed.
+    pub async fn start_with_peer_paths(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
+        let peer_paths = Some(PeerPaths::start(&net(seed)).await);
+        let links = Links { mbps: None, peer_paths };
+        let fleet = Fleet::start_with(seed, SLOTS, versions, links).await;
+        fleet.tell_software();
         fleet
     }
 
     /// The same, of daemons whose settings tell this bandwidth of their links.
     pub async fn start_with_links(seed: u64, mbps: f64) -> Fleet {
-        Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], Some(mbps)).await
+        let links = Links { mbps: Some(mbps), peer_paths: None };
+        Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], links).await
     }
 
     /// The same, of endpoints that run so many requests at once by their entries.
     pub async fn start_with_slots(seed: u64, slots: u32) -> Fleet {
-        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS], None).await
+        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS], Links::default()).await
     }
 
     async fn start_with(
         seed: u64,
         slots: u32,
         versions: [&'static str; ENDPOINTS],
-        link_mbps: Option<f64>,
+        links: Links,
     ) -> Fleet {
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -129,10 +150,15 @@
             let (id, runs) = (format!("e-{n}"), runs.clone());
             endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
+        if let Some(peer_paths) = &links.peer_paths {
+            let addresses = peer_paths.addresses.clone();
+            store.rewrite_instances(Box::new(move |text| addresses.rewrite(text)));
+        }
         let excuses = Excuses::default();
         let daemon = |n| {
-            let (excuses, paths) = (excuses.clone(), [paths.clone(), store_paths.clone()]);
-            Daemon::new(n, seed, store_address, excuses, paths, link_mbps)
+            let to_peers = links.peer_paths.iter().flat_map(|peers| peers.paths.clone());
+            let paths = [paths.clone(), store_paths.clone()].into_iter().chain(to_peers).collect();
+            Daemon::new(n, seed, store_address, excuses.clone(), paths, &links)
         };
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
@@ -143,6 +169,7 @@
             proxies,
             paths,
             store_paths,
+            peer_paths: links.peer_paths,
             daemons,
             runs,
             exchanges,
@@ -159,6 +186,16 @@
         fleet
     }
 
+    /// Cuts ways between daemons of a fleet that can cut them, or mends all.
+    pub fn cut_peers(&self, cut: Option<PeerCut>) {
+        self.peer_paths.as_ref().expect("a fleet with proxies between daemons").set_cut(cut);
+    }
+
+    fn tell_software(&self) {
+        let endpoints = self.endpoints.iter().zip(self.versions);
+        endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
+    }
+
     /// Where callers reach the daemons.
     pub fn callers(&self) -> [SocketAddr; DAEMONS] {
         std::array::from_fn(|n| self.daemons[n].callers)
@@ -342,18 +379,21 @@
         seed: u64,
         store: SocketAddr,
         excuses: Excuses,
-        paths: [Paths; 2],
-        link_mbps: Option<f64>,
+        paths: Vec<Paths>,
+        links: &Links,
     ) -> Daemon {
-        // Every run has loopback addresses of its own, since the ports are the same everywhere.
-        let ip = format!("127.{}.{}.{}", 20 + std::process::id() % 200, seed % 250 + 1, n + 1);
-        let net = ip.rsplit_once('.').unwrap().0.to_owned();
+        let ip = format!("{}{}", net(seed), n + 1);
+        let seed_nodes = [0, 1].map(|n| match &links.peer_paths {
+            Some(peers) => format!("\"{}:1\"", peers.addresses.proxy_ip(n)),
+            None => format!("\"{}{}:1\"", net(seed), n + 1),
+        });
+        let seed_nodes = seed_nodes.join(", ");
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
-        let link = link_mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
+        let link = links.mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
         let text = format!(
             "node_name = \"d{n}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [27600, 27615]\n\
-             seed_nodes = [\"{net}.1:1\", \"{net}.2:1\"]\n\
+             seed_nodes = [{seed_nodes}]\n\
              [listen]\nfront = \"{ip}:27620\"\nreadiness_addr = \"{ip}:27621\"\n\
              [limits]\nmax_fds = 4100\n{link}[platform]\naddress = \"{store}\"\nform = \"kv\"\n\
              [bounds]\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nretry_slack = 1000\n\
@@ -434,6 +474,12 @@
     }
 }
 
+/// What the IP addresses of a fleet begin with. Every run has loopback addresses of its own, since the ports are the
+/// same everywhere.
+fn net(seed: u64) -> String {
+    format!("127.{}.{}.", 20 + std::process::id() % 200, seed % 250 + 1)
+}
+
 /// Where logs are kept after a play, if they are.
 fn kept_logs() -> Option<PathBuf> {
     std::env::var_os("OXBOW_SOAK_LOGS").map(PathBuf::from)
--- a/oxbowbend-daemon/tests/soak/paths.rs
+++ b/oxbowbend-daemon/tests/soak/paths.rs
@@ -22,6 +22,8 @@
     /// Connections live on, new ones are reset as soon as they are there: a listener that other daemons reach too cannot
     /// refuse those of one daemon.
     Refuse,
+    /// Nothing comes back.
+    OneWay,
 }
 
 /// Which daemons are cut off, and how.
@@ -35,7 +37,7 @@
 struct State {
     /// The daemons' processes.
     pids: [u32; DAEMONS],
-    cut: Option<Cut>,
+    cuts: Vec<Cut>,
     /// Pieces that have passed from each daemon to endpoints, if they are counted.
     passed: Option<[usize; DAEMONS]>,
 }
@@ -77,7 +79,12 @@
 
     /// Cuts daemons off, or ends the cut.
     pub fn set_cut(&self, cut: Option<Cut>) {
-        self.state.lock().unwrap().cut = cut;
+        self.set_cuts(cut.into_iter().collect());
+    }
+
+    /// Cuts daemons off in several ways, of which the first one that covers a daemon counts.
+    pub fn set_cuts(&self, cuts: Vec<Cut>) {
+        self.state.lock().unwrap().cuts = cuts;
     }
 
     /// Counts from now on what passes from each daemon to endpoints.
@@ -103,9 +110,12 @@
 
     /// How a connection's daemon is cut off now, if it is.
     pub async fn cut_of(&self, conn: &Accepted) -> Option<Manner> {
-        let cut = self.state.lock().unwrap().cut.clone()?;
+        let cuts = self.state.lock().unwrap().cuts.clone();
+        if cuts.is_empty() {
+            return None;
+        }
         let owner = self.owner(conn).await?;
-        cut.daemons.contains(&owner).then_some(cut.manner)
+        cuts.iter().find(|cut| cut.daemons.contains(&owner)).map(|cut| cut.manner)
     }
 
     /// The daemon that began a connection; none if nobody has it any more.
--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -9,9 +9,14 @@
 use async_std::task;
 
 use crate::paths::{Accepted, Manner, Paths};
+use crate::peer_paths::PeerAddresses;
 
 /// How often a proxy that holds bytes back looks whether it still should.
 const LOOK: Duration = Duration::from_millis(10);
+/// Bytes that are read at once.
+const PIECE: usize = 16_384;
+/// Room for the rest of an address that a piece begins.
+const REST: usize = 1024;
 
 /// What a proxy does to the bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,17 +41,30 @@
 pub struct Proxy {
     mode: Arc<Mutex<Mode>>,
     paths: Paths,
+    /// Addresses of daemons, if these are on both sides.
+    addresses: Option<PeerAddresses>,
 }
 
 impl Proxy {
     /// Starts one on the ways that some daemons take.
     pub fn start(listener: TcpListener, to: SocketAddr, paths: Paths) -> Proxy {
-        let proxy = Proxy { mode: Arc::new(Mutex::new(Mode::Pass)), paths };
-        let this = proxy.clone();
-        task::spawn(this.listen(listener, to));
+        let proxy = Proxy { mode: Arc::new(Mutex::new(Mode::Pass)), paths, addresses: None };
+        task::spawn(proxy.clone().listen(listener, to));
         proxy
     }
 
+    /// Starts one that stands for a daemon.
+    pub fn start_between_daemons(
+        listener: TcpListener,
+        to: SocketAddr,
+        paths: Paths,
+        addresses: PeerAddresses,
+    ) {
+        let mode = Arc::new(Mutex::new(Mode::Pass));
+        let proxy = Proxy { mode, paths, addresses: Some(addresses) };
+        task::spawn(proxy.listen(listener, to));
+    }
+
     async fn listen(self, mut listener: TcpListener, to: SocketAddr) {
         let address = listener.local_addr().unwrap();
         loop {
@@ -86,6 +104,7 @@
             (mode @ (Mode::Reset | Mode::Down), _) => mode,
             (_, Some(Manner::Reset)) => Mode::Reset,
             (_, Some(Manner::Silent)) => Mode::Silent,
+            (_, Some(Manner::OneWay)) => Mode::OneWay,
             (mode, _) => mode,
         }
     }
@@ -113,17 +132,26 @@
     }
 
     async fn pump(self, conn: &Accepted, mut from: TcpStream, mut to: TcpStream, is_back: bool) {
-        let mut buf = vec![0; 16384];
+        let mut buf = vec![0; PIECE + REST];
         loop {
-            let read = async_std::future::timeout(LOOK, from.read(&mut buf)).await;
+            let read = async_std::future::timeout(LOOK, from.read(&mut buf[..PIECE])).await;
             if self.is_off(conn).await {
                 return;
             }
-            let n = match read {
+            let mut n = match read {
                 Err(_) => continue,
                 Ok(Ok(n)) if n > 0 => n,
                 Ok(_) => return,
             };
+            if let Some(addresses) = &self.addresses {
+                while addresses.is_split(&buf[..n]) {
+                    match async_std::future::timeout(LOOK, from.read(&mut buf[n..])).await {
+                        Ok(Ok(more)) if more > 0 => n += more,
+                        _ => break,
+                    }
+                }
+                addresses.rewrite(&mut buf[..n]);
+            }
             if self.mode() == Mode::Unframed && !is_back {
                 make_old(&mut buf[..n]);
             }
--- a/oxbowbend-daemon/tests/soak/store.rs
+++ b/oxbowbend-daemon/tests/soak/store.rs
@@ -15,6 +15,12 @@
 use oxbowbend_http::h1;
 use serde_json::{json, Value};
 
+/// Keys of the instances' entries.
+const INSTANCES: &str = "oxbow/instances/";
+
+/// What changes a text in place.
+pub type Rewrite = Box<dyn Fn(&mut [u8]) + Send>;
+
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -49,6 +55,8 @@
     cuts: u64,
     /// What reads are given that need not be up to date.
     behind: Option<BTreeMap<String, Value>>,
+    /// What is done to the text of instances' entries.
+    rewrite: Option<Rewrite>,
 }
 
 #[derive(Clone)]
@@ -69,6 +77,7 @@
             mode: Mode::Up,
             cuts: 0,
             behind: None,
+            rewrite: None,
         };
         let store = Store { state: Arc::new(Mutex::new(state)) };
         let cfg = h1::ServeConfig { connections: 1000, head: 16384 };
@@ -81,6 +90,11 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Changes the text of the instances' entries from now on.
+    pub fn rewrite_instances(&self, rewrite: Rewrite) {
+        self.state.lock().unwrap().rewrite = Some(rewrite);
+    }
+
     /// Gives reads that need not be up to date what there is now, until told otherwise.
     pub fn set_behind(&self, is_behind: bool) {
         let mut state = self.state.lock().unwrap();
@@ -232,11 +246,22 @@
 impl State {
     fn put(&mut self, key: &str, value: &str, lease: u64) {
         self.revision += 1;
+        let value = self.rewritten(key, value);
         let item = json!({ "key": key, "value": value, "revision": self.revision, "lease": lease });
         self.items.insert(key.to_owned(), item.clone());
         self.history.push((self.revision, key.to_owned(), item));
     }
 
+    /// The value of a key as others are to read it.
+    fn rewritten(&self, key: &str, value: &str) -> String {
+        let rewrite = self.rewrite.as_ref().filter(|_| key.starts_with(INSTANCES));
+        let (Some(rewrite), Ok(mut text)) = (rewrite, STANDARD.decode(value)) else {
+            return value.to_owned();
+        };
+        rewrite(&mut text);
+        STANDARD.encode(text)
+    }
+
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
