--- a/oxbowbend-daemon/tests/soak/taken_up.rs
+++ b/oxbowbend-daemon/tests/soak/taken_up.rs
@@ -232,6 +232,15 @@
         shares
     }
 
+    /// Adds those of another play.
+    pub fn add(&mut self, other: Shares) {
+        let pairs = [(&mut self.new, other.new), (&mut self.taken_up, other.taken_up)];
+        for (share, other) in pairs {
+            share.all += other.all;
+            share.served += other.served;
+        }
+    }
+
     /// The users' rule, if there are enough streams for it.
     pub fn check(&self) -> Vec<String> {
         let is_kept = self.taken_up.all < 12 || self.taken_up.get() >= self.new.get() / 2.0;
