--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,8 @@
 const METRICS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests that an endpoint runs at once, by its entry.
 const SLOTS: u32 = 8;
+/// Fleets that this process has started.
+static FLEETS: AtomicUsize = AtomicUsize::new(0);
 /// Start of all endpoints.
 const FIRST_START: u64 = 1_700_000_000_000;
 /// Key of the client account that callers use.
@@ -69,8 +72,8 @@
 struct Links {
     /// Bandwidth of each daemon's link, if settings tell it.
     mbps: Option<f64>,
-    /// Proxies, if there are any.
-    peer_paths: Option<PeerPaths>,
+    /// Whether there are proxies.
+    have_proxies: bool,
 }
 
 /// Restarts and freezes of instances so far.
@@ -105,10 +108,9 @@
         fleet
     }
 
-    /// The same, of daemons that can be cut off from each other. No other fleet of the process has this seed.
+    /// The same, of daemons that can be cut off from each other.
     pub async fn start_with_peer_paths(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
-        let peer_paths = Some(PeerPaths::start(&net(seed)).await);
-        let links = Links { mbps: None, peer_paths };
+        let links = Links { mbps: None, have_proxies: true };
         let fleet = Fleet::start_with(seed, SLOTS, versions, links).await;
         fleet.tell_software();
         fleet
@@ -116,7 +118,7 @@
 
     /// The same, of daemons whose settings tell this bandwidth of their links.
     pub async fn start_with_links(seed: u64, mbps: f64) -> Fleet {
-        let links = Links { mbps: Some(mbps), peer_paths: None };
+        let links = Links { mbps: Some(mbps), have_proxies: false };
         Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], links).await
     }
 
@@ -150,15 +152,23 @@
             let (id, runs) = (format!("e-{n}"), runs.clone());
             endpoints.push(Endpoint::start(&id, listener, runs, exchanges.clone()));
         }
-        if let Some(peer_paths) = &links.peer_paths {
+        let excuses = Excuses::default();
+        // Fleets that are played at once have loopback addresses of their own, since the ports are the same everywhere.
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed) % 250 + 1;
+        let net = format!("127.{}.{fleet}", 20 + std::process::id() % 200);
+        let peer_paths = match links.have_proxies {
+            true => Some(PeerPaths::start(&net).await),
+            false => None,
+        };
+        if let Some(peer_paths) = &peer_paths {
             let addresses = peer_paths.addresses.clone();
             store.rewrite_instances(Box::new(move |text| addresses.rewrite(text)));
         }
-        let excuses = Excuses::default();
         let daemon = |n| {
-            let to_peers = links.peer_paths.iter().flat_map(|peers| peers.paths.clone());
+            let to_peers = peer_paths.iter().flat_map(|peers| peers.paths.clone());
             let paths = [paths.clone(), store_paths.clone()].into_iter().chain(to_peers).collect();
-            Daemon::new(n, seed, store_address, excuses.clone(), paths, &links)
+            let own = (net.as_str(), peer_paths.as_ref());
+            Daemon::new((n, seed), own, store_address, excuses.clone(), paths, links.mbps)
         };
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
@@ -169,7 +179,7 @@
             proxies,
             paths,
             store_paths,
-            peer_paths: links.peer_paths,
+            peer_paths,
             daemons,
             runs,
             exchanges,
@@ -375,22 +385,22 @@
 
 impl Daemon {
     fn new(
-        n: usize,
-        seed: u64,
+        (n, seed): (usize, u64),
+        (net, peer_paths): (&str, Option<&PeerPaths>),
         store: SocketAddr,
         excuses: Excuses,
         paths: Vec<Paths>,
-        links: &Links,
+        link_mbps: Option<f64>,
     ) -> Daemon {
-        let ip = format!("{}{}", net(seed), n + 1);
-        let seed_nodes = [0, 1].map(|n| match &links.peer_paths {
+        let ip = format!("{net}.{}", n + 1);
+        let seed_nodes = [0, 1].map(|n| match peer_paths {
             Some(peers) => format!("\"{}:1\"", peers.addresses.proxy_ip(n)),
-            None => format!("\"{}{}:1\"", net(seed), n + 1),
+            None => format!("\"{net}.{}:1\"", n + 1),
         });
         let seed_nodes = seed_nodes.join(", ");
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
-        let link = links.mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
+        let link = link_mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
         let text = format!(
             "node_name = \"d{n}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [27600, 27615]\n\
              seed_nodes = [{seed_nodes}]\n\
@@ -474,12 +484,6 @@
     }
 }
 
-/// What the IP addresses of a fleet begin with. Every run has loopback addresses of its own, since the ports are the
-/// same everywhere.
-fn net(seed: u64) -> String {
-    format!("127.{}.{}.", 20 + std::process::id() % 200, seed % 250 + 1)
-}
-
 /// Where logs are kept after a play, if they are.
 fn kept_logs() -> Option<PathBuf> {
     std::env::var_os("OXBOW_SOAK_LOGS").map(PathBuf::from)
--- a/oxbowbend-daemon/tests/soak/peer_paths.rs
+++ b/oxbowbend-daemon/tests/soak/peer_paths.rs
@@ -70,7 +70,7 @@
 
 impl PeerAddresses {
     pub fn new(net: &str) -> PeerAddresses {
-        PeerAddresses { net: net.to_owned() }
+        PeerAddresses { net: format!("{net}.") }
     }
 
     pub fn proxy_ip(&self, daemon: usize) -> IpAddr {
@@ -115,7 +115,7 @@
 }
 
 impl PeerPaths {
-    /// Starts the proxies. A process has one fleet of these addresses at most.
+    /// Starts the proxies, which stay until the process ends.
     pub async fn start(net: &str) -> PeerPaths {
         let addresses = PeerAddresses::new(net);
         let this = PeerPaths { addresses, paths: Default::default(), cut: Arc::default() };
