--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::{Endpoint, Runs};
 use crate::exchanges::{Exchanges, Excuse};
 use crate::paths::Paths;
+use crate::peer_paths::{PeerCut, PeerPaths};
 use crate::proxy::{Mode, Proxy};
 use crate::store::{self, Store};
 
@@ -52,6 +53,8 @@
     pub paths: Paths,
     /// The daemons' ways to the store.
     pub store_paths: Paths,
+    /// The daemons' ways to each other, of fleets that can cut them.
+    pub peer_paths: Option<PeerPaths>,
     pub daemons: Vec<Daemon>,
     pub runs: Runs,
     pub exchanges: Exchanges,
@@ -64,6 +67,15 @@
     slots: u32,
 }
 
+/// What lies between daemons.
+#[derive(Clone, Default)]
+struct Links {
+    /// Bandwidth of each daemon's link, if settings tell it.
+    mbps: Option<f64>,
+    /// Whether there are proxies.
+    have_proxies: bool,
+}
+
 /// Restarts and freezes of instances so far.
 pub type Excuses = Arc<Mutex<Vec<Excuse>>>;
 
@@ -79,7 +91,7 @@
     /// Environment of the process.
     env: Vec<(&'static str, String)>,
     excuses: Excuses,
-    paths: [Paths; 2],
+    paths: Vec<Paths>,
     n: usize,
     child: Child,
 }
@@ -91,27 +103,35 @@
 
     /// The same, of endpoints with versions of their software, which their events say.
     pub async fn start_with_software(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
-        let fleet = Fleet::start_with(seed, SLOTS, versions, None).await;
-        let endpoints = fleet.endpoints.iter().zip(versions);
-        endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
+        let fleet = Fleet::start_with(seed, SLOTS, versions, Links::default()).await;
+        fleet.tell_software();
+        fleet
+    }
+
+    /// The same, of daemons that can be cut off from each other.
+    pub async fn start_with_peer_paths(seed: u64, versions: [&'static str; ENDPOINTS]) -> Fleet {
+        let links = Links { mbps: None, have_proxies: true };
+        let fleet = Fleet::start_with(seed, SLOTS, versions, links).await;
+        fleet.tell_software();
         fleet
     }
 
     /// The same, of daemons whose settings tell this bandwidth of their links.
     pub async fn start_with_links(seed: u64, mbps: f64) -> Fleet {
-        Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], Some(mbps)).await
+        let links = Links { mbps: Some(mbps), have_proxies: false };
+        Fleet::start_with(seed, SLOTS, ["v1"; ENDPOINTS], links).await
     }
 
     /// The same, of endpoints that run so many requests at once by their entries.
     pub async fn start_with_slots(seed: u64, slots: u32) -> Fleet {
-        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS], None).await
+        Fleet::start_with(seed, slots, ["v1"; ENDPOINTS], Links::default()).await
     }
 
     async fn start_with(
         seed: u64,
         slots: u32,
         versions: [&'static str; ENDPOINTS],
-        link_mbps: Option<f64>,
+        links: Links,
     ) -> Fleet {
         let store_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_proxy_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -136,9 +156,19 @@
         // Fleets that are played at once have loopback addresses of their own, since the ports are the same everywhere.
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed) % 250 + 1;
         let net = format!("127.{}.{fleet}", 20 + std::process::id() % 200);
+        let peer_paths = match links.have_proxies {
+            true => Some(PeerPaths::start(&net).await),
+            false => None,
+        };
+        if let Some(peer_paths) = &peer_paths {
+            let addresses = peer_paths.addresses.clone();
+            store.rewrite_instances(Box::new(move |text| addresses.rewrite(text)));
+        }
         let daemon = |n| {
-            let (excuses, paths) = (excuses.clone(), [paths.clone(), store_paths.clone()]);
-            Daemon::new((n, seed), &net, store_address, excuses, paths, link_mbps)
+            let to_peers = peer_paths.iter().flat_map(|peers| peers.paths.clone());
+            let paths = [paths.clone(), store_paths.clone()].into_iter().chain(to_peers).collect();
+            let own = (net.as_str(), peer_paths.as_ref());
+            Daemon::new((n, seed), own, store_address, excuses.clone(), paths, links.mbps)
         };
         let daemons = (0..DAEMONS).map(daemon).collect();
         let (version, born) = (0, Arc::new(Mutex::new([FIRST_START; ENDPOINTS])));
@@ -149,6 +179,7 @@
             proxies,
             paths,
             store_paths,
+            peer_paths,
             daemons,
             runs,
             exchanges,
@@ -170,6 +201,16 @@
         self.addresses[n]
     }
 
+    /// Cuts ways between daemons of a fleet that can cut them, or mends all.
+    pub fn cut_peers(&self, cut: Option<PeerCut>) {
+        self.peer_paths.as_ref().expect("a fleet with proxies between daemons").set_cut(cut);
+    }
+
+    fn tell_software(&self) {
+        let endpoints = self.endpoints.iter().zip(self.versions);
+        endpoints.for_each(|(endpoint, software)| endpoint.set_software(software));
+    }
+
     /// Where callers reach the daemons.
     pub fn callers(&self) -> [SocketAddr; DAEMONS] {
         std::array::from_fn(|n| self.daemons[n].callers)
@@ -350,19 +391,24 @@
 impl Daemon {
     fn new(
         (n, seed): (usize, u64),
-        net: &str,
+        (net, peer_paths): (&str, Option<&PeerPaths>),
         store: SocketAddr,
         excuses: Excuses,
-        paths: [Paths; 2],
+        paths: Vec<Paths>,
         link_mbps: Option<f64>,
     ) -> Daemon {
         let ip = format!("{net}.{}", n + 1);
+        let seed_nodes = [0, 1].map(|n| match peer_paths {
+            Some(peers) => format!("\"{}:1\"", peers.addresses.proxy_ip(n)),
+            None => format!("\"{net}.{}:1\"", n + 1),
+        });
+        let seed_nodes = seed_nodes.join(", ");
         let settings =
             std::env::temp_dir().join(format!("oxbow-soak-{}-{ip}.toml", std::process::id()));
         let link = link_mbps.map_or(String::new(), |mbps| format!("link_mbps = {mbps}\n"));
         let text = format!(
             "node_name = \"d{n}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [27600, 27615]\n\
-             seed_nodes = [\"{net}.1:1\", \"{net}.2:1\"]\n\
+             seed_nodes = [{seed_nodes}]\n\
              [listen]\nfront = \"{ip}:27620\"\nreadiness_addr = \"{ip}:27621\"\n\
              [limits]\nmax_fds = 4100\n{link}[platform]\naddress = \"{store}\"\nform = \"kv\"\n\
              [bounds]\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nretry_slack = 1000\n\
