Soak: endpoints of the cut off instance's play break off only streams that begin

Cause: a fault of the test. Its endpoints broke off every stream at the sixth event, and streams that are taken up after the fifth one go on with that; 26 of 40 that did not go on in one play had been broken off by an endpoint before an event. The rule is about streams whose version has sound endpoints.

Endpoints of this play now break off the streams that begin there and serve those that go on. The check and its bound are unchanged.

--- a/oxbowbend-daemon/tests/soak/cut_from_all.rs
+++ b/oxbowbend-daemon/tests/soak/cut_from_all.rs
@@ -164,7 +164,7 @@
 
 /// Sets whether streams of the other software break off.
 fn set_breaking(fleet: &Fleet, is_breaking: bool) {
-    let mode = if is_breaking { Mode::Cutting } else { Mode::Good };
+    let mode = if is_breaking { Mode::CuttingNew } else { Mode::Good };
     fleet.endpoints[STAYING..].iter().for_each(|endpoint| endpoint.set_mode(mode));
 }
 
--- a/oxbowbend-daemon/tests/soak/endpoint.rs
+++ b/oxbowbend-daemon/tests/soak/endpoint.rs
@@ -57,7 +57,9 @@
     Failing,
     /// Breaks streams off in the middle of an event.
     Cutting,
-    /// The same, after so many bytes of the event.
+    /// Breaks off as well, but only streams that begin.
+    CuttingNew,
+    /// Breaks streams off after so many bytes of an event.
     CuttingAt(usize),
     /// Ends streams in the middle of an event as if they were complete, with the last chunk.
     EndingInside,
@@ -303,6 +305,11 @@
         if head.uri.path().starts_with("/stream") {
             let after = text("last-event-id").parse().unwrap_or(0);
             let software = *self.software.lock().unwrap();
+            let mode = match mode {
+                Mode::CuttingNew if after > 0 => Mode::Good,
+                Mode::CuttingNew => Mode::Cutting,
+                mode => mode,
+            };
             let stream = Run { id: id.clone(), after, mode, software };
             let body = StreamBody::new(events(stream, self.runs.clone(), place));
             return reply(200, &sealed, Either::Right(body));
