Recovery: instances, endpoints and store lose power together; the failing play is listed

Change: tests/recovery/power.rs. Former entries of endpoints lapse one after the other over a heartbeat, endpoints return late, a configuration is written at the moment of the end; OXBOW_POWER=FROM-TO draws plans, which also bind the daemons to one or two processors apart from the driver.

--- a/oxbowbend-daemon/tests/recovery/callers.rs
+++ b/oxbowbend-daemon/tests/recovery/callers.rs
@@ -17,16 +17,19 @@
 use crate::daemons::Daemons;
 use crate::engines::LAST_EVENT;
 
-/// Key of the client account.
-pub const KEY: &str = "key-of-one";
+/// Key of a client account.
+pub fn key_of(account: usize) -> String {
+    format!("key-of-{account}")
+}
+
 /// Bytes of a request.
 const BODY: usize = 2400;
 /// Time in which a connection is to be established.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Clients, each with a daemon of its own while its connections last.
 const CLIENTS: usize = 160;
-/// Objective of all routes.
-pub const OBJECTIVE: Duration = Duration::from_millis(500);
+/// Objective of routes for which nothing else is said.
+const OBJECTIVE: Duration = Duration::from_millis(500);
 /// Further attempts of a caller that comes back at once.
 const REPEATS: u32 = 4;
 
@@ -35,10 +38,18 @@
 pub struct Kind {
     /// The route's prefix.
     pub name: &'static str,
+    pub service: &'static str,
     pub is_idempotent: bool,
     pub deadline: Duration,
+    pub objective: Duration,
     /// Whether answers are streams.
     pub is_stream: bool,
+    /// The route's rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Endpoints that a request may be sent to.
+    pub attempts: u32,
+    /// Tokens of a prompt; none if the route has no prompts.
+    pub prompt: Option<u64>,
 }
 
 impl Kind {
@@ -52,18 +63,32 @@
     }
 }
 
-pub const DRAFT: Kind =
-    Kind { name: "draft", is_idempotent: true, deadline: Duration::from_secs(5), is_stream: false };
-pub const ONCE: Kind =
-    Kind { name: "once", is_idempotent: false, deadline: Duration::from_secs(5), is_stream: false };
-pub const POST: Kind =
-    Kind { name: "post", is_idempotent: false, deadline: Duration::from_secs(1), is_stream: false };
-
+pub const DRAFT: Kind = Kind {
+    name: "draft",
+    service: "models",
+    is_idempotent: true,
+    deadline: Duration::from_secs(5),
+    objective: OBJECTIVE,
+    is_stream: false,
+    priority: 1,
+    attempts: 2,
+    prompt: None,
+};
+pub const ONCE: Kind = Kind { name: "once", is_idempotent: false, attempts: 1, ..DRAFT };
+pub const POST: Kind = Kind {
+    name: "post",
+    service: "ledger",
+    is_idempotent: false,
+    deadline: Duration::from_secs(1),
+    attempts: 1,
+    ..DRAFT
+};
 pub const STREAM: Kind = Kind {
     name: "stream",
     is_idempotent: false,
     deadline: Duration::from_secs(15),
     is_stream: true,
+    ..DRAFT
 };
 /// Time without an event after which a caller abandons a stream, also before its first one.
 const MAX_GAP: Duration = Duration::from_secs(2);
@@ -72,7 +97,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Seen {
     pub sent: Instant,
-    pub kind: &'static str,
+    pub kind: Kind,
     pub status: Option<u16>,
     /// When the answer began, whichever attempt it was of.
     pub began: Option<Instant>,
@@ -85,7 +110,7 @@
 
     /// Whether it was served, and the answer began within the objective.
     pub fn is_in_time(&self) -> bool {
-        self.is_served() && self.began.is_some_and(|at| at - self.sent <= OBJECTIVE)
+        self.is_served() && self.began.is_some_and(|at| at - self.sent <= self.kind.objective)
     }
 }
 
@@ -102,6 +127,8 @@
 #[derive(Clone)]
 pub struct Load {
     daemons: Daemons,
+    /// Client accounts, of which each client uses one.
+    accounts: usize,
     pool: h1::Pool,
     homes: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     rng: Arc<Mutex<Pcg64>>,
@@ -114,10 +141,11 @@
 }
 
 impl Load {
-    pub fn new(daemons: Daemons, seed: u64) -> Load {
+    pub fn new(daemons: Daemons, seed: u64, accounts: usize) -> Load {
         let cfg = h1::PoolConfig { connect: CONNECT, idle: Duration::from_secs(10) };
         Load {
             daemons,
+            accounts,
             pool: h1::Pool::new(cfg),
             homes: Arc::new(Mutex::new(vec![None; CLIENTS])),
             rng: Arc::new(Mutex::new(Pcg64::seed_from_u64(seed))),
@@ -167,7 +195,7 @@
     ) -> (f64, usize) {
         let seen = self.seen.lock().unwrap();
         let is_meant = |s: &&Seen| {
-            kind.is_none_or(|kind| kind.name == s.kind) && s.sent >= from && s.sent < to
+            kind.is_none_or(|kind| kind.name == s.kind.name) && s.sent >= from && s.sent < to
         };
         let of = seen.iter().filter(is_meant).count();
         let served = seen.iter().filter(is_meant).filter(|s| is_good(s)).count();
@@ -198,18 +226,23 @@
             let pause = if is_hasty { Duration::from_millis(20) } else { pause };
             task::sleep(pause.max(Duration::from_millis(10))).await;
         }
-        self.seen.lock().unwrap().push(Seen { sent, kind: kind.name, status, began });
+        self.seen.lock().unwrap().push(Seen { sent, kind, status, began });
     }
 
     async fn attempt(&self, kind: Kind, client: usize, id: String, left: Duration) -> Answer {
         let Some(mut conn) = self.connection(client).await else { return Answer::default() };
-        let req = Request::post(format!("/{}/{client}", kind.name))
+        let mut req = Request::post(format!("/{}/{client}", kind.name))
             .header("host", "desk.example")
-            .header("request-id", id)
             .header("deadline-ms", left.as_millis() as u64)
-            .header("authorization", format!("Bearer {KEY}"))
-            .body(Bytes::from(vec![b'q'; BODY]))
-            .unwrap();
+            .header("authorization", format!("Bearer {}", key_of(client % self.accounts)));
+        if let Some(tokens) = kind.prompt {
+            let own = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+            req = req
+                .header("model", "m")
+                .header("token-count", format!("{tokens},{}", tokens / 10))
+                .header("prompt-prefix", format!("{:x}:60,{own:x}:{}", client % 16, tokens - 60));
+        }
+        let req = req.header("request-id", id).body(Bytes::from(vec![b'q'; BODY])).unwrap();
         let head = conn.send(req);
         let limit = if kind.is_stream { MAX_GAP } else { kind.deadline };
         match future::timeout(limit, head).await.unwrap_or(Err(h1::CallError::Timeout(limit))) {
--- a/oxbowbend-daemon/tests/recovery/daemons.rs
+++ b/oxbowbend-daemon/tests/recovery/daemons.rs
@@ -11,6 +11,7 @@
 use async_std::task;
 use oxbowbend_http::h1;
 use rustix::process::{kill_process, Pid, Signal};
+use rustix::thread::{sched_setaffinity, CpuSet};
 
 pub const ZONES: [&str; 3] = ["hobart", "launceston", "burnie"];
 const FRONT: u16 = 27620;
@@ -45,6 +46,31 @@
     }
 }
 
+/// Processors, by their numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Processors {
+    pub first: usize,
+    pub count: usize,
+}
+
+impl Processors {
+    /// Lets a thread use only these; the calling one if none is named.
+    fn bind(self, thread: Option<Pid>) {
+        let mut set = CpuSet::new();
+        (self.first..self.first + self.count).for_each(|n| set.set(n));
+        // A thread may have ended meanwhile.
+        let _ = sched_setaffinity(thread, &set);
+    }
+
+    /// Lets all threads of this process use only these, and those that they start.
+    pub fn bind_own_threads(self) {
+        for thread in std::fs::read_dir("/proc/self/task").unwrap().flatten() {
+            let id = thread.file_name().to_str().and_then(|id| id.parse().ok());
+            self.bind(id.and_then(Pid::from_raw));
+        }
+    }
+}
+
 /// One machine of the deployment.
 pub struct Daemon {
     n: u8,
@@ -63,18 +89,25 @@
     net: Net,
     store: SocketAddr,
     folder: PathBuf,
+    /// Processors that the daemons may use; all if `None`.
+    processors: Option<Processors>,
     stop: Arc<AtomicBool>,
     /// Times that a process has ended by itself.
     pub ends: Arc<AtomicUsize>,
 }
 
 impl Daemons {
-    pub fn launch(net: Net, count: u8, store: SocketAddr) -> Daemons {
+    pub fn launch(
+        net: Net,
+        count: u8,
+        store: SocketAddr,
+        processors: Option<Processors>,
+    ) -> Daemons {
         let name = format!("oxbow-recovery-{}-{}", std::process::id(), net.seed);
         let folder = logs().unwrap_or_else(std::env::temp_dir).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let (all, stop, ends) = (Arc::default(), Arc::default(), Arc::default());
-        let daemons = Daemons { all, net, store, folder, stop, ends };
+        let daemons = Daemons { all, net, store, folder, processors, stop, ends };
         let all = (1..=count).map(|n| daemons.machine(0, n)).collect();
         *daemons.all.lock().unwrap() = all;
         daemons.start_all();
@@ -112,16 +145,29 @@
         let log = self.folder.join(format!("{}.log", daemon.name));
         let log = File::options().create(true).append(true).open(log).unwrap();
         let built = env!("CARGO_BIN_EXE_oxbowd").to_owned();
-        Command::new(std::env::var("OXBOW_RECOVERY_DAEMON").unwrap_or(built))
+        let mut command = Command::new(std::env::var("OXBOW_RECOVERY_DAEMON").unwrap_or(built));
+        command
             .args(["--wire", "platform"])
             .env("OXBOWBEND_BOOT", boot)
             .env("ASYNC_STD_THREAD_COUNT", "1")
             .env("OXBOWD_METRICS_PORT", METRICS.to_string())
             .env("OXBOWD_ENABLE", "overflow")
             .stderr(log.try_clone().unwrap())
-            .stdout(log)
-            .spawn()
-            .unwrap()
+            .stdout(log);
+        let Some(processors) = self.processors else { return command.spawn().unwrap() };
+        // A process inherits the processors of the thread that starts it.
+        let start = || {
+            processors.bind(None);
+            command.spawn().unwrap()
+        };
+        std::thread::scope(|scope| scope.spawn(start).join().unwrap())
+    }
+
+    /// Processor time that the processes that run now have used so far.
+    pub fn processor_time(&self) -> Duration {
+        let all = self.all.lock().unwrap();
+        let ids = all.iter().filter_map(|daemon| daemon.child.as_ref()).map(Child::id);
+        ids.map(|id| processor_time_of(id).unwrap_or_default()).sum()
     }
 
     /// Ends all processes at once; they stay down until [`Daemons::start_all`].
@@ -265,6 +311,14 @@
     }
 }
 
+/// Processor time of a process, from the fields `utime` and `stime` of its `stat`, in hundredths of a second.
+fn processor_time_of(id: u32) -> Option<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = |n: usize| fields.get(n)?.parse::<u64>().ok();
+    Some(Duration::from_millis((ticks(11)? + ticks(12)?) * 10))
+}
+
 /// Where logs are kept after a play, if they are.
 fn logs() -> Option<PathBuf> {
     std::env::var_os("OXBOW_SOAK_LOGS").map(PathBuf::from)
--- a/oxbowbend-daemon/tests/recovery/engines.rs
+++ b/oxbowbend-daemon/tests/recovery/engines.rs
@@ -2,13 +2,16 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use async_std::channel::{self, Receiver, Sender};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::Bytes;
 use futures::channel::oneshot;
+use futures::future::{self, Either};
 use futures::stream::BoxStream;
 use futures::StreamExt;
 use http::{HeaderMap, Request, Response};
@@ -19,6 +22,9 @@
 use serde_json::{json, Value};
 use smol_hyper::rt::FuturesIo;
 
+use crate::daemons::Net;
+use crate::play::INSTANCES;
+
 /// Bytes of an answer.
 const ANSWER: usize = 2000;
 /// An event of a stream, and the last one, without which a stream is not whole.
@@ -28,6 +34,11 @@
 /// The body of an answer.
 type Body = StreamBody<BoxStream<'static, Result<Frame<Bytes>, std::convert::Infallible>>>;
 
+/// Where the endpoint of a number is reached.
+pub fn address(net: Net, n: u8) -> SocketAddr {
+    SocketAddr::from((net.ip(0, INSTANCES + 1 + n), 27640))
+}
+
 /// What an endpoint is.
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
@@ -52,8 +63,11 @@
     pub rejected: u64,
 }
 
-#[derive(Default)]
+/// One life of an endpoint, from its start to the next one.
 struct State {
+    life: u32,
+    power: Power,
+    outage: Outage,
     running: u32,
     waiting: VecDeque<oneshot::Sender<Slot>>,
     open: usize,
@@ -66,12 +80,27 @@
     rejected: u64,
 }
 
+/// What callers of an endpoint without power see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outage {
+    /// Connections stay open, and nothing is answered until the next start resets them.
+    Silent,
+    /// Connections are closed at once, as by a machine that forwards to a process that is not there.
+    Closing,
+}
+
+/// Tells the connections of a life that power is lost, and that the endpoint has started again: a channel that closes.
+struct Power {
+    lost: (Option<Sender<()>>, Receiver<()>),
+    back: (Sender<()>, Receiver<()>),
+}
+
 #[derive(Clone)]
 pub struct Engine {
-    pub id: String,
+    name: String,
     kind: Kind,
     work: Arc<Mutex<Duration>>,
-    state: Arc<Mutex<State>>,
+    state: Arc<Mutex<Arc<Mutex<State>>>>,
 }
 
 /// A slot in use, or on its way to a request that waited; it goes to the next one when it is dropped.
@@ -112,19 +141,64 @@
 }
 
 impl State {
+    fn new(life: u32) -> State {
+        let (lost, back) = (channel::bounded(1), channel::bounded(1));
+        State {
+            life,
+            outage: Outage::Silent,
+            power: Power { lost: (Some(lost.0), lost.1), back },
+            running: 0,
+            waiting: VecDeque::new(),
+            open: 0,
+            dead: 0,
+            unnoticed_until: None,
+            refused: 0,
+            rejected: 0,
+        }
+    }
+
     fn is_unnoticed(&self, now: Instant) -> bool {
         self.unnoticed_until.is_some_and(|until| now < until)
     }
 }
 
 impl Engine {
-    pub fn start(id: String, kind: Kind, listener: TcpListener) -> Engine {
+    pub fn start(name: String, kind: Kind, listener: TcpListener) -> Engine {
         let work = Arc::new(Mutex::new(kind.work));
-        let engine = Engine { id, kind, work, state: Arc::default() };
+        let state = Arc::new(Mutex::new(Arc::new(Mutex::new(State::new(0)))));
+        let engine = Engine { name, kind, work, state };
         task::spawn(engine.clone().listen(listener));
         engine
     }
 
+    fn state(&self) -> Arc<Mutex<State>> {
+        self.state.lock().unwrap().clone()
+    }
+
+    /// Its id, another one after each start.
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.name, self.state().lock().unwrap().life)
+    }
+
+    /// Loses power: it answers nothing until it starts again, and what runs and waits is gone.
+    pub fn lose_power(&self, outage: Outage) {
+        let state = self.state();
+        let mut state = state.lock().unwrap();
+        state.outage = outage;
+        state.power.lost.0 = None;
+    }
+
+    /// Starts again under another id.
+    pub fn start_again(&self) {
+        let mut state = self.state.lock().unwrap();
+        let next = {
+            let former = state.lock().unwrap();
+            former.power.back.0.close();
+            State::new(former.life + 1)
+        };
+        *state = Arc::new(Mutex::new(next));
+    }
+
     /// Its entry in the store.
     pub fn entry(&self, address: SocketAddr, zone: &str) -> Value {
         let Kind { service, slots, .. } = self.kind;
@@ -141,17 +215,18 @@
 
     /// Does not notice connections that close in the next `time`: they count for that long, and their requests go on.
     pub fn miss_closed_connections(&self, time: Duration) {
-        self.state.lock().unwrap().unnoticed_until = Some(Instant::now() + time);
+        self.state().lock().unwrap().unnoticed_until = Some(Instant::now() + time);
     }
 
     /// Connections that were reset beyond the limit.
     pub fn refused(&self) -> u64 {
-        self.state.lock().unwrap().refused
+        self.state().lock().unwrap().refused
     }
 
     /// What it does now.
     pub fn usage(&self) -> Usage {
-        let state = self.state.lock().unwrap();
+        let state = self.state();
+        let state = state.lock().unwrap();
         Usage { running: state.running, waiting: state.waiting.len(), rejected: state.rejected }
     }
 
@@ -159,7 +234,8 @@
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
             let Ok(stream) = stream else { continue };
-            let mut state = self.state.lock().unwrap();
+            let life = self.state();
+            let mut state = life.lock().unwrap();
             if state.open + state.dead >= self.kind.connections {
                 state.refused += 1;
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -167,19 +243,32 @@
             }
             state.open += 1;
             drop(state);
-            task::spawn(self.clone().connection(stream));
+            task::spawn(self.clone().connection(life, stream));
         }
     }
 
-    async fn connection(self, stream: TcpStream) {
+    async fn connection(self, life: Arc<Mutex<State>>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|req| {
-            let this = self.clone();
-            async move { Ok::<_, std::convert::Infallible>(this.answer(req).await) }
+            let (this, life) = (self.clone(), life.clone());
+            async move { Ok::<_, std::convert::Infallible>(this.answer(life, req).await) }
         });
-        let _ = http1::Builder::new().serve_connection(FuturesIo::new(stream), service).await;
+        let (lost, back) = {
+            let state = life.lock().unwrap();
+            (state.power.lost.1.clone(), state.power.back.1.clone())
+        };
+        let served = http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
+        // Without power the connection stays open and silent, as its caller sees it, until the next start resets it.
+        if let Either::Left((_, served)) = future::select(pin!(lost.recv()), served).await {
+            let outage = life.lock().unwrap().outage;
+            if outage == Outage::Silent {
+                let _ = back.recv().await;
+            }
+            drop(served);
+            return;
+        }
         let unnoticed_until = {
-            let mut state = self.state.lock().unwrap();
+            let mut state = life.lock().unwrap();
             state.open -= 1;
             let until = state.unnoticed_until.filter(|until| Instant::now() < *until);
             state.dead += usize::from(until.is_some());
@@ -187,20 +276,25 @@
         };
         if let Some(until) = unnoticed_until {
             task::sleep(until - Instant::now().min(until)).await;
-            self.state.lock().unwrap().dead -= 1;
+            life.lock().unwrap().dead -= 1;
         }
     }
 
-    async fn answer(self, req: Request<Incoming>) -> Response<Body> {
+    async fn answer(self, life: Arc<Mutex<State>>, req: Request<Incoming>) -> Response<Body> {
         let (head, body) = req.into_parts();
         let id = text(&head.headers, "request-id");
-        if text(&head.headers, "expect-instance") != self.id {
-            return reply(421, &id, Bytes::new());
+        let own_id = format!("{}-{}", self.name, life.lock().unwrap().life);
+        if text(&head.headers, "expect-instance") != own_id {
+            let mut answer = reply(421, &id, Bytes::new());
+            answer.headers_mut().insert("instance-id", own_id.parse().unwrap());
+            return answer;
         }
         if body.collect().await.is_err() {
             return reply(400, &id, Bytes::new());
         }
-        let Some(mut running) = self.enter().await else { return reply(503, &id, Bytes::new()) };
+        let Some(mut running) = self.enter(&life).await else {
+            return reply(503, &id, Bytes::new());
+        };
         if let Some(gap) = self.kind.event_gap {
             running.until = Instant::now() + length_of(&id, *self.work.lock().unwrap());
             return stream(&id, running, gap);
@@ -210,9 +304,9 @@
     }
 
     /// Takes a slot, or waits for one; `None` if too many wait.
-    async fn enter(&self) -> Option<Running> {
+    async fn enter(&self, life: &Arc<Mutex<State>>) -> Option<Running> {
         let turn = {
-            let mut state = self.state.lock().unwrap();
+            let mut state = life.lock().unwrap();
             if state.running < self.kind.slots {
                 state.running += 1;
                 None
@@ -227,7 +321,7 @@
         };
         let slot = match turn {
             Some(turn) => turn.await.ok()?,
-            None => Slot(self.state.clone()),
+            None => Slot(life.clone()),
         };
         let work = *self.work.lock().unwrap();
         Some(Running { slot: Some(slot), until: Instant::now() + work })
--- a/oxbowbend-daemon/tests/recovery/growth.rs
+++ b/oxbowbend-daemon/tests/recovery/growth.rs
@@ -13,8 +13,8 @@
 use crate::daemons::{Daemons, Net};
 use crate::engines::{self, Engine, Usage};
 use crate::play::{
-    config, start_engines, APPS, APP_SLOTS, FIRST_START, INSTANCES, MODELS, MODEL_SLOTS, OWN_SHARE,
-    RECOVERY, SOON, USERS_SHARE, WINDOW,
+    config, start_engines, Account, APPS, APP_SLOTS, FIRST_START, INSTANCES, KINDS, MODELS,
+    MODEL_SLOTS, OWN_SHARE, RECOVERY, SOON, USERS_SHARE, WINDOW,
 };
 use crate::store::{self, Store};
 
@@ -56,14 +56,14 @@
     let listener = TcpListener::bind((net.ip(0, 225), 0)).await.unwrap();
     let store_address = store::address(&listener);
     let store = Store::start(listener).await;
-    store.put("op/config", &config());
+    store.put("op/config", &config(1, &KINDS, &[Account::unlimited()]));
     let engines = start_engines(net, models(), apps(), &store).await;
-    let daemons = Daemons::launch(net, INSTANCES, store_address);
+    let daemons = Daemons::launch(net, INSTANCES, store_address, None);
     if !daemons.ready(FIRST_START).await {
         daemons.end();
         return vec![format!("seed {seed}: the daemons are not ready at first")];
     }
-    let load = Load::new(daemons.clone(), seed);
+    let load = Load::new(daemons.clone(), seed, 1);
     load.send(STREAM, per_s(MODELS, MODEL_SLOTS, STREAM_WORK));
     load.send(POST, per_s(APPS, APP_SLOTS, APP_WORK));
     task::sleep(WARM_UP + CALM + LAST_STREAMS).await;
--- a/oxbowbend-daemon/tests/recovery/main.rs
+++ b/oxbowbend-daemon/tests/recovery/main.rs
@@ -11,6 +11,7 @@
 mod growth;
 mod plan;
 mod play;
+mod power;
 #[path = "../soak/store.rs"]
 // The soak of few instances uses more of it.
 #[allow(dead_code)]
@@ -85,6 +86,31 @@
     grow_by_hand(204, Growth::Roll);
 }
 
+/// Parts of prompts were put in quarantine for crashes of endpoints that had lost power before the first request was sent,
+/// and most prompts were refused for a minute.
+#[test]
+fn prompts_are_served_after_instances_and_endpoints_lose_power_together() {
+    lose_power([(301, power::Plan::late_endpoints())].into_iter());
+}
+
+/// The plans of other seeds, by hand: `OXBOW_POWER=FROM-TO`.
+#[test]
+fn each_service_returns_after_instances_endpoints_and_store_lose_power() {
+    let Ok(seeds) = std::env::var("OXBOW_POWER") else {
+        return println!("not played: set OXBOW_POWER");
+    };
+    let (from, to) = seeds.split_once('-').expect("FROM-TO");
+    let number = |text: &str| text.parse::<u64>().expect("FROM-TO");
+    lose_power((number(from)..=number(to)).map(|seed| (seed, power::Plan::drawn(seed))));
+}
+
+fn lose_power(plays: impl Iterator<Item = (u64, power::Plan)>) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let broken: Vec<_> =
+        plays.flat_map(|(seed, plan)| task::block_on(power::play(seed, &plan))).collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Plays a fleet whose size goes on changing.
 fn grow(seed: u64, growth: Growth) {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
--- a/oxbowbend-daemon/tests/recovery/play.rs
+++ b/oxbowbend-daemon/tests/recovery/play.rs
@@ -1,6 +1,5 @@
 //! One play: a fleet of the deployment's size serves, all its instances end at once and return.
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,7 +9,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
-use crate::callers::{Kind, Load, DRAFT, KEY, ONCE, POST, STREAM};
+use crate::callers::{key_of, Kind, Load, DRAFT, ONCE, POST, STREAM};
 use crate::daemons::{Daemons, Net, ZONES};
 use crate::engines::{self, Engine};
 use crate::plan::{Away, Plan};
@@ -51,17 +50,17 @@
     let listener = TcpListener::bind((net.ip(0, 225), 0)).await.unwrap();
     let store_address = store::address(&listener);
     let store = Store::start(listener).await;
-    store.put("op/config", &config());
+    store.put("op/config", &config(1, &KINDS, &[Account::unlimited()]));
     let (models, apps) = kinds(plan);
     let engines = start_engines(net, models, apps, &store).await;
-    let daemons = Daemons::launch(net, INSTANCES, store_address);
+    let daemons = Daemons::launch(net, INSTANCES, store_address, None);
     let began = Instant::now();
     if !daemons.ready(FIRST_START).await {
         daemons.end();
         return vec![format!("seed {seed}: the daemons are not ready at first")];
     }
     println!("seed {seed}: {plan:?}; ready after {:?}", began.elapsed());
-    let load = Load::new(daemons.clone(), seed);
+    let load = Load::new(daemons.clone(), seed, 1);
     let capacity = f64::from(MODELS) * f64::from(MODEL_SLOTS) / plan.work.as_secs_f64();
     let stop = Arc::new(AtomicBool::new(false));
     if let Some(running) = plan.running {
@@ -120,11 +119,11 @@
     let mut engines = Vec::new();
     for n in 0..MODELS + APPS {
         let kind = if n < MODELS { models } else { apps };
-        let address = SocketAddr::from((net.ip(0, INSTANCES + 1 + n), 27640));
+        let address = engines::address(net, n);
         let listener = TcpListener::bind(address).await.unwrap();
         let engine = Engine::start(format!("i-{n:02}"), kind, listener);
         let entry = engine.entry(address, ZONES[n as usize % ZONES.len()]);
-        store.put(&format!("servers/{}", engine.id), &entry);
+        store.put(&format!("servers/{}", engine.id()), &entry);
         engines.push(engine);
     }
     engines
@@ -249,14 +248,31 @@
     broken
 }
 
-pub fn config() -> serde_json::Value {
-    let route = |kind: Kind, service: &str, attempts: u32| {
+/// Routes of the plays in which there are only these.
+pub const KINDS: [Kind; 4] = [DRAFT, ONCE, STREAM, POST];
+
+/// A client account; quotas are in tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct Account {
+    pub per_s: f64,
+    pub burst: f64,
+}
+
+impl Account {
+    pub fn unlimited() -> Account {
+        Account { per_s: 0.0, burst: 0.0 }
+    }
+}
+
+/// The operator's configuration.
+pub fn config(version: u64, kinds: &[Kind], accounts: &[Account]) -> serde_json::Value {
+    let route = |kind: &Kind| {
         json!({
             "name": kind.name, "host": "desk.example", "path_prefix": format!("/{}/", kind.name),
-            "kind": kind.route_kind(),
-            "timeout_ms": kind.deadline.as_millis() as u64, "target_latency_ms": 500, "priority": 1,
-            "service": service, "max_attempts": attempts, "public": false, "sticky": false,
-            "resumable": false,
+            "kind": kind.route_kind(), "timeout_ms": kind.deadline.as_millis() as u64,
+            "target_latency_ms": kind.objective.as_millis() as u64, "priority": kind.priority,
+            "service": kind.service, "max_attempts": kind.attempts, "public": false,
+            "sticky": kind.prompt.is_some(), "resumable": false,
         })
     };
     let service = |name: &str, connections: u32| {
@@ -265,17 +281,21 @@
             "tls": false,
         })
     };
+    let account = |(n, account): (usize, &Account)| {
+        json!({
+            "name": format!("account-{n}"), "api_keys": [key_of(n)], "priority": 1,
+            "unit": "token_count", "plain_tokens": 200, "rate_per_s": account.per_s,
+            "burst": account.burst,
+        })
+    };
     json!({
-        "version": 1,
-        "routes": [
-            route(DRAFT, "models", 2), route(ONCE, "models", 1), route(STREAM, "models", 2),
-            route(POST, "ledger", 1),
-        ],
+        "version": version,
+        "routes": kinds.iter().map(route).collect::<Vec<_>>(),
         "services": [service("models", 1294), service("ledger", 879)],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": [{ "name": "account-one", "api_keys": [KEY], "priority": 1 }],
+        "tenants": accounts.iter().enumerate().map(account).collect::<Vec<_>>(),
     })
 }
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -45,6 +45,8 @@
 mod signals;
 mod slow;
 mod starts;
+// tests/recovery uses more of it.
+#[allow(dead_code)]
 mod store;
 mod suspended;
 mod taken_up;
--- a/oxbowbend-daemon/tests/soak/store.rs
+++ b/oxbowbend-daemon/tests/soak/store.rs
@@ -17,6 +17,8 @@
 
 /// Keys of the instances' entries.
 const INSTANCES: &str = "oxbow/instances/";
+/// Longer than any test.
+const NEVER: Duration = Duration::from_secs(3600);
 
 /// What changes a text in place.
 pub type Rewrite = Box<dyn Fn(&mut [u8]) + Send>;
@@ -31,6 +33,8 @@
     Slow(Duration),
     /// Watches hear nothing of changes; all else is answered.
     Deaf,
+    /// Does nothing and answers nothing, as without power.
+    Dark,
 }
 
 /// What a copy of the store holds.
@@ -127,6 +131,13 @@
         self.state.lock().unwrap().remove(key);
     }
 
+    /// Ends all leases, and with them the keys that they hold.
+    pub fn end_leases(&self) {
+        let mut state = self.state.lock().unwrap();
+        let leases: Vec<_> = state.leases.keys().copied().collect();
+        leases.into_iter().for_each(|lease| state.end(lease));
+    }
+
     /// Makes a copy.
     pub fn copy(&self) {
         let mut state = self.state.lock().unwrap();
@@ -189,6 +200,7 @@
         match mode {
             Mode::Refusing => return reply(503, json!({}), self.era()),
             Mode::Slow(by) => task::sleep(by).await,
+            Mode::Dark => task::sleep(NEVER).await,
             Mode::Up | Mode::Mute | Mode::Deaf => {}
         }
         let cuts = self.state.lock().unwrap().cuts;
@@ -204,8 +216,9 @@
         if path == "/kv-watch" && self.state.lock().unwrap().cuts != cuts {
             return reply(503, json!({}), era);
         }
-        if mode == Mode::Mute || self.state.lock().unwrap().mode == Mode::Mute {
-            task::sleep(Duration::from_secs(3600)).await;
+        let mode_now = self.state.lock().unwrap().mode;
+        if mode == Mode::Mute || matches!(mode_now, Mode::Mute | Mode::Dark) {
+            task::sleep(NEVER).await;
         }
         reply(status, answer, era)
     }
