Quarantine: a crash is dated by the endpoint's last sign of life

Cause: an entry outlives its endpoint. Instances that start beside such entries send requests to endpoints that were gone before, see these break off, and take the entry's removal for the proof of a crash under them. Entries lapse one after the other, a restarted fleet knows no answers, and three such crashes in a row convict a part of prompts. A part that many requests share takes all of them along. The class: an effect is dated by when it is seen, and what came after the cause is held responsible for it.

Change: a start that was in the first list, or in that of a store that has come back from an older copy, counts as crashed only once it has shown a sign of life: a response, or an entry written since. Crashes carry the time of the last sign of life, and answers clear parts and requests by that time. New: event=interruption_disregarded, oxbow_quarantine_total{what="disregarded"}.

--- a/oxbowbend-core/src/quarantine/crashes.rs
+++ b/oxbowbend-core/src/quarantine/crashes.rs
@@ -69,11 +69,23 @@
     pub(super) parts: Vec<SuspectPart>,
 }
 
+/// The time within which an endpoint crashed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrashTime {
+    /// The last sign of life.
+    pub(super) alive_at: Instant,
+    /// When the crash was seen.
+    pub(super) crashed_at: Instant,
+}
+
 /// A crash of one endpoint incarnation.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub(super) endpoint: EndpointKey,
     pub(super) crashed_at: Instant,
+    /// Last sign of life of the endpoint. It may have crashed at any time since, as it ends all the same
+    /// if its machine loses power, and its connections break only when that is back.
+    alive_at: Instant,
     /// When an attempt was last added.
     updated_at: Instant,
     /// When this instance learned of the crash.
@@ -166,11 +178,11 @@
         self.crashes.iter().filter(|crash| crash.parts().any(|p| p == part)).count()
     }
 
-    /// Adds what was in flight to the crash of an endpoint at `at`; returns whether anything was new.
+    /// Adds what was in flight to the crash of an endpoint; returns whether anything was new.
     pub(super) fn record(
         &mut self,
         now: Instant,
-        at: Instant,
+        time: CrashTime,
         endpoint: EndpointKey,
         in_flight: &InFlight,
         is_local: bool,
@@ -182,7 +194,8 @@
             }
             self.crashes.push_back(Crash {
                 endpoint,
-                crashed_at: at,
+                crashed_at: time.crashed_at,
+                alive_at: time.alive_at,
                 updated_at: now,
                 first_seen_at: now,
                 is_settled: false,
@@ -194,6 +207,7 @@
         });
         let crash = &mut self.crashes[index];
         crash.is_local |= is_local;
+        crash.alive_at = crash.alive_at.max(time.alive_at).min(crash.crashed_at);
         let InFlight { attempts, parts } = in_flight;
         let added = attempts.iter().filter(|attempt| crash.add_attempt(**attempt)).count()
             + parts.iter().filter(|suspect| crash.add_part(**suspect)).count();
@@ -203,10 +217,10 @@
         added > 0 || known.is_none()
     }
 
-    /// Removes a request from all crashes up to `until`; returns whether it was in any.
+    /// Removes a request from all crashes that may have happened up to `until`; returns whether it was in any.
     pub(super) fn remove_request(&mut self, fingerprint: Fingerprint, until: Instant) -> bool {
         let mut was_present = false;
-        for crash in self.crashes.iter_mut().filter(|crash| crash.crashed_at <= until) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.alive_at <= until) {
             let count = crash.attempts.len();
             crash.attempts.retain(|attempt| attempt.fingerprint != fingerprint);
             was_present |= crash.attempts.len() < count;
@@ -214,10 +228,10 @@
         was_present
     }
 
-    /// Removes a part from all crashes up to `until`; returns whether it was in any.
+    /// Removes a part from all crashes that may have happened up to `until`; returns whether it was in any.
     pub(super) fn remove_part(&mut self, part: Fingerprint, until: Instant) -> bool {
         let mut was_present = false;
-        for crash in self.crashes.iter_mut().filter(|crash| crash.crashed_at <= until) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.alive_at <= until) {
             let count = crash.parts.len();
             crash.parts.retain(|suspect| suspect.part != part);
             was_present |= crash.parts.len() < count;
@@ -247,6 +261,7 @@
         let records = records.map(|crash| CrashRecord {
             endpoint: crash.endpoint,
             age_ms: age_ms(now, crash.crashed_at),
+            alive_age_ms: Some(age_ms(now, crash.alive_at)),
             attempts: crash.attempts.clone(),
             parts: crash.parts.clone(),
         });
--- a/oxbowbend-core/src/quarantine/events.rs
+++ b/oxbowbend-core/src/quarantine/events.rs
@@ -19,6 +19,11 @@
         /// Whether this instance observed the crash itself.
         is_local: bool,
     },
+    /// An attempt was interrupted at an endpoint that may have ended before it, and suspects nothing.
+    InterruptionDisregarded {
+        /// The incarnation, of which this instance has seen no sign of life.
+        endpoint: EndpointKey,
+    },
     /// A request was quarantined.
     Quarantined {
         /// The request.
--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -11,6 +11,9 @@
 //! self-contained and idempotent, so updates may be lost, duplicated, reordered or relayed.
 //! Decisions are also written to the store so that they survive a restart of all instances.
 //!
+//! An entry may outlive its endpoint. An attempt at an endpoint that was listed when this instance started, and
+//! that has shown no sign of life since, makes nothing a suspect: the endpoint may have been gone before.
+//!
 //! A successful response clears a request of earlier crashes and of those shortly afterwards. A
 //! quarantine expires into a trial: one attempt is let through, and if it gets no response the
 //! delay before the next trial doubles.
@@ -26,6 +29,7 @@
 mod events;
 mod parts;
 mod records;
+mod starts;
 mod successes;
 
 use std::collections::HashSet;
@@ -39,9 +43,10 @@
 use crate::cell::ReportDetail;
 use crate::fingerprint::Fingerprint;
 use crate::ids::{EndpointId, EndpointKey, InstanceId};
-use crashes::{Crashes, InFlight};
+use crashes::{CrashTime, Crashes, InFlight};
 use decisions::{CrashAnalysis, CrashCause, DecisionOutcome, Decisions};
 use parts::PART_SUCCESS_LOOKBACK;
+use starts::KnownStarts;
 use successes::RecentSuccesses;
 
 /// A success clears the request of crashes up to this long afterwards, besides all earlier ones.
@@ -108,6 +113,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     pending: Vec<PendingAttempt>,
+    starts: KnownStarts,
     crashes: Crashes,
     successes: RecentSuccesses,
     part_successes: RecentSuccesses,
@@ -122,6 +128,7 @@
     pub fn new(me: &InstanceId) -> Quarantine {
         Quarantine {
             pending: Vec::new(),
+            starts: KnownStarts::default(),
             crashes: Crashes::default(),
             successes: RecentSuccesses::default(),
             part_successes: RecentSuccesses::default(),
@@ -165,8 +172,25 @@
         suspects.filter_map(|suspect| self.decisions.blocked_for(now, suspect)).max()
     }
 
+    /// Records a start of an endpoint that was found in a list, which it may not have outlived.
+    pub fn endpoint_listed(&mut self, key: EndpointKey) {
+        self.starts.record_listed(key);
+    }
+
+    /// Records a sign of life of an endpoint: a response, or an entry that it has written since this
+    /// instance knows the list.
+    pub fn endpoint_alive(&mut self, now: Instant, key: EndpointKey) {
+        self.starts.record_sign(now, key);
+    }
+
+    /// Returns whether an endpoint may have been gone since before this instance knew it.
+    pub fn is_unproven(&self, key: EndpointKey) -> bool {
+        self.starts.is_unproven(key)
+    }
+
     /// Records an attempt that was interrupted on an endpoint in service, which may have crashed, and
-    /// the parts of its request. The parts are suspected only if it awaited its response.
+    /// the parts of its request. The parts are suspected only if it awaited its response, and nothing is
+    /// on an endpoint that is unproven, unless another instance knows that it crashed.
     pub fn attempt_interrupted(
         &mut self,
         now: Instant,
@@ -177,9 +201,14 @@
     ) {
         let parts = if attempt.awaiting_response { parts } else { &[] };
         if self.crashes.is_known(key) {
-            let parts = self.suspect_parts(now, attempt.fingerprint, parts);
+            let time = self.crash_time(now, key);
+            let parts = self.suspect_parts(time, attempt.fingerprint, parts);
             let in_flight = InFlight { attempts: vec![attempt], parts };
-            self.add_crash(now, now, key, in_flight, true);
+            self.add_crash(now, time, key, in_flight, true);
+            return;
+        }
+        if self.is_unproven(key) {
+            self.events.push(QuarantineEvent::InterruptionDisregarded { endpoint: key });
             return;
         }
         self.pending.retain(|p| {
@@ -211,17 +240,24 @@
         let is_fresh = |p: &PendingAttempt| {
             now.saturating_duration_since(p.interrupted_at) < CRASH_CONFIRMATION_TIMEOUT
         };
+        let time = self.crash_time(now, key);
         let mut in_flight = InFlight::default();
         for pending in Vec::into_iter(confirmed).filter(is_fresh) {
             let request = pending.attempt.fingerprint;
             in_flight.attempts.push(pending.attempt);
-            in_flight.parts.extend(self.suspect_parts(now, request, &pending.parts));
+            in_flight.parts.extend(self.suspect_parts(time, request, &pending.parts));
         }
         if !in_flight.attempts.is_empty() {
-            self.add_crash(now, now, key, in_flight, true);
+            self.add_crash(now, time, key, in_flight, true);
         }
     }
 
+    /// Returns the time within which an endpoint crashed that this instance has just seen crash.
+    fn crash_time(&self, now: Instant, key: EndpointKey) -> CrashTime {
+        let alive_at = self.starts.last_sign(key).unwrap_or(now);
+        CrashTime { alive_at, crashed_at: now }
+    }
+
     /// Records that an endpoint's store entry was removed or replaced by that of a newer
     /// incarnation, which confirms the crash of those with interrupted attempts.
     pub fn endpoint_entry_changed(&mut self, now: Instant, endpoint: &EndpointId) {
@@ -283,9 +319,13 @@
             if !self.crashes.is_known(crash.endpoint) {
                 new_crashes.push(crash.endpoint);
             }
-            let at = instant_before(now, crash.age_ms);
+            let alive_age_ms = crash.alive_age_ms.unwrap_or(crash.age_ms).max(crash.age_ms);
+            let time = CrashTime {
+                alive_at: instant_before(now, alive_age_ms),
+                crashed_at: instant_before(now, crash.age_ms),
+            };
             let (attempts, parts) = (crash.attempts.clone(), crash.parts.clone());
-            self.add_crash(now, at, crash.endpoint, InFlight { attempts, parts }, false);
+            self.add_crash(now, time, crash.endpoint, InFlight { attempts, parts }, false);
         }
         new_crashes
     }
@@ -330,17 +370,18 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Records what was interrupted by a crash at `at`, except requests and parts that succeeded
-    /// shortly before it.
+    /// Records what was interrupted by a crash, except requests and parts that succeeded shortly before
+    /// the earliest time at which it may have happened, or since.
     fn add_crash(
         &mut self,
         now: Instant,
-        at: Instant,
+        time: CrashTime,
         key: EndpointKey,
         in_flight: InFlight,
         is_local: bool,
     ) {
         let is_new_crash = !self.crashes.is_known(key);
+        let at = time.alive_at;
         let earliest = at.checked_sub(SUCCESS_LOOKBACK).unwrap_or(at);
         let has_succeeded = |attempt: &InterruptedAttempt| {
             self.successes.succeeded_since(attempt.fingerprint, earliest)
@@ -354,7 +395,7 @@
         cleared.iter().for_each(|attempt| self.publish_success(now, attempt.fingerprint));
         sound.iter().for_each(|sound| self.part_successes.queue_for_gossip(now, sound.part));
         let in_flight = InFlight { attempts, parts };
-        let is_new = self.crashes.record(now, at, key, &in_flight, is_local);
+        let is_new = self.crashes.record(now, time, key, &in_flight, is_local);
         if is_new {
             self.publish_answered_parts(now, &in_flight.parts);
         }
--- a/oxbowbend-core/src/quarantine/parts.rs
+++ b/oxbowbend-core/src/quarantine/parts.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::crashes::{Crash, Crashes, SuspectPart};
+use super::crashes::{Crash, CrashTime, Crashes, SuspectPart};
 use super::decisions::CrashCause;
 use super::{Quarantine, QuarantineEvent};
 use crate::fingerprint::Fingerprint;
@@ -115,11 +115,12 @@
     /// first that never were.
     pub(super) fn suspect_parts(
         &self,
-        now: Instant,
+        time: CrashTime,
         request: Fingerprint,
         parts: &[Fingerprint],
     ) -> Vec<SuspectPart> {
-        let earliest = now.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(now);
+        let at = time.alive_at;
+        let earliest = at.checked_sub(PART_SUCCESS_LOOKBACK).unwrap_or(at);
         let is_suspect = |part: &Fingerprint| !self.part_successes.succeeded_since(*part, earliest);
         let mut parts: Vec<_> = parts.iter().copied().filter(is_suspect).collect();
         parts.sort_by_key(|part| self.part_successes.last_success(*part).is_some());
--- a/oxbowbend-core/src/quarantine/records.rs
+++ b/oxbowbend-core/src/quarantine/records.rs
@@ -34,6 +34,9 @@
     /// Milliseconds since the crash.
     #[serde(rename = "a")]
     pub age_ms: u32,
+    /// Milliseconds since the endpoint's last sign of life; none from programs that do not tell.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub alive_age_ms: Option<u32>,
     /// Attempts that were in flight.
     #[serde(rename = "r")]
     pub attempts: Vec<InterruptedAttempt>,
--- a/oxbowbend-core/tests/quarantine.rs
+++ b/oxbowbend-core/tests/quarantine.rs
@@ -423,3 +423,77 @@
     };
     assert!(!a.take_events().iter().any(was_quarantined), "quarantined before the crashes settled");
 }
+
+/// Entries outlive their endpoints, so an instance that has just started sends requests to endpoints that were gone before.
+#[test]
+fn nothing_is_suspected_at_an_endpoint_without_a_sign_of_life() {
+    struct Case {
+        name: &'static str,
+        /// What the instance knows of an endpoint before the request is interrupted there.
+        prepare: fn(&mut Quarantine, Instant, EndpointKey),
+        is_suspected: bool,
+    }
+    let cases = [
+        Case { name: "listed", prepare: |q, _, key| q.endpoint_listed(key), is_suspected: false },
+        Case {
+            name: "listed again after its response",
+            prepare: |q, now, key| {
+                q.endpoint_alive(now, key);
+                q.endpoint_listed(key);
+            },
+            is_suspected: true,
+        },
+        Case {
+            name: "listed, then alive",
+            prepare: |q, now, key| {
+                q.endpoint_listed(key);
+                q.endpoint_alive(now, key);
+            },
+            is_suspected: true,
+        },
+        Case {
+            name: "entered while the list was known",
+            prepare: |q, now, key| q.endpoint_alive(now, key),
+            is_suspected: true,
+        },
+        Case {
+            name: "known to another instance to have crashed",
+            prepare: |q, now, key| {
+                q.endpoint_listed(key);
+                let mut other = new_quarantine("b");
+                crash(&mut other, now, key, &[HARMLESS + 100 + u64::from(key)], &[]);
+                q.apply_update(now, &other.make_update(now, ReportDetail::Changes, false));
+            },
+            is_suspected: true,
+        },
+    ];
+    for Case { name, prepare, is_suspected } in cases {
+        let (mut q, mut now) = (new_quarantine("a"), Instant::now());
+        for key in 0..CRASH_THRESHOLD as EndpointKey {
+            prepare(&mut q, now, key);
+            let attempt = InterruptedAttempt { fingerprint: CRASHING, awaiting_response: true };
+            q.attempt_interrupted(now, &"e".into(), key, attempt, &[CRASHING + 100]);
+            q.endpoint_entry_changed(now, &"e".into());
+            now = after(now, 200);
+            q.evaluate(now);
+        }
+        assert_eq!(is_blocked(&q, now, CRASHING), is_suspected, "{name}");
+        let is_told = q
+            .take_events()
+            .iter()
+            .any(|event| matches!(event, QuarantineEvent::InterruptionDisregarded { .. }));
+        assert_eq!(is_told, !is_suspected, "{name}");
+    }
+}
+
+/// A fleet that has a great many endpoint starts behind it must still know which of the present ones are unproven.
+#[test]
+fn starts_without_a_sign_of_life_are_remembered_before_others() {
+    let (mut q, now) = (new_quarantine("a"), Instant::now());
+    q.endpoint_listed(0);
+    for key in 1..10_000 {
+        q.endpoint_alive(after(now, u64::from(key)), key);
+    }
+    assert!(q.is_unproven(0));
+    assert!(!q.is_unproven(9_999));
+}
--- a/oxbowbend-core/tests/quarantine_parts.rs
+++ b/oxbowbend-core/tests/quarantine_parts.rs
@@ -215,6 +215,38 @@
     assert!(blocked(&q, now).is_empty());
 }
 
+/// Endpoints that lose power together break connections only when they are back, one after the other and long after the last
+/// answer to any part.
+#[test]
+fn a_part_that_was_answered_until_the_endpoints_fell_silent_is_sound() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds from the answer to the endpoints' last sign of life.
+        silent_from_ms: u64,
+        blocked: &'static [u64],
+    }
+    let cases = [
+        Case { name: "answered until then", silent_from_ms: 100, blocked: &[] },
+        Case { name: "not answered for some time", silent_from_ms: 1500, blocked: &[CRASHING] },
+    ];
+    for Case { name, silent_from_ms, blocked: expected } in cases {
+        let (mut a, mut b, start) = (new_quarantine("a"), new_quarantine("b"), Instant::now());
+        a.parts_succeeded(start, &[CRASHING]);
+        for key in 0..6 {
+            a.endpoint_alive(start + Duration::from_millis(silent_from_ms), key);
+        }
+        let mut now = start + Duration::from_secs(4);
+        for key in 0..6 {
+            crash(&mut a, now, key, &[(u64::from(key) + 100, &[CRASHING])]);
+            b.apply_update(now, &a.make_update(now, ReportDetail::Changes, false));
+            now += APART;
+            b.evaluate(now);
+        }
+        assert_eq!(blocked(&a, now), expected, "{name}");
+        assert_eq!(blocked(&b, now), expected, "{name}, at another instance");
+    }
+}
+
 #[test]
 fn a_part_that_is_answered_meanwhile_is_sound() {
     let (mut q, mut now) = (new_quarantine("a"), Instant::now());
@@ -347,6 +379,7 @@
                     let record = CrashRecord {
                         endpoint: key,
                         age_ms: 0,
+                        alive_age_ms: None,
                         attempts: Vec::new(),
                         parts: Vec::new(),
                     };
--- a/oxbowbend-daemon/tests/recovery/power.rs
+++ b/oxbowbend-daemon/tests/recovery/power.rs
@@ -71,7 +71,8 @@
     pub ends: u32,
     /// Time without power.
     pub down: Duration,
-    /// Whether endpoints and store lose power too.
+    /// Whether the instances end, and whether endpoints and store lose power.
+    pub ends_instances: bool,
     pub is_everything: bool,
     /// Time from the machines' return to the store's, from it to the first endpoint's, and between two endpoints.
     pub store: Duration,
@@ -101,6 +102,7 @@
             processors: None,
             ends: 1,
             down: Duration::from_millis(900),
+            ends_instances: true,
             is_everything: true,
             store: Duration::ZERO,
             first: Duration::from_secs(6),
@@ -119,11 +121,13 @@
     pub fn drawn(seed: u64) -> Plan {
         let rng = &mut Pcg64::seed_from_u64(seed);
         let ms = |n: u64| Duration::from_millis(n);
+        let ends_instances = rng.random_bool(0.8);
         Plan {
             processors: [None, None, Some(2), Some(1)][rng.random_range(0..4)],
             ends: [1, 1, 2, 3][rng.random_range(0..4)],
             down: ms(rng.random_range(100..2000)),
-            is_everything: rng.random_bool(0.7),
+            ends_instances,
+            is_everything: !ends_instances || rng.random_bool(0.7),
             store: ms([0, 0, 1000, 3000][rng.random_range(0..4)]),
             first: ms([0, 500, 3000][rng.random_range(0..3)]),
             each: ms([0, 10, 40][rng.random_range(0..3)]),
@@ -260,9 +264,11 @@
             self.store.set_mode(store::Mode::Dark);
             self.engines.iter().for_each(|(engine, _)| engine.lose_power(plan.outage));
         }
-        self.daemons.kill_all();
+        if plan.ends_instances {
+            self.daemons.kill_all();
+        }
         task::sleep(plan.down).await;
-        if plan.replaced > 0 {
+        if plan.ends_instances && plan.replaced > 0 {
             self.daemons.replace(|n| n % 10 < plan.replaced);
         }
         let returned = Instant::now();
--- a/oxbowbend-gateway/src/quarantine.rs
+++ b/oxbowbend-gateway/src/quarantine.rs
@@ -13,6 +13,7 @@
 
 use crate::observe;
 use crate::shared::{Shared, State};
+use crate::world::News;
 
 impl Shared {
     /// Whether a request with these parts may be sent to an endpoint now.
@@ -63,7 +64,12 @@
             quarantine.endpoint_crashed(now, key);
         }
         log_changes(quarantine);
-        quarantine.has_pending_attempts(key)
+        quarantine.has_pending_attempts(key) || quarantine.is_unproven(key)
+    }
+
+    /// Notes that an endpoint has responded.
+    pub(crate) fn endpoint_responded(&self, endpoint: &Endpoint) {
+        self.lock().quarantine.endpoint_alive(clock::now(), endpoint.key());
     }
 
     /// Notes that a start of an endpoint has ended.
@@ -89,6 +95,19 @@
 }
 
 impl State {
+    /// Notes of endpoints that news names whether they are alive. Entries of the first list, or of one that the store has come
+    /// back with from an older copy, may be of endpoints that are gone.
+    pub(crate) fn note_starts(&mut self, now: Instant, news: &[News], is_first_list: bool) {
+        let is_list = is_first_list || news.iter().any(|n| matches!(n, News::Restored { .. }));
+        for item in news {
+            let (News::Endpoint(endpoint) | News::Restarted(endpoint)) = item else { continue };
+            match is_list {
+                true => self.quarantine.endpoint_listed(endpoint.key()),
+                false => self.quarantine.endpoint_alive(now, endpoint.key()),
+            }
+        }
+    }
+
     /// Takes in what another instance tells.
     pub(crate) fn hear_of_ends(&mut self, now: Instant, told: &QuarantineUpdate) {
         if told.is_empty() {
@@ -130,6 +149,10 @@
                  parts={parts:016x?}"
             );
         }
+        QuarantineEvent::InterruptionDisregarded { endpoint } => {
+            observe::quarantine_changed("disregarded");
+            log::info!("event=interruption_disregarded start={endpoint:08x}");
+        }
         QuarantineEvent::Quarantined { fingerprint, crashes: ends, trial_delay: pause } => {
             observe::quarantine_changed("quarantined");
             let from = if ends.is_empty() { "told" } else { "evidence" };
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -300,6 +300,7 @@
         let (mut head, mut body) = response.into_parts();
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
+            self.shared.endpoint_responded(&attempt.endpoint);
             let signals = self.wire.signals(&head);
             self.shared.endpoint_said(
                 &attempt.endpoint,
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -371,6 +371,8 @@
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
+        let is_first_list = !state.is_restored;
+        state.note_starts(now, news, is_first_list);
         let State {
             world, admission, ages, is_restored, loaded_at, quarantine, cell, streams, ..
         } = &mut *state;
