--- a/oxbowbend-core/src/quarantine/crashes.rs
+++ b/oxbowbend-core/src/quarantine/crashes.rs
@@ -217,7 +217,8 @@
         added > 0 || known.is_none()
     }
 
-    /// Removes a request from all crashes that may have happened up to `until`; returns whether it was in any.
+    /// Removes a request from all crashes that may have happened up to `until`; returns whether it
+    /// was in any.
     pub(super) fn remove_request(&mut self, fingerprint: Fingerprint, until: Instant) -> bool {
         let mut was_present = false;
         for crash in self.crashes.iter_mut().filter(|crash| crash.alive_at <= until) {
@@ -228,7 +229,8 @@
         was_present
     }
 
-    /// Removes a part from all crashes that may have happened up to `until`; returns whether it was in any.
+    /// Removes a part from all crashes that may have happened up to `until`; returns whether it was in
+    /// any.
     pub(super) fn remove_part(&mut self, part: Fingerprint, until: Instant) -> bool {
         let mut was_present = false;
         for crash in self.crashes.iter_mut().filter(|crash| crash.alive_at <= until) {
--- a/oxbowbend-core/src/quarantine/mod.rs
+++ b/oxbowbend-core/src/quarantine/mod.rs
@@ -11,8 +11,9 @@
 //! self-contained and idempotent, so updates may be lost, duplicated, reordered or relayed.
 //! Decisions are also written to the store so that they survive a restart of all instances.
 //!
-//! An entry may outlive its endpoint. An attempt at an endpoint that was listed when this instance started, and
-//! that has shown no sign of life since, makes nothing a suspect: the endpoint may have been gone before.
+//! An entry may outlive its endpoint. An attempt at an endpoint that was listed when this instance
+//! started, and that has shown no sign of life since, makes nothing a suspect: the endpoint may have
+//! been gone before.
 //!
 //! A successful response clears a request of earlier crashes and of those shortly afterwards. A
 //! quarantine expires into a trial: one attempt is let through, and if it gets no response the
@@ -319,11 +320,9 @@
             if !self.crashes.is_known(crash.endpoint) {
                 new_crashes.push(crash.endpoint);
             }
-            let alive_age_ms = crash.alive_age_ms.unwrap_or(crash.age_ms).max(crash.age_ms);
-            let time = CrashTime {
-                alive_at: instant_before(now, alive_age_ms),
-                crashed_at: instant_before(now, crash.age_ms),
-            };
+            let crashed_at = instant_before(now, crash.age_ms);
+            let told = instant_before(now, crash.alive_age_ms.unwrap_or(crash.age_ms));
+            let time = CrashTime { alive_at: told.min(crashed_at), crashed_at };
             let (attempts, parts) = (crash.attempts.clone(), crash.parts.clone());
             self.add_crash(now, time, crash.endpoint, InFlight { attempts, parts }, false);
         }
--- a/oxbowbend-core/src/quarantine/starts.rs
+++ b/oxbowbend-core/src/quarantine/starts.rs
@@ -22,8 +22,10 @@
 impl KnownStarts {
     /// Records a start that may be gone. Earlier signs of life remain known.
     pub(super) fn record_listed(&mut self, start: EndpointKey) {
-        self.make_room();
-        self.last_signs.entry(start).or_insert(None);
+        if !self.last_signs.contains_key(&start) {
+            self.make_room();
+            self.last_signs.insert(start, None);
+        }
     }
 
     pub(super) fn record_sign(&mut self, now: Instant, start: EndpointKey) {
