--- a/oxbowbend-daemon/tests/recovery/power.rs
+++ b/oxbowbend-daemon/tests/recovery/power.rs
@@ -314,7 +314,7 @@
     }
 }
 
-/// Judges from the moment at which the machines are back.
+/// Judges from the moment at which the machines and all that they need are back.
 fn judge(seed: u64, plan: &Plan, load: &Load, killed: Instant, returned: Instant) -> Vec<String> {
     let second = Duration::from_secs(1);
     let mut broken = Vec::new();
