--- a/oxbowbend-daemon/tests/fleet/mod.rs
+++ b/oxbowbend-daemon/tests/fleet/mod.rs
@@ -68,6 +68,11 @@
         Instance { child, output, callers, operators, peers, zone: zone.to_owned() }
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.lock().unwrap().id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child.lock().unwrap());
         kill_process(pid, signal).expect("the process is there");
