--- a/oxbowbend-core/src/lib.rs
+++ b/oxbowbend-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod isolation;
 pub mod ledger;
 pub mod membership;
+pub mod memory;
 pub mod message;
 pub mod node;
 pub mod overflow;
