Clients: what they make an instance hold is charged to one budget, and their time is limited

What callers saw: processes ended out of memory; ordinary callers got nothing while thousands of silent connections or endless heads stayed.

Cause: bodies were collected frame by frame, each of which keeps the buffer that it was read into (a chunk of one byte costs a hundred times its length), one by one within a limit, without a bound over all and without a limit on time; header_timeout_ms, idle_timeout_ms, max_header_bytes and memory_mb were read nowhere. Whole answers went through the connection's write buffer in one piece, which kept their size for as long as the connection lived, so 500 clients that read nothing left 150 MB behind although the kernel had taken their answers. The listener for handovers read up to 4 MiB of a stranger's body into memory before it rejected it.

Change: h1 servers take a place in the budget for each connection, charge heads while they are read, requests, bodies and whole answers, and end connections that the budget tells to end. Bodies are copied into pieces of 64 KiB. A body that the head alone refuses (404, 401, unreadable) is not kept if it is long; the rest of a refused body is read and thrown away within 2 s, so that its client sees the answer. A body has the time that its client or route gives the request; then 408. Without memory 503, after 200 ms again; both are true, since nothing has been sent. Answers are written in pieces of 16 KiB, and while the budget is used up they are passed on as they are read instead of being buffered up to 256 KiB. Handovers, reports, readiness and metrics have places and limits of their own. A handover without memory is rejected, so its sender serves it.

Why it works: the budget is (memory_mb - 24 MB) / 2, and what is charged is what is held.

--- a/oxbowbend-core/src/fingerprint.rs
+++ b/oxbowbend-core/src/fingerprint.rs
@@ -16,31 +16,35 @@
 /// First byte of what is hashed of a part; that of a request is 0 or 1.
 const PART: u8 = 2;
 
-/// Returns the fingerprint of a request, from a client account or anonymous.
+/// Returns the fingerprint of a request, from a client account or anonymous. The body comes in pieces, whose boundaries
+/// do not matter.
 ///
 /// # Examples
 ///
 /// ```
 /// use oxbowbend_core::fingerprint::fingerprint;
 ///
-/// let mine = fingerprint(Some(&"a".into()), "POST", "/x?y=1", b"words");
-/// assert_eq!(mine, fingerprint(Some(&"a".into()), "POST", "/x?y=1", b"words"));
-/// assert_ne!(mine, fingerprint(Some(&"b".into()), "POST", "/x?y=1", b"words"));
-/// assert_ne!(mine, fingerprint(None, "POST", "/x", b"?y=1words"));
+/// let mine = fingerprint(Some(&"a".into()), "POST", "/x?y=1", [b"words".as_slice()]);
+/// assert_eq!(mine, fingerprint(Some(&"a".into()), "POST", "/x?y=1", [b"wo".as_slice(), b"rds"]));
+/// assert_ne!(mine, fingerprint(Some(&"b".into()), "POST", "/x?y=1", [b"words".as_slice()]));
+/// assert_ne!(mine, fingerprint(None, "POST", "/x", [b"?y=1words".as_slice()]));
 /// ```
-pub fn fingerprint(
+pub fn fingerprint<'a>(
     account: Option<&AccountId>,
     method: &str,
     path_and_query: &str,
-    body: &[u8],
+    body: impl IntoIterator<Item = &'a [u8]> + Clone,
 ) -> Fingerprint {
     let mut hash = Sha256::new();
     hash.update([u8::from(account.is_some())]);
     let account = account.map_or("", |name| name);
-    for part in [account.as_bytes(), method.as_bytes(), path_and_query.as_bytes(), body] {
+    for part in [account.as_bytes(), method.as_bytes(), path_and_query.as_bytes()] {
         hash.update((part.len() as u64).to_be_bytes());
         hash.update(part);
     }
+    let body_bytes: usize = body.clone().into_iter().map(<[u8]>::len).sum();
+    hash.update((body_bytes as u64).to_be_bytes());
+    body.into_iter().for_each(|piece| hash.update(piece));
     first_64_bits(hash)
 }
 
--- a/oxbowbend-core/src/routes.rs
+++ b/oxbowbend-core/src/routes.rs
@@ -91,6 +91,8 @@
     pub max_head_bytes: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
+    /// Maximum time from the first byte of a request head to its end.
+    pub head_timeout: Duration,
     /// Maximum time for which a connection may be idle.
     pub idle_timeout: Duration,
 }
@@ -206,6 +208,7 @@
     /// let limits = RequestLimits {
     ///     max_head_bytes: 8192,
     ///     max_body_bytes: 1 << 20,
+    ///     head_timeout: Duration::from_secs(3),
     ///     idle_timeout: Duration::from_secs(60),
     /// };
     /// assert!(RoutingTable::new(1, limits).route("example.org", "/a/").is_none());
@@ -238,6 +241,7 @@
     /// let limits = RequestLimits {
     ///     max_head_bytes: 8192,
     ///     max_body_bytes: 1 << 20,
+    ///     head_timeout: Duration::from_secs(3),
     ///     idle_timeout: Duration::from_secs(60),
     /// };
     /// let mut table = RoutingTable::new(1, limits);
--- a/oxbowbend-core/src/streams/mod.rs
+++ b/oxbowbend-core/src/streams/mod.rs
@@ -50,5 +50,5 @@
 /// assert_ne!(mine, stream_key(None, "r-1"));
 /// ```
 pub fn stream_key(account: Option<&AccountId>, request_id: &str) -> StreamKey {
-    fingerprint(account, "stream", "", request_id.as_bytes())
+    fingerprint(account, "stream", "", [request_id.as_bytes()])
 }
--- a/oxbowbend-core/tests/routes.rs
+++ b/oxbowbend-core/tests/routes.rs
@@ -26,6 +26,7 @@
     let limits = RequestLimits {
         max_head_bytes: 16384,
         max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
     let mut table = RoutingTable::new(7, limits);
--- a/oxbowbend-core/tests/stream_routes.rs
+++ b/oxbowbend-core/tests/stream_routes.rs
@@ -29,6 +29,7 @@
     let limits = RequestLimits {
         max_head_bytes: 8192,
         max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(60),
     };
     let mut table = RoutingTable::new(version, limits);
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use oxbowbend_core::admission::AdmissionController;
 use oxbowbend_core::cell::Cell;
 use oxbowbend_core::ids::{InstanceId, ZoneId};
+use oxbowbend_core::memory::Group;
 use oxbowbend_core::quota::QuotaPolicy;
 use oxbowbend_core::report_pacing::ReportPacer;
 use oxbowbend_core::retries::{RetryLimit, RetryLimiter};
@@ -21,6 +22,7 @@
 use thiserror::Error;
 
 use crate::audience::Audience;
+use crate::client_memory::ClientMemory;
 use crate::confirm;
 use crate::features::Features;
 use crate::follow;
@@ -40,7 +42,7 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Time for which idle connections to endpoints are kept if these name none.
 const KEEP: Duration = Duration::from_secs(20);
-/// Bytes of a head that are read before the operator's bound is known.
+/// Bytes of a head where no budget bounds them.
 const HEAD: usize = 64 * 1024;
 /// Upkeep while requests wait: claims of silent instances, endpoints that have been set aside for long enough.
 const TICK: Duration = Duration::from_millis(25);
@@ -89,6 +91,8 @@
     pub in_force: Duration,
     /// Bandwidth of the machine's link in each direction; none if it is not known.
     pub link_bytes_per_s: Option<u64>,
+    /// Bytes of memory that the process may use.
+    pub memory_bytes: usize,
     /// Connections from callers at once.
     pub connections: usize,
 }
@@ -179,15 +183,20 @@
             handover_port,
         );
         let handovers = bind(cfg.handovers).await?;
-        let for_peers = relay.clone();
-        task::spawn(h1::serve(handovers, serving, door.clone(), move |req| {
-            for_peers.clone().serve_handover(req)
-        }));
+        let client_memory = ClientMemory::new(clock::now(), cfg.memory_bytes, cfg.connections);
+        let limits = |group| h1::ConnectionLimits {
+            gate: Arc::default(),
+            memory: Some((client_memory.memory().clone(), group)),
+        };
+        let (for_peers, of_peers) = (relay.clone(), limits(Group::Instances));
+        let for_peers = move |req| for_peers.clone().serve_handover(req);
+        task::spawn(h1::serve_limited(handovers, serving, door.clone(), of_peers, for_peers));
         let callers = bind(cfg.callers).await?;
-        let gate = Arc::new(h1::ConnectionGate::default());
-        let (of_callers, for_callers) = (gate.clone(), move |req| relay.clone().serve(req));
-        task::spawn(h1::serve_gated(callers, serving, door.clone(), of_callers, for_callers));
-        serve_aside(&cfg, serving, &shared, &door, &peers).await?;
+        let (of_callers, for_callers) =
+            (limits(Group::Clients), move |req| relay.clone().serve(req));
+        let gate = of_callers.gate.clone();
+        task::spawn(h1::serve_limited(callers, serving, door.clone(), of_callers, for_callers));
+        serve_aside(&cfg, (serving, limits(Group::Internal)), &shared, &door, &peers).await?;
 
         task::spawn(follow::run(store.clone(), wire, shared.clone()));
         task::spawn(confirm::run(store.clone(), shared.clone()));
@@ -201,7 +210,8 @@
         task::spawn(peers.listen());
         task::spawn(leases.run(shared.clone(), lease_receivers.changed));
         let load = LoadWatch::new(clock::now(), cfg.link_bytes_per_s, meter, gate);
-        task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len(), load));
+        let watches = (load, client_memory);
+        task::spawn(keep_up(shared.clone(), pool, door.clone(), cfg.seeds.len(), watches));
         log::info!(
             "event=started instance={} zone={} life={life:016x} callers={}",
             cfg.instance,
@@ -227,7 +237,7 @@
 /// Serves what no caller asks for: readiness, other instances' questions, metrics.
 async fn serve_aside<W: Wire>(
     cfg: &Config,
-    serving: h1::ServeConfig,
+    (serving, limits): (h1::ServeConfig, h1::ConnectionLimits),
     shared: &Shared,
     door: &Arc<h1::Door>,
     peers: &Arc<peers::Peers<W>>,
@@ -236,17 +246,18 @@
     let listener = bind(cfg.readiness).await?;
     let (shared, door) = (shared.clone(), door.clone());
     let is_ready = move || shared.table().is_some() && !door.is_closing();
-    task::spawn(h1::serve(listener, serving, aside.clone(), move |_| {
+    let answer = move |_| {
         let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         std::future::ready(status_only(status))
-    }));
+    };
+    task::spawn(h1::serve_limited(listener, serving, aside.clone(), limits.clone(), answer));
     let listener = bind(cfg.peers).await?;
     let peers = peers.clone();
-    task::spawn(h1::serve(listener, serving, aside.clone(), move |req| peers.clone().answer(req)));
+    let answer = move |req| peers.clone().answer(req);
+    task::spawn(h1::serve_limited(listener, serving, aside.clone(), limits.clone(), answer));
     let listener = bind(cfg.metrics).await?;
-    task::spawn(h1::serve(listener, serving, aside, |_| {
-        std::future::ready(Response::new(h1::Whole::from(observe::page())))
-    }));
+    let answer = |_| std::future::ready(Response::new(h1::Whole::from(observe::page())));
+    task::spawn(h1::serve_limited(listener, serving, aside, limits, answer));
     Ok(())
 }
 
@@ -288,7 +299,7 @@
     pool: h1::Pool,
     door: Arc<h1::Door>,
     seeds: usize,
-    mut load: LoadWatch,
+    (mut load, mut client_memory): (LoadWatch, ClientMemory),
 ) {
     let (mut regroup, mut sweep) = (Every::new(REGROUP), Every::new(SWEEP));
     let mut waiting = 0;
@@ -298,6 +309,9 @@
         task::sleep(tick).await;
         let now = clock::now();
         let is_at_limit = load.update(now, now.saturating_duration_since(due));
+        let limits = shared.table().map(|table| table.limits());
+        let is_stopping = shared.lock().shutdown.is_some();
+        client_memory.update(now, limits, is_stopping);
         let (news, heard, restarted, resting) = {
             let mut state = shared.lock();
             state.record_step(now);
--- a/oxbowbend-gateway/src/lib.rs
+++ b/oxbowbend-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod audience;
 mod catch_up;
+mod client_memory;
 pub mod entry;
 pub mod features;
 pub mod gateway;
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -7,7 +7,9 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use oxbowbend_core::cell::RetryAfter;
 use oxbowbend_core::isolation::ProbeRound;
+use oxbowbend_core::memory::{EndReason, Kind};
 use oxbowbend_core::slot_leases::OwnerLoad;
+use oxbowbend_http::memory::MemoryUse;
 
 /// Upper bounds of the histograms' buckets in seconds, around the users' objectives of 0.1 to 0.8 s.
 const BUCKETS: [f64; 14] =
@@ -245,6 +247,19 @@
     counter!("oxbow_connections_closed_unread_total").absolute(connections);
 }
 
+/// Sets what clients make this instance hold, and what was ended or refused for it since the start.
+pub(crate) fn client_memory(usage: &MemoryUse) {
+    for (kind, bytes) in Kind::ALL.iter().zip(usage.held) {
+        gauge!("oxbow_held_bytes", "kind" => kind.name()).set(bytes as f64);
+    }
+    gauge!("oxbow_held_bytes_limit").set(usage.limit as f64);
+    for (reason, connections) in EndReason::ALL.iter().zip(usage.ended) {
+        counter!("oxbow_connections_ended_total", "why" => reason.name()).absolute(connections);
+    }
+    counter!("oxbow_connections_refused_total").absolute(usage.closed_unread);
+    counter!("oxbow_charges_denied_total").absolute(usage.denied);
+}
+
 /// Counts a slot that this instance granted.
 pub(crate) fn slot_granted() {
     counter!("oxbow_slots_granted_total").increment(1);
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -8,13 +8,15 @@
 use async_std::{future, task};
 use bytes::Bytes;
 use http::{request, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::PrefillStall;
 use oxbowbend_core::config_order::{self, ConfigVersion};
 use oxbowbend_core::fingerprint::{fingerprint, Fingerprint};
+use oxbowbend_core::memory;
 use oxbowbend_core::routes::{Account, Route, RoutingTable};
+use oxbowbend_http::h1;
+use oxbowbend_http::memory::Place;
 use rand::Rng;
 
 use super::refusal::Refusal;
@@ -22,6 +24,14 @@
 use super::{time_until, AttemptHistory, Origin, Relay};
 use crate::seam::{Ask, Wire};
 
+/// Time for a body of a request that states no deadline and has no route.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
+/// Longest body that is kept although its head alone decides that the request is refused.
+const SMALL_BODY: u64 = memory::SMALL_BODY as u64;
+/// Time for which the rest of a refused body is read and thrown away.
+pub(super) const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// `Retry-After` delay for lack of memory; the retry reaches another instance.
+const OVER_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Maximum body size while no configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 /// Most parts of a prompt that are logged.
@@ -46,7 +56,7 @@
 
 impl<W: Wire> Relay<W> {
     /// Admits a request. The body is read before any refusal is returned, because a client may not
-    /// read a response while it is still sending.
+    /// read a response while it is still sending. It is not kept if it is long and the head alone decides on a refusal.
     pub(super) async fn admit(
         &self,
         req: Request<Incoming>,
@@ -54,26 +64,51 @@
         offered_config: Option<ConfigVersion>,
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, AdmitError> {
-        let (head, body) = req.into_parts();
+        let (mut head, mut body) = req.into_parts();
+        let place = head.extensions.remove();
         let table = self.shared.table();
         let max_body_bytes =
             table.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits().max_body_bytes);
         let metadata = self.wire.read(&head);
         let id = metadata.as_ref().map_or("-", |metadata| &metadata.id).to_owned();
         let with_id = |refusal| (id.clone(), refusal);
-        let body = read_body(body, max_body_bytes).await.map_err(with_id)?;
+        let route = match (&table, &metadata) {
+            (Some(table), Ok(metadata)) => Some(allowed_route(table, metadata, &head)),
+            _ => None,
+        };
+        let timeout = metadata.as_ref().ok().and_then(|metadata| metadata.patience);
+        let timeout = match route {
+            Some(Some(route)) => timeout.unwrap_or(Duration::MAX).min(route.timeout),
+            _ => timeout.unwrap_or(MAX_BODY_TIME).min(MAX_BODY_TIME),
+        };
+        let is_refused = metadata.is_err() || matches!(route, Some(None));
+        let body = match is_refused && body.size_hint().exact().is_none_or(|n| n > SMALL_BODY) {
+            true => {
+                h1::discard(&mut body, max_body_bytes, timeout).await;
+                None
+            }
+            false => {
+                let read = read_body(&mut body, place.as_ref(), max_body_bytes, timeout);
+                Some(read.await.map_err(with_id)?)
+            }
+        };
         let metadata = metadata.map_err(|e| with_id(Refusal::InvalidHead(e.0)))?;
         let table = match table {
             Some(table) => table,
             None => self.wait_for_config(arrived_at).await.map_err(with_id)?,
         };
         let table = self.certain_table(table, &metadata, &head).await.map_err(with_id)?;
+        if body.is_none() && is_allowed(&table, &metadata, &head) {
+            // A configuration that has come meanwhile allows what could not be kept.
+            return Err(with_id(self.not_ready_refusal(clock::now())));
+        }
+        let body = body.unwrap_or_default();
         if !config_order::may_handle(offered_config, table.version()) {
             return Err(with_id(Refusal::OtherConfiguration));
         }
         let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
-        request.origin = origin;
+        (request.origin, request.place) = (origin, place);
         self.bind_stream(&mut request).await.map_err(with_id)?;
         Ok(request)
     }
@@ -133,7 +168,7 @@
         table: &RoutingTable,
         head: request::Parts,
         metadata: Ask,
-        body: Bytes,
+        body: h1::HeldBody,
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, Refusal> {
         let route = table.route(&metadata.host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
@@ -163,6 +198,7 @@
             uri: head.uri,
             headers: head.headers,
             body,
+            place: None,
             fingerprint,
             service,
             account: account.map(|a| a.name.clone()),
@@ -252,8 +288,17 @@
 
 /// Whether the configuration has the route of a request, and lets its account use it.
 fn is_allowed(table: &RoutingTable, metadata: &Ask, head: &request::Parts) -> bool {
-    let route = table.route(&metadata.host, head.uri.path());
-    route.is_some_and(|route| authenticate(table, route, metadata).is_ok())
+    allowed_route(table, metadata, head).is_some()
+}
+
+/// The route of a request, if the configuration has it and lets the request's account use it.
+fn allowed_route<'a>(
+    table: &'a RoutingTable,
+    metadata: &Ask,
+    head: &request::Parts,
+) -> Option<&'a Arc<Route>> {
+    let route = table.route(&metadata.host, head.uri.path())?;
+    authenticate(table, route, metadata).is_ok().then_some(route)
 }
 
 fn authenticate<'a>(
@@ -272,10 +317,15 @@
 fn request_fingerprint(
     account: Option<&Account>,
     head: &request::Parts,
-    body: &[u8],
+    body: &h1::HeldBody,
 ) -> Fingerprint {
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    fingerprint(account.map(|a| &a.name), head.method.as_str(), path, body)
+    fingerprint(
+        account.map(|a| &a.name),
+        head.method.as_str(),
+        path,
+        body.pieces().iter().map(Bytes::as_ref),
+    )
 }
 
 fn quota_units(account: &Account, metadata: &Ask) -> u64 {
@@ -285,10 +335,24 @@
     }
 }
 
-async fn read_body(body: Incoming, max_body_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::IncompleteBody),
-    }
+/// Reads a body within a time. The rest of one that is refused is thrown away.
+async fn read_body(
+    body: &mut Incoming,
+    place: Option<&Arc<Place>>,
+    max_body_bytes: usize,
+    timeout: Duration,
+) -> Result<h1::HeldBody, Refusal> {
+    let held = future::timeout(timeout, h1::hold(body, place, max_body_bytes)).await;
+    let refusal = match held {
+        Ok(Ok(body)) => return Ok(body),
+        Err(_) => Refusal::BodyTooSlow,
+        Ok(Err(h1::HoldError::TooLarge)) => Refusal::BodyTooLarge,
+        Ok(Err(h1::HoldError::Broken(_))) => return Err(Refusal::IncompleteBody),
+        Ok(Err(h1::HoldError::OverBudget(_) | h1::HoldError::Yielded)) => {
+            let jitter = rand::rng().random_range(RETRY_AFTER_JITTER);
+            Refusal::OverMemory { retry_after: OVER_MEMORY_RETRY_AFTER.mul_f64(jitter) }
+        }
+    };
+    h1::discard(body, max_body_bytes, DISCARD_TIMEOUT).await;
+    Err(refusal)
 }
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -234,10 +234,10 @@
         let in_progress = InProgress::start(&self.shared, &peer.instance);
         let exchange = async {
             let mut conn = connected(purpose, peer, self.pool.get(peer.address)).await?;
-            let mut result = conn.send(self.handover_request(request, purpose)).await;
+            let mut result = conn.send_held(self.handover_request(request, purpose)).await;
             if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
                 conn = connected(purpose, peer, self.pool.connect(peer.address)).await?;
-                result = conn.send(self.handover_request(request, purpose)).await;
+                result = conn.send_held(self.handover_request(request, purpose)).await;
             }
             result.map(|response| (conn, response))
         };
@@ -271,7 +271,11 @@
         });
     }
 
-    fn handover_request(&self, request: &AdmittedRequest, purpose: Purpose) -> Request<Bytes> {
+    fn handover_request(
+        &self,
+        request: &AdmittedRequest,
+        purpose: Purpose,
+    ) -> Request<h1::HeldBody> {
         let mut req = Request::new(request.body.clone());
         *req.method_mut() = request.method.clone();
         *req.uri_mut() = path_only(&request.uri);
--- a/oxbowbend-gateway/src/relay/handover_receiver.rs
+++ b/oxbowbend-gateway/src/relay/handover_receiver.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 use futures::Stream;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Either, Limited};
+use http_body_util::Either;
 use hyper::body::{Frame, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_http::h1;
 
+use super::admit::DISCARD_TIMEOUT;
 use super::handover::{HANDOVER, HANDOVER_CONFIG, HANDOVER_FOR, OVERFLOW, REJECTED};
 use super::refusal::Refusal;
 use super::stream::StreamInterrupted;
@@ -15,7 +16,7 @@
 use crate::observe;
 use crate::seam::Wire;
 
-/// Longest body that is read before a request is rejected.
+/// Longest body that is read, and thrown away, before a request is rejected.
 const MAX_REJECTED_BODY_BYTES: usize = 4 << 20;
 
 impl<W: Wire> Relay<W> {
@@ -42,7 +43,7 @@
             }
             Err(reason) => {
                 // A response before the end of the body could be lost to a reset.
-                let _ = Limited::new(req.into_body(), MAX_REJECTED_BODY_BYTES).collect().await;
+                h1::discard(req.body_mut(), MAX_REJECTED_BODY_BYTES, DISCARD_TIMEOUT).await;
                 match origin {
                     Origin::FullCell => observe::overflow_received(reason),
                     _ => observe::handover_received(reason),
@@ -74,9 +75,10 @@
     /// still have it served elsewhere.
     pub(super) fn respond_to_refused(self, refusal: Refusal) -> Response<h1::Whole> {
         let is_rejected = match refusal {
-            Refusal::NoPath | Refusal::Stopping | Refusal::OtherConfiguration => {
-                self != Origin::Client
-            }
+            Refusal::NoPath
+            | Refusal::Stopping
+            | Refusal::OtherConfiguration
+            | Refusal::OverMemory { .. } => self != Origin::Client,
             // The sender may know a newer configuration.
             Refusal::NoFreeSlot
             | Refusal::NotReady { .. }
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::header::{HeaderValue, RETRY_AFTER};
+use http::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use http::{Response, StatusCode};
 use oxbowbend_clock as clock;
 use oxbowbend_core::admission::{AccountUsage, QuotaExceeded};
@@ -40,6 +40,10 @@
     BodyTooLarge,
     /// The client did not send the complete body.
     IncompleteBody,
+    /// The body was not complete when the client's time for the request was over.
+    BodyTooSlow,
+    /// There is no memory for the body, or it was needed for others while the client made no progress.
+    OverMemory { retry_after: Duration },
     /// The quota of the client account is exceeded.
     OverQuota { account: AccountId, exceeded: QuotaExceeded, quota_units: u64 },
     /// No endpoint had a free slot in time.
@@ -63,8 +67,10 @@
             | Refusal::NoFreeSlot
             | Refusal::OtherConfiguration
             | Refusal::Busy { .. }
+            | Refusal::OverMemory { .. }
             | Refusal::Quarantined { .. }
             | Refusal::StreamNotTakenUp { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::InvalidHead(_) | Refusal::IncompleteBody => StatusCode::BAD_REQUEST,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownAccount => StatusCode::UNAUTHORIZED,
@@ -83,9 +89,9 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::Stopping => Some(STOPPING_RETRY_AFTER),
-            Refusal::NotReady { retry_after } | Refusal::Quarantined { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            Refusal::NotReady { retry_after }
+            | Refusal::OverMemory { retry_after }
+            | Refusal::Quarantined { retry_after, .. } => Some(*retry_after),
             Refusal::OverQuota { exceeded, .. } => Some(exceeded.retry_after),
             Refusal::Busy { retry_after, .. } => Some(retry_after.delay),
             Refusal::StreamNotTakenUp { retry_after, .. } => *retry_after,
@@ -93,6 +99,17 @@
         }
     }
 
+    /// Returns whether the rest of the body may not have been read, so that no request can follow it.
+    fn leaves_body_unread(&self) -> bool {
+        matches!(
+            self,
+            Refusal::BodyTooLarge
+                | Refusal::IncompleteBody
+                | Refusal::BodyTooSlow
+                | Refusal::OverMemory { .. }
+        )
+    }
+
     /// Returns the name used in logs, metrics and response bodies.
     pub(crate) fn outcome(&self) -> &'static str {
         match self {
@@ -106,6 +123,8 @@
             Refusal::UnknownAccount => "no_account",
             Refusal::BodyTooLarge => "too_large",
             Refusal::IncompleteBody => "cut_body",
+            Refusal::BodyTooSlow => "slow_body",
+            Refusal::OverMemory { .. } => "no_memory",
             Refusal::OverQuota { .. } => "over_quota",
             Refusal::Busy { .. } => "busy",
             Refusal::Quarantined { .. } => "quarantined",
@@ -155,6 +174,9 @@
     pub(crate) fn into_response(self) -> Response<h1::Whole> {
         let mut response = Response::new(h1::Whole::from(format!("{}\n", self.outcome())));
         *response.status_mut() = self.status();
+        if self.leaves_body_unread() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(delay) = self.retry_after() {
             let seconds = format!("{:.3}", delay.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use oxbowbend_core::cell::{PrefillStall, QueuedRequest};
 use oxbowbend_core::fingerprint::Fingerprint;
 use oxbowbend_core::ids::{AccountId, ServiceId, StreamKey};
 use oxbowbend_core::routes::{Idempotency, Route};
 use oxbowbend_core::streams::StreamOrigin;
+use oxbowbend_http::h1;
+use oxbowbend_http::memory::Place;
 
 use super::AttemptHistory;
 use crate::seam::Ask;
@@ -32,7 +33,9 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: h1::HeldBody,
+    /// The client's connection, to which an answer is charged.
+    pub(crate) place: Option<Arc<Place>>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -1,6 +1,7 @@
 //! A single attempt to have an endpoint execute a request.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future;
@@ -16,6 +17,7 @@
 use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::silence::{self, Expectation, TimeoutAction};
 use oxbowbend_http::h1;
+use oxbowbend_http::memory::Charge;
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt, Progress};
@@ -34,6 +36,9 @@
 /// Bytes of a response that are read before any of them is passed on, so that another endpoint can serve
 /// the request if this one fails. The rest is passed on as it is read.
 const RESPONSE_BUFFER: usize = 256 * 1024;
+/// The same while the memory for clients is used up. Less is held then for clients that do not read, and a response is
+/// passed on no faster than its client reads.
+const MIN_RESPONSE_BUFFER: usize = 16 * 1024;
 /// Bytes of a response without events. A faulty endpoint may send bytes without end.
 pub(super) const MAX_RESPONSE: u64 = 64 << 20;
 
@@ -357,7 +362,9 @@
             observe::began(&request.route.name, clock::since(request.arrived_at));
             return Ok(ResponseStart::Streaming(head, first_frame, body));
         }
-        let collected = h1::collect(&mut body, RESPONSE_BUFFER).await.map_err(no_valid_response)?;
+        let charge = reserve_response(request, &body);
+        let limit = if charge.is_some() { RESPONSE_BUFFER } else { MIN_RESPONSE_BUFFER };
+        let collected = h1::collect(&mut body, limit).await.map_err(no_valid_response)?;
         if head.status.is_success() {
             attempt.time_to_first_event = clock::since(attempt.started_at);
             self.shared.began(
@@ -374,7 +381,11 @@
                 return Err(AttemptError::NoValidResponse(ENDED_WITH_RESPONSE.to_owned()))
             }
             h1::Collected::Whole(body) => {
-                return Ok(ResponseStart::Complete(Response::from_parts(head, body)))
+                if let Some(mut charge) = charge {
+                    charge.shrink_to(body.len());
+                    head.extensions.insert(Arc::new(charge));
+                }
+                return Ok(ResponseStart::Complete(Response::from_parts(head, body)));
             }
             h1::Collected::Beginning(beginning) => beginning,
         };
@@ -409,14 +420,14 @@
         }
         let is_trial = self.check_send_permission(request)?;
         attempt.progress = Progress::Sent { is_new_connection: !conn.has_answered() };
-        let mut result = conn.send(self.build_request(request, attempt, last_event_id)).await;
+        let mut result = conn.send_held(self.build_request(request, attempt, last_event_id)).await;
         if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
             conn = self.pool.connect(address).await.map_err(AttemptError::NotSent)?;
             if !is_trial {
                 self.check_send_permission(request)?;
             }
             attempt.progress = Progress::Sent { is_new_connection: true };
-            result = conn.send(self.build_request(request, attempt, last_event_id)).await;
+            result = conn.send_held(self.build_request(request, attempt, last_event_id)).await;
         }
         attempt.conn = Some(conn);
         result.map_err(|e| match e.is_unsent() {
@@ -430,7 +441,7 @@
         request: &AdmittedRequest,
         attempt: &Attempt,
         last_event_id: Option<u64>,
-    ) -> Request<Bytes> {
+    ) -> Request<h1::HeldBody> {
         let forwarding = Onward {
             left: time_until(request.deadline),
             endpoint: &attempt.endpoint.id,
@@ -451,6 +462,12 @@
     Streaming(response::Parts, Option<Frame<Bytes>>, Incoming),
 }
 
+/// Charges a response that is to be buffered; `None` if there is no memory for it.
+fn reserve_response(request: &AdmittedRequest, body: &Incoming) -> Option<Charge> {
+    let bytes = body.size_hint().exact().map_or(RESPONSE_BUFFER, |n| n as usize);
+    request.place.as_ref()?.reserve_response(bytes.min(RESPONSE_BUFFER)).ok()
+}
+
 /// Describes an error with its cause, which tells a reset from an early end.
 pub(super) fn with_source(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
--- a/oxbowbend-gateway/tests/displacement.rs
+++ b/oxbowbend-gateway/tests/displacement.rs
@@ -9,7 +9,15 @@
 
 fn read(_document: &[u8]) -> Result<RoutingTable, String> {
     let idle_timeout = Duration::from_secs(1);
-    Ok(RoutingTable::new(5, RequestLimits { max_head_bytes: 1, max_body_bytes: 1, idle_timeout }))
+    Ok(RoutingTable::new(
+        5,
+        RequestLimits {
+            max_head_bytes: 1,
+            max_body_bytes: 1,
+            head_timeout: idle_timeout,
+            idle_timeout,
+        },
+    ))
 }
 
 fn config(version: &'static str) -> Record {
--- a/oxbowbend-gateway/tests/world.rs
+++ b/oxbowbend-gateway/tests/world.rs
@@ -14,6 +14,7 @@
     let limits = RequestLimits {
         max_head_bytes: 1,
         max_body_bytes: 1,
+        head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(1),
     };
     Ok(RoutingTable::new(version, limits))
--- a/oxbowbend-http/src/h1/mod.rs
+++ b/oxbowbend-http/src/h1/mod.rs
@@ -9,20 +9,22 @@
 mod framing;
 mod gate;
 mod head_limit;
+mod held;
 mod meter;
 mod outgoing;
 mod pool;
 mod server;
 mod silence;
 mod unflushed;
+mod watched;
+mod whole;
 
 pub use collect::{collect, Collected};
 pub use framing::Framing;
 pub use gate::{ConnectionCounts, ConnectionGate};
+pub use held::{discard, hold, HeldBody, HoldError};
 pub use meter::LinkMeter;
 pub use pool::{CallError, Conn, Pool, PoolConfig};
-pub use server::{serve, serve_gated, Door, ServeConfig};
+pub use server::{serve, serve_limited, ConnectionLimits, Door, ServeConfig};
 pub use silence::SilenceLimits;
-
-/// A body that has been read whole.
-pub type Whole = http_body_util::Full<bytes::Bytes>;
+pub use whole::Whole;
--- a/oxbowbend-http/src/h1/outgoing.rs
+++ b/oxbowbend-http/src/h1/outgoing.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::held::HeldBody;
+
 /// Size of the pieces. The library takes a piece when it has room for it, so a body that is not
 /// through shows within about two of them.
 const PIECE: usize = 16 * 1024;
@@ -16,15 +18,19 @@
 /// A body that is given out in pieces and tells when the last one was taken.
 #[derive(Debug)]
 pub struct Outgoing {
-    rest: Bytes,
+    body: HeldBody,
+    /// The next piece to give out, and the bytes of it that are out.
+    next: usize,
+    offset: usize,
+    left: usize,
     is_out: Arc<AtomicBool>,
 }
 
 impl Outgoing {
     /// Wraps a body; the flag becomes true with its last piece.
-    pub(super) fn new(body: Bytes) -> (Outgoing, Arc<AtomicBool>) {
-        let is_out = Arc::new(AtomicBool::new(body.is_empty()));
-        (Outgoing { rest: body, is_out: is_out.clone() }, is_out)
+    pub(super) fn new(body: HeldBody) -> (Outgoing, Arc<AtomicBool>) {
+        let (left, is_out) = (body.len(), Arc::new(AtomicBool::new(body.is_empty())));
+        (Outgoing { body, next: 0, offset: 0, left, is_out: is_out.clone() }, is_out)
     }
 }
 
@@ -36,22 +42,27 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if self.rest.is_empty() {
-            return Poll::Ready(None);
+        let Some(whole) = self.body.pieces().get(self.next) else { return Poll::Ready(None) };
+        let mut piece = whole.clone();
+        let length = whole.len();
+        piece.advance(self.offset);
+        piece.truncate(PIECE);
+        self.offset += piece.len();
+        self.left -= piece.len();
+        if self.offset == length {
+            (self.next, self.offset) = (self.next + 1, 0);
         }
-        let n = self.rest.len().min(PIECE);
-        let piece = self.rest.split_to(n);
-        if self.rest.is_empty() {
+        if self.left == 0 {
             self.is_out.store(true, Ordering::SeqCst);
         }
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.rest.is_empty()
+        self.left == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.rest.len() as u64)
+        SizeHint::with_exact(self.left as u64)
     }
 }
--- a/oxbowbend-http/src/h1/pool.rs
+++ b/oxbowbend-http/src/h1/pool.rs
@@ -23,6 +23,7 @@
 
 use super::collect::{collect, Collected};
 use super::head_limit::{HeadLimit, HeadLimited};
+use super::held::HeldBody;
 use super::meter::{LinkMeter, Metered};
 use super::outgoing::Outgoing;
 use super::silence::SilenceLimits;
@@ -139,6 +140,18 @@
     ///
     /// [`CallError::Unsent`] if nothing was written, [`CallError::Broken`] otherwise.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
+        self.send_held(req.map(HeldBody::from)).await
+    }
+
+    /// The same, of a body in pieces.
+    ///
+    /// # Errors
+    ///
+    /// As [`Conn::send`].
+    pub async fn send_held(
+        &mut self,
+        req: Request<HeldBody>,
+    ) -> Result<Response<Incoming>, CallError> {
         self.is_busy = true;
         self.head_limit.start();
         let (head, body) = req.into_parts();
--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -20,11 +20,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use oxbowbend_clock as clock;
+use oxbowbend_core::memory::{Buffer, Group, Kind, OverBudget, Phase, FIRST_BUFFER};
 use smol_hyper::rt::FuturesIo;
 
 use super::gate::ConnectionGate;
 use super::meter::{LinkMeter, Metered};
 use super::unflushed::{FlushWatched, Unflushed};
+use super::watched::{HeadCharge, Watched};
+use crate::memory::{Charge, Memory, Place, RequestCharge};
 
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -47,6 +50,16 @@
     pub head: usize,
 }
 
+/// What decides on new connections.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionLimits {
+    /// Closes connections that come too fast.
+    pub gate: Arc<ConnectionGate>,
+    /// Budget to which connections and requests are charged, and their group in it. It bounds the connections in place of
+    /// [`ServeConfig::connections`], their heads in place of [`ServeConfig::head`], and the time that peers take.
+    pub memory: Option<(Memory, Group)>,
+}
+
 /// State of a server, shared with whoever stops it.
 #[derive(Debug)]
 pub struct Door {
@@ -124,16 +137,37 @@
         clock::since(*self.last.lock().expect("no panic under lock"))
     }
 
-    fn enter(self: &Arc<Door>) -> Inside {
+    fn enter(self: &Arc<Door>, request: Option<RequestCharge>) -> Inside {
         self.busy.fetch_add(1, Ordering::SeqCst);
         *self.last.lock().expect("no panic under lock") = clock::now();
-        Inside { door: self.clone() }
+        Inside { door: self.clone(), _response: None, _request: request }
     }
 }
 
 /// A request whose whole answer has not been handed to the kernel.
 struct Inside {
     door: Arc<Door>,
+    // A whole answer, until it has been written.
+    _response: Option<Arc<Charge>>,
+    _request: Option<RequestCharge>,
+}
+
+impl Inside {
+    /// An answer is to be written. If it is held whole, it is charged; it has been made, and is not refused for lack of
+    /// room.
+    fn answer<B: Body>(&mut self, place: &Arc<Place>, answer: &mut Response<B>) {
+        place.set_phase(Phase::Response);
+        self._response = answer.extensions_mut().remove::<Arc<Charge>>();
+        let Some(bytes @ 1..) = answer.body().size_hint().exact() else { return };
+        if bytes as usize > FIRST_BUFFER / 2 {
+            place.record_grown(Buffer::Write);
+        }
+        if self._response.is_none() {
+            let mut charge = Charge::new(place.clone(), Kind::Responses);
+            charge.grow_always(bytes as usize);
+            self._response = Some(Arc::new(charge));
+        }
+    }
 }
 
 impl Drop for Inside {
@@ -234,15 +268,15 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    serve_gated(listener, cfg, door, Arc::default(), handler).await;
+    serve_limited(listener, cfg, door, ConnectionLimits::default(), handler).await;
 }
 
-/// Like [`serve`], but closes connections that `gate` does not admit without reading from them.
-pub async fn serve_gated<H, F, B>(
+/// Like [`serve`], but closes connections that `limits` do not admit without reading from them.
+pub async fn serve_limited<H, F, B>(
     listener: TcpListener,
     cfg: ServeConfig,
     door: Arc<Door>,
-    gate: Arc<ConnectionGate>,
+    limits: ConnectionLimits,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -261,20 +295,33 @@
                 continue;
             }
         };
-        if door.open() >= cfg.connections {
+        if limits.memory.is_none() && door.open() >= cfg.connections {
             log::warn!("event=connection_refused open={}", door.open());
             continue;
         }
-        if !gate.admits(clock::now()) {
+        if !limits.gate.admits(clock::now()) {
             continue;
         }
+        let place = match &limits.memory {
+            None => None,
+            Some((memory, group)) => match memory.open(*group) {
+                Ok(place) => Some(place),
+                // The budget counts it.
+                Err(OverBudget) => continue,
+            },
+        };
         let _ = stream.set_nodelay(true);
-        task::spawn(connection(stream, cfg, door.clone(), handler.clone()));
+        task::spawn(connection(stream, place, cfg, door.clone(), handler.clone()));
     }
 }
 
-async fn connection<H, F, B>(stream: TcpStream, cfg: ServeConfig, door: Arc<Door>, handler: H)
-where
+async fn connection<H, F, B>(
+    stream: TcpStream,
+    place: Option<Arc<Place>>,
+    cfg: ServeConfig,
+    door: Arc<Door>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
@@ -283,61 +330,109 @@
 {
     door.open.fetch_add(1, Ordering::SeqCst);
     let (unflushed, last_answer) = (Unflushed::default(), LastAnswer::default());
-    let service = service_fn(|req: Request<Incoming>| {
-        let inside = door.enter();
+    let head_charge = place.clone().map(HeadCharge::new);
+    let service = service_fn(|mut req: Request<Incoming>| {
+        let head_bytes = head_charge.as_ref().map_or(0, HeadCharge::take);
+        let charge = place.as_ref().map(|place| RequestCharge::begin(place, head_bytes));
+        if let Some(place) = &place {
+            req.extensions_mut().insert(place.clone());
+        }
+        let mut inside = door.enter(charge);
         // In HTTP/1.0 a body that breaks off looks complete unless its connection is reset.
         let ending = (req.version() < Version::HTTP_11).then(|| stream.clone());
         let answering = handler(req);
         let (unflushed, last_answer) = (unflushed.clone(), last_answer.clone());
-        async move {
+        let place = place.clone();
+        // Boxed, since the library keeps room for it also while the connection is idle.
+        Box::pin(async move {
             let mut answer = answering.await;
+            if let Some(place) = &place {
+                inside.answer(place, &mut answer);
+            }
             let is_last = inside.door.is_closing();
             if is_last {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             let unwritten = Unwritten { inside: Some(inside), unflushed, last_answer, is_last };
             Ok::<_, Infallible>(answer.map(|body| Counted { body, unwritten, ending }))
-        }
+        })
     });
+    let told = told_to_end(place.as_ref(), &stream);
+    pin_mut!(told);
     // With its end all that it holds is dropped, also an answer that has been cut.
     let ended = {
         let metered = Metered::new(stream.clone(), door.meter.clone());
-        let watched = FlushWatched::new(metered, unflushed.clone());
+        let watched = Watched::new(metered, head_charge.clone());
+        let watched = FlushWatched::new(watched, unflushed.clone());
+        let head = place.as_ref().and_then(|place| place.head_bytes()).unwrap_or(cfg.head);
         let conn = http1::Builder::new()
-            .max_buf_size(cfg.head.max(MIN_BUFFER))
+            .max_buf_size(head.max(MIN_BUFFER))
             .serve_connection(FuturesIo::new(watched), service);
         pin_mut!(conn);
         let shut = door.shut.1.recv();
         pin_mut!(shut);
         // A connection that comes after the shutting is not closed unread: its request gets an answer.
-        if door.is_shut() {
-            conn.as_mut().await
-        } else {
-            match select(conn.as_mut(), shut).await {
-                Either::Left((ended, _)) => ended,
-                Either::Right(_) => {
-                    conn.as_mut().graceful_shutdown();
-                    conn.as_mut().await
-                }
+        let is_shut = door.is_shut();
+        let mut ended = None;
+        if !is_shut {
+            match select(conn.as_mut(), select(shut, told.as_mut())).await {
+                Either::Left((result, _)) => ended = Some(Some(result)),
+                Either::Right((Either::Left(_), _)) => conn.as_mut().graceful_shutdown(),
+                Either::Right((Either::Right(_), _)) => ended = Some(None),
             }
         }
+        match ended {
+            Some(ended) => ended,
+            None => match select(conn, told.as_mut()).await {
+                Either::Left((result, _)) => Some(result),
+                Either::Right(_) => None,
+            },
+        }
     };
     match ended {
-        Err(e) => log::debug!("event=caller_connection_ended error=\"{e}\""),
-        Ok(()) if last_answer.is_some() => {
+        None => log::debug!("event=caller_connection_ended error=\"its time or place is over\""),
+        Some(Err(e)) => log::debug!("event=caller_connection_ended error=\"{e}\""),
+        Some(Ok(())) if last_answer.is_some() => {
             // The process may end before the peer has what the kernel holds for it.
             let closed = peer_closed(&stream);
+            pin_mut!(closed);
             match last_answer.reading_time() {
-                Some(limit) => drop(future::timeout(limit, closed).await),
-                None => closed.await,
+                Some(limit) => drop(future::timeout(limit, select(closed, told)).await),
+                None => {
+                    select(closed, told).await;
+                }
             }
         }
-        Ok(()) => {}
+        Some(Ok(())) => {}
     }
     door.answered.fetch_sub(usize::from(last_answer.is_some()), Ordering::SeqCst);
     door.open.fetch_sub(1, Ordering::SeqCst);
 }
 
+/// Waits until a connection has to end for what its peer has not done. One that has sent something at the end of its idle
+/// time goes on.
+async fn told_to_end(place: Option<&Arc<Place>>, stream: &TcpStream) {
+    let Some(place) = place else { return std::future::pending().await };
+    loop {
+        place.has_to_end().await;
+        match place.phase() {
+            Phase::Idle if place.has_idled() && has_unread(stream) => place.set_phase(Phase::Idle),
+            Phase::Response => {
+                // An answer that breaks off must not look complete. A connection that has failed needs no reset.
+                let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Whether a peer has sent something that has not been read.
+fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    matches!(socket2::SockRef::from(stream).peek(&mut byte), Ok(1..))
+}
+
 /// Tells the peer that no answer follows, and waits until it has closed its side, for which it has read all of them. What
 /// it sends meanwhile is not read: nobody would answer that.
 async fn peer_closed(stream: &TcpStream) {
--- a/oxbowbend-http/src/lib.rs
+++ b/oxbowbend-http/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod client;
 mod event_end;
 pub mod h1;
+pub mod memory;
 pub mod problem;
 pub mod server;
