--- a/oxbowbend-daemon/src/callers/models.rs
+++ b/oxbowbend-daemon/src/callers/models.rs
@@ -13,6 +13,7 @@
 use oxbowbend_endpoint::run;
 use oxbowbend_http::body;
 use oxbowbend_http::client;
+use oxbowbend_http::memory::Charge;
 use oxbowbend_http::problem;
 use oxbowbend_http::server;
 use oxbowbend_resource::derive;
@@ -38,6 +39,8 @@
 const MAX_BLOCKS: usize = 512;
 /// Output tokens expected where neither the request nor the model states a number.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+/// Bytes that a value of a parsed body takes, with its copy.
+const VALUE_BYTES: usize = 2 * std::mem::size_of::<Value>();
 
 /// A request as far as it matters here.
 struct Ask {
@@ -45,6 +48,7 @@
     model: String,
     stream: bool,
     body: Value,
+    _charge: Option<Charge>,
     digest: u64,
     work: flow::Work,
 }
@@ -60,11 +64,16 @@
         Err(refusal) => return refusal,
     };
     let (limit, time) = (service.settings.max_body, service.settings.body_time);
-    let bytes = match body::read_request(&mut req, limit, time).await {
-        Ok(bytes) => bytes,
+    let read = body::read_charged(&mut req, limit, time, flow.caller.place()).await;
+    let charged = read.and_then(|mut body| {
+        body.charge_more(parsed_bytes(&body.bytes))?;
+        Ok(body)
+    });
+    let body = match charged {
+        Ok(body) => body,
         Err(e) => return flow.refuse(e.to_problem(), problem::Outcome::NotRun),
     };
-    let asked = Ask::parse(&flow, req.url().path(), &bytes).and_then(|ask| {
+    let asked = Ask::parse(&flow, req.url().path(), body).and_then(|ask| {
         let pool = find_pool(&flow, &ask)?;
         Ok((ask, pool))
     });
@@ -84,13 +93,14 @@
     fn parse<K: KeyValue>(
         flow: &flow::Flow<K>,
         path: &str,
-        bytes: &[u8],
+        request_body: body::RequestBody,
     ) -> Result<Ask, problem::Problem> {
         let bad = |detail: String| {
             problem::Problem::new(StatusCode::BadRequest, "the request cannot be used")
                 .detail(detail)
         };
-        let body: Value = serde_json::from_slice(bytes).map_err(|e| bad(e.to_string()))?;
+        let body: Value =
+            serde_json::from_slice(&request_body.bytes).map_err(|e| bad(e.to_string()))?;
         if !body.is_object() {
             return Err(bad("the body must be a JSON object".to_owned()));
         }
@@ -116,12 +126,20 @@
             Value::Bool(stream) => *stream,
             _ => return Err(bad("stream must be true or false".to_owned())),
         };
-        let digest = xxh3::xxh3_64_with_seed(bytes, xxh3::xxh3_64(path.as_bytes()));
+        let digest = xxh3::xxh3_64_with_seed(&request_body.bytes, xxh3::xxh3_64(path.as_bytes()));
         let work = estimate(&body, api, &declared);
-        Ok(Ask { api, model, stream, body, digest, work })
+        let _charge = request_body.into_charge();
+        Ok(Ask { api, model, stream, body, _charge, digest, work })
     }
 }
 
+/// Bytes that a body takes once it is parsed and written for an endpoint: its texts twice, and its values, of which each
+/// begins with one of these bytes or follows one. Bytes within texts count too, which makes little of long ones.
+fn parsed_bytes(bytes: &[u8]) -> usize {
+    let values = bytes.iter().filter(|b| matches!(b, b',' | b'[' | b'{' | b':')).count();
+    2 * bytes.len() + values * VALUE_BYTES
+}
+
 fn estimate(body: &Value, api: events::Api, declared: &kinds::Spec) -> flow::Work {
     let prompt = match api {
         events::Api::Chat => body["messages"].to_string(),
--- a/oxbowbend-daemon/src/callers/services.rs
+++ b/oxbowbend-daemon/src/callers/services.rs
@@ -54,7 +54,7 @@
 struct Call {
     req: Request,
     path: String,
-    body: Vec<u8>,
+    body: body::RequestBody,
 }
 
 /// Serves one call.
@@ -76,7 +76,13 @@
         Err(problem) => return flow.refuse(problem, problem::Outcome::NotRun),
     };
     let (limit, time) = (service.settings.max_body, service.settings.body_time);
-    let body = match body::read_request(&mut req, limit, time).await {
+    let read = body::read_charged(&mut req, limit, time, flow.caller.place()).await;
+    // Each attempt sends a copy.
+    let charged = read.and_then(|mut body| {
+        body.charge_more(body.bytes.len())?;
+        Ok(body)
+    });
+    let body = match charged {
         Ok(body) => body,
         Err(e) => return flow.refuse(e.to_problem(), problem::Outcome::NotRun),
     };
@@ -125,7 +131,7 @@
 ) -> Result<Option<keyed::Keyed<K>>, Response> {
     let Some(key) = &flow.admitted.key else { return Ok(None) };
     let seed = xxh3::xxh3_64(format!("{} {}", call.req.method(), call.req.url().path()).as_bytes());
-    let digest = xxh3::xxh3_64_with_seed(&call.body, seed);
+    let digest = xxh3::xxh3_64_with_seed(&call.body.bytes, seed);
     match keyed::Keyed::hold(&flow.service, &flow.admitted.account, key, &flow.id, digest).await {
         keyed::Standing::Mine(keyed) => Ok(Some(keyed)),
         keyed::Standing::Refused(problem, outcome) => Err(flow.refuse(problem, outcome)),
@@ -188,7 +194,7 @@
     let url = Url::parse(&format!("http://{address}{}", call.path));
     let mut req = Request::new(call.req.method(), url.map_err(|e| broken(e.to_string()))?);
     // The body comes first, since it brings a content type of its own.
-    req.set_body(call.body.clone());
+    req.set_body(call.body.bytes.clone());
     req.remove_header("Content-Type");
     for (name, values) in call.req.iter().filter(|(name, _)| is_passed_on(name.as_str())) {
         values.iter().for_each(|value| req.append_header(name.clone(), value.clone()));
--- a/oxbowbend-daemon/src/daemon.rs
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -6,7 +6,9 @@
 
 use async_std::net::TcpListener;
 use async_std::task;
+use oxbowbend_core::memory::{Group, MemoryConfig};
 use oxbowbend_core::node;
+use oxbowbend_http::memory::Memory;
 use oxbowbend_http::server;
 use oxbowbend_store::catalog;
 use oxbowbend_store::config::ConfigStore;
@@ -38,6 +40,10 @@
 /// Time between two writes of the whole ledger, which bounds them to 200 a second however many
 /// shards there are.
 const LEDGER_PACE: Duration = Duration::from_millis(5);
+/// Bytes of a megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+/// Connections of operators at once.
+const OPERATOR_CONNECTIONS: usize = 200;
 /// Pause between two tries to get the configuration from other instances.
 const KEEP_UP: Duration = Duration::from_millis(500);
 
@@ -110,7 +116,8 @@
             settings.clone(),
             held,
         );
-        serve(settings.caller_listen, callers, caller_options(&settings), gate).await?;
+        let memory = memory(&settings);
+        serve(settings.caller_listen, callers, caller_options(&settings, &memory), gate).await?;
         let operators = operators::Operators::new(
             hub.clone(),
             config.clone(),
@@ -119,7 +126,11 @@
             drain.clone(),
             &settings.operator_key,
         );
-        let options = server::Options { idle: settings.idle_time, ..server::Options::default() };
+        let options = server::Options {
+            idle: settings.idle_time,
+            memory: Some((memory.clone(), Group::Internal)),
+            ..server::Options::default()
+        };
         serve(settings.operator_listen, operators, options, Arc::default()).await?;
 
         task::spawn(peers.clone().deliver(queues.outgoing));
@@ -167,11 +178,22 @@
     }
 }
 
-fn caller_options(settings: &settings::Settings) -> server::Options {
+/// The budget of what callers make this process hold. The server bounds the time that they take.
+fn memory(settings: &settings::Settings) -> Memory {
+    Memory::new(MemoryConfig {
+        bytes: MemoryConfig::bytes_of(settings.memory_mb * BYTES_PER_MB),
+        client_connections: settings.max_connections,
+        instance_connections: 0,
+        internal_connections: OPERATOR_CONNECTIONS,
+    })
+}
+
+fn caller_options(settings: &settings::Settings, memory: &Memory) -> server::Options {
     server::Options {
         idle: settings.idle_time,
         connections: settings.max_connections,
         connections_per_caller: settings.max_connections_per_caller,
+        memory: Some((memory.clone(), Group::Clients)),
         ..server::Options::default()
     }
 }
--- a/oxbowbend-daemon/src/settings.rs
+++ b/oxbowbend-daemon/src/settings.rs
@@ -127,6 +127,13 @@
         no_short
     )]
     pub idle_time: Option<String>,
+    /// Memory of the process.
+    #[options(
+        help = "megabytes that the process may use; of what remains beside its own need, half is for callers [512]",
+        meta = "N",
+        no_short
+    )]
+    pub memory_mb: Option<String>,
     /// Connections at once.
     #[options(help = "connections at once [4096]", meta = "N", no_short)]
     pub max_connections: Option<String>,
@@ -262,6 +269,8 @@
     pub body_time: Duration,
     /// Time that a connection may be idle.
     pub idle_time: Duration,
+    /// Megabytes of memory that the process may use.
+    pub memory_mb: usize,
     /// Connections at once.
     pub max_connections: usize,
     /// Connections at once from one IP number.
@@ -407,6 +416,7 @@
             max_body: r.number("max-body", &flags.max_body, 8 << 20, 1) as usize,
             body_time: r.seconds("body-time", &flags.body_time, 30, 1),
             idle_time: r.seconds("idle-time", &flags.idle_time, 60, 1),
+            memory_mb: r.number("memory-mb", &flags.memory_mb, 512, 32) as usize,
             max_connections: r.number("max-connections", &flags.max_connections, 4096, 1) as usize,
             max_connections_per_caller: r.number(
                 "max-connections-per-caller",
--- a/oxbowbend-http/src/server.rs
+++ b/oxbowbend-http/src/server.rs
@@ -14,10 +14,13 @@
 use async_std::io::{self, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::{future, task};
+use futures::future::{select, Either};
 use futures::StreamExt;
 use http_types::headers::CONNECTION;
 use http_types::{Method, Request, Response, StatusCode};
+use oxbowbend_core::memory::{Group, OverBudget};
 
+use crate::memory::{Memory, Place, RequestCharge};
 use crate::problem;
 
 /// How often a caller whose connection holds unread bytes is looked at again.
@@ -36,6 +39,8 @@
     pub connections: usize,
     /// Connections at once from one IP number.
     pub connections_per_caller: usize,
+    /// Budget to which connections and bodies are charged, and their group in it.
+    pub memory: Option<(Memory, Group)>,
 }
 
 impl Default for Options {
@@ -45,6 +50,7 @@
             write: Duration::from_secs(30),
             connections: 4096,
             connections_per_caller: 1024,
+            memory: None,
         }
     }
 }
@@ -54,6 +60,7 @@
 pub struct Caller {
     stream: TcpStream,
     address: SocketAddr,
+    place: Option<Arc<Place>>,
 }
 
 impl Caller {
@@ -62,6 +69,11 @@
         self.address
     }
 
+    /// The place of the connection in the server's budget.
+    pub fn place(&self) -> Option<&Arc<Place>> {
+        self.place.as_ref()
+    }
+
     /// Waits until the caller has hung up.
     pub async fn gone(&self) {
         let mut byte = [0];
@@ -147,7 +159,7 @@
         let accepted = stream.and_then(|s| Ok((s.peer_addr()?, s)));
         match accepted {
             Ok((address, stream)) => {
-                task::spawn(admit(shared.clone(), Caller { stream, address }));
+                task::spawn(admit(shared.clone(), Caller { stream, address, place: None }));
             }
             Err(e) => {
                 log::warn!("http: Cannot accept a connection: {e}.");
@@ -168,8 +180,11 @@
         *n
     };
     let total = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
-    let too_many =
-        total > shared.options.connections || of_caller > shared.options.connections_per_caller;
+    let place = shared.options.memory.as_ref().map(|(memory, group)| memory.open(*group));
+    let too_many = total > shared.options.connections
+        || of_caller > shared.options.connections_per_caller
+        || matches!(place, Some(Err(OverBudget)));
+    caller.place = place.and_then(Result::ok);
     if too_many {
         let problem = problem::Problem::new(StatusCode::ServiceUnavailable, "too many connections")
             .outcome(crate::problem::Outcome::NotRun)
@@ -192,7 +207,12 @@
 async fn converse<H: Handler>(shared: &Shared<H>, caller: &mut Caller) -> http_types::Result<()> {
     loop {
         let decoded = async_h1::server::decode(caller.stream.clone());
-        let (req, mut rest) = match future::timeout(shared.options.idle, decoded).await {
+        let decoded = future::timeout(shared.options.idle, decoded);
+        let decoded = match select(Box::pin(decoded), Box::pin(told_to_end(caller))).await {
+            Either::Left((decoded, _)) => decoded,
+            Either::Right(_) => return Ok(()),
+        };
+        let (req, mut rest) = match decoded {
             Err(_) | Ok(Ok(None)) => return Ok(()),
             Ok(Ok(Some(decoded))) => decoded,
             Ok(Err(e)) => {
@@ -200,6 +220,7 @@
                 return Err(e);
             }
         };
+        let _charge = caller.place.as_ref().map(|place| RequestCharge::begin(place, 0));
         let _busy = Busy::new(&shared.gate);
         let method = req.method();
         let wants_close = says_close(req.header(CONNECTION).map(|v| v.as_str()));
@@ -221,6 +242,14 @@
     }
 }
 
+/// Waits until the place of a connection without a request is needed for others.
+async fn told_to_end(caller: &Caller) {
+    match &caller.place {
+        Some(place) => place.has_to_end().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn says_close(connection: Option<&str>) -> bool {
     connection.is_some_and(|c| c.split(',').any(|s| s.trim().eq_ignore_ascii_case("close")))
 }
