--- a/oxbowbend-http/tests/memory.rs
+++ b/oxbowbend-http/tests/memory.rs
@@ -1,6 +1,5 @@
 //! Servers with a budget of what clients make them hold.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,8 +55,7 @@
     let cfg = h1::ServeConfig { connections: 1, head: 8192 };
     let limits =
         h1::ConnectionLimits { gate: Arc::default(), memory: Some((memory, Group::Clients)) };
-    let handler = |req| async { Ok::<_, Infallible>(answer(req).await).unwrap() };
-    task::spawn(h1::serve_limited(listener, cfg, Arc::default(), limits, handler));
+    task::spawn(h1::serve_limited(listener, cfg, Arc::default(), limits, answer));
     address
 }
 
