Clients: a connection whose time is over goes on if it has sent something that was not read

A suspended process wakes with the time of its connections over and their bytes unread; it is the process that did not read. Idle connections had this check already, heads have it now.

--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -409,14 +409,17 @@
     door.open.fetch_sub(1, Ordering::SeqCst);
 }
 
-/// Waits until a connection has to end for what its peer has not done. One that has sent something at the end of its idle
-/// time goes on.
+/// Waits until a connection has to end for what its peer has not done. One that has sent something by the end of its time
+/// goes on.
 async fn told_to_end(place: Option<&Arc<Place>>, stream: &TcpStream) {
     let Some(place) = place else { return std::future::pending().await };
     loop {
         place.has_to_end().await;
         match place.phase() {
-            Phase::Idle if place.has_idled() && has_unread(stream) => place.set_phase(Phase::Idle),
+            // It was this process that did not read, such as one that was suspended.
+            phase @ (Phase::Idle | Phase::Head) if place.is_time_over() && has_unread(stream) => {
+                place.set_phase(phase);
+            }
             Phase::Response => {
                 // An answer that breaks off must not look complete. A connection that has failed needs no reset.
                 let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
--- a/oxbowbend-http/src/memory.rs
+++ b/oxbowbend-http/src/memory.rs
@@ -82,7 +82,8 @@
         for End { connection, reason } in ends {
             self.usage.ended[reason as usize] += 1;
             if let Some(signal) = self.signals.get(&connection) {
-                signal.is_for_time.store(reason == EndReason::Idle, Ordering::SeqCst);
+                let is_for_time = matches!(reason, EndReason::Idle | EndReason::SlowHead);
+                signal.is_for_time.store(is_for_time, Ordering::SeqCst);
                 signal.is_set.store(true, Ordering::SeqCst);
                 signal.waker.wake();
             }
@@ -231,8 +232,8 @@
         .await;
     }
 
-    /// Whether the reason is that it was idle for as long as it may be.
-    pub(crate) fn has_idled(&self) -> bool {
+    /// Whether the reason is that its client has sent nothing, or no whole head, for as long as it may.
+    pub(crate) fn is_time_over(&self) -> bool {
         self.signal.is_for_time.load(Ordering::SeqCst)
     }
 }
