--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -11,7 +11,7 @@
 use oxbowbend_core::routes::{Idempotency, Route};
 use oxbowbend_core::streams::StreamOrigin;
 use oxbowbend_http::h1;
-use oxbowbend_http::memory::Place;
+use oxbowbend_http::memory::{Charge, Place};
 
 use super::AttemptHistory;
 use crate::seam::Ask;
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Charges a response that is to be buffered; `None` if there is no memory for it.
+    pub(super) fn reserve_response(&self, bytes: usize) -> Option<Charge> {
+        self.place.as_ref()?.reserve_response(bytes).ok()
+    }
+
     /// Returns whether the request may be executed more than once.
     pub(crate) fn is_retryable(&self) -> bool {
         match self.route.stream {
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -17,7 +17,6 @@
 use oxbowbend_core::isolation::PathFailure;
 use oxbowbend_core::silence::{self, Expectation, TimeoutAction};
 use oxbowbend_http::h1;
-use oxbowbend_http::memory::Charge;
 use thiserror::Error;
 
 use super::attempt::{log_response, Attempt, Progress};
@@ -362,7 +361,8 @@
             observe::began(&request.route.name, clock::since(request.arrived_at));
             return Ok(ResponseStart::Streaming(head, first_frame, body));
         }
-        let charge = reserve_response(request, &body);
+        let bytes = body.size_hint().exact().map_or(RESPONSE_BUFFER, |n| n as usize);
+        let charge = request.reserve_response(bytes.min(RESPONSE_BUFFER));
         let limit = if charge.is_some() { RESPONSE_BUFFER } else { MIN_RESPONSE_BUFFER };
         let collected = h1::collect(&mut body, limit).await.map_err(no_valid_response)?;
         if head.status.is_success() {
@@ -462,12 +462,6 @@
     Streaming(response::Parts, Option<Frame<Bytes>>, Incoming),
 }
 
-/// Charges a response that is to be buffered; `None` if there is no memory for it.
-fn reserve_response(request: &AdmittedRequest, body: &Incoming) -> Option<Charge> {
-    let bytes = body.size_hint().exact().map_or(RESPONSE_BUFFER, |n| n as usize);
-    request.place.as_ref()?.reserve_response(bytes.min(RESPONSE_BUFFER)).ok()
-}
-
 /// Describes an error with its cause, which tells a reset from an early end.
 pub(super) fn with_source(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
