--- a/oxbowbend-core/src/memory/kinds.rs
+++ b/oxbowbend-core/src/memory/kinds.rs
@@ -4,7 +4,7 @@
 
 use super::ConnectionId;
 
-/// Who opens connections; each group has places of its own.
+/// Who opens connections; each group may have so many of its own.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Group {
     /// Clients.
@@ -79,7 +79,7 @@
     SlowHead,
     /// Its client takes nothing of its answer.
     Unread,
-    /// Its bytes or its place are needed for others.
+    /// Its bytes are needed for others, or its group has as many connections as it may have.
     Needed,
     /// The process stops, and its client makes no progress.
     Stopping,
--- a/oxbowbend-core/src/memory/mod.rs
+++ b/oxbowbend-core/src/memory/mod.rs
@@ -164,18 +164,18 @@
     }
 
     /// Connections of a group that may be open at once.
-    pub fn places(&self, group: Group) -> usize {
-        let places = match group {
+    pub fn max_connections(&self, group: Group) -> usize {
+        let connections = match group {
             Group::Clients => self.cfg.client_connections,
             Group::Instances => self.cfg.instance_connections,
             Group::Internal => self.cfg.internal_connections,
         };
         let share = (self.cfg.bytes as f64 * CONNECTIONS_SHARE) as usize;
-        places.min(share / CONNECTION_BYTES).max(1)
+        connections.min(share / CONNECTION_BYTES).max(1)
     }
 
-    /// Opens a connection. If all places of its group are taken, the connection that has been idle for longest ends, or
-    /// one whose client makes no progress.
+    /// Opens a connection. If its group has as many as it may have, the one that has been idle for longest ends, or one
+    /// whose client makes no progress.
     ///
     /// # Errors
     ///
@@ -185,12 +185,12 @@
         now: Instant,
         group: Group,
     ) -> Result<(ConnectionId, Vec<End>), OverBudget> {
-        if self.is_full(group) && self.place_to_free(now, group).is_none() {
+        if self.is_full(group) && self.connection_to_end(now, group).is_none() {
             return Err(OverBudget);
         }
         let mut ends = self.make_room(now, None, CONNECTION_BYTES, self.cfg.bytes)?;
         if self.is_full(group) {
-            let victim = self.place_to_free(now, group);
+            let victim = self.connection_to_end(now, group);
             ends.extend(victim.map(|id| self.tell_to_end(id, EndReason::Needed)));
         }
         let id = self.next_id;
@@ -363,12 +363,12 @@
     }
 
     fn is_full(&self, group: Group) -> bool {
-        self.open[group as usize] - self.leaving[group as usize] >= self.places(group)
+        self.open[group as usize] - self.leaving[group as usize] >= self.max_connections(group)
     }
 
-    /// The connection of a group whose place is free next: the one that has been idle for longest, or the one that has
-    /// made no progress for longest.
-    fn place_to_free(&self, now: Instant, group: Group) -> Option<ConnectionId> {
+    /// The connection of a group that ends for a new one: the one that has been idle for longest, or the one that has made no
+    /// progress for longest.
+    fn connection_to_end(&self, now: Instant, group: Group) -> Option<ConnectionId> {
         let of_group =
             || self.connections.iter().filter(|(_, c)| c.group == group && c.yielding.is_none());
         let idle = of_group().filter(|(_, c)| c.phase == Phase::Idle).min_by_key(|(_, c)| c.since);
--- a/oxbowbend-core/tests/memory.rs
+++ b/oxbowbend-core/tests/memory.rs
@@ -10,12 +10,12 @@
 use quickcheck::quickcheck;
 
 const BYTES: usize = 1 << 20;
-const PLACES: usize = 8;
+const CONNECTIONS: usize = 8;
 
 fn budget() -> MemoryBudget {
     MemoryBudget::new(MemoryConfig {
         bytes: BYTES,
-        client_connections: PLACES,
+        client_connections: CONNECTIONS,
         instance_connections: 2,
         internal_connections: 2,
     })
@@ -85,24 +85,24 @@
 
 /// Silent connections kept ordinary clients out for as long as they stayed.
 #[test]
-fn the_connection_that_has_been_idle_for_longest_gives_its_place_up() {
+fn the_connection_that_has_been_idle_for_longest_ends_for_a_new_one() {
     let (mut budget, now) = (budget(), Instant::now());
     let at = |n: usize| now + Duration::from_millis(n as u64);
-    let ids: Vec<_> = (0..PLACES).map(|n| open(&mut budget, at(n), Phase::Idle)).collect();
-    budget.set_phase(at(PLACES), ids[0], Phase::Running);
-    let (_, ends) = budget.open(at(PLACES), Group::Clients).unwrap();
+    let ids: Vec<_> = (0..CONNECTIONS).map(|n| open(&mut budget, at(n), Phase::Idle)).collect();
+    budget.set_phase(at(CONNECTIONS), ids[0], Phase::Running);
+    let (_, ends) = budget.open(at(CONNECTIONS), Group::Clients).unwrap();
     assert_eq!(ends.iter().map(|end| end.connection).collect::<Vec<_>>(), [ids[1]]);
 }
 
-/// A place is refused rather than taken from a request.
+/// A connection is refused rather than one with a request ended.
 #[test]
-fn a_place_with_a_request_is_not_given_up() {
+fn a_connection_with_a_request_does_not_end_for_a_new_one() {
     let (mut budget, now) = (budget(), Instant::now());
-    for _ in 0..PLACES {
+    for _ in 0..CONNECTIONS {
         open(&mut budget, now, Phase::Running);
     }
     assert!(budget.open(now + UNREAD_LIMIT, Group::Clients).is_err());
-    assert!(budget.open(now, Group::Instances).is_ok(), "groups have places of their own");
+    assert!(budget.open(now, Group::Instances).is_ok(), "groups have connections of their own");
 }
 
 /// Clients use connections up to four fifths of the idle time again.
--- a/oxbowbend-daemon/src/callers/models.rs
+++ b/oxbowbend-daemon/src/callers/models.rs
@@ -64,7 +64,7 @@
         Err(refusal) => return refusal,
     };
     let (limit, time) = (service.settings.max_body, service.settings.body_time);
-    let read = body::read_charged(&mut req, limit, time, flow.caller.place()).await;
+    let read = body::read_charged(&mut req, limit, time, flow.caller.handle()).await;
     let charged = read.and_then(|mut body| {
         body.charge_more(parsed_bytes(&body.bytes))?;
         Ok(body)
--- a/oxbowbend-daemon/src/callers/services.rs
+++ b/oxbowbend-daemon/src/callers/services.rs
@@ -76,7 +76,7 @@
         Err(problem) => return flow.refuse(problem, problem::Outcome::NotRun),
     };
     let (limit, time) = (service.settings.max_body, service.settings.body_time);
-    let read = body::read_charged(&mut req, limit, time, flow.caller.place()).await;
+    let read = body::read_charged(&mut req, limit, time, flow.caller.handle()).await;
     // Each attempt sends a copy.
     let charged = read.and_then(|mut body| {
         body.charge_more(body.bytes.len())?;
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -16,7 +16,7 @@
 use oxbowbend_core::memory;
 use oxbowbend_core::routes::{Account, Route, RoutingTable};
 use oxbowbend_http::h1;
-use oxbowbend_http::memory::Place;
+use oxbowbend_http::memory::ConnectionHandle;
 use rand::Rng;
 
 use super::refusal::Refusal;
@@ -65,7 +65,7 @@
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, AdmitError> {
         let (mut head, mut body) = req.into_parts();
-        let place = head.extensions.remove();
+        let handle = head.extensions.remove();
         let table = self.shared.table();
         let max_body_bytes =
             table.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits().max_body_bytes);
@@ -88,7 +88,7 @@
                 None
             }
             false => {
-                let read = read_body(&mut body, place.as_ref(), max_body_bytes, timeout);
+                let read = read_body(&mut body, handle.as_ref(), max_body_bytes, timeout);
                 Some(read.await.map_err(with_id)?)
             }
         };
@@ -108,7 +108,7 @@
         }
         let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
-        (request.origin, request.place) = (origin, place);
+        (request.origin, request.handle) = (origin, handle);
         self.bind_stream(&mut request).await.map_err(with_id)?;
         Ok(request)
     }
@@ -198,7 +198,7 @@
             uri: head.uri,
             headers: head.headers,
             body,
-            place: None,
+            handle: None,
             fingerprint,
             service,
             account: account.map(|a| a.name.clone()),
@@ -338,11 +338,11 @@
 /// Reads a body within a time. The rest of one that is refused is thrown away.
 async fn read_body(
     body: &mut Incoming,
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
     max_body_bytes: usize,
     timeout: Duration,
 ) -> Result<h1::HeldBody, Refusal> {
-    let held = future::timeout(timeout, h1::hold(body, place, max_body_bytes)).await;
+    let held = future::timeout(timeout, h1::hold(body, handle, max_body_bytes)).await;
     let refusal = match held {
         Ok(Ok(body)) => return Ok(body),
         Err(_) => Refusal::BodyTooSlow,
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -11,7 +11,7 @@
 use oxbowbend_core::routes::{Idempotency, Route};
 use oxbowbend_core::streams::StreamOrigin;
 use oxbowbend_http::h1;
-use oxbowbend_http::memory::{Charge, Place};
+use oxbowbend_http::memory::{Charge, ConnectionHandle};
 
 use super::AttemptHistory;
 use crate::seam::Ask;
@@ -35,7 +35,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: h1::HeldBody,
     /// The client's connection, to which an answer is charged.
-    pub(crate) place: Option<Arc<Place>>,
+    pub(crate) handle: Option<Arc<ConnectionHandle>>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
@@ -82,7 +82,7 @@
 
     /// Charges a response that is to be buffered; `None` if there is no memory for it.
     pub(super) fn reserve_response(&self, bytes: usize) -> Option<Charge> {
-        self.place.as_ref()?.reserve_response(bytes).ok()
+        self.handle.as_ref()?.reserve_response(bytes).ok()
     }
 
     /// Returns whether the request may be executed more than once.
--- a/oxbowbend-http/src/body.rs
+++ b/oxbowbend-http/src/body.rs
@@ -11,7 +11,7 @@
 use oxbowbend_core::memory::{Kind, OverBudget, Phase};
 use thiserror::Error;
 
-use crate::memory::{Charge, Place, Progress};
+use crate::memory::{Charge, ConnectionHandle, Progress};
 use crate::problem;
 
 /// Size of the pieces in which bodies are read.
@@ -114,7 +114,7 @@
     Ok(read_charged(req, limit, time, None).await?.bytes)
 }
 
-/// The same, charged to the place of the request's connection if there is one.
+/// The same, charged to the request's connection if that has a handle.
 ///
 /// # Errors
 ///
@@ -123,20 +123,20 @@
     req: &mut Request,
     limit: usize,
     time: Duration,
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
 ) -> Result<RequestBody, BodyError> {
     let announced = req.len().map(|n| n as u64);
     if announced.is_some_and(|n| n > limit as u64) {
         return Err(BodyError::TooLarge { limit });
     }
-    if let Some(place) = place {
-        place.set_phase(Phase::Body);
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Body);
     }
-    let read = read_to_end(req.take_body(), limit, place);
+    let read = read_to_end(req.take_body(), limit, handle);
     let body = future::timeout(time, read).await.map_err(|_| BodyError::TooSlow(time))??;
     check_length(body.bytes.len() as u64, announced)?;
-    if let Some(place) = place {
-        place.set_phase(Phase::Running);
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Running);
     }
     Ok(body)
 }
@@ -151,13 +151,13 @@
 async fn read_to_end(
     mut body: Body,
     limit: usize,
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
 ) -> Result<RequestBody, BodyError> {
-    let charge = place.map(|place| Charge::new(place.clone(), Kind::Bodies));
+    let charge = handle.map(|handle| Charge::new(handle.clone(), Kind::Bodies));
     let mut read = RequestBody { bytes: Vec::new(), charge };
     let (mut buf, mut progress) = (vec![0; CHUNK], Progress::default());
     loop {
-        let n = read_piece(&mut body, &mut buf, place).await?;
+        let n = read_piece(&mut body, &mut buf, handle).await?;
         if n == 0 {
             return Ok(read);
         }
@@ -165,8 +165,8 @@
             return Err(BodyError::TooLarge { limit });
         }
         read.push(&buf[..n])?;
-        if let Some(place) = place {
-            progress.record(place, n);
+        if let Some(handle) = handle {
+            progress.record(handle, n);
         }
     }
 }
@@ -175,11 +175,11 @@
 async fn read_piece(
     body: &mut Body,
     buf: &mut [u8],
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
 ) -> Result<usize, BodyError> {
     let reading = body.read(buf);
-    let Some(place) = place else { return reading.await.map_err(BodyError::Broken) };
-    let told = std::future::poll_fn(|cx| place.poll_told_to_end(cx));
+    let Some(handle) = handle else { return reading.await.map_err(BodyError::Broken) };
+    let told = std::future::poll_fn(|cx| handle.poll_told_to_end(cx));
     pin_mut!(reading, told);
     let read: io::Result<usize> = match select(reading, told).await {
         Either::Left((read, _)) => read,
--- a/oxbowbend-http/src/h1/held.rs
+++ b/oxbowbend-http/src/h1/held.rs
@@ -13,7 +13,7 @@
 use oxbowbend_core::memory::{Buffer, Kind, OverBudget, Phase, FIRST_BUFFER};
 use thiserror::Error;
 
-use crate::memory::{Charge, Place, Progress};
+use crate::memory::{Charge, ConnectionHandle, Progress};
 
 /// Bytes of the pieces of a long body. Pieces of one size are used again by the allocator, while a buffer that grows with
 /// the body leaves gaps of many sizes.
@@ -74,7 +74,7 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes, charged to the place of its connection if there is one. The bytes are copied:
+/// Reads a body of at most `limit` bytes, charged to its connection if that has a handle. The bytes are copied:
 /// what the library gives out keeps the buffer that it was read into, a hundred times the bytes of a small chunk.
 ///
 /// # Errors
@@ -82,7 +82,7 @@
 /// Every [`HoldError`]. The rest of the body is still to be read then.
 pub async fn hold(
     body: &mut Incoming,
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
     limit: usize,
 ) -> Result<HeldBody, HoldError> {
     if body.size_hint().lower() > limit as u64 {
@@ -91,26 +91,26 @@
     if body.is_end_stream() {
         return Ok(HeldBody::default());
     }
-    let mut buf = PieceBuf::new(place.cloned(), body.size_hint().exact().unwrap_or(0) as usize);
+    let mut buf = PieceBuf::new(handle.cloned(), body.size_hint().exact().unwrap_or(0) as usize);
     let mut progress = Progress::default();
-    if let Some(place) = place {
-        place.set_phase(Phase::Body);
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Body);
     }
-    while let Some(frame) = next_frame(body, place).await? {
+    while let Some(frame) = next_frame(body, handle).await? {
         let Ok(data) = frame.into_data() else { continue };
         if buf.bytes + data.len() > limit {
             return Err(HoldError::TooLarge);
         }
         buf.push(&data)?;
-        if let Some(place) = place {
-            progress.record(place, data.len());
+        if let Some(handle) = handle {
+            progress.record(handle, data.len());
         }
     }
-    if let Some(place) = place.filter(|_| buf.bytes > FIRST_BUFFER) {
-        place.record_grown(Buffer::Read);
+    if let Some(handle) = handle.filter(|_| buf.bytes > FIRST_BUFFER) {
+        handle.record_grown(Buffer::Read);
     }
-    if let Some(place) = place {
-        place.set_phase(Phase::Running);
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Running);
     }
     Ok(buf.finish())
 }
@@ -118,13 +118,13 @@
 /// The next frame of a body, unless its connection is told that its bytes are needed.
 async fn next_frame(
     body: &mut Incoming,
-    place: Option<&Arc<Place>>,
+    handle: Option<&Arc<ConnectionHandle>>,
 ) -> Result<Option<Frame<Bytes>>, HoldError> {
     poll_fn(|cx| {
         if let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) {
             return Poll::Ready(frame.transpose().map_err(HoldError::Broken));
         }
-        match place.map(|place| place.poll_told_to_end(cx)) {
+        match handle.map(|handle| handle.poll_told_to_end(cx)) {
             Some(Poll::Ready(())) => Poll::Ready(Err(HoldError::Yielded)),
             _ => Poll::Pending,
         }
@@ -144,8 +144,8 @@
 }
 
 impl PieceBuf {
-    fn new(place: Option<Arc<Place>>, announced: usize) -> PieceBuf {
-        let charge = place.map(|place| Charge::new(place, Kind::Bodies));
+    fn new(handle: Option<Arc<ConnectionHandle>>, announced: usize) -> PieceBuf {
+        let charge = handle.map(|handle| Charge::new(handle, Kind::Bodies));
         PieceBuf { pieces: Vec::new(), current: Vec::new(), bytes: 0, announced, charge }
     }
 
--- a/oxbowbend-http/src/h1/server.rs
+++ b/oxbowbend-http/src/h1/server.rs
@@ -27,7 +27,7 @@
 use super::meter::{LinkMeter, Metered};
 use super::unflushed::{FlushWatched, Unflushed};
 use super::watched::{HeadCharge, Watched};
-use crate::memory::{Charge, Memory, Place, RequestCharge};
+use crate::memory::{Charge, ConnectionHandle, Memory, RequestCharge};
 
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -155,15 +155,15 @@
 impl Inside {
     /// An answer is to be written. If it is held whole, it is charged; it has been made, and is not refused for lack of
     /// room.
-    fn answer<B: Body>(&mut self, place: &Arc<Place>, answer: &mut Response<B>) {
-        place.set_phase(Phase::Response);
+    fn answer<B: Body>(&mut self, handle: &Arc<ConnectionHandle>, answer: &mut Response<B>) {
+        handle.set_phase(Phase::Response);
         self._response = answer.extensions_mut().remove::<Arc<Charge>>();
         let Some(bytes @ 1..) = answer.body().size_hint().exact() else { return };
         if bytes as usize > FIRST_BUFFER / 2 {
-            place.record_grown(Buffer::Write);
+            handle.record_grown(Buffer::Write);
         }
         if self._response.is_none() {
-            let mut charge = Charge::new(place.clone(), Kind::Responses);
+            let mut charge = Charge::new(handle.clone(), Kind::Responses);
             charge.grow_always(bytes as usize);
             self._response = Some(Arc::new(charge));
         }
@@ -302,22 +302,22 @@
         if !limits.gate.admits(clock::now()) {
             continue;
         }
-        let place = match &limits.memory {
+        let handle = match &limits.memory {
             None => None,
             Some((memory, group)) => match memory.open(*group) {
-                Ok(place) => Some(place),
+                Ok(handle) => Some(handle),
                 // The budget counts it.
                 Err(OverBudget) => continue,
             },
         };
         let _ = stream.set_nodelay(true);
-        task::spawn(connection(stream, place, cfg, door.clone(), handler.clone()));
+        task::spawn(connection(stream, handle, cfg, door.clone(), handler.clone()));
     }
 }
 
 async fn connection<H, F, B>(
     stream: TcpStream,
-    place: Option<Arc<Place>>,
+    handle: Option<Arc<ConnectionHandle>>,
     cfg: ServeConfig,
     door: Arc<Door>,
     handler: H,
@@ -330,24 +330,24 @@
 {
     door.open.fetch_add(1, Ordering::SeqCst);
     let (unflushed, last_answer) = (Unflushed::default(), LastAnswer::default());
-    let head_charge = place.clone().map(HeadCharge::new);
+    let head_charge = handle.clone().map(HeadCharge::new);
     let service = service_fn(|mut req: Request<Incoming>| {
         let head_bytes = head_charge.as_ref().map_or(0, HeadCharge::take);
-        let charge = place.as_ref().map(|place| RequestCharge::begin(place, head_bytes));
-        if let Some(place) = &place {
-            req.extensions_mut().insert(place.clone());
+        let charge = handle.as_ref().map(|handle| RequestCharge::begin(handle, head_bytes));
+        if let Some(handle) = &handle {
+            req.extensions_mut().insert(handle.clone());
         }
         let mut inside = door.enter(charge);
         // In HTTP/1.0 a body that breaks off looks complete unless its connection is reset.
         let ending = (req.version() < Version::HTTP_11).then(|| stream.clone());
         let answering = handler(req);
         let (unflushed, last_answer) = (unflushed.clone(), last_answer.clone());
-        let place = place.clone();
+        let handle = handle.clone();
         // Boxed, since the library keeps room for it also while the connection is idle.
         Box::pin(async move {
             let mut answer = answering.await;
-            if let Some(place) = &place {
-                inside.answer(place, &mut answer);
+            if let Some(handle) = &handle {
+                inside.answer(handle, &mut answer);
             }
             let is_last = inside.door.is_closing();
             if is_last {
@@ -357,14 +357,14 @@
             Ok::<_, Infallible>(answer.map(|body| Counted { body, unwritten, ending }))
         })
     });
-    let told = told_to_end(place.as_ref(), &stream);
+    let told = told_to_end(handle.as_ref(), &stream);
     pin_mut!(told);
     // With its end all that it holds is dropped, also an answer that has been cut.
     let ended = {
         let metered = Metered::new(stream.clone(), door.meter.clone());
         let watched = Watched::new(metered, head_charge.clone());
         let watched = FlushWatched::new(watched, unflushed.clone());
-        let head = place.as_ref().and_then(|place| place.head_bytes()).unwrap_or(cfg.head);
+        let head = handle.as_ref().and_then(|handle| handle.head_bytes()).unwrap_or(cfg.head);
         let conn = http1::Builder::new()
             .max_buf_size(head.max(MIN_BUFFER))
             .serve_connection(FuturesIo::new(watched), service);
@@ -390,7 +390,7 @@
         }
     };
     match ended {
-        None => log::debug!("event=caller_connection_ended error=\"its time or place is over\""),
+        None => log::debug!("event=caller_connection_ended error=\"told by the budget\""),
         Some(Err(e)) => log::debug!("event=caller_connection_ended error=\"{e}\""),
         Some(Ok(())) if last_answer.is_some() => {
             // The process may end before the peer has what the kernel holds for it.
@@ -411,14 +411,14 @@
 
 /// Waits until a connection has to end for what its peer has not done. One that has sent something by the end of its time
 /// goes on.
-async fn told_to_end(place: Option<&Arc<Place>>, stream: &TcpStream) {
-    let Some(place) = place else { return std::future::pending().await };
+async fn told_to_end(handle: Option<&Arc<ConnectionHandle>>, stream: &TcpStream) {
+    let Some(handle) = handle else { return std::future::pending().await };
     loop {
-        place.has_to_end().await;
-        match place.phase() {
+        handle.has_to_end().await;
+        match handle.phase() {
             // It was this process that did not read, such as one that was suspended.
-            phase @ (Phase::Idle | Phase::Head) if place.is_time_over() && has_unread(stream) => {
-                place.set_phase(phase);
+            phase @ (Phase::Idle | Phase::Head) if handle.is_time_over() && has_unread(stream) => {
+                handle.set_phase(phase);
             }
             Phase::Response => {
                 // An answer that breaks off must not look complete. A connection that has failed needs no reset.
--- a/oxbowbend-http/src/h1/watched.rs
+++ b/oxbowbend-http/src/h1/watched.rs
@@ -1,4 +1,4 @@
-//! A connection whose bytes and waits are charged to its place.
+//! A connection whose bytes and waits are told to the budget.
 
 use std::io;
 use std::pin::Pin;
@@ -8,34 +8,34 @@
 use futures::io::{AsyncRead, AsyncWrite};
 use oxbowbend_core::memory::{Buffer, Kind, Phase, FIRST_BUFFER};
 
-use crate::memory::{Charge, Place};
+use crate::memory::{Charge, ConnectionHandle};
 
 /// Bytes of a head that is being read; clones share them.
 #[derive(Clone, Debug)]
 pub(super) struct HeadCharge {
-    place: Arc<Place>,
+    handle: Arc<ConnectionHandle>,
     charge: Arc<Mutex<Option<(Charge, usize)>>>,
 }
 
 impl HeadCharge {
-    pub(super) fn new(place: Arc<Place>) -> HeadCharge {
-        HeadCharge { place, charge: Arc::default() }
+    pub(super) fn new(handle: Arc<ConnectionHandle>) -> HeadCharge {
+        HeadCharge { handle, charge: Arc::default() }
     }
 
     /// Charges bytes that have been read while no request is in progress.
     fn read(&self, bytes: usize) -> io::Result<()> {
-        match self.place.phase() {
-            Phase::Idle => self.place.set_phase(Phase::Head),
+        match self.handle.phase() {
+            Phase::Idle => self.handle.set_phase(Phase::Head),
             Phase::Head => {}
             // The bytes of a body are charged by whoever keeps them.
             Phase::Body | Phase::Running | Phase::Response => return Ok(()),
         }
         let mut held = self.charge.lock().expect("no panic under lock");
-        let new = || (Charge::new(self.place.clone(), Kind::Connections), 0);
+        let new = || (Charge::new(self.handle.clone(), Kind::Connections), 0);
         let (charge, read) = held.get_or_insert_with(new);
         *read += bytes;
         if *read > FIRST_BUFFER {
-            self.place.record_grown(Buffer::Read);
+            self.handle.record_grown(Buffer::Read);
         }
         charge.grow(bytes).map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))
     }
@@ -47,7 +47,7 @@
     }
 }
 
-/// A stream that tells the place of its connection what is read and when writing has to wait.
+/// A stream that tells the budget what is read and when writing has to wait.
 pub(super) struct Watched<S> {
     stream: S,
     head: Option<HeadCharge>,
@@ -61,7 +61,7 @@
 
     fn note_wait(&mut self, is_blocked: bool) {
         if let Some(head) = self.head.as_ref().filter(|_| is_blocked != self.is_blocked) {
-            head.place.set_blocked(is_blocked);
+            head.handle.set_blocked(is_blocked);
         }
         self.is_blocked = is_blocked;
     }
--- a/oxbowbend-http/src/memory.rs
+++ b/oxbowbend-http/src/memory.rs
@@ -43,9 +43,9 @@
 ///     instance_connections: 1,
 ///     internal_connections: 1,
 /// });
-/// let place = memory.open(Group::Clients).unwrap();
+/// let handle = memory.open(Group::Clients).unwrap();
 /// assert!(memory.usage().held[0] > 0);
-/// drop(place);
+/// drop(handle);
 /// assert_eq!(memory.usage().held[0], 0);
 /// ```
 #[derive(Clone, Debug)]
@@ -111,12 +111,12 @@
         state.head_bytes.insert(group, head_bytes);
     }
 
-    /// Takes a place for a connection. Others may have to end for it.
+    /// Opens a connection in the budget. Others may have to end for it.
     ///
     /// # Errors
     ///
     /// Fails if none of them can.
-    pub fn open(&self, group: Group) -> Result<Arc<Place>, OverBudget> {
+    pub fn open(&self, group: Group) -> Result<Arc<ConnectionHandle>, OverBudget> {
         let mut state = self.lock();
         let opened = state.budget.open(clock::now(), group);
         let (id, ends) = opened.inspect_err(|_| state.usage.closed_unread += 1)?;
@@ -126,7 +126,7 @@
         let head_bytes = state.head_bytes.get(&group).copied();
         drop(state);
         let requests = AtomicUsize::new(0);
-        Ok(Arc::new(Place { memory: self.clone(), id, signal, head_bytes, requests }))
+        Ok(Arc::new(ConnectionHandle { memory: self.clone(), id, signal, head_bytes, requests }))
     }
 
     /// Ends connections whose time is over.
@@ -147,9 +147,9 @@
     }
 }
 
-/// The place of an open connection.
+/// An open connection in the budget; dropping it closes the connection there.
 #[derive(Debug)]
-pub struct Place {
+pub struct ConnectionHandle {
     memory: Memory,
     id: ConnectionId,
     signal: Arc<Signal>,
@@ -158,7 +158,7 @@
     requests: AtomicUsize,
 }
 
-impl Drop for Place {
+impl Drop for ConnectionHandle {
     fn drop(&mut self) {
         let mut state = self.memory.lock();
         state.signals.remove(&self.id);
@@ -166,7 +166,7 @@
     }
 }
 
-impl Place {
+impl ConnectionHandle {
     /// Longest head that is read, if the operator bounds it.
     pub fn head_bytes(&self) -> Option<usize> {
         self.head_bytes
@@ -177,7 +177,10 @@
     /// # Errors
     ///
     /// Fails if there is no room for it.
-    pub fn reserve_response(self: &Arc<Place>, bytes: usize) -> Result<Charge, OverBudget> {
+    pub fn reserve_response(
+        self: &Arc<ConnectionHandle>,
+        bytes: usize,
+    ) -> Result<Charge, OverBudget> {
         let mut charge = Charge::new(self.clone(), Kind::Responses);
         charge.grow(bytes)?;
         Ok(charge)
@@ -241,15 +244,15 @@
 /// Bytes that are charged to a connection until they are dropped.
 #[derive(Debug)]
 pub struct Charge {
-    place: Arc<Place>,
+    handle: Arc<ConnectionHandle>,
     kind: Kind,
     bytes: usize,
 }
 
 impl Charge {
     /// Starts with no bytes.
-    pub fn new(place: Arc<Place>, kind: Kind) -> Charge {
-        Charge { place, kind, bytes: 0 }
+    pub fn new(handle: Arc<ConnectionHandle>, kind: Kind) -> Charge {
+        Charge { handle, kind, bytes: 0 }
     }
 
     /// Charges more bytes. Other connections may have to end for them.
@@ -258,8 +261,8 @@
     ///
     /// Fails if there is no room; nothing more is charged then.
     pub fn grow(&mut self, bytes: usize) -> Result<(), OverBudget> {
-        let mut state = self.place.memory.lock();
-        let charged = state.budget.charge(clock::now(), self.place.id, self.kind, bytes);
+        let mut state = self.handle.memory.lock();
+        let charged = state.budget.charge(clock::now(), self.handle.id, self.kind, bytes);
         let ends = charged.inspect_err(|_| state.usage.denied += 1)?;
         state.signal(ends);
         drop(state);
@@ -269,7 +272,7 @@
 
     /// Charges more bytes that are held already.
     pub fn grow_always(&mut self, bytes: usize) {
-        self.place.memory.lock().budget.charge_always(self.place.id, self.kind, bytes);
+        self.handle.memory.lock().budget.charge_always(self.handle.id, self.kind, bytes);
         self.bytes += bytes;
     }
 
@@ -277,7 +280,7 @@
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
         if surplus > 0 {
-            self.place.memory.lock().budget.release(self.place.id, self.kind, surplus);
+            self.handle.memory.lock().budget.release(self.handle.id, self.kind, surplus);
             self.bytes -= surplus;
         }
     }
@@ -286,7 +289,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.place.memory.lock().budget.release(self.place.id, self.kind, self.bytes);
+            self.handle.memory.lock().budget.release(self.handle.id, self.kind, self.bytes);
         }
     }
 }
@@ -299,10 +302,10 @@
 
 impl RequestCharge {
     /// Begins with the bytes of its head.
-    pub(crate) fn begin(place: &Arc<Place>, head_bytes: usize) -> RequestCharge {
-        place.requests.fetch_add(1, Ordering::SeqCst);
-        place.set_phase(Phase::Running);
-        let mut charge = Charge::new(place.clone(), Kind::Requests);
+    pub(crate) fn begin(handle: &Arc<ConnectionHandle>, head_bytes: usize) -> RequestCharge {
+        handle.requests.fetch_add(1, Ordering::SeqCst);
+        handle.set_phase(Phase::Running);
+        let mut charge = Charge::new(handle.clone(), Kind::Requests);
         charge.grow_always(REQUEST_BYTES + head_bytes);
         RequestCharge { charge }
     }
@@ -310,10 +313,10 @@
 
 impl Drop for RequestCharge {
     fn drop(&mut self) {
-        let place = &self.charge.place;
+        let handle = &self.charge.handle;
         // The next request may have begun before the answer to this one was written.
-        if place.requests.fetch_sub(1, Ordering::SeqCst) == 1 {
-            place.set_phase(Phase::Idle);
+        if handle.requests.fetch_sub(1, Ordering::SeqCst) == 1 {
+            handle.set_phase(Phase::Idle);
         }
     }
 }
@@ -325,11 +328,11 @@
 }
 
 impl Progress {
-    pub(crate) fn record(&mut self, place: &Place, bytes: usize) {
+    pub(crate) fn record(&mut self, handle: &ConnectionHandle, bytes: usize) {
         self.bytes += bytes;
         if self.bytes >= PROGRESS_BYTES {
             self.bytes = 0;
-            place.record_progress();
+            handle.record_progress();
         }
     }
 }
--- a/oxbowbend-http/src/server.rs
+++ b/oxbowbend-http/src/server.rs
@@ -20,7 +20,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use oxbowbend_core::memory::{Group, OverBudget};
 
-use crate::memory::{Memory, Place, RequestCharge};
+use crate::memory::{ConnectionHandle, Memory, RequestCharge};
 use crate::problem;
 
 /// How often a caller whose connection holds unread bytes is looked at again.
@@ -60,7 +60,7 @@
 pub struct Caller {
     stream: TcpStream,
     address: SocketAddr,
-    place: Option<Arc<Place>>,
+    handle: Option<Arc<ConnectionHandle>>,
 }
 
 impl Caller {
@@ -69,9 +69,9 @@
         self.address
     }
 
-    /// The place of the connection in the server's budget.
-    pub fn place(&self) -> Option<&Arc<Place>> {
-        self.place.as_ref()
+    /// The handle of the connection in the server's budget.
+    pub fn handle(&self) -> Option<&Arc<ConnectionHandle>> {
+        self.handle.as_ref()
     }
 
     /// Waits until the caller has hung up.
@@ -159,7 +159,7 @@
         let accepted = stream.and_then(|s| Ok((s.peer_addr()?, s)));
         match accepted {
             Ok((address, stream)) => {
-                task::spawn(admit(shared.clone(), Caller { stream, address, place: None }));
+                task::spawn(admit(shared.clone(), Caller { stream, address, handle: None }));
             }
             Err(e) => {
                 log::warn!("http: Cannot accept a connection: {e}.");
@@ -180,11 +180,11 @@
         *n
     };
     let total = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
-    let place = shared.options.memory.as_ref().map(|(memory, group)| memory.open(*group));
+    let handle = shared.options.memory.as_ref().map(|(memory, group)| memory.open(*group));
     let too_many = total > shared.options.connections
         || of_caller > shared.options.connections_per_caller
-        || matches!(place, Some(Err(OverBudget)));
-    caller.place = place.and_then(Result::ok);
+        || matches!(handle, Some(Err(OverBudget)));
+    caller.handle = handle.and_then(Result::ok);
     if too_many {
         let problem = problem::Problem::new(StatusCode::ServiceUnavailable, "too many connections")
             .outcome(crate::problem::Outcome::NotRun)
@@ -220,7 +220,7 @@
                 return Err(e);
             }
         };
-        let _charge = caller.place.as_ref().map(|place| RequestCharge::begin(place, 0));
+        let _charge = caller.handle.as_ref().map(|handle| RequestCharge::begin(handle, 0));
         let _busy = Busy::new(&shared.gate);
         let method = req.method();
         let wants_close = says_close(req.header(CONNECTION).map(|v| v.as_str()));
@@ -242,10 +242,10 @@
     }
 }
 
-/// Waits until the place of a connection without a request is needed for others.
+/// Waits until a connection without a request has to end for others.
 async fn told_to_end(caller: &Caller) {
-    match &caller.place {
-        Some(place) => place.has_to_end().await,
+    match &caller.handle {
+        Some(handle) => handle.has_to_end().await,
         None => std::future::pending().await,
     }
 }
--- a/oxbowbend-http/tests/memory.rs
+++ b/oxbowbend-http/tests/memory.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use oxbowbend_core::memory::{Group, MemoryConfig, TimeLimits};
 use oxbowbend_http::h1;
-use oxbowbend_http::memory::{Memory, Place};
+use oxbowbend_http::memory::{ConnectionHandle, Memory};
 
 /// Longer than anything here may take.
 const LONG: Duration = Duration::from_secs(20);
@@ -37,9 +37,9 @@
 /// Answers with the length and the sum of a body, or 503 if it cannot be held.
 async fn answer(req: Request<Incoming>) -> Response<h1::Whole> {
     let (mut head, mut body) = req.into_parts();
-    let place: Option<Arc<Place>> = head.extensions.remove();
+    let handle: Option<Arc<ConnectionHandle>> = head.extensions.remove();
     let mut answer = Response::new(h1::Whole::default());
-    match h1::hold(&mut body, place.as_ref(), 1 << 20).await {
+    match h1::hold(&mut body, handle.as_ref(), 1 << 20).await {
         Ok(body) => {
             let sum: u64 = body.pieces().iter().flatten().map(|b| u64::from(*b)).sum();
             *answer.body_mut() = h1::Whole::from(format!("{} {sum}", body.len()));
