Tests: crowds that come again, trickle, stay at a stop, or hide requests in bodies; a late reader

Six tests more for clients that do not behave, with bounds from the same settings (64 MB, 1,500 descriptors). The tests, crowds and bounds of before are as they were.

--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -21,6 +21,13 @@
 const SMALL_BUFFER: usize = 4096;
 /// Length that is announced for a body beyond all limits, in bytes.
 const ANNOUNCED: usize = 1 << 30;
+/// Time between two bytes of a client that makes little progress.
+const TRICKLE: Duration = Duration::from_millis(100);
+/// Time after which a client reads that reads late.
+const READS_AFTER: Duration = Duration::from_secs(1);
+/// Beginning of the ids of a crowd's requests, and of those of requests inside of bodies.
+const ID: &str = "h-";
+const EMBEDDED_ID: &str = "embedded-";
 const CHUNK: usize = 64 << 10;
 const PIECE: usize = 4096;
 
@@ -60,6 +67,18 @@
     WholeHead {
         bytes: usize,
     },
+    /// A body of which a byte comes now and then for as long as the client stays.
+    Trickle {
+        bytes: usize,
+    },
+    /// So much of a body beyond all limits, which consists of requests.
+    Embedded {
+        bytes: usize,
+    },
+    /// A whole body that is too long, whose answer is read late.
+    LateReader {
+        bytes: usize,
+    },
     Nothing,
     /// A whole request, whose answer is not read.
     Deaf,
@@ -110,6 +129,21 @@
                 to.write_all(length(ANNOUNCED).as_bytes()).await?;
                 repeat(to, &[b'x'; CHUNK], bytes / CHUNK).await
             }
+            Play::Trickle { bytes } => to.write_all(length(bytes).as_bytes()).await,
+            Play::Embedded { bytes } => {
+                to.write_all(length(ANNOUNCED).as_bytes()).await?;
+                let request = format!("{head}Content-Length: 0\r\n\r\n");
+                let request = request.replace(ID, EMBEDDED_ID);
+                repeat(to, request.repeat(100).as_bytes(), bytes / (100 * request.len())).await
+            }
+            Play::LateReader { bytes } => {
+                to.write_all(chunked.as_bytes()).await?;
+                let chunk = [b"10000\r\n".as_slice(), &[b'x'; CHUNK], b"\r\n"].concat();
+                repeat(to, &chunk, bytes / CHUNK).await?;
+                to.write_all(b"0\r\n\r\n").await?;
+                task::sleep(READS_AFTER).await;
+                Ok(())
+            }
             Play::Head { bytes } => {
                 to.write_all(format!("{head}X: {}", "y".repeat(bytes)).as_bytes()).await
             }
@@ -162,7 +196,7 @@
     pub fn come(to: SocketAddr, clients: usize, play: Play, heads: &Heads) -> Crowd {
         let ((release, held), (tell_sent, sent)) = (bounded(1), bounded(clients));
         let client = |n: usize| {
-            let id = format!("h-{n:04}");
+            let id = format!("{ID}{n:04}");
             let (head, held, tell_sent) = (heads(&id), held.clone(), tell_sent.clone());
             task::spawn(async move {
                 task::sleep(PACE * n as u32).await;
@@ -204,6 +238,10 @@
     // A client that is not read any more still waits for an answer.
     let _ = future::timeout(SENDS_WITHIN, play.send(&mut stream, head)).await;
     tell_sent.send(()).await.expect("the crowd is there");
+    if matches!(play, Play::Trickle { .. }) {
+        trickle(&mut stream, &held).await;
+        return None;
+    }
     let mut status = None;
     if !matches!(play, Play::Deaf) {
         let answer = futures::future::select(Box::pin(read_status(&mut stream)), held.recv());
@@ -215,6 +253,15 @@
     status
 }
 
+/// Sends a byte now and then until released, or until the connection ends.
+async fn trickle(to: &mut TcpStream, held: &Receiver<()>) {
+    while future::timeout(TRICKLE, held.recv()).await.is_err() {
+        if to.write_all(b"x").await.is_err() {
+            let _ = held.recv().await;
+        }
+    }
+}
+
 async fn connect(to: SocketAddr, play: Play) -> io::Result<TcpStream> {
     if !matches!(play, Play::Deaf) {
         return future::timeout(SENDS_WITHIN, TcpStream::connect(to))
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -70,6 +70,57 @@
     });
 }
 
+/// A client that is still sending, or reads late, lost the answer to a reset.
+#[test]
+fn a_late_reader_sees_that_its_body_is_too_long() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let machine = Machine::start(SMALLEST).await;
+        machine.refuses_late_reader(MAX_BODY + (64 << 10)).await;
+    });
+}
+
+/// What is left of a refused body may not be taken for requests.
+#[test]
+fn requests_inside_of_refused_bodies() {
+    hold(LOWERED, Port::Callers, BODIES, Play::Embedded { bytes: 2 * MAX_BODY });
+    hold(LOWERED, Port::Unknown, BODIES, Play::Embedded { bytes: MAX_BODY });
+}
+
+/// Memory that a crowd had held was not there for the next one.
+#[test]
+fn a_crowd_that_comes_again_and_again() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let machine = Machine::start(LOWERED).await;
+        for _ in 0..4 {
+            machine.bear(Port::Callers, BODIES, Play::Chunks { bytes: MAX_BODY }).await;
+        }
+    });
+}
+
+/// A limit on silence alone ends no client that sends a byte now and then.
+#[test]
+fn bodies_that_always_make_a_little_progress() {
+    hold(FEW_DESCRIPTORS, Port::Callers, 600, Play::Trickle { bytes: MAX_BODY });
+}
+
+/// The same of bodies that are refused in any case.
+#[test]
+fn bodies_without_a_route_that_always_make_a_little_progress() {
+    hold(FEW_DESCRIPTORS, Port::Unknown, 600, Play::Trickle { bytes: MAX_BODY });
+}
+
+/// A process that stops waits for requests, of which these never come.
+#[test]
+fn a_stop_before_a_crowd_that_stays() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let mut machine = Machine::start(LOWERED).await;
+        machine.stops_before(BODIES, Play::Short { bytes: MAX_BODY }).await;
+    });
+}
+
 /// Whole bodies are held while endpoints work on their requests.
 #[test]
 fn whole_bodies_before_slow_endpoints() {
--- a/oxbowbend-daemon/tests/hostile/platform.rs
+++ b/oxbowbend-daemon/tests/hostile/platform.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use oxbowbend_http::h1;
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 
 use crate::crowd::{ask, Crowd, Heads, Play, Seen};
@@ -56,6 +57,8 @@
     Callers,
     /// The callers' port, to endpoints that work for long.
     Slow,
+    /// The callers' port, on a route that does not exist.
+    Unknown,
     /// The callers' port, to endpoints whose answers are large.
     Large,
     Handovers,
@@ -69,6 +72,7 @@
 pub struct Machine {
     settings: Settings,
     ip: String,
+    store: SocketAddr,
     child: Mutex<Child>,
     watch: Watch,
     runs: Runs,
@@ -102,6 +106,7 @@
         let machine = Machine {
             settings,
             ip,
+            store: store_address,
             child: Mutex::new(child),
             watch,
             runs,
@@ -113,7 +118,7 @@
 
     fn address(&self, port: Port) -> SocketAddr {
         let port = match port {
-            Port::Callers | Port::Slow | Port::Large => FRONT,
+            Port::Callers | Port::Slow | Port::Large | Port::Unknown => FRONT,
             Port::Handovers => BETWEEN.0 + 1,
             Port::Reports => BETWEEN.0,
             Port::Readiness => READINESS,
@@ -151,11 +156,42 @@
         self.check_limits().await;
     }
 
+    /// A body that is too long is refused, and a client who reads late sees that.
+    pub async fn refuses_late_reader(&self, bytes: usize) {
+        let play = Play::LateReader { bytes };
+        let status = ask(self.address(Port::Callers), &head("quick", "late"), play).await;
+        assert!(matches!(status, Ok(413)), "{status:?}");
+        assert!(!self.runs.lock().unwrap().contains_key("late"));
+        assert!(self.answers_ordinary(PATIENCE).await, "no service afterwards");
+        self.check_limits().await;
+    }
+
+    /// A crowd comes, and the process is told to stop while it stays. It ends, and a new one serves.
+    pub async fn stops_before(&mut self, clients: usize, play: Play) {
+        let heads: Heads = Arc::new(|id| head("quick", id));
+        let crowd = Crowd::come(self.address(Port::Callers), clients, play, &heads);
+        crowd.has_sent().await;
+        let began = Instant::now();
+        kill_process(Pid::from_child(self.child.get_mut().unwrap()), Signal::TERM).unwrap();
+        while !self.has_ended() {
+            assert!(began.elapsed() < PATIENCE, "the process hangs");
+            task::sleep(PAUSE).await;
+        }
+        self.watch.check(self.settings.memory_mb, self.settings.max_fds);
+        let child = spawn(&self.ip, self.settings, self.store);
+        self.watch = Watch::start(child.id());
+        self.child = Mutex::new(child);
+        assert!(self.answers_ordinary(PATIENCE).await, "no service after a new start");
+        crowd.leave().await;
+        self.check_limits().await;
+    }
+
     /// A crowd comes, stays, and leaves.
     pub async fn bear(&self, port: Port, clients: usize, play: Play) {
         let route = match port {
             Port::Slow => "slow",
             Port::Large => "large",
+            Port::Unknown => "unknown",
             _ => "quick",
         };
         let heads: Heads = Arc::new(move |id| head(route, id));
