Clients: a refused body whose rest is thrown away yields like one that is kept

What callers saw: none was reported; found by reading the change. While the rest of a refused body is thrown away its connection counted as one with a running request, which never yields. Clients on routes that do not exist, a few bytes each, could keep all connections for as long as the request had, 30 s without a deadline.

Change: throwing away is a body in the budget: its progress counts, and its connection can be told to end, then the refusal goes out at once.

Evidence: a_refused_body_without_progress_yields fails with a body that is thrown away without its handle, as before, and passes with it.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -84,7 +84,7 @@
         let is_refused = metadata.is_err() || matches!(route, Some(None));
         let body = match is_refused && body.size_hint().exact().is_none_or(|n| n > SMALL_BODY) {
             true => {
-                h1::discard(&mut body, max_body_bytes, timeout).await;
+                h1::discard(&mut body, handle.as_ref(), max_body_bytes, timeout).await;
                 None
             }
             false => {
@@ -353,6 +353,6 @@
             Refusal::OverMemory { retry_after: OVER_MEMORY_RETRY_AFTER.mul_f64(jitter) }
         }
     };
-    h1::discard(body, max_body_bytes, DISCARD_TIMEOUT).await;
+    h1::discard(body, handle, max_body_bytes, DISCARD_TIMEOUT).await;
     Err(refusal)
 }
--- a/oxbowbend-gateway/src/relay/handover_receiver.rs
+++ b/oxbowbend-gateway/src/relay/handover_receiver.rs
@@ -43,7 +43,9 @@
             }
             Err(reason) => {
                 // A response before the end of the body could be lost to a reset.
-                h1::discard(req.body_mut(), MAX_REJECTED_BODY_BYTES, DISCARD_TIMEOUT).await;
+                let handle = req.extensions_mut().remove();
+                let (body, limit) = (req.body_mut(), MAX_REJECTED_BODY_BYTES);
+                h1::discard(body, handle.as_ref(), limit, DISCARD_TIMEOUT).await;
                 match origin {
                     Origin::FullCell => observe::overflow_received(reason),
                     _ => observe::handover_received(reason),
--- a/oxbowbend-http/src/h1/held.rs
+++ b/oxbowbend-http/src/h1/held.rs
@@ -8,7 +8,6 @@
 
 use async_std::future;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use oxbowbend_core::memory::{Buffer, Kind, OverBudget, Phase, FIRST_BUFFER};
 use thiserror::Error;
@@ -75,7 +74,7 @@
 }
 
 /// Reads a body of at most `limit` bytes, charged to its connection if that has a handle. The bytes are copied:
-/// what the library gives out keeps the buffer that it was read into, a hundred times the bytes of a small chunk.
+/// what the library gives out keeps the buffer that it was read into, many times the bytes of a small chunk.
 ///
 /// # Errors
 ///
@@ -188,25 +187,35 @@
     }
 }
 
-/// Reads the rest of a body and throws it away, up to so many bytes within a time. A client that is still sending may not
-/// read an answer, and would lose one that is followed by a reset. Returns whether the end was reached.
-pub async fn discard(body: &mut Incoming, limit: usize, time: Duration) -> bool {
+/// Reads the rest of a body and throws it away, up to so many bytes within a time, and for as long as its connection is not
+/// told to end. A client that is still sending may not read an answer, and would lose one that is followed by a reset.
+/// Returns whether the end was reached.
+pub async fn discard(
+    body: &mut Incoming,
+    handle: Option<&Arc<ConnectionHandle>>,
+    limit: usize,
+    time: Duration,
+) -> bool {
     if body.size_hint().lower() > limit as u64 {
         return false;
     }
+    let (mut left, mut progress) = (limit, Progress::default());
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Body);
+    }
     let reading = async {
-        let mut left = limit;
-        loop {
-            let frame = match body.frame().await {
-                None => return true,
-                Some(Err(_)) => return false,
-                Some(Ok(frame)) => frame,
-            };
-            match left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) {
-                Some(rest) => left = rest,
-                None => return false,
+        while let Some(frame) = next_frame(body, handle).await.ok()? {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            left = left.checked_sub(bytes)?;
+            if let Some(handle) = handle {
+                progress.record(handle, bytes);
             }
         }
+        Some(())
     };
-    future::timeout(time, reading).await.unwrap_or(false)
+    let is_whole = matches!(future::timeout(time, reading).await, Ok(Some(())));
+    if let Some(handle) = handle {
+        handle.set_phase(Phase::Running);
+    }
+    is_whole
 }
--- a/oxbowbend-http/tests/memory.rs
+++ b/oxbowbend-http/tests/memory.rs
@@ -39,6 +39,11 @@
     let (mut head, mut body) = req.into_parts();
     let handle: Option<Arc<ConnectionHandle>> = head.extensions.remove();
     let mut answer = Response::new(h1::Whole::default());
+    if head.uri.path() == "/refused" {
+        h1::discard(&mut body, handle.as_ref(), 1 << 20, LONG).await;
+        *answer.status_mut() = http::StatusCode::NOT_FOUND;
+        return answer;
+    }
     match h1::hold(&mut body, handle.as_ref(), 1 << 20).await {
         Ok(body) => {
             let sum: u64 = body.pieces().iter().flatten().map(|b| u64::from(*b)).sum();
@@ -154,6 +159,23 @@
     });
 }
 
+/// Refused bodies without progress kept their connections for as long as the request had, whoever else came.
+#[test]
+fn a_refused_body_without_progress_yields() {
+    task::block_on(async {
+        let address = serve(memory(8 << 20, NO_LIMITS)).await;
+        let head = b"POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\nxx";
+        let mut stalled = Vec::new();
+        for _ in 0..4 {
+            stalled.push(send(address, head).await);
+        }
+        task::sleep(Duration::from_millis(1200)).await;
+        let other = send(address, b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").await;
+        let served = read_all(other).await;
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+    });
+}
+
 async fn wait_until(holds: impl Fn() -> bool) {
     let wait = async {
         while !holds() {
