--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -274,7 +274,7 @@
     Ok(std::net::TcpStream::from(connected.await?).into())
 }
 
-async fn read_status(stream: &mut TcpStream) -> io::Result<u16> {
+pub async fn read_status(stream: &mut TcpStream) -> io::Result<u16> {
     let head = read_head(stream).await?;
     status_of(&head)
 }
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -121,6 +121,16 @@
     });
 }
 
+/// A process that was suspended found the time of heads over whose rest had come meanwhile.
+#[test]
+fn a_head_whose_rest_came_while_the_process_was_suspended() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let mut machine = Machine::start(SMALLEST).await;
+        machine.resumes().await;
+    });
+}
+
 /// Whole bodies are held while endpoints work on their requests.
 #[test]
 fn whole_bodies_before_slow_endpoints() {
--- a/oxbowbend-daemon/tests/hostile/platform.rs
+++ b/oxbowbend-daemon/tests/hostile/platform.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use async_std::net::TcpListener;
+use async_std::io::WriteExt;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::{future, task};
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -16,7 +17,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 
-use crate::crowd::{ask, Crowd, Heads, Play, Seen};
+use crate::crowd::{ask, read_status, Crowd, Heads, Play, Seen};
 use crate::process::Watch;
 use crate::store::{address, Store};
 use crate::{MAX_BODY, MAX_HEAD};
@@ -29,6 +30,8 @@
 const SLOTS: u32 = 8;
 /// Time that a slow endpoint works on a request.
 const SLOW: Duration = Duration::from_millis(1500);
+/// Time that the configuration gives a head.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Bytes of a large answer, which is held until it is read.
 const LARGE_ANSWER: usize = 250_000;
 /// Bytes of the body of an ordinary request.
@@ -166,13 +169,35 @@
         self.check_limits().await;
     }
 
+    /// The process is suspended for longer than a head may take, in the middle of one whose rest comes meanwhile.
+    pub async fn resumes(&mut self) {
+        let id = "half";
+        let head = head("quick", id) + "Content-Length: 0\r\n\r\n";
+        let (beginning, rest) = head.split_at(head.len() / 2);
+        let mut stream = TcpStream::connect(self.address(Port::Callers)).await.unwrap();
+        stream.write_all(beginning.as_bytes()).await.unwrap();
+        task::sleep(PAUSE).await;
+        self.signal(Signal::STOP);
+        task::sleep(HEADER_TIMEOUT + PAUSE).await;
+        stream.write_all(rest.as_bytes()).await.unwrap();
+        self.signal(Signal::CONT);
+        let status = read_status(&mut stream).await;
+        assert!(matches!(status, Ok(200)), "{status:?}");
+        assert!(self.answers_ordinary(PATIENCE).await, "no service afterwards");
+        self.check_limits().await;
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        kill_process(Pid::from_child(self.child.get_mut().unwrap()), signal).unwrap();
+    }
+
     /// A crowd comes, and the process is told to stop while it stays. It ends, and a new one serves.
     pub async fn stops_before(&mut self, clients: usize, play: Play) {
         let heads: Heads = Arc::new(|id| head("quick", id));
         let crowd = Crowd::come(self.address(Port::Callers), clients, play, &heads);
         crowd.has_sent().await;
         let began = Instant::now();
-        kill_process(Pid::from_child(self.child.get_mut().unwrap()), Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
         while !self.has_ended() {
             assert!(began.elapsed() < PATIENCE, "the process hangs");
             task::sleep(PAUSE).await;
@@ -258,7 +283,7 @@
         "routes": [route("quick", 2000), route("large", 2000), route("slow", 60_000)],
         "services": [{ "name": "s", "max_conns": 300 }],
         "limits": {
-            "max_header_bytes": MAX_HEAD, "max_body_bytes": MAX_BODY, "header_timeout_ms": 3000,
+            "max_header_bytes": MAX_HEAD, "max_body_bytes": MAX_BODY, "header_timeout_ms": HEADER_TIMEOUT.as_millis() as u64,
             "idle_timeout_ms": 15000,
         },
         "tenants": [{ "name": "account-one", "api_keys": ["key-one"] }],
