--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -11,6 +11,9 @@
 use futures::future::join_all;
 use socket2::{Domain, Socket, Type};
 
+use crate::platform::{SLOW_ROUTE, UNKNOWN_ROUTE};
+use crate::MAX_BODY;
+
 /// Time within which a client connects or sends all that it wants to send; more than any machine needs.
 const SENDS_WITHIN: Duration = Duration::from_secs(20);
 /// Time between two clients that come; a listener drops those that come at once beyond its queue.
@@ -25,9 +28,12 @@
 const TRICKLE: Duration = Duration::from_millis(100);
 /// Time after which a client reads that reads late.
 const READS_AFTER: Duration = Duration::from_secs(1);
-/// Beginning of the ids of a crowd's requests, and of those of requests inside of bodies.
+/// Beginning of the ids of a crowd's requests, of those of requests inside of bodies, and of those that go before others.
 const ID: &str = "h-";
 const EMBEDDED_ID: &str = "embedded-";
+const EARLIER_ID: &str = "earlier-";
+/// Time between two attempts of a client that needs an answer.
+const PAUSE: Duration = Duration::from_millis(200);
 const CHUNK: usize = 64 << 10;
 const PIECE: usize = 4096;
 
@@ -79,6 +85,11 @@
     LateReader {
         bytes: usize,
     },
+    /// A whole request, and so much more while it runs. A long body on the same connection goes before it, for which the
+    /// kernel enlarges its buffer.
+    Ahead {
+        bytes: usize,
+    },
     Nothing,
     /// A whole request, whose answer is not read.
     Deaf,
@@ -87,8 +98,12 @@
 impl Play {
     /// Whether the request is one that endpoints may run.
     fn is_whole(self) -> bool {
-        use Play::{Deaf, TinyChunks, Whole, WholeHead};
-        matches!(self, Whole { .. } | WholeHead { .. } | Deaf | TinyChunks { is_ended: true, .. })
+        use Play::{Ahead, Deaf, TinyChunks, Whole, WholeHead};
+        match self {
+            Whole { .. } | WholeHead { .. } | Ahead { .. } | Deaf => true,
+            TinyChunks { is_ended, .. } => is_ended,
+            _ => false,
+        }
     }
 
     /// Bytes of the body of a whole request.
@@ -153,6 +168,10 @@
                 to.write_all(format!("{head}X: {filler}\r\nContent-Length: 0\r\n\r\n").as_bytes())
                     .await
             }
+            Play::Ahead { bytes } => {
+                to.write_all(length(0).as_bytes()).await?;
+                repeat(to, &[b'x'; CHUNK], bytes / CHUNK).await
+            }
             Play::Nothing => Ok(()),
             Play::Deaf => to.write_all(length(0).as_bytes()).await,
         }
@@ -229,7 +248,13 @@
     tell_sent: Sender<()>,
     held: Receiver<()>,
 ) -> Option<u16> {
-    let stream = connect(to, play).await;
+    let stream = match play {
+        Play::Ahead { .. } => {
+            let connected = future::timeout(SENDS_WITHIN, connect_enlarged(to, head)).await;
+            connected.map_err(io::Error::other)
+        }
+        _ => connect(to, play).await,
+    };
     let Ok(mut stream) = stream else {
         tell_sent.send(()).await.expect("the crowd is there");
         let _ = held.recv().await;
@@ -274,6 +299,20 @@
     Ok(std::net::TcpStream::from(connected.await?).into())
 }
 
+/// A connection on which a body of the greatest size has been sent to a route that does not exist.
+async fn connect_enlarged(to: SocketAddr, head: &str) -> TcpStream {
+    let head = head.replace(ID, EARLIER_ID).replace(SLOW_ROUTE, UNKNOWN_ROUTE);
+    loop {
+        if let Ok(mut stream) = connect(to, Play::Nothing).await {
+            let sent = Play::Whole { bytes: MAX_BODY }.send(&mut stream, &head).await;
+            if sent.is_ok() && matches!(read_answer(&mut stream).await, Ok(404)) {
+                return stream;
+            }
+        }
+        task::sleep(PAUSE).await;
+    }
+}
+
 pub async fn read_status(stream: &mut TcpStream) -> io::Result<u16> {
     let head = read_head(stream).await?;
     status_of(&head)
@@ -283,7 +322,12 @@
 pub async fn ask(to: SocketAddr, head: &str, play: Play) -> io::Result<u16> {
     let mut stream = connect(to, Play::Nothing).await?;
     play.send(&mut stream, head).await?;
-    let head = read_head(&mut stream).await?;
+    read_answer(&mut stream).await
+}
+
+/// Reads an answer to its end; returns its status.
+async fn read_answer(stream: &mut TcpStream) -> io::Result<u16> {
+    let head = read_head(stream).await?;
     let end = head.windows(4).position(|w| w == b"\r\n\r\n").expect("a whole head") + 4;
     let text = String::from_utf8_lossy(&head[..end]).to_ascii_lowercase();
     let length = text.lines().find_map(|line| line.strip_prefix("content-length:"));
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -204,6 +204,12 @@
     hold(LOWERED, Port::Large, 500, Play::Deaf);
 }
 
+/// What comes while a request runs is held by the kernel, in a buffer that it enlarges for each long body.
+#[test]
+fn bytes_that_come_while_requests_run() {
+    hold(LOWERED, Port::Slow, 4 * BODIES, Play::Ahead { bytes: 16 * MAX_BODY });
+}
+
 /// The listener for other instances read bodies of strangers whole before it rejected them.
 #[test]
 fn bodies_of_strangers_at_the_listener_for_handovers() {
--- a/oxbowbend-daemon/tests/hostile/platform.rs
+++ b/oxbowbend-daemon/tests/hostile/platform.rs
@@ -28,6 +28,9 @@
 const BETWEEN: (u16, u16) = (27600, 27615);
 const ENDPOINTS: usize = 3;
 const SLOTS: u32 = 8;
+/// Paths of the route to endpoints that work for long, and of one that does not exist.
+pub const SLOW_ROUTE: &str = "/slow/";
+pub const UNKNOWN_ROUTE: &str = "/unknown/";
 /// Time that a slow endpoint works on a request.
 const SLOW: Duration = Duration::from_millis(1500);
 /// Time that the configuration gives a head.
@@ -310,7 +313,7 @@
     };
     let bytes = body.to_bytes().len();
     runs.lock().unwrap().entry(id.clone()).or_default().push(bytes);
-    if head.uri.path().starts_with("/slow/") {
+    if head.uri.path().starts_with(SLOW_ROUTE) {
         task::sleep(SLOW).await;
     }
     let large = if head.uri.path().starts_with("/large/") { LARGE_ANSWER } else { 800 };
