Clients: what they send while their requests run waits in a receive buffer of a fixed size

What callers saw: an instance ended out of memory, since clients sent on while their requests ran.

Cause: nothing is read from a connection whose request runs, and the kernel holds what comes up to the connection's receive buffer, which it has enlarged to megabytes for a long body before. The users' machines count these bytes.

Why it works: listeners set the receive buffer, which their connections inherit and the kernel does not enlarge then. The buffers are not charged to the budget: one for each request that runs. Gateway and own interface; its listener for other instances (jsonrpsee) reads only from those that know the secret.

--- a/oxbowbend-daemon/src/daemon.rs
+++ b/oxbowbend-daemon/src/daemon.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::net::TcpListener;
 use async_std::task;
 use oxbowbend_core::memory::{Group, MemoryConfig};
 use oxbowbend_core::node;
 use oxbowbend_http::memory::Memory;
-use oxbowbend_http::server;
+use oxbowbend_http::{listener, server};
 use oxbowbend_store::catalog;
 use oxbowbend_store::config::ConfigStore;
 use oxbowbend_store::etcd;
@@ -204,7 +203,7 @@
     options: server::Options,
     gate: Arc<server::Gate>,
 ) -> Result<(), DaemonError> {
-    let listener = TcpListener::bind(address).await;
+    let listener = listener::bind(address).await;
     let listener = listener.map_err(|error| DaemonError::Listen { address, error })?;
     task::spawn(async move {
         if let Err(e) = server::serve(listener, handler, options, gate).await {
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use oxbowbend_core::retries::{RetryLimit, RetryLimiter};
 use oxbowbend_core::rollout::{RolloutLimits, Rollouts};
 use oxbowbend_core::slot_leases::Sender;
-use oxbowbend_http::h1;
+use oxbowbend_http::{h1, listener};
 use thiserror::Error;
 
 use crate::audience::Audience;
@@ -272,7 +272,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address).await.map_err(listen(address))
+    listener::bind(address).await.map_err(listen(address))
 }
 
 /// Something that is done now and then.
--- a/oxbowbend-http/src/lib.rs
+++ b/oxbowbend-http/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod client;
 mod event_end;
 pub mod h1;
+pub mod listener;
 pub mod memory;
 pub mod problem;
 pub mod server;
