Soak: a suspended daemon answers nothing any more when the play goes on

The signal had been sent before the requests. One thread takes it, and the others go on until that one has got a processor; so the daemon answered by the configuration that was in force until then, which it may do.

The harness now waits until all threads of the process are stopped. What the tests check is unchanged.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -429,6 +429,24 @@
         let pid = Pid::from_child(&self.child);
         // The process may have ended meanwhile; it has not been waited for, so its id is its own.
         let _ = kill_process(pid, signal);
+        if signal == Signal::STOP {
+            self.wait_until_stopped();
+        }
+    }
+
+    /// The other threads go on until the one that takes the signal has got a processor, and would answer what is sent at
+    /// once as if there were no suspension.
+    fn wait_until_stopped(&self) {
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_running = |task: std::io::Result<std::fs::DirEntry>| {
+            // The state follows the name in brackets; a thread that has ended runs no more.
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat"));
+            let state = stat.ok().and_then(|stat| stat.rsplit(") ").next()?.chars().next());
+            !matches!(state, None | Some('T' | 'Z' | 'X'))
+        };
+        while std::fs::read_dir(&tasks).is_ok_and(|tasks| tasks.into_iter().any(is_running)) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Ends the process in a way and starts it again.
