Soak: an ended endpoint closes its listener before its connections, however late the harness's timers are

A stream without framing is believed to be complete unless its endpoint refuses connections when it ends; the stand-in of a process that ends therefore has to close its listener first. It did so by waiting 30 ms before it closed a connection, while the task that closes the listener looks every 10 ms. A pause of the whole machine makes both due at once. And one longer than the 250 ms for which the endpoint is gone left its listener open for good.

Now the closing of connections waits for that of the listener, which waits for the connections before it opens again, both also when the next mode has come. What the test checks is unchanged.

--- a/oxbowbend-daemon/tests/soak/proxy.rs
+++ b/oxbowbend-daemon/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that delays, resets, cuts one way, or goes silent, to all or to some daemons.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -39,9 +40,23 @@
     Unframed,
 }
 
+/// Ends of the process for which a proxy stands. What follows from one takes place even if the next mode comes first.
+#[derive(Default)]
+struct Ends {
+    /// Ends so far.
+    all: AtomicUsize,
+    /// Those after which the listener has been closed.
+    closed: AtomicUsize,
+    /// Open connections.
+    open: AtomicUsize,
+}
+
 #[derive(Clone)]
 pub struct Proxy {
     mode: Arc<Mutex<Mode>>,
+    ends: Arc<Ends>,
+    /// Ends before the connection was accepted, of the copy that serves one.
+    ends_before: usize,
     paths: Paths,
     /// Addresses of daemons, if these are on both sides.
     addresses: Option<PeerAddresses>,
@@ -50,7 +65,7 @@
 impl Proxy {
     /// Starts one on the ways that some daemons take.
     pub fn start(listener: TcpListener, to: SocketAddr, paths: Paths) -> Proxy {
-        let proxy = Proxy { mode: Arc::new(Mutex::new(Mode::Pass)), paths, addresses: None };
+        let proxy = Proxy::new(paths, None);
         task::spawn(proxy.clone().listen(listener, to));
         proxy
     }
@@ -62,33 +77,58 @@
         paths: Paths,
         addresses: PeerAddresses,
     ) {
+        task::spawn(Proxy::new(paths, Some(addresses)).listen(listener, to));
+    }
+
+    fn new(paths: Paths, addresses: Option<PeerAddresses>) -> Proxy {
         let mode = Arc::new(Mutex::new(Mode::Pass));
-        let proxy = Proxy { mode, paths, addresses: Some(addresses) };
-        task::spawn(proxy.listen(listener, to));
+        Proxy { mode, ends: Arc::default(), ends_before: 0, paths, addresses }
     }
 
     async fn listen(self, mut listener: TcpListener, to: SocketAddr) {
         let address = listener.local_addr().unwrap();
         loop {
             let accepted = async_std::future::timeout(LOOK, listener.accept()).await;
-            if matches!(self.mode(), Mode::Down | Mode::Ended) {
+            let ends = self.ends.all.load(Ordering::SeqCst);
+            let has_ended = ends > self.ends.closed.load(Ordering::SeqCst);
+            if has_ended || matches!(self.mode(), Mode::Down | Mode::Ended) {
                 drop(listener);
-                while matches!(self.mode(), Mode::Down | Mode::Ended) {
+                self.ends.closed.store(ends, Ordering::SeqCst);
+                while self.is_down(has_ended) {
                     task::sleep(LOOK).await;
                 }
                 listener = TcpListener::bind(address).await.unwrap();
                 continue;
             }
             if let Ok(Ok((stream, _))) = accepted {
-                task::spawn(self.clone().connection(stream, to));
+                self.ends.open.fetch_add(1, Ordering::SeqCst);
+                let connection = Proxy { ends_before: ends, ..self.clone() };
+                task::spawn(async move {
+                    connection.clone().connection(stream, to).await;
+                    connection.ends.open.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         }
     }
 
     pub fn set_mode(&self, mode: Mode) {
+        if mode == Mode::Ended {
+            self.ends.all.fetch_add(1, Ordering::SeqCst);
+        }
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// Whether nobody listens. The connections of a process that has ended are closed before the next one starts.
+    fn is_down(&self, has_ended: bool) -> bool {
+        let has_connections = has_ended && self.ends.open.load(Ordering::SeqCst) > 0;
+        has_connections || matches!(self.mode(), Mode::Down | Mode::Ended)
+    }
+
+    /// Whether the process has ended that accepted this connection.
+    fn has_ended(&self) -> bool {
+        self.ends.all.load(Ordering::SeqCst) > self.ends_before
+    }
+
     fn mode(&self) -> Mode {
         *self.mode.lock().unwrap()
     }
@@ -102,6 +142,9 @@
 
     /// What happens to the bytes of a connection.
     async fn mode_of(&self, conn: &Accepted) -> Mode {
+        if self.has_ended() {
+            return Mode::Ended;
+        }
         match (self.mode(), self.paths.cut_of(conn).await) {
             (mode @ (Mode::Reset | Mode::Down | Mode::Ended), _) => mode,
             (_, Some(Manner::Reset)) => Mode::Reset,
@@ -126,12 +169,13 @@
         let there = Box::pin(self.clone().pump(&conn, near.clone(), far.clone(), false));
         let back = Box::pin(self.clone().pump(&conn, far.clone(), near.clone(), true));
         futures::future::select(there, back).await;
-        if (self.is_off(&conn).await && self.mode() != Mode::Ended) || self.mode() == Mode::Strike {
-            reset(&near);
-        }
-        if self.mode() == Mode::Ended {
+        if self.has_ended() {
             // A process closes its listener first, which it opened first.
-            task::sleep(3 * LOOK).await;
+            while self.ends.closed.load(Ordering::SeqCst) <= self.ends_before {
+                task::sleep(LOOK).await;
+            }
+        } else if self.is_off(&conn).await || self.mode() == Mode::Strike {
+            reset(&near);
         }
         let _ = near.shutdown(std::net::Shutdown::Both);
         let _ = far.shutdown(std::net::Shutdown::Both);
