--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -81,9 +81,10 @@
     Embedded {
         bytes: usize,
     },
-    /// A whole body that is too long, whose answer is read late.
+    /// A whole body whose answer is read late.
     LateReader {
         bytes: usize,
+        is_chunked: bool,
     },
     /// A whole request, and so much more while it runs. A long body on the same connection goes before it, for which the
     /// kernel enlarges its buffer.
@@ -151,7 +152,7 @@
                 let request = request.replace(ID, EMBEDDED_ID);
                 repeat(to, request.repeat(100).as_bytes(), bytes / (100 * request.len())).await
             }
-            Play::LateReader { bytes } => {
+            Play::LateReader { bytes, is_chunked: true } => {
                 to.write_all(chunked.as_bytes()).await?;
                 let chunk = [b"10000\r\n".as_slice(), &[b'x'; CHUNK], b"\r\n"].concat();
                 repeat(to, &chunk, bytes / CHUNK).await?;
@@ -159,6 +160,12 @@
                 task::sleep(READS_AFTER).await;
                 Ok(())
             }
+            Play::LateReader { bytes, is_chunked: false } => {
+                to.write_all(length(bytes).as_bytes()).await?;
+                to.write_all(&vec![b'x'; bytes]).await?;
+                task::sleep(READS_AFTER).await;
+                Ok(())
+            }
             Play::Head { bytes } => {
                 to.write_all(format!("{head}X: {}", "y".repeat(bytes)).as_bytes()).await
             }
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -76,7 +76,17 @@
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     task::block_on(async {
         let machine = Machine::start(SMALLEST).await;
-        machine.refuses_late_reader(MAX_BODY + (64 << 10)).await;
+        machine.refuses_late_reader(MAX_BODY + (64 << 10), true).await;
+    });
+}
+
+/// A client that announces such a body and sends it whole before it reads lost the answer too.
+#[test]
+fn a_late_reader_sees_that_its_announced_body_is_too_long() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let machine = Machine::start(SMALLEST).await;
+        machine.refuses_late_reader(MAX_BODY + (64 << 10), false).await;
     });
 }
 
--- a/oxbowbend-daemon/tests/hostile/platform.rs
+++ b/oxbowbend-daemon/tests/hostile/platform.rs
@@ -163,10 +163,11 @@
     }
 
     /// A body that is too long is refused, and a client who reads late sees that.
-    pub async fn refuses_late_reader(&self, bytes: usize) {
-        let play = Play::LateReader { bytes };
-        let status = ask(self.address(Port::Callers), &head("quick", "late"), play).await;
-        assert!(matches!(status, Ok(413)), "{status:?}");
+    pub async fn refuses_late_reader(&self, bytes: usize, is_chunked: bool) {
+        let play = Play::LateReader { bytes, is_chunked };
+        let (to, head) = (self.address(Port::Callers), head("quick", "late"));
+        let status = future::timeout(PATIENCE, ask(to, &head, play)).await;
+        assert!(matches!(status, Ok(Ok(413))), "{status:?}");
         assert!(!self.runs.lock().unwrap().contains_key("late"));
         assert!(self.answers_ordinary(PATIENCE).await, "no service afterwards");
         self.check_limits().await;
