Clients: a body that is announced just beyond the limit is read, so that a late reader gets 413

What callers saw: a reset instead of 413, if they sent all of the body before they read.

Cause: of a body that is announced too long nothing was read, and the connection was closed with its bytes unread, which resets it. The same body in chunks was read to the limit and once more as much.

Why it works: of each refused body up to twice the limit are thrown away, within 2 s as before. What is announced beyond that is not read, as before; a client that sends it all first cannot get an answer.

--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -84,7 +84,8 @@
         let is_refused = metadata.is_err() || matches!(route, Some(None));
         let body = match is_refused && body.size_hint().exact().is_none_or(|n| n > SMALL_BODY) {
             true => {
-                h1::discard(&mut body, handle.as_ref(), max_body_bytes, timeout).await;
+                let max_bytes = max_discarded_bytes(max_body_bytes);
+                h1::discard(&mut body, handle.as_ref(), max_bytes, timeout).await;
                 None
             }
             false => {
@@ -335,6 +336,12 @@
     }
 }
 
+/// Returns how much of a refused body is read and thrown away: a client whose body is not much too long sees the refusal
+/// also if it reads only after it has sent all.
+fn max_discarded_bytes(max_body_bytes: usize) -> usize {
+    max_body_bytes.saturating_mul(2)
+}
+
 /// Reads a body within a time. The rest of one that is refused is thrown away.
 async fn read_body(
     body: &mut Incoming,
@@ -353,6 +360,6 @@
             Refusal::OverMemory { retry_after: OVER_MEMORY_RETRY_AFTER.mul_f64(jitter) }
         }
     };
-    h1::discard(body, handle, max_body_bytes, DISCARD_TIMEOUT).await;
+    h1::discard(body, handle, max_discarded_bytes(max_body_bytes), DISCARD_TIMEOUT).await;
     Err(refusal)
 }
