Tests: requests inside of bodies that are refused with 408 and 503; a late reader of 408

Until now only 413 and bodies without a route were played with requests inside. Neither they nor anything in them ran.

--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::io::{ReadExt, WriteExt};
@@ -23,13 +23,15 @@
 /// Receive buffer of a client who does not read, in bytes.
 const SMALL_BUFFER: usize = 4096;
 /// Length that is announced for a body beyond all limits, in bytes.
-const ANNOUNCED: usize = 1 << 30;
+pub const ANNOUNCED: usize = 1 << 30;
 /// Time between two bytes of a client that makes little progress.
 const TRICKLE: Duration = Duration::from_millis(100);
+/// Time for which a client sends a slow body: more than a request may take, less than the rest of its body is read for.
+const SLOW_BODY: Duration = Duration::from_millis(3500);
 /// Time after which a client reads that reads late.
 const READS_AFTER: Duration = Duration::from_secs(1);
 /// Beginning of the ids of a crowd's requests, of those of requests inside of bodies, and of those that go before others.
-const ID: &str = "h-";
+pub const ID: &str = "h-";
 const EMBEDDED_ID: &str = "embedded-";
 const EARLIER_ID: &str = "earlier-";
 /// Time between two attempts of a client that needs an answer.
@@ -77,10 +79,15 @@
     Trickle {
         bytes: usize,
     },
-    /// So much of a body beyond all limits, which consists of requests.
+    /// So much of a body, which consists of requests.
     Embedded {
+        announced: usize,
         bytes: usize,
     },
+    /// The same, one request now and then until the body's time is over.
+    SlowEmbedded {
+        announced: usize,
+    },
     /// A whole body whose answer is read late.
     LateReader {
         bytes: usize,
@@ -146,12 +153,20 @@
                 repeat(to, &[b'x'; CHUNK], bytes / CHUNK).await
             }
             Play::Trickle { bytes } => to.write_all(length(bytes).as_bytes()).await,
-            Play::Embedded { bytes } => {
-                to.write_all(length(ANNOUNCED).as_bytes()).await?;
-                let request = format!("{head}Content-Length: 0\r\n\r\n");
-                let request = request.replace(ID, EMBEDDED_ID);
+            Play::Embedded { announced, bytes } => {
+                to.write_all(length(announced).as_bytes()).await?;
+                let request = embedded(head);
                 repeat(to, request.repeat(100).as_bytes(), bytes / (100 * request.len())).await
             }
+            Play::SlowEmbedded { announced } => {
+                to.write_all(length(announced).as_bytes()).await?;
+                let until = Instant::now() + SLOW_BODY;
+                while Instant::now() < until {
+                    to.write_all(embedded(head).as_bytes()).await?;
+                    task::sleep(TRICKLE).await;
+                }
+                Ok(())
+            }
             Play::LateReader { bytes, is_chunked: true } => {
                 to.write_all(chunked.as_bytes()).await?;
                 let chunk = [b"10000\r\n".as_slice(), &[b'x'; CHUNK], b"\r\n"].concat();
@@ -185,6 +200,11 @@
     }
 }
 
+/// A request that stands in a body.
+fn embedded(head: &str) -> String {
+    format!("{head}Content-Length: 0\r\n\r\n").replace(ID, EMBEDDED_ID)
+}
+
 async fn repeat(to: &mut TcpStream, piece: &[u8], times: usize) -> io::Result<()> {
     for _ in 0..times {
         to.write_all(piece).await?;
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -20,7 +20,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use async_std::task;
-use crowd::Play;
+use crowd::{Play, ANNOUNCED};
 use platform::{Machine, Port, Settings};
 
 /// Bytes of a body that the configuration allows, as on the users' deployments.
@@ -76,7 +76,8 @@
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     task::block_on(async {
         let machine = Machine::start(SMALLEST).await;
-        machine.refuses_late_reader(MAX_BODY + (64 << 10), true).await;
+        let play = Play::LateReader { bytes: MAX_BODY + (64 << 10), is_chunked: true };
+        machine.refuses(play, 413).await;
     });
 }
 
@@ -86,15 +87,34 @@
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     task::block_on(async {
         let machine = Machine::start(SMALLEST).await;
-        machine.refuses_late_reader(MAX_BODY + (64 << 10), false).await;
+        let play = Play::LateReader { bytes: MAX_BODY + (64 << 10), is_chunked: false };
+        machine.refuses(play, 413).await;
     });
 }
 
 /// What is left of a refused body may not be taken for requests.
 #[test]
 fn requests_inside_of_refused_bodies() {
-    hold(LOWERED, Port::Callers, BODIES, Play::Embedded { bytes: 2 * MAX_BODY });
-    hold(LOWERED, Port::Unknown, BODIES, Play::Embedded { bytes: MAX_BODY });
+    let embedded = |bytes| Play::Embedded { announced: ANNOUNCED, bytes };
+    hold(LOWERED, Port::Callers, BODIES, embedded(2 * MAX_BODY));
+    hold(LOWERED, Port::Unknown, BODIES, embedded(MAX_BODY));
+}
+
+/// The same where bodies yield to others for lack of memory.
+#[test]
+fn requests_inside_of_bodies_that_stop_short_of_their_end() {
+    let play = Play::Embedded { announced: MAX_BODY, bytes: MAX_BODY - (64 << 10) };
+    hold(LOWERED, Port::Callers, BODIES, play);
+}
+
+/// The same where a body takes longer than its request may.
+#[test]
+fn requests_inside_of_a_body_that_comes_too_slowly() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let machine = Machine::start(SMALLEST).await;
+        machine.refuses(Play::SlowEmbedded { announced: MAX_BODY }, 408).await;
+    });
 }
 
 /// Memory that a crowd had held was not there for the next one.
--- a/oxbowbend-daemon/tests/hostile/platform.rs
+++ b/oxbowbend-daemon/tests/hostile/platform.rs
@@ -17,7 +17,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 
-use crate::crowd::{ask, read_status, Crowd, Heads, Play, Seen};
+use crate::crowd::{ask, read_status, Crowd, Heads, Play, Seen, ID};
 use crate::process::Watch;
 use crate::store::{address, Store};
 use crate::{MAX_BODY, MAX_HEAD};
@@ -162,14 +162,15 @@
         self.check_limits().await;
     }
 
-    /// A body that is too long is refused, and a client who reads late sees that.
-    pub async fn refuses_late_reader(&self, bytes: usize, is_chunked: bool) {
-        let play = Play::LateReader { bytes, is_chunked };
-        let (to, head) = (self.address(Port::Callers), head("quick", "late"));
-        let status = future::timeout(PATIENCE, ask(to, &head, play)).await;
-        assert!(matches!(status, Ok(Ok(413))), "{status:?}");
-        assert!(!self.runs.lock().unwrap().contains_key("late"));
+    /// A request is refused in the middle of its body, and a client who reads late sees that. Neither it nor anything in
+    /// its body runs.
+    pub async fn refuses(&self, play: Play, status: u16) {
+        let id = format!("{ID}late");
+        let (to, head) = (self.address(Port::Callers), head("quick", &id));
+        let seen = future::timeout(PATIENCE, ask(to, &head, play)).await;
+        assert!(matches!(seen, Ok(Ok(seen)) if seen == status), "{seen:?}");
         assert!(self.answers_ordinary(PATIENCE).await, "no service afterwards");
+        self.check_runs(&[Seen { id, status: Some(status), is_whole: false }], play);
         self.check_limits().await;
     }
 
