--- a/oxbowbend-daemon/tests/hostile/crowd.rs
+++ b/oxbowbend-daemon/tests/hostile/crowd.rs
@@ -46,6 +46,10 @@
     Whole {
         bytes: usize,
     },
+    /// A whole JSON body of many small objects.
+    Objects {
+        bytes: usize,
+    },
     /// All but the last byte of a body.
     Short {
         bytes: usize,
@@ -130,6 +134,13 @@
                 to.write_all(length(bytes).as_bytes()).await?;
                 to.write_all(&vec![b'x'; bytes]).await
             }
+            Play::Objects { bytes } => {
+                const OBJECT: &str = r#"{"a":0},"#;
+                let objects = OBJECT.repeat(bytes / OBJECT.len());
+                let body = format!(r#"{{"model":"live","messages":[{objects}0]}}"#);
+                to.write_all(length(body.len()).as_bytes()).await?;
+                to.write_all(body.as_bytes()).await
+            }
             Play::Short { bytes } => {
                 to.write_all(length(bytes).as_bytes()).await?;
                 to.write_all(&vec![b'x'; bytes - 1]).await
--- a/oxbowbend-daemon/tests/hostile/main.rs
+++ b/oxbowbend-daemon/tests/hostile/main.rs
@@ -271,3 +271,10 @@
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     task::block_on(own::bear(BODIES, |bytes| Play::Chunks { bytes }));
 }
+
+/// What is made of a body takes many times its bytes, of small objects most.
+#[test]
+fn own_interface_bodies_of_many_small_objects() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(own::bear(2 * BODIES, |_| Play::Objects { bytes: 200_000 }));
+}
