Stop: one rule for every way that a request can take, and an answer for what is left at the end

What callers saw: an instance that stops took requests on late in its grace period and closed their connections without an answer when it exited, among them requests that may not be repeated (LOST).

Cause: the check of the shutdown belonged to one way, a slot of the own cell. Hand-over and overflow came before it; slow endpoints make a stopping instance take itself for cut off, so that a hand-over needs no cut. A plain request was expected to take its objective, whatever endpoints take. What lasted until the exit had no answer at all. Ruled out: that requests came unread (event=handed_over, event=overflow at the stopping instance).

Change: every attempt begins with the check, whichever way it goes; ways through a peer are checked by what the service is expected to take; a response goes on at another endpoint only if it is expected to end in time. 0.2 s before the exit what has no response is answered: 503 if it was sent nowhere, else 504 (outcome=interrupted).

--- a/oxbowbend-core/src/cell/expectation.rs
+++ b/oxbowbend-core/src/cell/expectation.rs
@@ -6,10 +6,11 @@
 //! Estimates in Reliable Transport Protocols", 1987): at the same endpoint until it answers, and at all
 //! others of its service until any of them does. What other services take is no expectation at all.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::assign::median;
 use super::choice::first_event_at;
+use super::order::generation_time;
 use super::Cell;
 use crate::ids::{EndpointKey, ServiceId};
 use crate::silence::Expectation;
@@ -71,6 +72,21 @@
         }
     }
 
+    /// Returns the time that a whole response of so many tokens is expected to take at an idle endpoint
+    /// of a service; `None` if nothing has been measured or its length is not known.
+    pub fn service_total(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        prompt_tokens: u32,
+        output_tokens: u32,
+    ) -> Option<Duration> {
+        self.refresh_latency_cache(now);
+        let ns_per_unit = self.service_pace(service).filter(|_| output_tokens > 0)?;
+        let first_event = first_event_at(ns_per_unit, prompt_tokens, 0, 1);
+        Some(first_event.saturating_add(generation_time(output_tokens, ns_per_unit)))
+    }
+
     /// Records that a request sent at `sent_at` has been waited for in vain, for as long as `doublings`
     /// make it.
     pub fn record_silence(&mut self, endpoint: EndpointKey, sent_at: Instant, doublings: u32) {
--- a/oxbowbend-core/src/shutdown.rs
+++ b/oxbowbend-core/src/shutdown.rs
@@ -5,9 +5,15 @@
 //! are certain to complete before its deadline, and refuses the rest at once as not run. If enough
 //! others are ready, it admits no more requests and exits after its last response. An instance
 //! without ready peers that keeps receiving requests stays until the end of its grace period.
+//!
+//! The rule is the same for every way that a request can take: to an endpoint of this instance's
+//! cell or of another one, through a peer, or to one more endpoint after a failure. Whoever executes
+//! it, the response passes through this process.
 
 use std::time::{Duration, Instant};
 
+use crate::silence::Expectation;
+
 /// Share of the grace period after which remaining requests are aborted. The platform kills the
 /// process at the end of the grace period.
 const GRACE_SHARE: f64 = 0.95;
@@ -16,6 +22,9 @@
 const SAFETY_FACTOR: f64 = 8.0;
 /// Additional time that must remain, for network delay.
 const NETWORK_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the deadline at which requests without a response are answered with an error: that
+/// of a machine at its limit to write the responses, and of its clients to read them.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
 /// Time for which all requests are admitted. The load balancer needs two failed probes, one second
 /// apart, to stop sending requests.
 const FULL_SERVICE_TIME: Duration = Duration::from_millis(2500);
@@ -45,6 +54,12 @@
         self.started_at + self.grace_period.mul_f64(GRACE_SHARE)
     }
 
+    /// Returns the time at which requests that have no response yet are answered with an error. A
+    /// client whose connection closes without one cannot tell what became of its request.
+    pub fn response_deadline(&self) -> Instant {
+        self.deadline() - FINAL_RESPONSE_TIME
+    }
+
     /// Returns the time until which all requests are admitted.
     pub fn full_service_until(&self) -> Instant {
         self.started_at + FULL_SERVICE_TIME.min(self.grace_period / 3)
@@ -92,13 +107,50 @@
         expected_time: Option<Duration>,
         others_ready: bool,
     ) -> bool {
-        match expected_time {
-            _ if now < self.full_service_until() => true,
-            _ if others_ready => false,
-            Some(expected_time) => {
-                now + expected_time.mul_f64(SAFETY_FACTOR) + NETWORK_MARGIN <= self.deadline()
-            }
-            None => false,
+        match now < self.full_service_until() {
+            true => true,
+            false => !others_ready && self.completes_in_time(now, expected_time),
         }
     }
+
+    /// Returns whether a response that has begun may go on at another endpoint, where it is expected
+    /// to take `expected_time`. Whether others are ready does not matter: the client would have to
+    /// begin anew there.
+    pub fn may_continue(&self, now: Instant, expected_time: Option<Duration>) -> bool {
+        now < self.full_service_until() || self.completes_in_time(now, expected_time)
+    }
+
+    fn completes_in_time(&self, now: Instant, expected_time: Option<Duration>) -> bool {
+        expected_time.is_some_and(|expected| {
+            let required = Duration::try_from_secs_f64(expected.as_secs_f64() * SAFETY_FACTOR);
+            let left = self.deadline().saturating_duration_since(now);
+            required.is_ok_and(|required| required.saturating_add(NETWORK_MARGIN) <= left)
+        })
+    }
+}
+
+/// Returns the expected duration of a request without a stream: its objective, or what endpoints
+/// have taken if that is longer. It is unknown while none has responded in the time that was expected.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use oxbowbend_core::shutdown::expected_response_time;
+/// use oxbowbend_core::silence::Expectation;
+///
+/// let objective = Duration::from_millis(100);
+/// let expected = |ms: Option<u64>, doublings| {
+///     let first_event = ms.map(Duration::from_millis);
+///     expected_response_time(objective, Expectation { first_event, doublings })
+/// };
+/// assert_eq!(expected(Some(20), 0), Some(objective));
+/// assert_eq!(expected(Some(900), 1), Some(Duration::from_millis(1800)));
+/// assert_eq!((expected(None, 0), expected(None, 1)), (Some(objective), None));
+/// ```
+pub fn expected_response_time(objective: Duration, measured: Expectation) -> Option<Duration> {
+    let Expectation { first_event, doublings } = measured;
+    match first_event {
+        Some(time) => Some(time.saturating_mul(2_u32.saturating_pow(doublings)).max(objective)),
+        None => (doublings == 0).then_some(objective),
+    }
 }
--- a/oxbowbend-core/tests/shutdown.rs
+++ b/oxbowbend-core/tests/shutdown.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use oxbowbend_core::shutdown::Shutdown;
+use oxbowbend_core::shutdown::{expected_response_time, Shutdown};
+use oxbowbend_core::silence::Expectation;
 
 const MS: Duration = Duration::from_millis(1);
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
@@ -34,6 +35,49 @@
     }
 }
 
+/// Guards against a response that is begun once more at another endpoint and broken off at the exit.
+#[test]
+fn a_response_goes_on_elsewhere_only_if_it_is_expected_to_end_in_time() {
+    let started_at = Instant::now();
+    let shutdown = Shutdown::new(started_at, GRACE_PERIOD);
+    // Milliseconds since the signal, expected duration, whether it may go on.
+    for (at, expected, may_continue) in [
+        (0, Some(60_000), true),
+        (2400, None, true),
+        (2600, None, false),
+        (2600, Some(500), true),
+        (2600, Some(1000), false),
+        (7500, Some(1), false),
+    ] {
+        let (now, time) = (started_at + at * MS, expected.map(|ms: u32| ms * MS));
+        assert_eq!(shutdown.may_continue(now, time), may_continue, "{at} ms, {expected:?}");
+    }
+}
+
+/// Guards against an arithmetic error for durations that no clock can hold.
+#[test]
+fn extreme_expectations_are_never_admitted_late() {
+    let started_at = Instant::now();
+    let shutdown = Shutdown::new(started_at, GRACE_PERIOD);
+    let late = started_at + 2600 * MS;
+    let expected = expected_response_time(
+        Duration::MAX,
+        Expectation { first_event: Some(Duration::MAX), doublings: u32::MAX },
+    );
+    assert_eq!(expected, Some(Duration::MAX));
+    assert!(!shutdown.admits(late, expected, false));
+    assert!(!shutdown.may_continue(late, expected));
+}
+
+#[test]
+fn errors_are_sent_before_the_exit_and_after_all_requests_have_stopped_waiting() {
+    let started_at = Instant::now();
+    let shutdown = Shutdown::new(started_at, GRACE_PERIOD);
+    let response_deadline = shutdown.response_deadline();
+    assert!(response_deadline < shutdown.deadline());
+    assert!(shutdown.cap_wait(response_deadline, Duration::MAX).is_zero());
+}
+
 #[test]
 fn it_exits_when_idle_and_sooner_if_others_are_ready() {
     let started_at = Instant::now();
--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -455,6 +455,11 @@
         self.restart().await;
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Waits for the process to end and starts it again; returns whether it ended well.
     pub async fn restart(&mut self) -> bool {
         let ended = loop {
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -45,6 +45,7 @@
 mod signals;
 mod slow;
 mod starts;
+mod stops;
 // tests/recovery uses more of it.
 #[allow(dead_code)]
 mod store;
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -90,7 +90,7 @@
             }
             false => {
                 let read = read_body(&mut body, handle.as_ref(), max_body_bytes, timeout);
-                Some(read.await.map_err(with_id)?)
+                Some(self.until_exit(None, read).await.map_err(with_id)?)
             }
         };
         let metadata = metadata.map_err(|e| with_id(Refusal::InvalidHead(e.0)))?;
@@ -214,6 +214,7 @@
             origin: Origin::Client,
             config_version: table.version(),
             is_counted: AtomicBool::new(false),
+            may_have_run: AtomicBool::new(false),
             stream_key: None,
             bound_to: None,
         })
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -153,6 +153,9 @@
         let mut excluded = Vec::new();
         while excluded.len() < MAX_PEERS_TRIED {
             let (peer, isolated_for) = self.choose_peer(request, &excluded)?;
+            if let Err(refusal) = self.check_time_for_peer(request) {
+                return Some(history.final_result(refusal));
+            }
             log::info!(
                 "event=handed_over id={} peer={} isolated_ms={} report_age_ms={} left_ms={}",
                 request.metadata.id,
@@ -167,7 +170,10 @@
                     observe::handed_over("answered");
                     return Some(self.accept(request, history, response));
                 }
-                Offer::NotAccepted(reason) => reason.name(),
+                Offer::NotAccepted(reason) => {
+                    history.note_unexecuted(request);
+                    reason.name()
+                }
                 Offer::Unknown(refusal) => {
                     observe::handed_over("unknown");
                     if !self.can_retry_unknown(request, history, &refusal) {
@@ -234,6 +240,7 @@
         let in_progress = InProgress::start(&self.shared, &peer.instance);
         let exchange = async {
             let mut conn = connected(purpose, peer, self.pool.get(peer.address)).await?;
+            request.may_have_run.store(true, Ordering::SeqCst);
             let mut result = conn.send_held(self.handover_request(request, purpose)).await;
             if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
                 conn = connected(purpose, peer, self.pool.connect(peer.address)).await?;
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod retry;
 mod run;
+mod shutdown;
 mod stream;
 mod take_up;
 
@@ -30,11 +31,10 @@
 use http_body_util::{Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use oxbowbend_clock as clock;
-use oxbowbend_core::cell::{Assignment, Outcome};
+use oxbowbend_core::cell::Assignment;
 use oxbowbend_core::config_order::ConfigVersion;
 use oxbowbend_core::ids::EndpointId;
 use oxbowbend_core::routes::Endpoint;
-use oxbowbend_core::shutdown::Shutdown;
 use oxbowbend_core::streams::StreamOrigin;
 use oxbowbend_http::h1;
 
@@ -130,7 +130,8 @@
                 return origin.respond_to_refused(refusal).map(Either::Left);
             }
         };
-        match self.clone().send_with_retries(&request).await {
+        let result = self.clone().send_with_retries(&request);
+        match self.until_exit(Some(&request), result).await {
             Ok(AttemptResponse::Complete(response)) => {
                 response.map(|body| Either::Left(h1::Whole::new(body)))
             }
@@ -167,6 +168,9 @@
             AttemptHistory { bound_to: request.bound_to.clone(), ..AttemptHistory::default() };
         let mut misdirected = 0;
         loop {
+            if let Err(refusal) = self.check_open() {
+                return history.final_result(refusal);
+            }
             if let Some(result) = self.hand_over(request, &mut history).await {
                 return result;
             }
@@ -201,6 +205,7 @@
                     return history.final_result(refusal);
                 }
                 Err(error) if error.is_unexecuted() => {
+                    history.note_unexecuted(request);
                     match error.is_misdirected() {
                         true => misdirected += 1,
                         false => history.unexecuted += 1,
@@ -333,26 +338,6 @@
         Ok(Slot { assignment, lease: None })
     }
 
-    /// Rejects a request that a shutdown in progress would probably interrupt. Not called when a
-    /// stream is resumed.
-    fn check_shutdown(&self, request: &AdmittedRequest, slot: Slot) -> Result<Slot, Refusal> {
-        let now = clock::now();
-        let assignment = &slot.assignment;
-        let state = self.shared.lock();
-        let expected = if request.route.stream {
-            assignment.expected_total
-        } else {
-            Some(request.route.objective)
-        };
-        let admits = |s: Shutdown| s.admits(now, expected, state.are_others_ready(now));
-        if state.shutdown.is_none_or(admits) {
-            return Ok(slot);
-        }
-        drop(state);
-        self.shared.finish(assignment.endpoint.key(), assignment.prompt_tokens, Outcome::Neutral);
-        Err(Refusal::Stopping)
-    }
-
     fn refund_quota(&self, request: &AdmittedRequest) {
         if !request.is_counted.swap(false, Ordering::SeqCst) {
             return;
@@ -370,6 +355,11 @@
         self.excluded_endpoints.is_empty() && self.unexecuted == 0 && self.possibly_executed == 0
     }
 
+    /// Records that what was sent last has not been executed.
+    fn note_unexecuted(&self, request: &AdmittedRequest) {
+        request.may_have_run.store(self.possibly_executed > 0, Ordering::SeqCst);
+    }
+
     /// Returns the final result after the last attempt: the error response of an endpoint if there
     /// was one, otherwise `refusal`, which becomes [`Refusal::Failed`] if it claims that the request
     /// was not executed although an earlier attempt may have executed it.
--- a/oxbowbend-gateway/src/relay/overflow.rs
+++ b/oxbowbend-gateway/src/relay/overflow.rs
@@ -51,6 +51,8 @@
     ) -> Option<Result<AttemptResponse, Refusal>> {
         let mut excluded = Vec::new();
         while excluded.len() < MAX_OFFERS {
+            // A request without time for this may still get a slot here.
+            self.check_time_for_peer(request).ok()?;
             let (chosen, address) = self.choose_other_cell(request, history, &excluded)?;
             let peer = ChosenPeer {
                 instance: chosen.instance.clone(),
@@ -62,6 +64,7 @@
             match offer {
                 Offer::Response(response) => return Some(self.accept(request, history, response)),
                 Offer::NotAccepted(reason) => {
+                    history.note_unexecuted(request);
                     self.record_not_accepted(request, &chosen, address, reason);
                     excluded.push(chosen.instance);
                 }
--- a/oxbowbend-gateway/src/relay/refusal.rs
+++ b/oxbowbend-gateway/src/relay/refusal.rs
@@ -56,6 +56,8 @@
     Failed,
     /// The request was sent to an endpoint, which did not respond in time.
     TimedOut,
+    /// The request was sent somewhere, and this instance exits before the response.
+    Interrupted,
 }
 
 impl Refusal {
@@ -77,13 +79,13 @@
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::TimedOut | Refusal::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// Returns whether it is certain that the request was not executed.
     pub(crate) fn is_unexecuted(&self) -> bool {
-        !matches!(self, Refusal::Failed | Refusal::TimedOut)
+        !matches!(self, Refusal::Failed | Refusal::TimedOut | Refusal::Interrupted)
     }
 
     fn retry_after(&self) -> Option<Duration> {
@@ -131,6 +133,7 @@
             Refusal::StreamNotTakenUp { reason, .. } => reason.name(),
             Refusal::Failed => "failed",
             Refusal::TimedOut => "timed_out",
+            Refusal::Interrupted => "interrupted",
         }
     }
 
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -45,6 +45,8 @@
     pub(crate) config_version: u64,
     /// Whether the request counts in its account's quota and the retry budget of this instance.
     pub(crate) is_counted: AtomicBool,
+    /// Whether the request was sent anywhere that may execute it, or may have executed it already.
+    pub(crate) may_have_run: AtomicBool,
     /// The stream that the request begins or continues, if another endpoint may continue it.
     pub(crate) stream_key: Option<StreamKey>,
     /// Where the stream began that the request continues.
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -1,6 +1,7 @@
 //! A single attempt to have an endpoint execute a request.
 
 use std::pin::pin;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -336,6 +337,7 @@
         }
         let is_trial = self.check_send_permission(request)?;
         attempt.progress = Progress::Sent { is_new_connection: !conn.has_answered() };
+        request.may_have_run.store(true, Ordering::SeqCst);
         let mut result = conn.send_held(self.build_request(request, attempt, last_event_id)).await;
         if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
             conn = self.pool.connect(address).await.map_err(AttemptError::NotSent)?;
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -329,7 +329,9 @@
             if !self.relay.acquire_retry(&self.request, "stream_broken", &mut history) {
                 return false;
             }
-            let Ok(slot) = self.relay.get_slot(&self.request, &history).await else { return false };
+            let slot = self.relay.get_slot(&self.request, &history).await;
+            let slot = slot.and_then(|slot| self.relay.check_may_continue(&self.request, slot));
+            let Ok(slot) = slot else { return false };
             history.start_retry();
             let endpoint = slot.assignment.endpoint.id.clone();
             let is_last = self.send_count + 1 >= self.request.route.max_attempts;
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -290,6 +290,8 @@
     pub(crate) confirmations: Confirmations,
     /// Closed once requests can be served.
     loaded: (channel::Sender<()>, channel::Receiver<()>),
+    /// Closed at the response deadline of a shutdown.
+    response_deadline: (channel::Sender<()>, channel::Receiver<()>),
     /// Tells that the watch of a part is given up, by part.
     pub(crate) given_up: [(channel::Sender<CancelReason>, channel::Receiver<CancelReason>); 2],
 }
@@ -343,7 +345,9 @@
         let state = Arc::new(Mutex::new(state));
         let given_up = [channel::bounded(1), channel::bounded(1)];
         let confirmations = Confirmations::default();
-        (Shared { state, changed, confirmations, loaded: channel::bounded(1), given_up }, rx)
+        let (loaded, response_deadline) = (channel::bounded(1), channel::bounded(1));
+        let shared = Shared { state, changed, confirmations, loaded, response_deadline, given_up };
+        (shared, rx)
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
@@ -368,6 +372,16 @@
         let _ = self.loaded.1.recv().await;
     }
 
+    /// Waits until requests without a response have to be answered because this instance exits.
+    pub(crate) async fn response_deadline(&self) {
+        let _ = self.response_deadline.1.recv().await;
+    }
+
+    /// Ends that wait for all requests.
+    pub(crate) fn pass_response_deadline(&self) {
+        self.response_deadline.1.close();
+    }
+
     /// Carries out news of the world: the log tells them, quotas and endpoints follow.
     pub(crate) fn apply(&self, now: Instant, news: &[News], source: &'static str) {
         let mut state = self.lock();
--- a/oxbowbend-gateway/src/stop.rs
+++ b/oxbowbend-gateway/src/stop.rs
@@ -3,7 +3,8 @@
 //! Readiness fails first. The balancer notices within two of its questions, so connections are
 //! served on, each answer closing its own; idle ones are closed only when no new request is to be
 //! expected on them. Whoever still comes is served if that will end in time
-//! ([`oxbowbend_core::shutdown`]). The process ends with its last answer.
+//! ([`oxbowbend_core::shutdown`]). The process ends with its last answer. Shortly before its time is
+//! over, whoever has no answer yet gets an error.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,6 +64,9 @@
         shutdown.can_exit(now, in_progress, door.quiet_for(), others_ready)
     };
     while clock::now() < shutdown.deadline() && !is_done(clock::now()) {
+        if clock::now() >= shutdown.response_deadline() {
+            shared.pass_response_deadline();
+        }
         task::sleep(LOOK).await;
     }
     let left = door.busy();
