Relay: only a final status makes a response

What callers saw: the answer of an endpoint with status 101, 600 or 999 was passed on (MIXED, bytes that are no answer in the protocol): 18 of 18 that reached such an endpoint. 000, 099 and 199 ended with 502.

Cause: the HTTP library takes any three digits from 100 on, and the relay asked only whose a response is and whether it is sealed. Ruled out: that a part of a success without a length is passed on as complete where the connection is reset in the middle of an upload of 4 MB (0 of 24, buffered and passed on, on all kinds of routes).

Change: a response of an endpoint or a peer with a status outside 200 to 599 is no valid one. Instances frame all their responses, so a peer's response without framing fails too.

--- a/oxbowbend-daemon/tests/soak/fleet.rs
+++ b/oxbowbend-daemon/tests/soak/fleet.rs
@@ -60,6 +60,8 @@
     pub exchanges: Exchanges,
     pub excuses: Excuses,
     pub version: u64,
+    /// Bytes of a request's body that the next version of the configuration allows.
+    pub max_body_bytes: usize,
     /// Versions of the endpoints' software.
     pub versions: [&'static str; ENDPOINTS],
     addresses: Vec<SocketAddr>,
@@ -185,6 +187,7 @@
             exchanges,
             excuses,
             version,
+            max_body_bytes: 1 << 20,
             versions,
             addresses,
             born,
@@ -238,7 +241,7 @@
             ],
             "services": [{ "name": "s", "max_conns": 300 }],
             "limits": {
-                "max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000,
+                "max_header_bytes": 16384, "max_body_bytes": self.max_body_bytes, "idle_timeout_ms": 15000,
             },
             "tenants": [
                 { "name": ACCOUNT, "api_keys": [KEY] },
--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -53,6 +53,7 @@
 mod taken_up;
 mod unframed;
 mod versions;
+mod wrong;
 
 use std::time::Duration;
 
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -24,7 +24,7 @@
 
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::run::{path_only, AttemptResponse};
+use super::run::{is_final, path_only, AttemptResponse};
 use super::stream::StreamInterrupted;
 use super::{time_until, AttemptHistory, Origin, Relay};
 use crate::observe;
@@ -261,6 +261,11 @@
             let reason = if is_full { NotAccepted::Full } else { NotAccepted::Rejected };
             return Offer::NotAccepted(reason);
         }
+        // Instances frame all their responses.
+        let framing = h1::Framing::of(&request.method, head.status, &head.headers);
+        if !is_final(head.status) || framing == h1::Framing::UntilClose {
+            return Offer::Unknown(Refusal::Failed);
+        }
         let pool = self.pool.clone();
         let body = PeerBody { body, conn: Some(conn), pool, _in_progress: in_progress };
         Offer::Response(Box::new(PeerResponse { head, body }))
--- a/oxbowbend-gateway/src/relay/run.rs
+++ b/oxbowbend-gateway/src/relay/run.rs
@@ -10,7 +10,7 @@
 use futures::future::{select, Either};
 use futures::pin_mut;
 use http::header::{self, HeaderMap};
-use http::{response, Request, Response, Uri, Version};
+use http::{response, Request, Response, StatusCode, Uri, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use oxbowbend_clock as clock;
@@ -41,6 +41,9 @@
 /// Bytes of a response without events. A faulty endpoint may send bytes without end.
 pub(super) const MAX_RESPONSE: u64 = 64 << 20;
 
+/// Statuses of final responses (RFC 9110, 15). The library takes any three digits.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// Bytes of the headers of a response that belongs to no request, in the log.
 const MAX_SHOWN_HEADERS: usize = 300;
 
@@ -219,6 +222,7 @@
         self.shared.lock().path(&request.service).record_response(clock::now());
         attempt.progress = Progress::HeadArrived;
         let (mut head, mut body) = response.into_parts();
+        check_status(head.status)?;
         let verdict = self.wire.judge(&head, &request.metadata.id);
         if matches!(verdict, Verdict::Answer | Verdict::NotRun) {
             self.shared.endpoint_responded(&attempt.endpoint);
@@ -380,6 +384,19 @@
     Streaming(response::Parts, Option<Frame<Bytes>>, Incoming),
 }
 
+/// Rejects a status that no final response has: one of an interim response, or one that does not exist.
+fn check_status(status: StatusCode) -> Result<(), AttemptError> {
+    match is_final(status) {
+        true => Ok(()),
+        false => Err(AttemptError::NoValidResponse(format!("not a final response: {status}"))),
+    }
+}
+
+/// Whether a response that is not followed by another one may have this status.
+pub(super) fn is_final(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Describes an error with its cause, which tells a reset from an early end.
 pub(super) fn with_source(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
