Isolation: endpoints that are probed after a silence must respond

Reproduced with 131 processes: half cut off silently for 10 s, the store refusing, 1.3 requests a second at each instance, none of which may be repeated: from 4 s on 76 of 541 first tries served there, 477 of 530 at the others.

Cause: probes connected and did not ask for a response. Where connections are accepted and nothing passes, only clients' requests could show the loss: three endpoints within 2 s, or requests that may be repeated. An isolated instance also spent a request that may run once each 2 s as a trial. Ruled out: that hand-over fails while the store is away (352 of 384 posts served there now, the store away); that processors were short (the others served nine tenths in the same seconds). Tried: overdue responses of requests that may not be repeated as evidence, 87 of 561; not kept.

Change: after an overdue response or a broken connection, two other endpoints are asked for a response on a new connection (GET /report, any answer will do, 0.25 s). None responds: isolated. The trial of a request that may run once comes after 10 s instead of 2 s.

--- a/oxbowbend-core/src/isolation.rs
+++ b/oxbowbend-core/src/isolation.rs
@@ -1,13 +1,18 @@
 //! Detection that this instance has lost its path to all endpoints of a service.
 //!
 //! A failed request looks the same whether its endpoint is down or this instance is partitioned from
-//! it. So a failure without recent proof of a working path leads to probes: connections to other
-//! endpoints of the service. The instance counts as isolated if none of them can be reached either,
+//! it. So a failure without recent proof of a working path leads to probes of other endpoints of the
+//! service: connections, and unless it was the connection that failed, a request on each that any
+//! endpoint answers at once. The instance counts as isolated if none of them can be reached either,
 //! or if several endpoints accept connections and none of these gets a response. New connections are
 //! the evidence, since established ones may live on while new ones are refused.
 //!
-//! Probes are repeated while an instance is isolated, and it counts as connected again once all of a
-//! round succeed. Where connections are accepted all the same, a request is tried from time to time.
+//! A single failure is enough for a round, so that an instance with few requests finds a path
+//! that has gone silent as soon as one with many.
+//!
+//! Probes are repeated while an instance is isolated. It counts as connected again once all of a
+//! round accept connections, or where they did so all along, once one of them responds. For endpoints
+//! that answer no probe, a request is tried from time to time.
 //!
 //! An instance whose own link or processor is at its limit looks isolated to itself. It keeps its verdict
 //! until it is below the limit again.
@@ -39,16 +44,17 @@
 /// Time within which they must fail, and that must have passed since the first of these failures.
 const FAILURE_WINDOW: Duration = Duration::from_secs(2);
 const MIN_FAILURE_TIME: Duration = Duration::from_millis(150);
-/// Time between two trials with requests that may be repeated, and with any others.
+/// Time between two trials with requests that may be repeated, and with any others, which are lost if
+/// the path is.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(400);
-const UNREPEATABLE_TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+const UNREPEATABLE_TRIAL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// How a request failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathFailure {
     /// No new connection to the endpoint.
     Connect,
-    /// An established connection failed.
+    /// An established connection failed, or a new one right after it was accepted.
     Broken,
     /// No response on an established connection.
     Unresponsive,
@@ -57,9 +63,11 @@
 /// Results of a round of probes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ProbeRound {
-    /// Endpoints that accepted a connection.
+    /// Endpoints that accepted a connection, and responded if they were asked to.
     pub reached: usize,
-    /// Endpoints that did not.
+    /// Endpoints that accepted a connection and did not respond.
+    pub silent: usize,
+    /// Endpoints that accepted none.
     pub failed: usize,
 }
 
@@ -116,7 +124,7 @@
 /// let (now, mut detector) = (Instant::now(), IsolationDetector::default());
 /// assert_eq!(detector.verdict(now, PathFailure::Connect), PathVerdict::Unknown);
 /// detector.start_round(now);
-/// detector.finish_round(now, ProbeRound { reached: 0, failed: 2 });
+/// detector.finish_round(now, ProbeRound { failed: 2, ..ProbeRound::default() });
 /// assert!(detector.is_isolated());
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -242,6 +250,13 @@
         }
     }
 
+    /// Returns whether the endpoints of a round after such a failure are asked to respond, besides
+    /// accepting a connection; `None` for a round that is due.
+    pub fn must_respond(&self, failure: Option<PathFailure>) -> bool {
+        let is_after_accepting = failure.is_some_and(|failure| failure != PathFailure::Connect);
+        self.cause == Some(Cause::NoResponse) || is_after_accepting
+    }
+
     /// Returns whether a round of probes is in progress.
     pub fn is_probing(&self, now: Instant) -> bool {
         self.round_started_at.is_some_and(|at| now.saturating_duration_since(at) < ROUND_TIMEOUT)
@@ -270,19 +285,23 @@
         if round.reached > 0 {
             self.connected_at = Some(now);
         }
-        match (self.cause, round) {
-            (None, ProbeRound { reached: 0, failed: 1.. }) if !self.is_at_limit => {
+        let ProbeRound { reached, silent, failed } = round;
+        match (self.cause, reached, silent, failed) {
+            (None, 0, 1.., _) if !self.is_at_limit => {
+                Some(self.change(now, Some(Cause::NoResponse), round))
+            }
+            (None, 0, 0, 1..) if !self.is_at_limit => {
                 Some(self.change(now, Some(Cause::NoConnection), round))
             }
-            (Some(Cause::NoResponse), ProbeRound { reached: 0, failed: 1.. }) => {
+            (Some(Cause::NoResponse), 0, 0, 1..) => {
                 self.cause = Some(Cause::NoConnection);
                 None
             }
-            (Some(Cause::NoConnection), ProbeRound { reached: 1.., failed: 0 }) => {
+            (Some(Cause::NoResponse), 1.., _, _) | (Some(Cause::NoConnection), 1.., 0, 0) => {
                 Some(self.change(now, None, round))
             }
-            // Some endpoints may be down for good, so requests must show whether the path is back.
-            (Some(Cause::NoConnection), ProbeRound { reached: 1.., failed: 1.. }) => {
+            // Some endpoints may be down for good, so responses must show whether the path is back.
+            (Some(Cause::NoConnection), 1.., _, _) | (Some(Cause::NoConnection), 0, 1.., _) => {
                 self.cause = Some(Cause::NoResponse);
                 None
             }
--- a/oxbowbend-daemon/tests/recovery/daemons.rs
+++ b/oxbowbend-daemon/tests/recovery/daemons.rs
@@ -163,6 +163,13 @@
         std::thread::scope(|scope| scope.spawn(start).join().unwrap())
     }
 
+    /// The processes that run now, by their machines' addresses for clients.
+    pub fn processes(&self) -> Vec<(SocketAddr, u32)> {
+        let all = self.all.lock().unwrap();
+        let running = all.iter().filter_map(|d| Some((d.ip, d.child.as_ref()?.id())));
+        running.map(|(ip, id)| (SocketAddr::from((ip, FRONT)), id)).collect()
+    }
+
     /// Processor time that the processes that run now have used so far.
     pub fn processor_time(&self) -> Duration {
         let all = self.all.lock().unwrap();
--- a/oxbowbend-gateway/src/gateway.rs
+++ b/oxbowbend-gateway/src/gateway.rs
@@ -149,6 +149,7 @@
             AdmissionController::new(cfg.quotas),
             retry_limiter,
             Rollouts::new(cfg.rollouts),
+            W::PROBE_PATH,
         );
         let local =
             Sender { instance: cfg.instance.clone(), incarnation: life, address: cfg.peers };
--- a/oxbowbend-gateway/src/observe.rs
+++ b/oxbowbend-gateway/src/observe.rs
@@ -168,6 +168,7 @@
 /// Records a round of probes of the path to endpoints.
 pub(crate) fn path_probed(round: ProbeRound) {
     counter!("oxbow_path_probes_total", "result" => "reached").increment(round.reached as u64);
+    counter!("oxbow_path_probes_total", "result" => "silent").increment(round.silent as u64);
     counter!("oxbow_path_probes_total", "result" => "failed").increment(round.failed as u64);
 }
 
--- a/oxbowbend-gateway/src/path.rs
+++ b/oxbowbend-gateway/src/path.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
+use bytes::Bytes;
 use futures::future::join_all;
+use http::{header, Request};
 use oxbowbend_clock as clock;
 use oxbowbend_core::ids::ServiceId;
 use oxbowbend_core::isolation::{
@@ -17,8 +19,10 @@
 use crate::observe;
 use crate::shared::{Shared, State};
 
-/// Time that a probe may take. A connection takes a few milliseconds, some tens under load.
+/// Time that a probe's connection may take, and its response. Each takes a few milliseconds, some tens under load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest body of a response that is read so that its connection can be used again.
+const MAX_PROBE_BODY: usize = 64 * 1024;
 /// Time between two looks at a round of probes that another request has started.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -38,9 +42,10 @@
             PathVerdict::Isolated => return true,
             PathVerdict::Unknown => {}
         }
-        if self.start_round(service) {
+        if let Some(must_respond) = self.start_round(service, Some(failure)) {
             // The round goes on if the client of this request disconnects.
-            let probes = Probes { service: service.clone(), except: Some(endpoint.address) };
+            let except = Some(endpoint.address);
+            let probes = Probes { service: service.clone(), except, must_respond };
             task::spawn(probes.run(self.clone(), pool.clone())).await;
         }
         while self.lock().path(service).is_probing(clock::now()) {
@@ -79,9 +84,10 @@
             return;
         };
         log::warn!(
-            "event=path_changed service={service} is_isolated={is_isolated} reached={} failed={} \
-             failed_endpoints={failed_endpoints} before_ms={}",
+            "event=path_changed service={service} is_isolated={is_isolated} reached={} silent={} \
+             failed={} failed_endpoints={failed_endpoints} before_ms={}",
             round.reached,
+            round.silent,
             round.failed,
             lasted.as_millis()
         );
@@ -93,22 +99,22 @@
     pub(crate) fn probe_when_due(&self, pool: &h1::Pool) {
         let services = self.lock().services_to_probe();
         for service in services {
-            if self.start_round(&service) {
-                let probes = Probes { service, except: None };
+            if let Some(must_respond) = self.start_round(&service, None) {
+                let probes = Probes { service, except: None, must_respond };
                 task::spawn(probes.run(self.clone(), pool.clone()));
             }
         }
     }
 
-    /// Starts a round of probes unless one is in progress.
-    fn start_round(&self, service: &ServiceId) -> bool {
+    /// Starts a round of probes unless one is in progress. Returns whether endpoints must respond.
+    fn start_round(&self, service: &ServiceId, failure: Option<PathFailure>) -> Option<bool> {
         let (now, mut state) = (clock::now(), self.lock());
         let path = state.path(service);
-        let may_start = !path.is_probing(now);
-        if may_start {
-            path.start_round(now);
+        if path.is_probing(now) {
+            return None;
         }
-        may_start
+        path.start_round(now);
+        Some(path.must_respond(failure))
     }
 }
 
@@ -154,15 +160,30 @@
     service: ServiceId,
     /// The endpoint whose failure led to the round.
     except: Option<SocketAddr>,
+    /// Whether endpoints are asked to respond.
+    must_respond: bool,
+}
+
+/// What came of one probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeResult {
+    Reached,
+    Silent,
+    Failed,
 }
 
 impl Probes {
     async fn run(self, shared: Shared, pool: h1::Pool) {
         let addresses = self.addresses(&shared.lock());
-        let probes = addresses.iter().map(|address| probe(&pool, *address));
+        let path = self.must_respond.then_some(shared.probe_path);
+        let probes = addresses.iter().map(|address| probe(&pool, *address, path));
         let results = join_all(probes).await;
-        let reached = results.iter().filter(|is_reached| **is_reached).count();
-        let round = ProbeRound { reached, failed: results.len() - reached };
+        let count = |result| results.iter().filter(|other| **other == result).count();
+        let round = ProbeRound {
+            reached: count(ProbeResult::Reached),
+            silent: count(ProbeResult::Silent),
+            failed: count(ProbeResult::Failed),
+        };
         observe::path_probed(round);
         let change = shared.lock().path(&self.service).finish_round(clock::now(), round);
         shared.report_change(&self.service, change);
@@ -177,13 +198,26 @@
     }
 }
 
-/// Opens a connection, which the pool keeps.
-async fn probe(pool: &h1::Pool, address: SocketAddr) -> bool {
-    match future::timeout(PROBE_TIMEOUT, pool.connect(address)).await {
-        Ok(Ok(conn)) => {
-            pool.put(conn);
-            true
+/// Opens a connection, which the pool keeps, and asks for a response on it if a path is named. Any response will do.
+async fn probe(pool: &h1::Pool, address: SocketAddr, path: Option<&'static str>) -> ProbeResult {
+    let Ok(Ok(mut conn)) = future::timeout(PROBE_TIMEOUT, pool.connect(address)).await else {
+        return ProbeResult::Failed;
+    };
+    if let Some(path) = path {
+        let exchange = respond(&mut conn, address, path);
+        if !matches!(future::timeout(PROBE_TIMEOUT, exchange).await, Ok(Some(()))) {
+            return ProbeResult::Silent;
         }
-        Ok(Err(_)) | Err(_) => false,
     }
+    pool.put(conn);
+    ProbeResult::Reached
+}
+
+/// Asks for a response and reads it.
+async fn respond(conn: &mut h1::Conn, address: SocketAddr, path: &'static str) -> Option<()> {
+    let host = address.to_string();
+    let req = Request::get(path).header(header::HOST, host).body(Bytes::new()).ok()?;
+    let mut response = conn.send(req).await.ok()?;
+    let collected = h1::collect(response.body_mut(), MAX_PROBE_BODY).await.ok()?;
+    matches!(collected, h1::Collected::Whole(_)).then_some(())
 }
--- a/oxbowbend-gateway/src/relay/attempt_error.rs
+++ b/oxbowbend-gateway/src/relay/attempt_error.rs
@@ -70,7 +70,8 @@
     /// Returns how the path to the endpoint may have failed, if it may.
     pub(super) fn path_failure(&self, progress: Progress) -> Option<PathFailure> {
         match self {
-            AttemptError::NotSent(_) => Some(PathFailure::Connect),
+            AttemptError::NotSent(h1::CallError::Connect { .. }) => Some(PathFailure::Connect),
+            AttemptError::NotSent(_) => Some(PathFailure::Broken),
             AttemptError::Unresponsive if progress == Progress::Connecting => {
                 Some(PathFailure::Connect)
             }
--- a/oxbowbend-gateway/src/seam.rs
+++ b/oxbowbend-gateway/src/seam.rs
@@ -104,6 +104,9 @@
 
 /// How requests and answers look. Implementations only translate.
 pub trait Wire: Clone + Send + Sync + 'static {
+    /// Path of a request that endpoints answer at once, whatever the answer, and run nothing for.
+    const PROBE_PATH: &'static str;
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
--- a/oxbowbend-gateway/src/shared.rs
+++ b/oxbowbend-gateway/src/shared.rs
@@ -290,6 +290,8 @@
     pub(crate) confirmations: Confirmations,
     /// Closed once requests can be served.
     loaded: (channel::Sender<()>, channel::Receiver<()>),
+    /// Path that endpoints answer at once, whatever the answer.
+    pub(crate) probe_path: &'static str,
     /// Closed at the response deadline of a shutdown.
     response_deadline: (channel::Sender<()>, channel::Receiver<()>),
     /// Tells that the watch of a part is given up, by part.
@@ -305,6 +307,7 @@
         admission: AdmissionController,
         repeats: RetryLimiter,
         rollouts: Rollouts,
+        probe_path: &'static str,
     ) -> (Shared, channel::Receiver<()>) {
         let (changed, rx) = channel::bounded(1);
         let streams = Streams::new();
@@ -346,7 +349,15 @@
         let given_up = [channel::bounded(1), channel::bounded(1)];
         let confirmations = Confirmations::default();
         let (loaded, response_deadline) = (channel::bounded(1), channel::bounded(1));
-        let shared = Shared { state, changed, confirmations, loaded, response_deadline, given_up };
+        let shared = Shared {
+            state,
+            changed,
+            confirmations,
+            loaded,
+            probe_path,
+            response_deadline,
+            given_up,
+        };
         (shared, rx)
     }
 
