Tests: a port that was found free stays free while other threads start processes

Cause: the harness finds a free port with a listening socket and closes it. A process that another thread of the tests starts inherits the socket until it begins its program, and the daemon cannot listen meanwhile. Ruled out: ports of outgoing connections (from 32768 on), and that a port is handed out twice.

Change: the socket that finds the port does not listen; one that is only bound keeps nobody from it.

--- a/oxbowbend-standin/src/local.rs
+++ b/oxbowbend-standin/src/local.rs
@@ -12,6 +12,7 @@
 use oxbowbend_resource::manifest;
 use oxbowbend_resource::set;
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 
 use crate::engine;
 use crate::platform;
@@ -67,7 +68,9 @@
 /// Finds a free port on loopback for somebody else to listen at.
 ///
 /// A port that the system picks may be given to an outgoing connection before the other one
-/// listens; these are not, and each is handed out once by a process.
+/// listens; these are not, and each is handed out once by a process. The socket that finds it does not
+/// listen: a process that another thread starts inherits it for a moment, and one that listened would
+/// keep the port for as long.
 ///
 /// # Errors
 ///
@@ -77,9 +80,11 @@
     let start = std::process::id().wrapping_mul(97);
     for _ in 0..PORTS {
         let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % u32::from(PORTS);
-        let port = FIRST_PORT + offset as u16;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
-            return listener.local_addr();
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset as u16));
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        if socket.bind(&address.into()).is_ok() {
+            return Ok(address);
         }
     }
     Err(std::io::Error::other("no port is free"))
