Relay: all endpoints that a request was sent to count against its route's limit

Cause: a resumed stream started to count at one, whatever was sent before its first event, and a peer that a request is handed over to started to count anew. Ruled out: the retry budget, which bounds a service's requests together.

Change: a stream begins with the endpoints that may have executed its request before; a hand-over tells their number (oxbowbend-handover-attempts), and the peer goes on from there.

--- a/oxbowbend-daemon/tests/soak/main.rs
+++ b/oxbowbend-daemon/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! `OXBOW_SOAK=FROM-TO` plays others, one after the other. Seeds that have failed are in [`CASES`] and
 //! are played every time.
 
+mod attempts;
 mod brittle;
 mod caller;
 mod config_order;
--- a/oxbowbend-gateway/src/relay/admit.rs
+++ b/oxbowbend-gateway/src/relay/admit.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body as _, Incoming};
 use oxbowbend_clock as clock;
 use oxbowbend_core::cell::PrefillStall;
-use oxbowbend_core::config_order::{self, ConfigVersion};
+use oxbowbend_core::config_order;
 use oxbowbend_core::fingerprint::{fingerprint, Fingerprint};
 use oxbowbend_core::memory;
 use oxbowbend_core::routes::{Account, Route, RoutingTable};
@@ -21,7 +21,7 @@
 
 use super::refusal::Refusal;
 use super::request::AdmittedRequest;
-use super::{time_until, AttemptHistory, Origin, Relay};
+use super::{time_until, AttemptHistory, Offered, Origin, Relay};
 use crate::seam::{Ask, Wire};
 
 /// Time for a body of a request that states no deadline and has no route.
@@ -61,7 +61,7 @@
         &self,
         req: Request<Incoming>,
         origin: Origin,
-        offered_config: Option<ConfigVersion>,
+        offered: Offered,
         arrived_at: Instant,
     ) -> Result<AdmittedRequest, AdmitError> {
         let (mut head, mut body) = req.into_parts();
@@ -104,12 +104,13 @@
             return Err(with_id(self.not_ready_refusal(clock::now())));
         }
         let body = body.unwrap_or_default();
-        if !config_order::may_handle(offered_config, table.version()) {
+        if !config_order::may_handle(offered.config, table.version()) {
             return Err(with_id(Refusal::OtherConfiguration));
         }
         let mut request =
             self.create_request(&table, head, metadata, body, arrived_at).map_err(with_id)?;
         (request.origin, request.handle) = (origin, handle);
+        request.earlier_attempts = offered.attempts;
         self.bind_stream(&mut request).await.map_err(with_id)?;
         Ok(request)
     }
@@ -215,6 +216,7 @@
             config_version: table.version(),
             is_counted: AtomicBool::new(false),
             may_have_run: AtomicBool::new(false),
+            earlier_attempts: 0,
             stream_key: None,
             bound_to: None,
         })
--- a/oxbowbend-gateway/src/relay/handover.rs
+++ b/oxbowbend-gateway/src/relay/handover.rs
@@ -41,6 +41,8 @@
 pub(super) const OVERFLOW: HeaderValue = HeaderValue::from_static("overflow");
 /// Header that tells the version of the configuration by which the sender has admitted the request.
 pub(super) const HANDOVER_CONFIG: &str = "oxbowbend-handover-config";
+/// Header that tells how many endpoints may have executed the request before.
+pub(super) const HANDOVER_ATTEMPTS: &str = "oxbowbend-handover-attempts";
 /// Time for which the connection of a rejection may take to end its body, to be used again.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -165,7 +167,7 @@
                 time_until(request.deadline).as_millis()
             );
             history.start_retry();
-            let result = match self.offer(request, &peer, Purpose::Isolation).await {
+            let result = match self.offer(request, history, &peer, Purpose::Isolation).await {
                 Offer::Response(response) => {
                     observe::handed_over("answered");
                     return Some(self.accept(request, history, response));
@@ -204,7 +206,7 @@
         history.possibly_executed += 1;
         *refusal == Refusal::Failed
             && request.is_retryable()
-            && history.possibly_executed < request.route.max_attempts
+            && history.may_attempt(request)
             && self.acquire_retry(request, "handover", history)
     }
 
@@ -234,17 +236,20 @@
     pub(super) async fn offer(
         &self,
         request: &AdmittedRequest,
+        history: &AttemptHistory,
         peer: &ChosenPeer,
         purpose: Purpose,
     ) -> Offer {
+        let attempts = history.possibly_executed;
         let in_progress = InProgress::start(&self.shared, &peer.instance);
         let exchange = async {
             let mut conn = connected(purpose, peer, self.pool.get(peer.address)).await?;
             request.may_have_run.store(true, Ordering::SeqCst);
-            let mut result = conn.send_held(self.handover_request(request, purpose)).await;
+            let mut result =
+                conn.send_held(self.handover_request(request, attempts, purpose)).await;
             if conn.is_reused() && matches!(&result, Err(e) if e.is_unsent()) {
                 conn = connected(purpose, peer, self.pool.connect(peer.address)).await?;
-                result = conn.send_held(self.handover_request(request, purpose)).await;
+                result = conn.send_held(self.handover_request(request, attempts, purpose)).await;
             }
             result.map(|response| (conn, response))
         };
@@ -286,6 +291,7 @@
     fn handover_request(
         &self,
         request: &AdmittedRequest,
+        attempts: u32,
         purpose: Purpose,
     ) -> Request<h1::HeldBody> {
         let mut req = Request::new(request.body.clone());
@@ -298,6 +304,7 @@
             req.headers_mut().insert(HANDOVER, sender);
         }
         req.headers_mut().insert(HANDOVER_CONFIG, HeaderValue::from(request.config_version));
+        req.headers_mut().insert(HANDOVER_ATTEMPTS, HeaderValue::from(attempts));
         match purpose {
             Purpose::Isolation => req.headers_mut().remove(HANDOVER_FOR),
             Purpose::Overflow => req.headers_mut().insert(HANDOVER_FOR, OVERFLOW),
--- a/oxbowbend-gateway/src/relay/handover_receiver.rs
+++ b/oxbowbend-gateway/src/relay/handover_receiver.rs
@@ -9,10 +9,12 @@
 use oxbowbend_http::h1;
 
 use super::admit::DISCARD_TIMEOUT;
-use super::handover::{HANDOVER, HANDOVER_CONFIG, HANDOVER_FOR, OVERFLOW, REJECTED};
+use super::handover::{
+    HANDOVER, HANDOVER_ATTEMPTS, HANDOVER_CONFIG, HANDOVER_FOR, OVERFLOW, REJECTED,
+};
 use super::refusal::Refusal;
 use super::stream::StreamInterrupted;
-use super::{Body, Origin, Relay};
+use super::{Body, Offered, Origin, Relay};
 use crate::observe;
 use crate::seam::Wire;
 
@@ -28,7 +30,12 @@
         let sender = req.headers_mut().remove(HANDOVER);
         let sender = sender.and_then(|value| value.to_str().ok().map(str::to_owned));
         let config = req.headers_mut().remove(HANDOVER_CONFIG);
-        let config = config.and_then(|value| value.to_str().ok()?.parse().ok());
+        let attempts = req.headers_mut().remove(HANDOVER_ATTEMPTS);
+        let offered = Offered {
+            config: config.and_then(|value| value.to_str().ok()?.parse().ok()),
+            // An instance of an older version of the program does not tell them.
+            attempts: attempts.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0),
+        };
         let origin = match req.headers_mut().remove(HANDOVER_FOR) == Some(OVERFLOW) {
             true => Origin::FullCell,
             false => Origin::Peer,
@@ -39,7 +46,7 @@
                 if origin == Origin::Peer {
                     observe::handover_received("accepted");
                 }
-                self.serve_from(req, origin, config).await
+                self.serve_from(req, origin, offered).await
             }
             Err(reason) => {
                 // A response before the end of the body could be lost to a reset.
--- a/oxbowbend-gateway/src/relay/mod.rs
+++ b/oxbowbend-gateway/src/relay/mod.rs
@@ -82,6 +82,15 @@
     lease: Option<Lease>,
 }
 
+/// What another instance tells with a request that it offers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Offered {
+    /// The configuration that it has admitted the request by, if it tells that.
+    config: Option<ConfigVersion>,
+    /// Endpoints that may have executed the request.
+    attempts: u32,
+}
+
 /// Results of the previous attempts to send a request.
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
@@ -112,17 +121,17 @@
         self,
         req: Request<Incoming>,
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
-        self.serve_from(req, Origin::Client, None).await
+        self.serve_from(req, Origin::Client, Offered::default()).await
     }
 
     async fn serve_from(
         self,
         req: Request<Incoming>,
         origin: Origin,
-        offered_config: Option<ConfigVersion>,
+        offered: Offered,
     ) -> Response<Body<impl Stream<Item = Result<Frame<Bytes>, stream::StreamInterrupted>>>> {
         let arrived_at = clock::now();
-        let request = match self.admit(req, origin, offered_config, arrived_at).await {
+        let request = match self.admit(req, origin, offered, arrived_at).await {
             Ok(request) => Arc::new(request),
             Err((id, refusal)) => {
                 refusal.log(&id, "-", arrived_at);
@@ -191,13 +200,17 @@
             };
             history.start_retry();
             let endpoint = slot.assignment.endpoint.id.clone();
-            let is_last = history.possibly_executed + 1 >= request.route.max_attempts;
+            let is_last = history.is_last_attempt(request);
             match self.send_to_endpoint(request, slot, request.metadata.after, is_last).await {
                 Ok(AttemptResponse::Complete(response))
                     if self.should_retry_response(request, &response, &mut history) =>
                 {
                     history.endpoint_error = Some(response);
                 }
+                Ok(AttemptResponse::Streaming(head, mut stream)) => {
+                    stream.earlier_attempts = history.all_attempts(request);
+                    return Ok(AttemptResponse::Streaming(head, stream));
+                }
                 Ok(response) => return Ok(response),
                 Err(AttemptError::Quarantined(remaining)) => {
                     let fingerprint = request.fingerprint;
@@ -222,7 +235,7 @@
                     history.possibly_executed += 1;
                     let can_retry = request.is_retryable()
                         && !error.is_deadline_exceeded()
-                        && history.possibly_executed < request.route.max_attempts
+                        && history.may_attempt(request)
                         && self.acquire_retry(request, "failed", &mut history);
                     if !can_retry {
                         return history.final_result(error.into_refusal());
@@ -248,8 +261,7 @@
             return false;
         }
         history.possibly_executed += 1;
-        history.possibly_executed < request.route.max_attempts
-            && self.acquire_retry(request, "error", history)
+        history.may_attempt(request) && self.acquire_retry(request, "error", history)
     }
 
     /// Waits in the queue for a free slot at an endpoint.
@@ -355,6 +367,21 @@
         self.excluded_endpoints.is_empty() && self.unexecuted == 0 && self.possibly_executed == 0
     }
 
+    /// Endpoints that may have executed a request, also where it was sent from before.
+    fn all_attempts(&self, request: &AdmittedRequest) -> u32 {
+        request.earlier_attempts.saturating_add(self.possibly_executed)
+    }
+
+    /// Returns whether the route allows one more endpoint.
+    fn may_attempt(&self, request: &AdmittedRequest) -> bool {
+        self.all_attempts(request) < request.route.max_attempts
+    }
+
+    /// Returns whether the route allows none after the next one.
+    fn is_last_attempt(&self, request: &AdmittedRequest) -> bool {
+        self.all_attempts(request).saturating_add(1) >= request.route.max_attempts
+    }
+
     /// Records that what was sent last has not been executed.
     fn note_unexecuted(&self, request: &AdmittedRequest) {
         request.may_have_run.store(self.possibly_executed > 0, Ordering::SeqCst);
--- a/oxbowbend-gateway/src/relay/overflow.rs
+++ b/oxbowbend-gateway/src/relay/overflow.rs
@@ -59,7 +59,7 @@
                 address,
                 report_age: chosen.report_age,
             };
-            let offer = self.offer_watched(request, &peer).await;
+            let offer = self.offer_watched(request, history, &peer).await;
             self.log_offer(request, &chosen, &offer);
             match offer {
                 Offer::Response(response) => return Some(self.accept(request, history, response)),
@@ -80,8 +80,13 @@
 
     /// Offers a request. While a response is overdue, the instance is left out of other choices: one
     /// that is stopped or cut off still has connections, on which requests are lost.
-    async fn offer_watched(&self, request: &AdmittedRequest, peer: &ChosenPeer) -> Offer {
-        let mut offer = Box::pin(self.offer(request, peer, Purpose::Overflow));
+    async fn offer_watched(
+        &self,
+        request: &AdmittedRequest,
+        history: &AttemptHistory,
+        peer: &ChosenPeer,
+    ) -> Offer {
+        let mut offer = Box::pin(self.offer(request, history, peer, Purpose::Overflow));
         let (service, tokens) = (&request.service, request.metadata.prompt);
         let expectation =
             self.shared.lock().cell.service_expectation(clock::now(), service, tokens);
--- a/oxbowbend-gateway/src/relay/request.rs
+++ b/oxbowbend-gateway/src/relay/request.rs
@@ -47,6 +47,8 @@
     pub(crate) is_counted: AtomicBool,
     /// Whether the request was sent anywhere that may execute it, or may have executed it already.
     pub(crate) may_have_run: AtomicBool,
+    /// Endpoints that may have executed the request before it was offered to this instance.
+    pub(crate) earlier_attempts: u32,
     /// The stream that the request begins or continues, if another endpoint may continue it.
     pub(crate) stream_key: Option<StreamKey>,
     /// Where the stream began that the request continues.
--- a/oxbowbend-gateway/src/relay/stream.rs
+++ b/oxbowbend-gateway/src/relay/stream.rs
@@ -50,6 +50,8 @@
     body: Incoming,
     /// Whether the body consists of events, whose boundaries show whether it is complete.
     has_events: bool,
+    /// Endpoints that may have executed the request before this one.
+    pub(super) earlier_attempts: u32,
 }
 
 impl EndpointStream {
@@ -60,7 +62,7 @@
         body: Incoming,
         has_events: bool,
     ) -> EndpointStream {
-        EndpointStream { attempt, status, first_frame, body, has_events }
+        EndpointStream { attempt, status, first_frame, body, has_events, earlier_attempts: 0 }
     }
 }
 
@@ -97,6 +99,7 @@
     /// The event that follows what was passed on, if it may not be.
     out_of_order: Option<OutOfOrder>,
     excluded_endpoints: Vec<EndpointId>,
+    /// Endpoints that the request was sent to and that may have executed it.
     send_count: u32,
     bytes_sent: usize,
     /// When the endpoint began to write, and the bytes that were sent before.
@@ -116,10 +119,10 @@
         relay,
         events: EventSplitter::resume_after(request.metadata.after),
         request,
+        send_count: stream.earlier_attempts.saturating_add(1),
         stream: Some(stream),
         out_of_order: None,
         excluded_endpoints: Vec::new(),
-        send_count: 1,
         bytes_sent: 0,
         began_at: clock::now(),
         sent_before: 0,
@@ -334,7 +337,7 @@
             let Ok(slot) = slot else { return false };
             history.start_retry();
             let endpoint = slot.assignment.endpoint.id.clone();
-            let is_last = self.send_count + 1 >= self.request.route.max_attempts;
+            let is_last = self.send_count.saturating_add(1) >= self.request.route.max_attempts;
             let (request, last_event_id) = (&self.request, self.events.last_id());
             match self.relay.send_to_endpoint(request, slot, last_event_id, is_last).await {
                 Ok(AttemptResponse::Streaming(_, stream)) if stream.has_events => {
